--- /dev/null
+++ b/cmake/slatestall_program.cmake
@@ -0,0 +1,15 @@
+# slatestall_program(NAME [INSTALL] [USES package...] [LINK target...])
+#
+# A program from programs/NAME/*.cc, installed only on request.
+function(slatestall_program name)
+  cmake_parse_arguments(ARG "INSTALL" "" "USES;LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/programs/${name}/*.cc")
+  list(TRANSFORM ARG_USES PREPEND "slatestall_")
+  add_executable(${name} ${sources})
+  target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/programs")
+  target_compile_definitions(${name} PRIVATE SLATESTALL_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(${name} PRIVATE ${ARG_USES} ${ARG_LINK})
+  if(ARG_INSTALL)
+    install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+  endif()
+endfunction()
--- /dev/null
+++ b/include/slatestall/http/http_client.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "slatestall/http/http_header.h"
+#include "slatestall/model/time.h"
+
+namespace slatestall {
+
+/// @brief How a call ended as seen by the transport.
+/// @ingroup http
+enum class call_end {
+  kComplete,       ///< A whole answer, of any status.
+  kConnectFailed,  ///< No connection was made; no byte left this host.
+  kTimedOut,
+  kTruncated,  ///< The connection ended inside the answer or before it.
+  kTooLarge,   ///< The answer passed `max_answer_bytes`.
+  kCancelled,
+};
+
+struct http_call {
+  std::string method = "GET";
+  std::string url;
+  http_headers headers;
+  std::string body;
+  milliseconds connect_timeout{250};
+  milliseconds timeout{6000};
+  std::size_t max_answer_bytes = std::size_t{16} << 20U;
+  /// A call that must not be sent twice: takes a new connection, since
+  /// libcurl silently resends when a reused one turns out to be dead.
+  bool at_most_once = false;
+  /// Called with the status as soon as it is known, before any data.
+  std::function<void(int status)> on_status;
+  /// Takes body data as it arrives (status 2xx only); `body` of the result is
+  /// then empty.
+  std::function<void(std::string_view)> on_data;
+};
+
+struct http_result {
+  call_end end = call_end::kCancelled;
+  int status = 0;
+  http_headers headers;
+  std::string body;
+  /// False only where no byte of the call can have left this host.
+  bool may_have_been_sent = false;
+  std::string detail;  ///< For logs.
+};
+
+/// @brief Runs HTTP/1.1 calls by libcurl on one io_context; used only from
+/// the thread that runs it.
+class http_client {
+ public:
+  using call_number = std::uint64_t;
+  using completion = std::function<void(http_result)>;
+
+  explicit http_client(asio::io_context& context);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  /// @brief Starts a call; `done` runs exactly once, from the event loop and
+  /// never from inside `Start`, unless the call is cancelled.
+  call_number Start(http_call call, completion done);
+
+  /// @brief Ends a call at once and closes its connection; its `done` is not
+  /// called. Unknown numbers are ignored.
+  void Cancel(call_number number);
+
+  std::size_t InFlight() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace slatestall
