Serve and call HTTP/1.1 on one event loop

RESTinio drives the connections of the server, libcurl the calls of the client, both on the io_context of a traffic thread.

--- a/include/slatestall/http/http_client.h
+++ b/include/slatestall/http/http_client.h
@@ -76,7 +76,7 @@
 
  private:
   class impl;
-  std::unique_ptr<impl> impl_;
+  std::shared_ptr<impl> impl_;
 };
 
 }  // namespace slatestall
--- a/include/slatestall/http/http_server.h
+++ b/include/slatestall/http/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "slatestall/http/http_header.h"
+#include "slatestall/model/time.h"
 
 namespace slatestall {
 
@@ -55,6 +56,16 @@
   std::size_t max_connections = 4096;
   /// Several servers, each on its own thread, may share the port.
   bool share_port = false;
+  /// From the first byte of a request to its last.
+  milliseconds read_timeout{30'000};
+  /// Without a byte of the answer taken by the caller.
+  milliseconds write_timeout{15'000};
+  /// Without a byte of the answer written by the handler.
+  milliseconds answer_timeout{120'000};
+  /// Between requests of one connection.
+  milliseconds idle_timeout{75'000};
+  /// Of one chunked answer; a caller that lets more pile up is cut off.
+  std::size_t max_pending_bytes = std::size_t{4} << 20U;
 };
 
 /// @brief HTTP/1.1 server by RESTinio on one io_context.
@@ -74,7 +85,7 @@
 
  private:
   class impl;
-  std::unique_ptr<impl> impl_;
+  std::shared_ptr<impl> impl_;
 };
 
 }  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/http/client_call.cc
@@ -0,0 +1,294 @@
+#include "slatestall/http/client_call.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "slatestall/http/ascii_case.h"
+#include "slatestall/http/curl_event_loop.h"
+#include "slatestall/http/header_check.h"
+
+namespace slatestall {
+namespace {
+
+constexpr std::size_t kMaxAnswerHeaderBytes = std::size_t{64} << 10U;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+/// libcurl reads a limit of zero as no limit, so that a spent deadline would
+/// turn into a call without one.
+long AtLeastOneMillisecond(milliseconds limit) {  // NOLINT: libcurl's type
+  return static_cast<long>(std::max<milliseconds::rep>(limit.count(), 1));
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const auto first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+}
+
+}  // namespace
+
+client_call::client_call(http_call call, http_client::completion done,
+                         curl_easy_handle easy, curl_event_loop& loop)
+    : call_(std::move(call)),
+      done_(std::move(done)),
+      loop_(loop),
+      easy_(std::move(easy)) {}
+
+bool client_call::Prepare() {
+  if (!IsToken(call_.method) || !HeadersAreSafe(call_.headers)) {
+    return false;
+  }
+  SetTransport();
+  SetMethod();
+  return SetHeaders();
+}
+
+void client_call::SetTransport() {
+  CURL* easy = easy_.get();
+  curl_easy_setopt(easy, CURLOPT_URL, call_.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+  // An empty string, unlike none, also shuts out http_proxy and its kin from
+  // the environment.
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   AtLeastOneMillisecond(call_.connect_timeout));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   AtLeastOneMillisecond(call_.timeout));
+  // libcurl sends a request again, unasked, when a reused connection ends
+  // before the first byte of the answer; the endpoint may have run it by then.
+  // It does so on reused connections only, so a fresh one rules it out.
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call_.at_most_once ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, error_text_.data());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &loop_);
+}
+
+void client_call::SetMethod() {
+  CURL* easy = easy_.get();
+  const bool has_body = !call_.body.empty();
+  if (call_.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (call_.method == "GET" && !has_body) {
+    curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    return;
+  }
+  if (call_.method == "POST" || has_body) {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call_.body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call_.body.size()));
+  }
+  if (call_.method != "POST") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
+  }
+}
+
+bool client_call::SetHeaders() {
+  // A name with nothing after it keeps libcurl from sending its own: Expect
+  // would cost a round trip, and the form type would be false.
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  if (FindHeader(call_.headers, "Content-Type").empty()) {
+    list = curl_slist_append(list, "Content-Type:");
+  }
+  for (const http_header& header : call_.headers) {
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    list = curl_slist_append(list, line.c_str());
+  }
+  header_list_.reset(list);
+  curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, list);
+  return list != nullptr;
+}
+
+void client_call::Forget() {
+  forgotten_ = true;
+  done_ = nullptr;
+}
+
+int client_call::OnCloseSocket(void* loop, curl_socket_t socket) {
+  static_cast<curl_event_loop*>(loop)->CloseSocket(socket);
+  return 0;
+}
+
+std::size_t client_call::OnHeader(char* data, std::size_t size,
+                                  std::size_t count, void* self) {
+  auto* call = static_cast<client_call*>(self);
+  const std::size_t length = size * count;
+  return call->TakeHeader({data, length}) ? length : CURL_WRITEFUNC_ERROR;
+}
+
+std::size_t client_call::OnBody(char* data, std::size_t size, std::size_t count,
+                                void* self) {
+  auto* call = static_cast<client_call*>(self);
+  const std::size_t length = size * count;
+  return call->TakeBody({data, length}) ? length : CURL_WRITEFUNC_ERROR;
+}
+
+bool client_call::TakeHeader(std::string_view line) {
+  header_bytes_ += line.size();
+  if (header_bytes_ > kMaxAnswerHeaderBytes) {
+    too_large_ = true;
+    return false;
+  }
+  if (forgotten_) {
+    return false;
+  }
+  // Trailers of a chunked answer come after its data and are passed over.
+  if (status_reported_) {
+    return true;
+  }
+  if (line.starts_with("HTTP/")) {
+    StartAnswer(line);
+    return true;
+  }
+  if (Trim(line).empty()) {
+    ReportStatus();
+    return !forgotten_ && thrown_ == nullptr;
+  }
+  TakeField(line);
+  return true;
+}
+
+void client_call::StartAnswer(std::string_view status_line) {
+  result_.headers.clear();
+  result_.status = 0;
+  const auto blank = status_line.find(' ');
+  if (blank == std::string_view::npos) {
+    return;
+  }
+  const std::string_view rest = status_line.substr(blank + 1);
+  std::from_chars(rest.data(), rest.data() + rest.size(), result_.status);
+}
+
+void client_call::ReportStatus() {
+  const bool interim = result_.status < kFirstFinalStatus;
+  if (interim) {
+    return;
+  }
+  status_reported_ = true;
+  if (!call_.on_status) {
+    return;
+  }
+  // An exception must not pass through libcurl's frames, which are C.
+  try {
+    call_.on_status(result_.status);
+  } catch (...) {
+    thrown_ = std::current_exception();
+  }
+}
+
+void client_call::TakeField(std::string_view line) {
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  result_.headers.push_back({std::string(Trim(line.substr(0, colon))),
+                             std::string(Trim(line.substr(colon + 1)))});
+}
+
+bool client_call::TakeBody(std::string_view data) {
+  if (forgotten_) {
+    return false;
+  }
+  body_bytes_ += data.size();
+  if (body_bytes_ > call_.max_answer_bytes) {
+    too_large_ = true;
+    return false;
+  }
+  if (!call_.on_data || !IsSuccess(result_.status)) {
+    result_.body.append(data);
+    return true;
+  }
+  try {
+    call_.on_data(data);
+  } catch (...) {
+    thrown_ = std::current_exception();
+  }
+  return !forgotten_ && thrown_ == nullptr;
+}
+
+void client_call::Finish(CURLcode code) {
+  long request_bytes = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_off_t body_bytes = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo(easy_.get(), CURLINFO_SIZE_UPLOAD_T, &body_bytes);
+  result_.may_have_been_sent = request_bytes > 0 || body_bytes > 0;
+  result_.end = Judge(code);
+  if (result_.end != call_end::kComplete) {
+    result_.detail = error_text_.front() != '\0' ? error_text_.data()
+                                                 : curl_easy_strerror(code);
+  }
+  if (code == CURLE_OK && result_.end == call_end::kTruncated) {
+    result_.detail = "the answer does not say where it ends";
+  }
+}
+
+void client_call::Refuse(std::string reason) {
+  result_.end = call_end::kConnectFailed;
+  result_.detail = std::move(reason);
+}
+
+bool client_call::AnswerLengthIsKnown() const {
+  const int status = result_.status;
+  if (call_.method == "HEAD" || status == kNoContent ||
+      status == kNotModified) {
+    return true;
+  }
+  return !FindHeader(result_.headers, "Content-Length").empty() ||
+         !FindHeader(result_.headers, "Transfer-Encoding").empty();
+}
+
+call_end client_call::Judge(CURLcode code) const {
+  if (too_large_) {
+    return call_end::kTooLarge;
+  }
+  switch (code) {
+    case CURLE_OK:
+      // A body that is ended by the close of its connection looks the same
+      // when the endpoint died halfway, so it is never taken for whole.
+      return AnswerLengthIsKnown() ? call_end::kComplete : call_end::kTruncated;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      return call_end::kConnectFailed;
+    case CURLE_OPERATION_TIMEDOUT:
+      return result_.may_have_been_sent ? call_end::kTimedOut
+                                        : call_end::kConnectFailed;
+    default:
+      return call_end::kTruncated;
+  }
+}
+
+void client_call::Deliver() {
+  if (thrown_) {
+    std::rethrow_exception(thrown_);
+  }
+  if (!done_) {
+    return;
+  }
+  const http_client::completion done = std::exchange(done_, nullptr);
+  done(std::move(result_));
+}
+
+}  // namespace slatestall
