--- a/include/slatestall/model/configuration.h
+++ b/include/slatestall/model/configuration.h
@@ -57,7 +57,8 @@
   std::string name;
   milliseconds deadline{6000};  ///< Upper bound; a request may ask for less.
   priority_class priority = priority_class::kInteractive;
-  bool billed = false;  ///< Runs at most once; needs an Idempotency-Key.
+  double objective = 0.99;  ///< Share of requests to be attained.
+  bool billed = false;      ///< Runs at most once; needs an Idempotency-Key.
   std::vector<stage_config> stages;
 };
 
