--- a/cmake/slatestall_package.cmake
+++ b/cmake/slatestall_package.cmake
@@ -43,6 +43,9 @@
   add_executable(${name}_test ${ARG_SOURCES} "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
   target_include_directories(${name}_test PRIVATE "${PROJECT_SOURCE_DIR}/src")
   target_link_libraries(${name}_test PRIVATE ${ARG_USES} PkgConfig::cppunit rapidcheck)
+  # Tests that read pages, examples and traces of the repository.
+  target_compile_definitions(${name}_test PRIVATE
+    SLATESTALL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   add_test(NAME ${name}_test COMMAND ${name}_test)
   set_tests_properties(${name}_test PROPERTIES
     TIMEOUT 240 ENVIRONMENT "RC_PARAMS=${SLATESTALL_RC_PARAMS}")
