Talk between hosts: framed and verified messages with paired replies

Cause: hosts share usage, claims and membership, and a lost or crossed reply there would double a request or bill it twice. Change: peer_node over TCP. Frames are bounded and verified, list entries that share text are refused, a hello with version and incarnation comes first, a reply counts only on the connection its request went out on, and 'not sent' is said only while no byte was handed to the socket. Idle, slow and excess connections are closed; restarts end the calls of the old run. Additions to the header: detail of a failed call, HandleHello, counters and time limits in the options.

--- a/include/slatestall/peer/peer_node.h
+++ b/include/slatestall/peer/peer_node.h
@@ -30,7 +30,8 @@
 
 struct peer_reply {
   peer_call_end end = peer_call_end::kUnknown;
-  wire::messageUnion body;  ///< Valid for `kReplied`.
+  wire::messageUnion body;  ///< `kReplied`: the reply or an `error_reply`.
+  std::string detail;       ///< Why there is no reply.
 };
 
 struct peer_node_options {
@@ -39,6 +40,22 @@
   std::size_t max_frame_bytes = std::size_t{1} << 20U;
   std::size_t max_connections = 1024;
   std::size_t max_pending_bytes = std::size_t{4} << 20U;  ///< Per connection.
+  std::size_t max_calls_served = 4096;  ///< Unanswered, per connection.
+  milliseconds hello_timeout{5'000};
+  milliseconds stall_timeout{10'000};  ///< For a half frame or a full socket.
+  milliseconds idle_timeout{30'000};
+  milliseconds first_backoff{100};  ///< Doubles with each failed connection.
+  milliseconds max_backoff{5'000};
+};
+
+/// @brief What the node refused, dropped or noticed since its start.
+struct peer_counters {
+  std::uint64_t connections_made = 0;
+  std::uint64_t connections_refused = 0;  ///< Too many, or a bad hello.
+  std::uint64_t connections_broken = 0;   ///< Malformed, stalled or cut.
+  std::uint64_t stray_replies = 0;        ///< Late, doubled or unasked.
+  std::uint64_t notices_dropped = 0;
+  std::uint64_t restarts_noticed = 0;
 };
 
 /// @brief Messages and bytes sent and received, by message kind.
@@ -57,10 +74,12 @@
       std::function<void(wire::messageUnion)> reply)>;
   using notice_handler = std::function<void(const wire::messageUnion& notice,
                                             const std::string& from_host)>;
+  using hello_handler = std::function<void(const host_id& peer)>;
 
   /// @throws std::system_error where the address cannot be bound.
   peer_node(asio::io_context& context, const host_id& self,
             const peer_node_options& options);
+  /// Drops the calls in flight: their `done` does not run.
   ~peer_node();
   peer_node(const peer_node&) = delete;
   peer_node& operator=(const peer_node&) = delete;
@@ -73,6 +92,9 @@
 
   void Handle(wire::message kind, call_handler handler);
   void HandleNotice(wire::message kind, notice_handler handler);
+  /// @brief Runs with the name and incarnation of each peer that connects or
+  /// is connected to. An incarnation other than before: the peer restarted.
+  void HandleHello(hello_handler handler);
 
   /// @brief Sends a request; `done` runs once, never from inside the call.
   void Call(const std::string& host, wire::messageUnion request,
@@ -82,6 +104,9 @@
 
   const std::map<wire::message, peer_traffic>& Sent() const;
   const std::map<wire::message, peer_traffic>& Received() const;
+  const peer_counters& Counters() const;
+  /// @brief Connections now held, made or accepted.
+  std::size_t ConnectionCount() const;
 
  private:
   class impl;
