shared: outcome_guard: a lookup hook for the state of a key

Callers ask GET /v1/workspaces/W/requests?key=K what became of a keyed request; the front needs a hook that tells without claiming. Additive: code that fills the other hooks compiles as before.

--- a/include/slatestall/serve/outcome_guard.h
+++ b/include/slatestall/serve/outcome_guard.h
@@ -40,6 +40,19 @@
   std::string detail;
 };
 
+enum class key_state {
+  kNone,     ///< No request with the key is known to have begun.
+  kRunning,  ///< It has begun and not ended.
+  kEnded,    ///< It ended with `outcome`.
+  kUnknown,  ///< It cannot be told; `detail` says why.
+};
+
+struct key_lookup {
+  key_state state = key_state::kUnknown;
+  stored_outcome outcome;
+  std::string detail;
+};
+
 /// @brief Guards requests that run at most once over all hosts. Hooks may be
 /// called from any traffic thread; `done` may run on any thread, once.
 struct outcome_guard {
@@ -57,6 +70,11 @@
   std::function<void(const keyed_request&)> release;
   /// Makes a key of which this host is home; needs no log.
   std::function<std::string(const std::string& workspace)> mint_key;
+  /// Tells what became of a key of `workspace`, without claiming it. `done`
+  /// runs once, on any thread, at `deadline` at the latest.
+  std::function<void(const std::string& workspace, const std::string& key,
+                     time_point deadline, std::function<void(key_lookup)> done)>
+      lookup;
 };
 
 }  // namespace slatestall
