--- a/include/slatestall/serve/explain_ring.h
+++ b/include/slatestall/serve/explain_ring.h
@@ -6,27 +6,27 @@
 #include <unordered_map>
 #include <vector>
 
-#include "slatestall/serve/request_record.h"
+#include "slatestall/serve/request_trace.h"
 
 namespace slatestall {
 
-/// @brief The records of the last requests of one traffic thread. Written by
+/// @brief The traces of the last requests of one traffic thread. Written by
 /// that thread, asked from any.
 /// @ingroup serve
 class explain_ring {
  public:
-  /// @param capacity Number of records kept, at least 1.
+  /// @param capacity Number of traces kept, at least 1.
   explicit explain_ring(std::size_t capacity);
 
-  void Add(request_record_ptr record);
-  /// @brief The record of a request id, or null.
-  request_record_ptr Find(const std::string& request) const;
+  void Add(request_trace_ptr trace);
+  /// @brief The trace of a request id, or null.
+  request_trace_ptr Find(const std::string& request) const;
 
  private:
   mutable std::mutex mutex_;
-  std::vector<request_record_ptr> slots_;
+  std::vector<request_trace_ptr> slots_;
   std::size_t next_ = 0;
-  std::unordered_map<std::string, request_record_ptr> by_id_;
+  std::unordered_map<std::string, request_trace_ptr> by_id_;
 };
 
 }  // namespace slatestall
--- a/include/slatestall/serve/request_record.h
+++ b/include/slatestall/serve/request_trace.h
@@ -26,7 +26,7 @@
 };
 
 /// @brief What became of one request.
-struct request_record {
+struct request_trace {
   std::string id;
   std::string workspace;
   std::string pipeline;  ///< Or the plain service called directly.
@@ -43,9 +43,9 @@
   std::vector<decision_note> notes;
 };
 
-using request_record_ptr = std::shared_ptr<const request_record>;
+using request_trace_ptr = std::shared_ptr<const request_trace>;
 
-/// @brief The record as JSON text.
-std::string RecordAsJson(const request_record& record);
+/// @brief The trace as JSON text.
+std::string TraceAsJson(const request_trace& trace);
 
 }  // namespace slatestall
--- a/include/slatestall/serve/traffic_lane.h
+++ b/include/slatestall/serve/traffic_lane.h
@@ -16,10 +16,12 @@
 #include "slatestall/serve/explain_ring.h"
 #include "slatestall/serve/lane_counters.h"
 #include "slatestall/serve/outcome_guard.h"
-#include "slatestall/serve/request_record.h"
+#include "slatestall/serve/request_trace.h"
 
 namespace slatestall {
 
+class report_collector;
+
 /// @brief Limits of one traffic thread.
 /// @ingroup serve
 struct traffic_lane_options {
@@ -41,7 +43,7 @@
   /// Text of /metrics; the lane's own counters where empty.
   std::function<std::string()> metrics;
   /// Every request, once, when it ended; with the usage of its attempts.
-  std::function<void(const request_record_ptr&)> on_request_end;
+  std::function<void(const request_trace_ptr&)> on_request_end;
   /// An endpoint's own answer said that it is leaving.
   std::function<void(const std::string& address)> on_endpoint_leaving;
 };
@@ -54,12 +56,15 @@
  public:
   /// @param lane Number of this traffic thread, from 0.
   /// @param snapshots Outlives the lane.
-  /// @param guard Hooks that may not be empty; copied.
+  /// @param guard Hooks that may not be empty; copied. They call back only
+  /// while `context` exists.
+  /// @param report Outlives the lane; only this lane records in it.
   /// @throws std::system_error where the address cannot be bound.
   traffic_lane(asio::io_context& context, const traffic_lane_options& options,
                const host_id& host, unsigned lane,
                const snapshot_cell& snapshots, outcome_guard guard,
-               now_function now, traffic_lane_hooks hooks);
+               now_function now, report_collector& report,
+               traffic_lane_hooks hooks);
   ~traffic_lane();
   traffic_lane(const traffic_lane&) = delete;
   traffic_lane& operator=(const traffic_lane&) = delete;
