Callers' front and pipeline run on one traffic thread

Whole path from request to answer: routes, workspace keys, claims of idempotency keys, admission, stages with retry, hedge and stream resume, JSON and server-sent answers, traces for explain, log.

--- a/include/slatestall/serve/lane_counters.h
+++ b/include/slatestall/serve/lane_counters.h
@@ -29,7 +29,7 @@
   kLateAnswer,
   kMalformedAnswer,
   kOutcomeUnknown,
-  kSlowCallerAborted,
+  kHeldBack,
 };
 
 inline constexpr std::size_t kLaneEventCount = 18;
@@ -52,7 +52,7 @@
     {lane_event::kLateAnswer, "late_answers"},
     {lane_event::kMalformedAnswer, "malformed_answers"},
     {lane_event::kOutcomeUnknown, "outcomes_unknown"},
-    {lane_event::kSlowCallerAborted, "slow_callers_aborted"},
+    {lane_event::kHeldBack, "held_back_events"},
 }};
 
 /// @brief Counts of one traffic thread; read from any thread.
--- /dev/null
+++ b/src/slatestall/serve/json_read.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace slatestall {
+
+/// @brief Parses untrusted text; a discarded value where it is not JSON.
+nlohmann::json ParseJson(std::string_view text);
+
+/// @brief Text of `value`. Bytes that are not UTF-8 are replaced: a plain
+/// service may answer any bytes, and a serializer that throws on them would
+/// turn its answer into an internal error after the call has run.
+std::string DumpJson(const nlohmann::json& value);
+
+/// @brief A string member, or nothing where it is missing or of another type.
+std::optional<std::string> StringMember(const nlohmann::json& object,
+                                        const char* name);
+
+/// @brief An unsigned integer member, or nothing.
+std::optional<std::uint64_t> UnsignedMember(const nlohmann::json& object,
+                                            const char* name);
+
+/// @brief A number member, or `fallback`.
+double NumberMember(const nlohmann::json& object, const char* name,
+                    double fallback);
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/serve/token_stream.cc
@@ -0,0 +1,65 @@
+#include "slatestall/serve/token_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace slatestall {
+
+token_stream::token_stream(sink on_text) : on_text_(std::move(on_text)) {}
+
+splice token_stream::Take(const token_event& event) {
+  if (event.offset > next_) {
+    return splice::kGap;
+  }
+  if (event.offset < next_) {
+    return TakeOverlapping(event);
+  }
+  Append(event.offset, event.count, event.text);
+  return splice::kAppended;
+}
+
+splice token_stream::TakeOverlapping(const token_event& event) {
+  const boundary* start = BoundaryAt(event.offset);
+  const std::uint64_t end = event.offset + event.count;
+  if (start == nullptr) {
+    // Starts inside an event taken before: where its first token lies in our
+    // text is not known. All of it old is harmless, anything new in it cannot
+    // be cut out exactly.
+    return end <= next_ ? splice::kDoubled : splice::kDiverged;
+  }
+  const std::string_view known = std::string_view(text_).substr(start->bytes);
+  const std::string_view repeated = event.text;
+  if (end <= next_) {
+    return known.starts_with(repeated) ? splice::kDoubled : splice::kDiverged;
+  }
+  if (!repeated.starts_with(known)) {
+    return splice::kDiverged;
+  }
+  Append(next_, end - next_, repeated.substr(known.size()));
+  return splice::kAppended;
+}
+
+void token_stream::Append(std::uint64_t offset, std::uint64_t count,
+                          std::string_view text) {
+  boundaries_.push_back({offset, text_.size()});
+  text_ += text;
+  next_ = offset + count;
+  if (!text.empty()) {
+    on_text_(offset, text);
+  }
+}
+
+const token_stream::boundary* token_stream::BoundaryAt(
+    std::uint64_t offset) const {
+  const auto found =
+      std::lower_bound(boundaries_.begin(), boundaries_.end(), offset,
+                       [](const boundary& each, std::uint64_t wanted) {
+                         return each.offset < wanted;
+                       });
+  if (found == boundaries_.end() || found->offset != offset) {
+    return nullptr;
+  }
+  return &*found;
+}
+
+}  // namespace slatestall
