--- /dev/null
+++ b/src/slatestall/serve/stage_failure_test.cc
@@ -0,0 +1,252 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "slatestall/serve/test_lane.h"
+
+namespace slatestall {
+namespace {
+
+const http_headers kAsStream{{"Accept", "text/event-stream"}};
+
+class stage_failure_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(stage_failure_test);
+  CPPUNIT_TEST(CrossedAnswerIsNeverGiven);
+  CPPUNIT_TEST(CrossedTokenEndsTheStreamNotTheAnswer);
+  CPPUNIT_TEST(DoubledTokensAreGivenOnce);
+  CPPUNIT_TEST(MissingTokensAreFetchedByResume);
+  CPPUNIT_TEST(CutStreamIsResumedAtItsOffset);
+  CPPUNIT_TEST(StreamThatCannotBeResumedFailsOnceTextWentOut);
+  CPPUNIT_TEST(WholeAnswerIsMadeAnewElsewhere);
+  CPPUNIT_TEST(StreamWithoutItsEndIsNotWhole);
+  CPPUNIT_TEST(RefusedCallGoesElsewhere);
+  CPPUNIT_TEST(BadRequestIsNotRetried);
+  CPPUNIT_TEST(DeadlineAnswersAtOnceAndCancels);
+  CPPUNIT_TEST(ClosedCallerCancelsItsCalls);
+  CPPUNIT_TEST(LeavingEndpointIsToldOn);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CrossedAnswerIsNeverGiven() {
+    // The caller sees a failure, never another request's documents: the
+    // retriever answers with the id of some other attempt, every time.
+    test_lane t;
+    t.retriever.Act([](const seen_call& call, http_responder_ptr answer) {
+      seen_call other = call;
+      other.attempt = "entry-9.0.0-1/1/0";
+      Documents()(other, std::move(answer));
+    });
+    t.Start();
+    t.AwaitProblem(t.Run("draft"), error_kind::kStageFailed, "yes");
+    CPPUNIT_ASSERT(t.Count(lane_event::kCrossedAnswer) > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, t.EngineCalls());
+  }
+
+  void CrossedTokenEndsTheStreamNotTheAnswer() {
+    // The caller sees its own text alone. In the middle of its stream comes a
+    // token of another attempt: it is dropped, the connection is closed, and
+    // the stream goes on from its offset over a new one.
+    test_lane t;
+    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+      if (call.body.contains("resume")) {
+        return Engine(4)(call, answer);
+      }
+      StreamTokens(call, *answer, 0, 2);
+      WriteToken(*answer, "entry-9.0.0-1/3/0", 2);
+      WriteToken(*answer, call.attempt, 2);
+      t.held.push_back(std::move(answer));
+    });
+    t.Start();
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->Last());
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(4), answer->streamed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, t.Count(lane_event::kCrossedAnswer));
+    t.Until([&] { return t.engine_a.Closed() + t.engine_b.Closed() == 1; });
+  }
+
+  void DoubledTokensAreGivenOnce() {
+    test_lane t;
+    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+      StreamTokens(call, *answer, 0, 2);
+      WriteToken(*answer, call.attempt, 0);
+      WriteToken(*answer, call.attempt, 1);
+      WriteToken(*answer, call.attempt, 2);
+      WriteEnd(*answer, call.attempt, 3);
+      WriteEnd(*answer, call.attempt, 3);
+      answer->Finish();
+    });
+    t.Start();
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->Last());
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(3), answer->streamed);
+    CPPUNIT_ASSERT(t.Count(lane_event::kDoubledEvent) >= 2);
+  }
+
+  void MissingTokensAreFetchedByResume() {
+    test_lane t;
+    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+      if (call.body.contains("resume")) {
+        return Engine(4)(call, answer);
+      }
+      StreamTokens(call, *answer, 0, 1);
+      WriteToken(*answer, call.attempt, 3);
+      t.held.push_back(std::move(answer));
+    });
+    t.Start();
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(4), answer->streamed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, t.Count(lane_event::kGapInStream));
+  }
+
+  void CutStreamIsResumedAtItsOffset() {
+    // The caller sees one unbroken answer. The engine's connection breaks
+    // after two tokens; the same engine is asked to go on from the third.
+    test_lane t;
+    t.BothEngines(CutOnce(t.context, 2, 5));
+    t.Start();
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->Last());
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(5), answer->streamed);
+    const auto& engine = t.engine_a.Calls().empty() ? t.engine_b : t.engine_a;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, engine.Calls().size());
+    const auto& resume = engine.Calls()[1];
+    CPPUNIT_ASSERT_EQUAL(engine.Calls()[0].attempt,
+                         resume.body.value("resume", ""));
+    CPPUNIT_ASSERT_EQUAL(2, resume.body.value("resume_offset", 0));
+    CPPUNIT_ASSERT(resume.attempt != engine.Calls()[0].attempt);
+  }
+
+  void StreamThatCannotBeResumedFailsOnceTextWentOut() {
+    // The caller sees two tokens and then `error`, never the tokens of another
+    // engine behind them: the engine has lost the stream, and another one
+    // would word the answer differently.
+    test_lane t;
+    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+      if (call.body.contains("resume")) {
+        return answer->Send(410, {{"X-Not-Run", "1"}}, "");
+      }
+      StreamTokens(call, *answer, 0, 2);
+      CutLater(t.context, std::move(answer));
+    });
+    t.Start();
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("error"), answer->Last());
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(2), answer->streamed);
+    CPPUNIT_ASSERT(answer->LastJson().value("retry_is_safe", false));
+    CPPUNIT_ASSERT(t.engine_a.Calls().empty() || t.engine_b.Calls().empty());
+  }
+
+  void WholeAnswerIsMadeAnewElsewhere() {
+    // The caller asked for a whole answer, so none of the lost one went out:
+    // it sees the other engine's answer, of which every word is that engine's.
+    test_lane t;
+    bool first = true;
+    t.BothEngines(
+        [&first, &t](const seen_call& call, http_responder_ptr answer) {
+          if (call.body.contains("resume")) {
+            return answer->Send(410, {{"X-Not-Run", "1"}}, "");
+          }
+          if (!std::exchange(first, false)) {
+            return Engine(3)(call, answer);
+          }
+          StreamTokens(call, *answer, 0, 2);
+          CutLater(t.context, std::move(answer));
+        });
+    t.Start();
+    const auto answer = t.Run("draft");
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(200, answer->result.status);
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(3), answer->Json().value("answer", ""));
+    CPPUNIT_ASSERT(!t.engine_a.Calls().empty() && !t.engine_b.Calls().empty());
+  }
+
+  void StreamWithoutItsEndIsNotWhole() {
+    test_lane t;
+    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+      if (call.body.contains("resume")) {
+        return answer->Send(410, {{"X-Not-Run", "1"}}, "");
+      }
+      StreamTokens(call, *answer, 0, 4);
+      answer->Finish();
+    });
+    t.Start();
+    const auto answer = t.Run("draft");
+    t.AwaitProblem(answer, error_kind::kStageFailed, "yes");
+    CPPUNIT_ASSERT(t.Count(lane_event::kTruncatedAnswer) > 0);
+  }
+
+  void RefusedCallGoesElsewhere() {
+    test_lane t;
+    bool first = true;
+    t.BothEngines(
+        [&first, &t](const seen_call& call, http_responder_ptr answer) {
+          if (std::exchange(first, false)) {
+            return answer->Send(429, {{"X-Not-Run", "1"}}, "");
+          }
+          Engine(4)(call, answer);
+        });
+    t.Start();
+    const auto answer = t.Run("draft");
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(200, answer->result.status);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, t.Count(lane_event::kRetry));
+    CPPUNIT_ASSERT_EQUAL(2, answer->Json()["stages"][3].value("attempts", 0));
+  }
+
+  void BadRequestIsNotRetried() {
+    test_lane t;
+    t.BothEngines(Refuse(400, {}));
+    t.Start();
+    t.AwaitProblem(t.Run("draft"), error_kind::kStageFailed, "yes");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, t.EngineCalls());
+  }
+
+  void DeadlineAnswersAtOnceAndCancels() {
+    // The caller sees the end of its time as an answer, even though the engine
+    // never answers; the engine sees its connection closed.
+    test_lane t;
+    t.BothEngines(Hang(t.held));
+    t.Start();
+    const auto answer = t.Run("draft", {{"X-Deadline-Ms", "150"}});
+    t.AwaitProblem(answer, error_kind::kDeadlineExceeded, "yes");
+    t.Until([&] {
+      return t.engine_a.Closed() + t.engine_b.Closed() == t.EngineCalls();
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, t.lane->InHand());
+    CPPUNIT_ASSERT(t.lane->InFlight().empty() ||
+                   t.lane->InFlight().begin()->second == 0);
+  }
+
+  void ClosedCallerCancelsItsCalls() {
+    test_lane t;
+    t.BothEngines(Hang(t.held));
+    t.Start();
+    const auto answer = t.Run("draft");
+    t.Until([&] { return t.EngineCalls() == 1; });
+    t.caller.Cancel(t.last_call);
+    t.Until([&] { return t.engine_a.Closed() + t.engine_b.Closed() == 1; });
+    t.Until([&] { return t.lane->InHand() == 0; });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, t.Count(lane_event::kCancelled));
+  }
+
+  void LeavingEndpointIsToldOn() {
+    test_lane t;
+    std::vector<std::string> leaving;
+    t.hooks.on_endpoint_leaving = [&leaving](const std::string& address) {
+      leaving.push_back(address);
+    };
+    t.encoder.Act(Refuse(503, {{"X-Leaving", "1"}, {"X-Not-Run", "1"}}));
+    t.Start();
+    t.AwaitProblem(t.Run("draft"), error_kind::kOverloaded, "no");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaving.size());
+    CPPUNIT_ASSERT_EQUAL(t.encoder.Address(), leaving[0]);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stage_failure_test);
+
+}  // namespace
+}  // namespace slatestall
--- a/src/slatestall/serve/test_endpoint.h
+++ b/src/slatestall/serve/test_endpoint.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -141,15 +142,23 @@
   };
 }
 
+/// @brief Breaks the connection once what was written has left.
+inline void CutLater(asio::io_context& context, http_responder_ptr answer) {
+  auto timer = std::make_shared<asio::steady_timer>(context, milliseconds(10));
+  timer->async_wait([timer, answer](asio::error_code) { answer->Abort(); });
+}
+
 /// @brief An engine whose first stream breaks after `cut` tokens.
-inline test_endpoint::behaviour CutOnce(std::uint64_t cut,
+inline test_endpoint::behaviour CutOnce(asio::io_context& context,
+                                        std::uint64_t cut,
                                         std::uint64_t tokens) {
-  return [cut, tokens](const seen_call& call, http_responder_ptr answer) {
+  return [&context, cut, tokens](const seen_call& call,
+                                 http_responder_ptr answer) {
     if (call.body.contains("resume")) {
       return Engine(tokens)(call, answer);
     }
     StreamTokens(call, *answer, 0, cut);
-    answer->Abort();
+    CutLater(context, std::move(answer));
   };
 }
 
