--- /dev/null
+++ b/src/slatestall/policy/claim_partition.cc
@@ -0,0 +1,31 @@
+#include "slatestall/policy/claim_partition.h"
+
+#include <algorithm>
+
+namespace slatestall {
+
+std::uint32_t PartitionOf(const claim_key& key, std::uint32_t partitions) {
+  const std::uint64_t hash = StableHash(key.key, StableHash(key.workspace));
+  return static_cast<std::uint32_t>(hash % std::max(partitions, 1U));
+}
+
+std::string ClaimStream(std::uint32_t partition) {
+  return "claims-" + std::to_string(partition);
+}
+
+std::string WriterOf(std::uint32_t partition,
+                     const std::vector<std::string>& hosts) {
+  std::string best;
+  std::uint64_t best_score = 0;
+  for (const auto& host : hosts) {
+    const std::uint64_t score = StableHash(host, partition);
+    if (best.empty() || score > best_score ||
+        (score == best_score && host < best)) {
+      best = host;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace slatestall
