--- a/include/slatestall/serve/outcome_guard.h
+++ b/include/slatestall/serve/outcome_guard.h
@@ -38,6 +38,7 @@
   stored_outcome outcome;
   error_kind refusal = error_kind::kClaimUnavailable;
   std::string detail;
+  milliseconds retry_after{0};  ///< `kRefused`; 0: a resend is of no use.
 };
 
 enum class key_state {
@@ -68,7 +69,8 @@
   /// The request ended before anything that must not be repeated was sent;
   /// the key may be used again.
   std::function<void(const keyed_request&)> release;
-  /// Makes a key of which this host is home; needs no log.
+  /// Makes a key of which this host is home; needs no log. Empty once the
+  /// host hands its keys over.
   std::function<std::string(const std::string& workspace)> mint_key;
   /// Tells what became of a key of `workspace`, without claiming it. `done`
   /// runs once, on any thread, at `deadline` at the latest.
