--- a/include/slatestall/node/outcome_service.h
+++ b/include/slatestall/node/outcome_service.h
@@ -24,7 +24,7 @@
   std::uint32_t claim_partitions = 8;  ///< Equal on all hosts.
   milliseconds flush_interval{50};     ///< Between two appends of a partition.
   std::size_t max_batch_bytes = std::size_t{64} << 10U;  ///< Of one append.
-  std::size_t max_key_bytes = 200;
+  std::size_t max_key_bytes = 256;
   /// A larger body is not kept: later requests get `kOutcomeUnknown`.
   std::size_t max_outcome_bytes = std::size_t{32} << 10U;
   std::size_t max_home_keys = 200'000;     ///< Used keys of which we are home.
@@ -54,8 +54,8 @@
   /// Names of the hosts believed live, this one too.
   std::function<std::vector<std::string>()> live_hosts;
   std::function<host_presence(const host_id&)> presence;
-  /// Name of the host that took over the keys of a drained incarnation, from
-  /// its digest; nothing while it has not drained.
+  /// What `Drain` gave to a drained incarnation, from its digest; nothing
+  /// while it has not drained.
   std::function<std::optional<std::string>(const host_id&)> successor;
 };
 
@@ -98,8 +98,8 @@
 
   /// @brief Hands this host's keys to another host once no request of this
   /// host runs any more; new claims are refused as draining from now on.
-  /// @param done Gets the successor to publish in the digest; empty where
-  /// there is none or nothing to hand over.
+  /// @param done Gets the successor, "host.incarnation", to publish as it is
+  /// in the digest; empty where there is none or nothing to hand over.
   void Drain(std::function<void(const std::string& successor)> done);
 
   outcome_counters Counters() const;
