Follow the configuration in the log and know every endpoint

Cause: a host must obey what the log decided and stop sending to endpoints that leave, by whichever word comes first.

--- /dev/null
+++ b/src/slatestall/node/endpoint_directory.cc
@@ -0,0 +1,165 @@
+#include "slatestall/node/endpoint_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+using std::chrono::seconds;
+
+/// How long an endpoint's word that it leaves stands against its own load
+/// report, which lags: a report built before the word would undo it.
+constexpr seconds kLeavingStands{30};
+/// An endpoint that answered this lately is there, whatever the list says.
+constexpr seconds kAnswersLately{10};
+
+}  // namespace
+
+void endpoint_directory::UseConfiguration(
+    accepted_configuration_ptr configuration) {
+  configuration_ = std::move(configuration);
+  Rebuild();
+}
+
+void endpoint_directory::UseHostList(const std::vector<listed_host>& hosts,
+                                     time_point now) {
+  listed_ = hosts;
+  listed_at_ = now;
+  Rebuild();
+}
+
+bool endpoint_directory::TakeLoad(const std::string& address,
+                                  load_report load) {
+  const bool was_leaving = IsLeaving(address);
+  if (load.leaving) {
+    said_leaving_[address] = load.received;
+  } else if (const auto said = said_leaving_.find(address);
+             said != said_leaving_.end() &&
+             load.received - said->second > kLeavingStands) {
+    said_leaving_.erase(said);
+  }
+  loads_[address] = std::move(load);
+  return IsLeaving(address) != was_leaving;
+}
+
+bool endpoint_directory::MarkLeaving(const std::string& address,
+                                     time_point said) {
+  const bool was_leaving = IsLeaving(address);
+  auto& latest = said_leaving_[address];
+  latest = std::max(latest, said);
+  return !was_leaving;
+}
+
+void endpoint_directory::TakeCachedPrefixes(
+    const std::string& address,
+    std::shared_ptr<const std::vector<std::uint64_t>> prefixes) {
+  prefixes_[address] = std::move(prefixes);
+}
+
+// The earliest of the three counts: the list lags by seconds, the endpoint's
+// own word reaches only the hosts that call it, and a peer's word fills in.
+bool endpoint_directory::IsLeaving(const std::string& address) const {
+  if (said_leaving_.count(address) != 0) {
+    return true;
+  }
+  return std::any_of(listed_.begin(), listed_.end(), [&](const auto& host) {
+    return host.leaving && host.where.address == address;
+  });
+}
+
+std::map<std::string, service_view> endpoint_directory::Views(
+    const std::optional<std::set<std::string>>& used) const {
+  std::map<std::string, service_view> views;
+  if (!configuration_) {
+    return views;
+  }
+  std::set<std::string> list_leaving;
+  for (const auto& host : listed_) {
+    if (host.leaving) {
+      list_leaving.insert(host.where.address);
+    }
+  }
+  for (const auto& [name, config] : configuration_->content.services) {
+    service_view& view = views[name];
+    view.config = config;
+    for (const auto& where : endpoints_.at(name)) {
+      if (used && used->count(where.address) == 0) {
+        continue;
+      }
+      endpoint_view seen;
+      seen.where = where;
+      if (const auto load = loads_.find(where.address); load != loads_.end()) {
+        seen.load = load->second;
+      }
+      seen.leaving = said_leaving_.count(where.address) != 0 ||
+                     list_leaving.count(where.address) != 0;
+      if (const auto held = prefixes_.find(where.address);
+          held != prefixes_.end()) {
+        seen.cached_prefixes = held->second;
+      }
+      view.endpoints.push_back(std::move(seen));
+    }
+  }
+  return views;
+}
+
+std::vector<endpoint> endpoint_directory::EndpointsOf(
+    const service_config& service) const {
+  if (!service.from_host_list) {
+    return service.endpoints;
+  }
+  auto listed = ListedOf(service.name);
+  const auto before = endpoints_.find(service.name);
+  if (!listed.empty() || before == endpoints_.end()) {
+    return listed;
+  }
+  // A list service that restarted answers an empty list for a while. Obeyed,
+  // it would leave the service without endpoints while all of them run, so
+  // those that still answer stay until others are listed.
+  std::copy_if(
+      before->second.begin(), before->second.end(), std::back_inserter(listed),
+      [this](const auto& where) { return AnswersLately(where.address); });
+  return listed;
+}
+
+std::vector<endpoint> endpoint_directory::ListedOf(
+    const std::string& service) const {
+  std::vector<endpoint> found;
+  for (const auto& host : listed_) {
+    if (host.service == service) {
+      found.push_back(host.where);
+    }
+  }
+  return found;
+}
+
+bool endpoint_directory::AnswersLately(const std::string& address) const {
+  const auto load = loads_.find(address);
+  return load != loads_.end() &&
+         listed_at_ - load->second.received < kAnswersLately;
+}
+
+void endpoint_directory::Rebuild() {
+  std::map<std::string, std::vector<endpoint>> next;
+  std::set<std::string> known;
+  if (configuration_) {
+    for (const auto& [name, service] : configuration_->content.services) {
+      next[name] = EndpointsOf(service);
+      for (const auto& where : next[name]) {
+        known.insert(where.address);
+      }
+    }
+  }
+  endpoints_ = std::move(next);
+  const auto forget = [&known](auto& by_address) {
+    std::erase_if(by_address, [&known](const auto& entry) {
+      return known.count(entry.first) == 0;
+    });
+  };
+  forget(loads_);
+  forget(said_leaving_);
+  forget(prefixes_);
+}
+
+}  // namespace slatestall
