--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,11 @@
   std::uint32_t max_body_bytes = 1U << 20U;
   std::uint32_t claim_partitions = 8;
   std::string routing = "least-wait";
+  /// How long the platform's log keeps records; the configuration is
+  /// republished before half of it. 0: not known.
+  std::chrono::seconds log_retention{0};
+  /// How long a host that drains still takes what the balancer sends.
+  milliseconds drain_grace{5000};
   std::string record_path;  ///< Trace to write; empty: none.
 };
 
--- /dev/null
+++ b/src/slatestall/platform/platform_answers_test.cc
@@ -0,0 +1,109 @@
+#include "slatestall/platform/platform_answers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace slatestall {
+namespace {
+
+http_result Answer(int status, std::string body) {
+  http_result result;
+  result.end = call_end::kComplete;
+  result.status = status;
+  result.body = std::move(body);
+  result.may_have_been_sent = true;
+  return result;
+}
+
+http_result NoAnswer(call_end end, bool may_have_been_sent) {
+  http_result result;
+  result.end = end;
+  result.may_have_been_sent = may_have_been_sent;
+  return result;
+}
+
+class platform_answers_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(platform_answers_test);
+  CPPUNIT_TEST(OnlyProofOfAbsenceRefusesAnAppend);
+  CPPUNIT_TEST(AnUnreadableAnswerToAnAppendIsUnknown);
+  CPPUNIT_TEST(ReadsRecords);
+  CPPUNIT_TEST(AMalformedReadIsNotAnEmptyLog);
+  CPPUNIT_TEST(ReadsTheHostList);
+  CPPUNIT_TEST(TheWeightStoreSaysWhenToAskAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The caller publishes; the log stores the record and its answer is lost.
+  // A "refused" here would make the operator publish a second time, so only
+  // a status that promises absence, or no connection at all, may say so.
+  void OnlyProofOfAbsenceRefusesAnAppend() {
+    const auto end = [](const http_result& result) {
+      return AppendResultOf(result).end;
+    };
+    CPPUNIT_ASSERT(end(Answer(429, "")) == append_end::kRefused);
+    CPPUNIT_ASSERT(end(Answer(413, "")) == append_end::kRefused);
+    CPPUNIT_ASSERT(end(NoAnswer(call_end::kConnectFailed, false)) ==
+                   append_end::kRefused);
+    CPPUNIT_ASSERT(end(Answer(500, "")) == append_end::kUnknown);
+    CPPUNIT_ASSERT(end(Answer(503, "")) == append_end::kUnknown);
+    CPPUNIT_ASSERT(end(NoAnswer(call_end::kTimedOut, true)) ==
+                   append_end::kUnknown);
+    CPPUNIT_ASSERT(end(NoAnswer(call_end::kTruncated, true)) ==
+                   append_end::kUnknown);
+  }
+
+  // The log's answer arrives garbled after the append took effect: the
+  // record is there though its offset is not known, so it is read back.
+  void AnUnreadableAnswerToAnAppendIsUnknown() {
+    CPPUNIT_ASSERT(AppendResultOf(Answer(200, "{")).end ==
+                   append_end::kUnknown);
+    CPPUNIT_ASSERT(AppendResultOf(Answer(200, R"({"offset":-1})")).end ==
+                   append_end::kUnknown);
+    const auto good = AppendResultOf(Answer(200, R"({"offset":7})"));
+    CPPUNIT_ASSERT(good.end == append_end::kAppended);
+    CPPUNIT_ASSERT_EQUAL(log_offset{7}, good.offset);
+  }
+
+  void ReadsRecords() {
+    const auto read = ReadResultOf(Answer(
+        200, R"({"first":2,"next":4,"records":[{"offset":3,"payload":"x"}]})"));
+    CPPUNIT_ASSERT(read.ok);
+    CPPUNIT_ASSERT_EQUAL(log_offset{2}, read.first);
+    CPPUNIT_ASSERT_EQUAL(log_offset{4}, read.next);
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), read.records.at(0).payload);
+  }
+
+  void AMalformedReadIsNotAnEmptyLog() {
+    CPPUNIT_ASSERT(!ReadResultOf(Answer(200, R"({"first":0})")).ok);
+    CPPUNIT_ASSERT(!ReadResultOf(Answer(503, "{}")).ok);
+    CPPUNIT_ASSERT(
+        !ReadResultOf(Answer(200, R"({"first":0,"next":1,"records":[{}]})"))
+             .ok);
+  }
+
+  void ReadsTheHostList() {
+    const auto list = HostListOf(Answer(
+        200,
+        R"({"hosts":[{"service":"drafter","name":"d1","address":"127.0.0.1:1",
+            "failure_domain":"suva-a","state":"leaving"}]})"));
+    CPPUNIT_ASSERT(list.ok);
+    CPPUNIT_ASSERT(list.hosts.at(0).leaving);
+    CPPUNIT_ASSERT_EQUAL(std::string("suva-a"),
+                         list.hosts.at(0).where.failure_domain);
+    CPPUNIT_ASSERT(!HostListOf(Answer(200, R"({"hosts":[{}]})")).ok);
+  }
+
+  void TheWeightStoreSaysWhenToAskAgain() {
+    auto answer = Answer(429, "");
+    answer.headers.push_back({"Retry-After", "3"});
+    const auto limited = WeightResultOf(answer);
+    CPPUNIT_ASSERT(!limited.ok);
+    CPPUNIT_ASSERT(limited.retry_after == milliseconds{3000});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                         WeightResultOf(Answer(200, R"({"bytes":9})")).bytes);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_answers_test);
+
+}  // namespace
+}  // namespace slatestall
