--- a/standins/endpoint/pool_answers.cc
+++ b/standins/endpoint/pool_answers.cc
@@ -1,6 +1,7 @@
 #include "standins/endpoint/pool_answers.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <vector>
@@ -15,6 +16,8 @@
 
 constexpr std::size_t kDimensions = 8;
 constexpr std::size_t kDefaultTopK = 4;
+constexpr std::size_t kCorpusEntries = 32;
+constexpr std::size_t kCorpusTextBytes = 300;
 
 std::vector<double> EmbeddingOf(const std::string& text) {
   const std::string key = AnswerKey(text);
@@ -25,15 +28,17 @@
   return values;
 }
 
+/// The corpus is small and its texts longer than the shortest cached prefix,
+/// so that prompts made of them share prefixes.
 std::string DocumentText(const std::string& query, std::size_t index) {
   const std::string key = AnswerKey(query);
-  const std::string marker = FirstMarker(query);
-  std::string text = "Entry " + std::to_string(index) + " on " +
-                     StableHashText(key, index) + ".";
-  if (!marker.empty()) {
-    text += " marker:" + marker;
+  const std::uint64_t entry = (StableHash(key) + index) % kCorpusEntries;
+  std::string text = "Entry " + std::to_string(entry) + ":";
+  while (text.size() < kCorpusTextBytes) {
+    text += " " + StableHashText(text, entry);
   }
-  return text;
+  const std::string marker = FirstMarker(query);
+  return marker.empty() ? text : text + " marker:" + marker;
 }
 
 bool HoldsOtherMarker(const std::string& query, const std::string& text) {
@@ -125,7 +130,8 @@
 }
 
 std::string PlainAnswer(const std::string& body) {
-  const json answer = {{"result", StableHashText(body)},
+  const json answer = {{"text", "done " + StableHashText(AnswerKey(body))},
+                       {"body_hash", StableHashText(body)},
                        {"marker", FirstMarker(body)}};
   return answer.dump();
 }
--- a/standins/endpoint/pool_answers.h
+++ b/standins/endpoint/pool_answers.h
@@ -22,7 +22,8 @@
                            const std::string& attempt,
                            milliseconds service_time);
 
-/// @brief Answer of a plain service to this body.
+/// @brief Answer of a plain service: "text" follows from the marker alone,
+/// "body_hash" from the whole body.
 std::string PlainAnswer(const std::string& body);
 
 }  // namespace slatestall
