--- a/src/slatestall/model/sha256.cc
+++ b/src/slatestall/model/sha256.cc
@@ -105,9 +105,10 @@
   for (; rest.size() >= kBlockBytes; rest.remove_prefix(kBlockBytes)) {
     Compress(digest, rest.substr(0, kBlockBytes));
   }
-  const std::string tail = PaddedTail(rest, bytes.size());
-  for (std::size_t at = 0; at < tail.size(); at += kBlockBytes) {
-    Compress(digest, std::string_view(tail).substr(at, kBlockBytes));
+  const std::string padded = PaddedTail(rest, bytes.size());
+  for (std::string_view tail = padded; !tail.empty();
+       tail.remove_prefix(kBlockBytes)) {
+    Compress(digest, tail.substr(0, kBlockBytes));
   }
   return HexOf(digest);
 }
