Parse and check pipeline files and settings as a whole

Operators apply a file as a whole, so its mistakes are told as a whole: every problem of a run with file, line, column and field. yaml-cpp's own nodes keep neither duplicate keys nor the places of keys, so its events build a small tree of ours, which also bounds what aliases expand to. Tables of fields drive the parser, the settings' flags and variables, and docs/CONFIG.md; a test compares page and tables. References, duplicates and combinations are checked after, and a value that is wrong already is not told again by what depends on it.

--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,7 @@
   std::string peer_listen = "127.0.0.1:8081";  ///< Other hosts.
   std::string log_url;  ///< Platform's log, "http://IP:port".
   std::string host_list_url;
-  std::string weight_store_url;
+  std::string weight_store_url;  ///< Empty: none.
   std::uint32_t traffic_threads = 1;
   std::string log_level = "info";
   std::uint32_t max_connections = 4096;
@@ -34,4 +35,39 @@
   std::string record_path;  ///< Trace to write; empty: none.
 };
 
+/// @brief Where settings come from, the later over the earlier.
+struct settings_sources {
+  std::string file;  ///< Path of a YAML file; empty: none.
+  /// Variables such as SLATESTALL_LISTEN; others are ignored.
+  std::map<std::string, std::string> environment;
+  /// Field name to value, from the command line.
+  std::map<std::string, std::string> flags;
+};
+
+/// @brief Settings read from all sources; usable only without problems.
+struct loaded_settings {
+  settings content;
+  std::vector<config_problem> problems;
+
+  bool Ok() const { return problems.empty(); }
+};
+
+/// @brief Reads and checks the settings and reports every problem of them.
+/// Never throws on bad input.
+loaded_settings LoadSettings(const settings_sources& sources);
+
+/// @brief One setting as the command line shows it.
+struct settings_flag {
+  std::string field;     ///< "peer_listen", key of `settings_sources::flags`.
+  std::string flag;      ///< "--peer-listen".
+  std::string variable;  ///< "SLATESTALL_PEER_LISTEN".
+  std::string help;
+};
+
+/// @brief A flag for every setting, for the program to offer.
+std::vector<settings_flag> SettingsFlags();
+
+/// @brief The variables of this process that begin with SLATESTALL_.
+std::map<std::string, std::string> SettingsEnvironment();
+
 }  // namespace slatestall
--- a/include/slatestall/report/report_data.h
+++ b/include/slatestall/report/report_data.h
@@ -88,6 +88,7 @@
   std::string route;  ///< Pipeline or plain service.
   priority_class priority = priority_class::kInteractive;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report of clang-tidy 14.
   friend auto operator<=>(const route_key&, const route_key&) = default;
 };
 
@@ -103,6 +104,7 @@
   std::string pipeline;
   std::string stage;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report of clang-tidy 14.
   friend auto operator<=>(const cost_key&, const cost_key&) = default;
 };
 
--- /dev/null
+++ b/src/slatestall/config/settings_fields.cc
@@ -0,0 +1,104 @@
+#include "slatestall/config/settings_fields.h"
+
+namespace slatestall {
+namespace {
+
+using type = field_type;
+
+// A text with a closed list of values.
+field<settings> TextChoiceField(std::string settings::*member,
+                                field_spec spec) {
+  spec.type = type::kChoice;
+  spec.default_text = settings{}.*member;
+  return {std::move(spec), [member](const field_place& place, settings& into) {
+            into.*member = ReadChoice(place).value_or(into.*member);
+          }};
+}
+
+}  // namespace
+
+const field_table<settings>& SettingsFields() {
+  using s = settings;
+  static const field_table<s> kTable{
+      MemberField(&s::host_name,
+                  {.name = "host_name",
+                   .type = type::kName,
+                   .required = true,
+                   .meaning = "Unique among the hosts of the system, as in the "
+                              "platform's host list"}),
+      MemberField(&s::failure_domain,
+                  {.name = "failure_domain",
+                   .type = type::kName,
+                   .required = true,
+                   .meaning = "What this host fails together with"}),
+      MemberField(&s::listen,
+                  {.name = "listen",
+                   .type = type::kAddress,
+                   .meaning = "Where callers and operators connect; port 0 "
+                              "takes any free one"}),
+      MemberField(&s::peer_listen,
+                  {.name = "peer_listen",
+                   .type = type::kAddress,
+                   .meaning = "Where the other hosts connect; port 0 takes any "
+                              "free one"}),
+      MemberField(&s::log_url, {.name = "log_url",
+                                .type = type::kUrl,
+                                .required = true,
+                                .meaning = "The platform's log"}),
+      MemberField(&s::host_list_url,
+                  {.name = "host_list_url",
+                   .type = type::kUrl,
+                   .required = true,
+                   .meaning = "The platform's list of hosts"}),
+      MemberField(&s::weight_store_url,
+                  {.name = "weight_store_url",
+                   .type = type::kUrl,
+                   .meaning = "The platform's weight store; without it no "
+                              "models are ordered"}),
+      MemberField(&s::traffic_threads, {.name = "traffic_threads",
+                                        .type = type::kWhole,
+                                        .unit = "threads",
+                                        .minimum = 1,
+                                        .maximum = 64,
+                                        .meaning = "Threads that serve "
+                                                   "requests"}),
+      TextChoiceField(&s::log_level,
+                      {.name = "log_level",
+                       .choices = {"trace", "debug", "info", "warn", "error"},
+                       .meaning = "Least severity that is logged"}),
+      MemberField(&s::max_connections,
+                  {.name = "max_connections",
+                   .type = type::kWhole,
+                   .unit = "connections",
+                   .minimum = 16,
+                   .maximum = 100000,
+                   .meaning = "Callers connected at once"}),
+      MemberField(&s::max_body_bytes, {.name = "max_body_bytes",
+                                       .type = type::kWhole,
+                                       .unit = "bytes",
+                                       .minimum = 1024,
+                                       .maximum = 67108864,
+                                       .meaning = "Longest body of a request"}),
+      MemberField(
+          &s::claim_partitions,
+          {.name = "claim_partitions",
+           .type = type::kWhole,
+           .unit = "streams",
+           .minimum = 1,
+           .maximum = 64,
+           .meaning = "Streams of the log over which claims are spread; "
+                      "the same on all hosts"}),
+      TextChoiceField(&s::routing,
+                      {.name = "routing",
+                       .choices = {"least-wait", "round-robin"},
+                       .meaning = "How an endpoint is chosen; `round-robin` is "
+                                  "for comparison"}),
+      MemberField(&s::record_path,
+                  {.name = "record_path",
+                   .type = type::kText,
+                   .meaning = "File to record a trace to; empty: none"}),
+  };
+  return kTable;
+}
+
+}  // namespace slatestall
