--- /dev/null
+++ b/include/slatestall/node/control_loop.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "slatestall/config/settings.h"
+#include "slatestall/http/http_server.h"
+#include "slatestall/model/ids.h"
+#include "slatestall/model/time.h"
+#include "slatestall/policy/control_snapshot.h"
+#include "slatestall/serve/outcome_guard.h"
+
+namespace slatestall {
+
+/// @brief What the control thread asks of the traffic threads.
+/// @ingroup node
+struct control_hooks {
+  /// Begins the shutdown of the process; POST /v1/admin/drain runs it.
+  std::function<void()> drain;
+  /// The trace of a request of this host as JSON, or an empty text.
+  std::function<std::string(const std::string& request)> explain;
+  /// Body of GET /v1/admin/report.
+  std::function<std::string()> report;
+};
+
+/// @brief The control state of one host, on one thread: configuration, host
+/// list, load, peers and claims. Members may be called from any thread where
+/// not said otherwise.
+class control_loop {
+ public:
+  /// @param snapshots Outlives the loop.
+  /// @throws std::system_error where the peer address cannot be bound.
+  control_loop(const settings& options, const host_id& self, now_function now,
+               snapshot_cell& snapshots, control_hooks hooks);
+  /// @brief Stops the thread.
+  ~control_loop();
+  control_loop(const control_loop&) = delete;
+  control_loop& operator=(const control_loop&) = delete;
+
+  /// @brief Starts the thread.
+  void Start();
+  /// @brief Ends the thread; nothing is handled any more.
+  void Stop();
+
+  std::uint16_t PeerPort() const;
+
+  /// @brief Serves /v1/admin/ for the traffic thread that runs `lane`.
+  http_handler AdminHandler(asio::io_context& lane);
+  outcome_guard Guard();
+  /// @brief An endpoint said that it leaves.
+  void EndpointLeaves(const std::string& address);
+
+  /// @brief Marks this host as draining, in snapshots and towards peers.
+  void BeginDrain();
+  /// @brief Hands over what others need, once no request runs any more.
+  /// @param done Runs on the control thread.
+  void HandOver(std::function<void()> done);
+
+  /// @brief The longest deadline that a request now in hand can have.
+  milliseconds LongestDeadline() const;
+
+  /// @brief Lines for /metrics.
+  std::string Metrics() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace slatestall
