--- /dev/null
+++ b/include/slatestall/node/entry_host.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "slatestall/config/settings.h"
+#include "slatestall/model/time.h"
+
+namespace slatestall {
+
+/// @brief One host of the system: the control thread and the traffic threads.
+/// @ingroup node
+class entry_host {
+ public:
+  /// @throws std::system_error where an address cannot be bound.
+  /// @throws std::invalid_argument where a setting is none.
+  explicit entry_host(const settings& options);
+  ~entry_host();
+  entry_host(const entry_host&) = delete;
+  entry_host& operator=(const entry_host&) = delete;
+
+  std::uint16_t Port() const;
+  std::uint16_t PeerPort() const;
+
+  /// @brief Serves until it has drained after SIGTERM, SIGINT, `Drain` or the
+  /// operators' call.
+  void Run();
+  /// @brief Begins a graceful shutdown; from any thread.
+  void Drain();
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace slatestall
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -321,7 +321,8 @@
   host_status OwnStatus() const {
     host_status status;
     status.host = self_;
-    status.peer_address = options_.peer_listen;
+    status.peer_address = PeerOptions(options_).listen_address + ":" +
+                          std::to_string(peers_.Port());
     status.revision = revision_;
     status.draining = draining_;
     if (status.revision > 0) {
@@ -430,8 +431,12 @@
 // The call arrives on a traffic thread, is handled on the control thread and
 // answered on the traffic thread, to which its responder belongs.
 http_handler control_loop::AdminHandler(asio::io_context& lane) {
-  return [impl = impl_, &lane](const http_request& request,
-                               const http_responder_ptr& responder) {
+  return [weak = std::weak_ptr(impl_), &lane](
+             const http_request& request, const http_responder_ptr& responder) {
+    const auto impl = weak.lock();
+    if (!impl) {
+      return;
+    }
     // The last owner may be the control thread: the responder still ends
     // where it belongs.
     http_responder_ptr owned(responder.get(), [&lane, responder](auto*) {
--- /dev/null
+++ b/src/slatestall/node/traffic_threads.cc
@@ -0,0 +1,160 @@
+#include "slatestall/node/traffic_threads.h"
+
+#include <algorithm>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "slatestall/node/listen_address.h"
+#include "slatestall/report/report_collector.h"
+#include "slatestall/report/report_json.h"
+#include "slatestall/serve/traffic_lane.h"
+
+namespace slatestall {
+namespace {
+
+traffic_lane_options LaneOptions(const settings& options, std::uint16_t port) {
+  const auto listen = ParseListenAddress(options.listen);
+  traffic_lane_options lane;
+  lane.server.address = listen.address;
+  lane.server.port = port != 0 ? port : listen.port;
+  lane.server.max_body_bytes = options.max_body_bytes;
+  lane.server.max_connections =
+      std::max(1U, options.max_connections / options.traffic_threads);
+  lane.server.share_port = options.traffic_threads > 1;
+  const auto routing = ValueIn(kRoutingRuleNames, options.routing);
+  if (!routing) {
+    throw std::invalid_argument("no such routing: " + options.routing);
+  }
+  lane.policy.routing = *routing;
+  lane.policy.failure_domain = options.failure_domain;
+  lane.policy.seed = RandomBits();
+  lane.policy.lanes = options.traffic_threads;
+  return lane;
+}
+
+}  // namespace
+
+/// Destroyed from the last to the first: the lane before its context.
+struct traffic_threads::lane_thread {
+  explicit lane_thread(time_point started)
+      : work(asio::make_work_guard(context)), report(started) {}
+
+  asio::io_context context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  report_collector report;
+  std::unique_ptr<traffic_lane> lane;
+  std::thread thread;
+};
+
+traffic_threads::traffic_threads(const settings& options, const host_id& self,
+                                 now_function now,
+                                 const snapshot_cell& snapshots,
+                                 traffic_links links)
+    : options_(options),
+      self_(self),
+      now_(std::move(now)),
+      snapshots_(snapshots),
+      links_(std::move(links)) {
+  std::uint16_t port = 0;
+  for (unsigned number = 0; number < options_.traffic_threads; ++number) {
+    lanes_.push_back(MakeLane(number, port));
+    port = lanes_.front()->lane->Port();
+  }
+}
+
+traffic_threads::~traffic_threads() { Stop(); }
+
+std::uint16_t traffic_threads::Port() const {
+  return lanes_.front()->lane->Port();
+}
+
+void traffic_threads::Start() {
+  for (const auto& lane : lanes_) {
+    lane->thread = std::thread([&context = lane->context] { context.run(); });
+  }
+}
+
+void traffic_threads::Stop() {
+  for (const auto& lane : lanes_) {
+    lane->context.stop();
+  }
+  for (const auto& lane : lanes_) {
+    if (lane->thread.joinable()) {
+      lane->thread.join();
+    }
+  }
+}
+
+void traffic_threads::Drain() {
+  for (const auto& lane : lanes_) {
+    lane->lane->Drain();
+  }
+}
+
+void traffic_threads::StopAccepting() {
+  for (const auto& lane : lanes_) {
+    lane->lane->StopAccepting();
+  }
+}
+
+std::size_t traffic_threads::InHand() const {
+  std::size_t total = 0;
+  for (const auto& lane : lanes_) {
+    total += lane->lane->InHand();
+  }
+  return total;
+}
+
+std::string traffic_threads::Explain(const std::string& request) const {
+  for (const auto& lane : lanes_) {
+    if (const auto trace = lane->lane->Explain().Find(request)) {
+      return TraceAsJson(*trace);
+    }
+  }
+  return {};
+}
+
+std::string traffic_threads::Report() const {
+  report_data total;
+  for (const auto& lane : lanes_) {
+    total.Merge(lane->report.Snapshot(now_()));
+  }
+  return ReportToJson(total).dump();
+}
+
+std::string traffic_threads::Metrics() const {
+  std::string text = links_.control_metrics();
+  for (const auto& entry : kLaneEventNames) {
+    std::uint64_t total = 0;
+    for (const auto& lane : lanes_) {
+      total += lane->lane->Counters().Value(entry.value);
+    }
+    const auto name = "slatestall_" + std::string(entry.name) + "_total";
+    text += "# TYPE " + name + " counter\n" + name + " " +
+            std::to_string(total) + "\n";
+  }
+  text +=
+      "# TYPE slatestall_requests_in_hand gauge\n"
+      "slatestall_requests_in_hand " +
+      std::to_string(InHand()) + "\n";
+  return text;
+}
+
+std::unique_ptr<traffic_threads::lane_thread> traffic_threads::MakeLane(
+    unsigned number, std::uint16_t port) {
+  auto lane = std::make_unique<lane_thread>(now_());
+  traffic_lane_hooks hooks;
+  hooks.admin = links_.admin_handler(lane->context);
+  hooks.metrics = [this] { return Metrics(); };
+  hooks.on_endpoint_leaving = links_.endpoint_leaves;
+  lane->lane = std::make_unique<traffic_lane>(
+      lane->context, LaneOptions(options_, port), self_, number, snapshots_,
+      links_.guard, now_, lane->report, std::move(hooks));
+  return lane;
+}
+
+}  // namespace slatestall
