Judge an empty log without a long poll

Cause: a new host's first read of the empty stream was a long poll of 10 s; until it ended the head was unknown and a first publication was turned away with 'the log cannot be judged now: starting' (seen with one host 1.5 s after its start). Change: reads wait only once the head is known. Test added; it fails before.

--- a/src/slatestall/node/config_follower.cc
+++ b/src/slatestall/node/config_follower.cc
@@ -106,7 +106,10 @@
 
   void Read() {
     read_begun_ = now_();
-    log_.read(options_.stream, history_.ReadFrom(), options_.read_wait,
+    // Until the head is known a long poll of an empty stream would keep a new
+    // host from taking its first publication for the whole wait.
+    const auto wait = history_.Head() ? options_.read_wait : milliseconds{0};
+    log_.read(options_.stream, history_.ReadFrom(), wait,
               Weak(&impl::OnRead, history_.Floor()));
   }
 
