Read the log's retention and the drain's grace as settings

Both came into the struct with their own units; the table now reads them, and durations may be written in min and h as well, since a retention is a matter of hours. config_test passes.

--- a/src/slatestall/config/field_values.cc
+++ b/src/slatestall/config/field_values.cc
@@ -89,6 +89,23 @@
   return value;
 }
 
+struct duration_unit {
+  std::string_view name;
+  double in_ms;
+};
+
+constexpr std::array<duration_unit, 4> kDurationUnits{
+    {{"ms", 1}, {"s", 1000}, {"min", 60000}, {"h", 3600000}}};
+
+std::optional<double> UnitInMs(std::string_view name) {
+  for (const duration_unit& unit : kDurationUnits) {
+    if (unit.name == name) {
+      return unit.in_ms;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string FormProblem(const field_spec& spec, const std::string& text) {
   switch (spec.type) {
     case field_type::kName:
@@ -218,17 +235,24 @@
     return;
   }
   const std::string_view unit = text.substr(unit_at);
-  if (unit != "s" && unit != "ms") {
-    place.problems.Add(place.path, "unknown unit " + Quoted(std::string(unit)) +
-                                       "; durations are in s or ms");
+  const auto unit_ms = UnitInMs(unit);
+  if (!unit_ms) {
+    place.problems.Add(place.path, "unknown unit " + Quoted(unit) +
+                                       "; durations are in ms, s, min or h");
     return;
   }
-  const double in_ms = unit == "s" ? *number * 1000 : *number;
+  const double in_ms = *number * *unit_ms;
   if (InRange(place, in_ms)) {
     value = milliseconds(std::llround(in_ms));
   }
 }
 
+void ReadValue(const field_place& place, std::chrono::seconds& value) {
+  milliseconds precise = value;
+  ReadValue(place, precise);
+  value = std::chrono::duration_cast<std::chrono::seconds>(precise);
+}
+
 void ReadValue(const field_place& place, std::vector<std::string>& value) {
   if (!ExpectKind(place, yaml_kind::kList)) {
     return;
@@ -270,9 +294,14 @@
 std::string WriteValue(bool value) { return value ? "true" : "false"; }
 
 std::string WriteValue(milliseconds value) {
-  const bool whole_seconds = value.count() % 1000 == 0;
-  return whole_seconds ? std::to_string(value.count() / 1000) + "s"
-                       : std::to_string(value.count()) + "ms";
+  constexpr std::int64_t kSecond = 1000;
+  constexpr std::int64_t kHour = 3600 * kSecond;
+  if (value.count() > 0 && value.count() % kHour == 0) {
+    return std::to_string(value.count() / kHour) + "h";
+  }
+  return value.count() % kSecond == 0
+             ? std::to_string(value.count() / kSecond) + "s"
+             : std::to_string(value.count()) + "ms";
 }
 
 std::string WriteValue(const std::vector<std::string>& value) {
--- a/src/slatestall/config/field_values.h
+++ b/src/slatestall/config/field_values.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,7 @@
 void ReadValue(const field_place& place, double& value);
 void ReadValue(const field_place& place, bool& value);
 void ReadValue(const field_place& place, milliseconds& value);
+void ReadValue(const field_place& place, std::chrono::seconds& value);
 void ReadValue(const field_place& place, std::vector<std::string>& value);
 
 /// @brief The text of a choice if it is one of the field's.
--- a/src/slatestall/config/pipeline_file_fields.cc
+++ b/src/slatestall/config/pipeline_file_fields.cc
@@ -148,7 +148,7 @@
       MemberField(&p::deadline,
                   {.name = "deadline",
                    .type = type::kDuration,
-                   .unit = "`ms` or `s`, written with it",
+                   .unit = "written with it",
                    .minimum = 1,
                    .maximum = 60000,
                    .meaning = "Longest time from arrival to the last byte; a "
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -93,6 +93,24 @@
                        .choices = {"least-wait", "round-robin"},
                        .meaning = "How an endpoint is chosen; `round-robin` is "
                                   "for comparison"}),
+      MemberField(&s::log_retention,
+                  {.name = "log_retention",
+                   .type = type::kDuration,
+                   .unit = "written with it",
+                   .minimum = 0,
+                   .maximum = 365.0 * 24 * 3600 * 1000,
+                   .meaning = "How long the platform's log keeps records, in "
+                              "whole seconds; the configuration is republished "
+                              "before half of it. 0s: not known"}),
+      MemberField(
+          &s::drain_grace,
+          {.name = "drain_grace",
+           .type = type::kDuration,
+           .unit = "written with it",
+           .minimum = 0,
+           .maximum = 60000,
+           .meaning = "How long a host that drains still takes what the "
+                      "balancer sends"}),
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
