--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,2 @@
+#include <benchmark/benchmark.h>
+BENCHMARK_MAIN();
--- /dev/null
+++ b/src/slatestall/policy/replay_tally.cc
@@ -0,0 +1,97 @@
+#include "slatestall/policy/replay_tally.h"
+
+#include <algorithm>
+
+#include "slatestall/model/ids.h"
+#include "slatestall/policy/seconds.h"
+
+namespace slatestall {
+namespace {
+
+double At(const std::vector<double>& sorted, double share) {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const auto last = static_cast<double>(sorted.size() - 1);
+  return sorted[static_cast<std::size_t>(last * share)];
+}
+
+}  // namespace
+
+void replay_tally::Ended(priority_class priority, const std::string& workspace,
+                         request_outcome outcome, duration latency) {
+  --open_;
+  const std::string name(NameIn(kPriorityClassNames, priority));
+  Count(classes_[name], outcome, latency);
+  Count(workspaces_[workspace], outcome, latency);
+}
+
+void replay_tally::Count(group& group, request_outcome outcome,
+                         duration latency) {
+  replay_group& counts = group.counts;
+  ++counts.requests;
+  switch (outcome) {
+    case request_outcome::kInTime:
+      ++counts.in_time;
+      group.latencies.push_back(Seconds(latency));
+      return;
+    case request_outcome::kLate:
+      ++counts.late;
+      return;
+    case request_outcome::kRefused:
+      ++counts.refused;
+      return;
+    case request_outcome::kFailed:
+      ++counts.failed;
+      return;
+  }
+}
+
+void replay_tally::Used(const std::string& stage, duration busy) {
+  result_.stages[stage].used += Seconds(busy);
+}
+
+void replay_tally::Wasted(const std::string& stage, attempt_waste waste,
+                          duration busy) {
+  replay_cost& cost = result_.stages[stage];
+  switch (waste) {
+    case attempt_waste::kLate:
+      cost.late += Seconds(busy);
+      return;
+    case attempt_waste::kRetried:
+      cost.retried += Seconds(busy);
+      return;
+    case attempt_waste::kHedged:
+      cost.hedged += Seconds(busy);
+      return;
+    case attempt_waste::kCancelled:
+      cost.cancelled += Seconds(busy);
+      return;
+  }
+}
+
+void replay_tally::Decided(const std::string& text) {
+  digest_ = StableHash(text, digest_);
+}
+
+replay_group replay_tally::Summary(group group) {
+  std::sort(group.latencies.begin(), group.latencies.end());
+  group.counts.p50 = At(group.latencies, 0.50);
+  group.counts.p99 = At(group.latencies, 0.99);
+  return group.counts;
+}
+
+replay_result replay_tally::Result() const {
+  replay_result result = result_;
+  for (const auto& [name, group] : classes_) {
+    result.classes[name] = Summary(group);
+  }
+  for (const auto& [name, group] : workspaces_) {
+    result.workspaces[name] = Summary(group);
+  }
+  result.lost = open_;
+  result.decisions = StableHashText("", digest_);
+  return result;
+}
+
+}  // namespace slatestall
