Run keyed requests at most once over hosts, log and peers

On the way it found that a release was given up when the host list was wrong about the key's home (the key stayed held for good), and that a handover was given up when its host was cut off for a moment; both are mended.

--- a/include/slatestall/node/outcome_service.h
+++ b/include/slatestall/node/outcome_service.h
@@ -33,7 +33,8 @@
   std::size_t max_open_requests = 10'000;  ///< Keyed requests in hand.
   milliseconds key_lifetime{std::chrono::hours{12}};  ///< Of minted keys.
   milliseconds peer_timeout{1000};                    ///< Of one peer call.
-  bool run_timer = true;  ///< False: the owner calls `Tick`.
+  std::uint64_t key_secret = 0;  ///< Proves minted keys; 0: random.
+  bool run_timer = true;         ///< False: the owner calls `Tick`.
 };
 
 /// @brief What is known of one incarnation of a host.
--- a/include/slatestall/policy/claim_tracker.h
+++ b/include/slatestall/policy/claim_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -22,8 +23,11 @@
   milliseconds ask_wait{1000};     ///< One question waits this long.
   milliseconds ask_again{50};      ///< After an answer that settled nothing.
   milliseconds answer_margin{20};  ///< Answers come this long before deadlines.
-  milliseconds end_again{1000};    ///< Endings are sent again after this.
-  milliseconds end_lifetime{600'000};  ///< And given up after this.
+  milliseconds end_again{5000};    ///< Endings are sent again after this.
+  milliseconds end_lifetime{std::chrono::hours{6}};  ///< And given up then.
+  /// Releases are given up earlier: this much before the log forgets a key,
+  /// a late one could free it for a second run.
+  milliseconds release_lifetime{std::chrono::hours{2}};
   milliseconds run_grace{300'000};  ///< A run without an end is given up then.
 };
 
@@ -71,6 +75,10 @@
   /// @brief Endings to send now; each comes again until it is stored.
   std::vector<claim_ending> TakeEnds(time_point now);
 
+  /// @brief What is known here of a key: `kHeld`, `kEnded`, or `kRefused` with
+  /// `kNotFound`.
+  claim_answer Find(const claim_key& key) const;
+
   std::size_t Open() const { return keys_.size(); }
   std::size_t EndsPending() const { return ends_.size(); }
   bool IsIdle() const { return keys_.empty() && ends_.empty(); }
--- a/include/slatestall/policy/key_home.h
+++ b/include/slatestall/policy/key_home.h
@@ -48,6 +48,8 @@
 
   key_home_state State() const;
   const claim_table& Table() const { return table_; }
+  /// @brief Whether every minted key has expired.
+  bool IsSpent() const { return expired_ == minted_; }
   std::uint64_t Minted() const { return minted_; }
 
  private:
--- a/src/slatestall/policy/claim_tracker.cc
+++ b/src/slatestall/policy/claim_tracker.cc
@@ -328,7 +328,8 @@
   added.ending.released = released;
   added.ending.outcome = std::move(outcome);
   added.next_send = now;
-  added.give_up = now + options_.end_lifetime;
+  added.give_up =
+      now + (released ? options_.release_lifetime : options_.end_lifetime);
   added.pause = options_.end_again;
   end_bytes_ += BytesOf(added.ending.outcome);
   if (!released) {
@@ -363,6 +364,23 @@
   ends_.erase(at);
 }
 
+claim_answer claim_tracker::Find(const claim_key& key) const {
+  claim_answer answer;
+  const auto ended = ended_keys_.find(key);
+  if (ended != ended_keys_.end()) {
+    answer.result = claim_result::kEnded;
+    answer.outcome = ends_.at(ended->second).ending.outcome;
+    return answer;
+  }
+  const auto at = groups_.find(key);
+  if (at != groups_.end() && at->second.at == stage::kRunning) {
+    answer.result = claim_result::kHeld;
+    answer.holder = at->second.members.front().attempt.holder;
+    return answer;
+  }
+  return RefusedClaim(error_kind::kNotFound, "not in hand on this host");
+}
+
 std::vector<tracked_decision> claim_tracker::TakeDecisions() {
   return std::exchange(decisions_, {});
 }
