shared: http_call.accept judges an answer by its headers

Cause: an answer of another attempt was dropped after it had come whole, when its connection was already back in the pool; with the connection one answer behind, each later call on it got the answer before its own. Change: a hook that sees the headers first and closes the connection by saying no; such a call ends as kRejected. Seen: the crossed-answer test of serve finds no connection left open.

--- a/include/slatestall/http/http_client.h
+++ b/include/slatestall/http/http_client.h
@@ -22,6 +22,7 @@
   kTruncated,  ///< The connection ended inside the answer or before it.
   kTooLarge,   ///< The answer passed `max_answer_bytes`.
   kCancelled,
+  kRejected,  ///< `accept` turned it down; its connection is closed.
 };
 
 struct http_call {
@@ -37,6 +38,9 @@
   bool at_most_once = false;
   /// Called with the status as soon as it is known, before any data.
   std::function<void(int status)> on_status;
+  /// Judges an answer by its headers; false drops it and closes the
+  /// connection, so that nothing else of it can reach another call.
+  std::function<bool(const http_headers&)> accept;
   /// Takes body data as it arrives (status 2xx only); `body` of the result is
   /// then empty.
   std::function<void(std::string_view)> on_data;
--- a/src/slatestall/http/client_call.cc
+++ b/src/slatestall/http/client_call.cc
@@ -163,7 +163,7 @@
   }
   if (Trim(line).empty()) {
     ReportStatus();
-    return !forgotten_ && thrown_ == nullptr;
+    return !forgotten_ && thrown_ == nullptr && Accepted();
   }
   TakeField(line);
   return true;
@@ -197,6 +197,18 @@
   }
 }
 
+bool client_call::Accepted() {
+  if (!status_reported_ || !call_.accept) {
+    return true;
+  }
+  try {
+    rejected_ = !call_.accept(result_.headers);
+  } catch (...) {
+    thrown_ = std::current_exception();
+  }
+  return !rejected_ && !forgotten_ && thrown_ == nullptr;
+}
+
 void client_call::TakeField(std::string_view line) {
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) {
@@ -259,6 +271,9 @@
 }
 
 call_end client_call::Judge(CURLcode code) const {
+  if (rejected_) {
+    return call_end::kRejected;
+  }
   if (too_large_) {
     return call_end::kTooLarge;
   }
--- a/src/slatestall/http/client_call.h
+++ b/src/slatestall/http/client_call.h
@@ -70,6 +70,7 @@
   bool TakeBody(std::string_view data);
   void StartAnswer(std::string_view status_line);
   void ReportStatus();
+  bool Accepted();
   void TakeField(std::string_view line);
   bool AnswerLengthIsKnown() const;
   call_end Judge(CURLcode code) const;
@@ -83,6 +84,7 @@
   std::size_t header_bytes_ = 0;
   std::size_t body_bytes_ = 0;
   bool too_large_ = false;
+  bool rejected_ = false;
   bool status_reported_ = false;
   bool forgotten_ = false;
   std::exception_ptr thrown_;
