--- a/src/slatestall/peer/frame_codec_test.cc
+++ b/src/slatestall/peer/frame_codec_test.cc
@@ -49,34 +49,34 @@
 
  public:
   void AnySplitGivesTheSameFrames() {
-    const bool holds = rc::check(
-        "frames do not depend on where the stream is cut",
-        [](const std::vector<std::string>& texts,
-           const std::vector<std::uint8_t>& cuts) {
-          std::vector<std::string> sent;
-          std::string stream;
-          for (const std::string& text : texts) {
-            if (!text.empty() && text.size() <= kMaxPayload) {
-              sent.push_back(text);
-              stream += AsFrame(text);
-            }
-          }
-          frame_splitter splitter(kMaxPayload);
-          std::vector<std::string> received;
-          std::size_t position = 0;
-          std::size_t cut = 0;
-          while (position < stream.size()) {
-            const std::size_t step =
-                cut < cuts.size() ? cuts[cut++] : stream.size();
-            splitter.Append(std::string_view(stream).substr(position, step));
-            position += step;
-            while (const auto payload = splitter.Next()) {
-              received.emplace_back(payload->begin(), payload->end());
-            }
-          }
-          RC_ASSERT(received == sent);
-          RC_ASSERT(!splitter.HasPartialFrame());
-        });
+    const bool holds =
+        rc::check("frames do not depend on where the stream is cut",
+                  [](const std::vector<std::string>& texts,
+                     const std::vector<std::uint8_t>& cuts) {
+                    std::vector<std::string> sent;
+                    std::string stream;
+                    for (const std::string& text : texts) {
+                      if (!text.empty() && text.size() <= kMaxPayload) {
+                        sent.push_back(text);
+                        stream += AsFrame(text);
+                      }
+                    }
+                    frame_splitter splitter(kMaxPayload);
+                    std::vector<std::string> received;
+                    std::size_t position = 0;
+                    std::size_t cut = 0;
+                    while (position < stream.size()) {
+                      const std::size_t step =
+                          cut < cuts.size() ? cuts[cut++] : stream.size();
+                      splitter.Append(stream.substr(position, step));
+                      position += step;
+                      while (const auto payload = splitter.Next()) {
+                        received.emplace_back(payload->begin(), payload->end());
+                      }
+                    }
+                    RC_ASSERT(received == sent);
+                    RC_ASSERT(!splitter.HasPartialFrame());
+                  });
     CPPUNIT_ASSERT(holds);
   }
 
@@ -101,7 +101,7 @@
           for (const auto& [where, value] : changes) {
             payload[where % payload.size()] = value;
           }
-          payload.resize(payload.size() - cut % 8);
+          payload.erase(payload.end() - cut % 8, payload.end());
           const auto frame = DecodeFrame(payload);
           if (frame != nullptr) {
             RC_ASSERT(frame->body.type != wire::message::NONE);
@@ -135,10 +135,8 @@
   void SharedTextIsRefused() {
     flatbuffers::FlatBufferBuilder builder;
     const auto text = builder.CreateString(std::string(4096, 'x'));
-    std::vector<flatbuffers::Offset<wire::endpoint_notice>> notices;
-    for (int i = 0; i < 100; ++i) {
-      notices.push_back(wire::Createendpoint_notice(builder, text, 1));
-    }
+    const std::vector<flatbuffers::Offset<wire::endpoint_notice>> notices(
+        100, wire::Createendpoint_notice(builder, text, 1));
     const auto gossip =
         wire::Creategossip(builder, 0, 0, builder.CreateVector(notices));
     builder.Finish(wire::Createframe(builder, 1, false, wire::message::gossip,
--- a/src/slatestall/peer/frame_splitter.cc
+++ b/src/slatestall/peer/frame_splitter.cc
@@ -34,7 +34,8 @@
 }
 
 std::optional<std::vector<std::uint8_t>> frame_splitter::Next() {
-  const std::string_view rest = std::string_view(buffer_).substr(position_);
+  std::string_view rest = buffer_;
+  rest.remove_prefix(position_);
   if (rest.size() < kFrameHeaderBytes) {
     return std::nullopt;
   }
--- a/src/slatestall/peer/peer_links.cc
+++ b/src/slatestall/peer/peer_links.cc
@@ -244,7 +244,7 @@
   hello.version = kPeerProtocolVersion;
   wire::frameT frame;
   frame.body = MakeMessage(std::move(hello));
-  return Encode(std::move(frame));
+  return Encode(frame);
 }
 
 void peer_node::impl::OnHello(link_id id, const wire::helloT& hello) {
@@ -293,7 +293,7 @@
   }
   wire::frameT frame;
   frame.body = MakeErrorReply("invalid-request", detail);
-  refused.connection->SendFirst(Encode(std::move(frame)));
+  refused.connection->SendFirst(Encode(frame));
   refused.connection->CloseAfterWrites(detail);
 }
 
--- a/src/slatestall/peer/peer_node.cc
+++ b/src/slatestall/peer/peer_node.cc
@@ -172,7 +172,7 @@
   if (frame.is_reply) {
     OnReply(id, std::move(frame));
   } else {
-    OnRequest(id, std::move(frame));
+    OnRequest(id, frame);
   }
 }
 
@@ -201,7 +201,7 @@
   done({peer_call_end::kReplied, std::move(frame.body), ""});
 }
 
-void peer_node::impl::OnRequest(link_id id, wire::frameT frame) {
+void peer_node::impl::OnRequest(link_id id, const wire::frameT& frame) {
   const host_id peer = links_.at(id).peer;
   const wire::message kind = frame.body.type;
   if (frame.call == 0) {
@@ -261,7 +261,7 @@
   CountSent(frame.body.type, size);
 }
 
-std::string peer_node::impl::Encode(wire::frameT frame) {
+std::string peer_node::impl::Encode(const wire::frameT& frame) {
   std::string bytes = EncodeFrame(frame);
   CountSent(frame.body.type, bytes.size());
   return bytes;
--- a/src/slatestall/peer/peer_node_impl.h
+++ b/src/slatestall/peer/peer_node_impl.h
@@ -82,9 +82,9 @@
   // Frames.
   void OnFrame(link_id id, wire::frameT frame, std::size_t bytes);
   void OnReply(link_id id, wire::frameT frame);
-  void OnRequest(link_id id, wire::frameT frame);
+  void OnRequest(link_id id, const wire::frameT& frame);
   void SendReply(link_id id, std::uint64_t call, wire::messageUnion reply);
-  std::string Encode(wire::frameT frame);
+  std::string Encode(const wire::frameT& frame);
   void CountSent(wire::message kind, std::size_t bytes);
 
   // Calls.
