Membership and shares as pure policy; messages that carry them

Cause: hosts need to know who is live and how much of each limit is theirs, with 5 KB a second at 390 hosts and 360 workspaces. Messages: host marks of 32 bytes instead of digests relayed whole, sums for anti-entropy, share_ask and share_answer instead of per-host usages.

--- a/src/slatestall/peer/frame_codec.cc
+++ b/src/slatestall/peer/frame_codec.cc
@@ -25,10 +25,6 @@
          LengthOf(digest->failure_domain()) + LengthOf(digest->successor());
 }
 
-std::size_t TextBytes(const wire::workspace_usage* usage) {
-  return LengthOf(usage->workspace()) + LengthOf(usage->host());
-}
-
 std::size_t TextBytes(const wire::endpoint_notice* notice) {
   return LengthOf(notice->address());
 }
@@ -57,8 +53,7 @@
 bool SharesText(const wire::frame& frame, std::size_t payload_bytes) {
   std::size_t text = 0;
   if (const wire::gossip* gossip = frame.body_as_gossip()) {
-    text = TextBytes(gossip->digests()) + TextBytes(gossip->usages()) +
-           TextBytes(gossip->notices());
+    text = TextBytes(gossip->digests()) + TextBytes(gossip->notices());
   }
   if (const wire::key_handover* handover = frame.body_as_key_handover()) {
     text = TextBytes(handover->entries());
@@ -119,6 +114,8 @@
       return wire::message::config_head_reply;
     case wire::message::status_request:
       return wire::message::status_reply;
+    case wire::message::share_ask:
+      return wire::message::share_answer;
     default:
       return wire::message::NONE;
   }
--- a/src/slatestall/peer/frame_codec_test.cc
+++ b/src/slatestall/peer/frame_codec_test.cc
@@ -23,9 +23,10 @@
     digest.host = "entry-" + std::to_string(i);
     digest.peer_address = "10.0.0.1:8081";
     gossip.digests.push_back(std::make_unique<wire::host_digestT>(digest));
-    wire::workspace_usageT usage;
-    usage.workspace = "shop";
-    gossip.usages.push_back(std::make_unique<wire::workspace_usageT>(usage));
+    wire::endpoint_noticeT notice;
+    notice.address = "10.0.0.2:9000";
+    gossip.notices.push_back(std::make_unique<wire::endpoint_noticeT>(notice));
+    gossip.marks.emplace_back(i, i, i, i, i, false);
   }
   wire::frameT frame;
   frame.call = 7;
--- /dev/null
+++ b/src/slatestall/policy/share_divider.cc
@@ -0,0 +1,122 @@
+#include "slatestall/policy/share_divider.h"
+
+#include <algorithm>
+
+namespace slatestall {
+
+share_divider::share_divider(share_rules rules) : rules_(rules) {}
+
+void share_divider::UseHosts(std::uint32_t known_hosts) {
+  known_hosts_ = std::max(known_hosts, 1U);
+}
+
+void share_divider::UseLimits(
+    const std::map<std::string, workspace_config>& workspaces) {
+  std::map<std::string, workspace_state> next;
+  for (const auto& [name, config] : workspaces) {
+    const auto known = workspaces_.find(name);
+    workspace_state& state = next[name];
+    if (known != workspaces_.end()) {
+      state = known->second;
+    }
+    state.limits = config.limits;
+  }
+  workspaces_.swap(next);
+}
+
+void share_divider::UseDemand(const std::string& workspace,
+                              const workspace_demand& demand) {
+  const auto found = workspaces_.find(workspace);
+  if (found != workspaces_.end()) {
+    found->second.demand = demand;
+  }
+}
+
+// A host whose demand fits its floor neither asks nor holds anything. That is
+// what keeps the traffic proportional to the workspaces that are busy on a
+// host and not to all of them.
+bool share_divider::WantsMore(const workspace_state& state) const {
+  const auto above = [this](double limit, double demand) {
+    return limit > 0 &&
+           demand * rules_.headroom > rules_.floor_part * limit / known_hosts_;
+  };
+  return above(state.limits.requests_per_second,
+               state.demand.requests_per_second) ||
+         above(state.limits.tokens_per_second,
+               state.demand.tokens_per_second) ||
+         above(state.limits.concurrency, state.demand.concurrency);
+}
+
+std::vector<share_request> share_divider::TakeDue(time_point now) {
+  std::vector<share_request> due;
+  for (auto& [name, state] : workspaces_) {
+    if (now < state.ask_at || !WantsMore(state)) {
+      continue;
+    }
+    state.ask_at = now + rules_.min_interval;
+    share_request request;
+    request.workspace = name;
+    request.demand = state.demand;
+    if (state.lent_until > now) {
+      request.held = state.lent;
+      request.held_for =
+          std::chrono::ceil<milliseconds>(state.lent_until - now);
+    }
+    due.push_back(std::move(request));
+  }
+  return due;
+}
+
+void share_divider::TakeGrant(const share_grant& grant, time_point asked_at) {
+  const auto found = workspaces_.find(grant.workspace);
+  if (found == workspaces_.end()) {
+    return;
+  }
+  workspace_state& state = found->second;
+  state.lent = grant.lent;
+  state.lent_until = asked_at + grant.valid_for;
+  state.ask_at = asked_at + std::max(grant.ask_again, rules_.min_interval);
+  state.allocator_answers = true;
+}
+
+void share_divider::AskFailed(const std::string& workspace, time_point now) {
+  const auto found = workspaces_.find(workspace);
+  if (found != workspaces_.end()) {
+    found->second.allocator_answers = false;
+    found->second.ask_at = now + rules_.min_interval;
+  }
+}
+
+double share_divider::ShareOf(const workspace_state& state, double limit,
+                              double lent, time_point now) const {
+  if (limit <= 0) {
+    return 0;
+  }
+  const double equal = limit / known_hosts_;
+  const double floor = rules_.floor_part * equal;
+  if (state.lent_until > now) {
+    return floor + lent;
+  }
+  // Cut off from the allocator, this host counts on its equal part: never on
+  // the whole limit, which every cut off host would take, and never on nothing.
+  // The allocator on the other side lends no more than the part of the hosts
+  // it can reach, so that the sides together stay within the limit.
+  return state.allocator_answers ? floor : equal;
+}
+
+std::map<std::string, workspace_share> share_divider::Shares(
+    time_point now) const {
+  std::map<std::string, workspace_share> shares;
+  for (const auto& [name, state] : workspaces_) {
+    workspace_share& share = shares[name];
+    share.requests_per_second = ShareOf(state, state.limits.requests_per_second,
+                                        state.lent.requests_per_second, now);
+    share.tokens_per_second = ShareOf(state, state.limits.tokens_per_second,
+                                      state.lent.tokens_per_second, now);
+    share.concurrency =
+        ShareOf(state, state.limits.concurrency, state.lent.concurrency, now);
+  }
+  return shares;
+}
+
+}  // namespace slatestall
