--- a/bench/answer_check.cc
+++ b/bench/answer_check.cc
@@ -56,6 +56,9 @@
 }
 
 void answer_check::TakeTokens(const std::string& data) {
+  if (!wrong_.empty()) {
+    return;
+  }
   const json event = json::parse(data, nullptr, false);
   if (!event.is_object() || !event.contains("offset")) {
     wrong_ = "not an event: " + Shortened(data);
--- a/standins/endpoint/pool_endpoint.cc
+++ b/standins/endpoint/pool_endpoint.cc
@@ -1,5 +1,7 @@
 #include "standins/endpoint/pool_endpoint.h"
 
+#include <asio/steady_timer.hpp>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr const char* kCrossedAttempt = "crossed.0000000000000000.0-0/0/0";
+constexpr milliseconds kCutDelay{20};
 constexpr const char* kCrossedBody = "marker:crossed";
 
 work_queue_options QueueOptions(const endpoint_spec& spec,
@@ -20,11 +23,14 @@
           StableHash(spec.listen.ip, options.seed + spec.listen.port)};
 }
 
-void SendHalf(http_responder& responder, const http_headers& headers,
-              const std::string& body) {
-  responder.StartStream(200, headers);
-  responder.Write(body.substr(0, body.size() / 2));
-  responder.Abort();
+/// Cuts the connection only after the first half has left.
+void SendHalf(asio::io_context& context, const http_responder_ptr& responder,
+              const http_headers& headers, const std::string& body) {
+  responder->StartStream(200, headers);
+  responder->Write(body.substr(0, body.size() / 2));
+  auto timer = std::make_shared<asio::steady_timer>(context, kCutDelay);
+  timer->async_wait(
+      [timer, responder](const std::error_code&) { responder->Abort(); });
 }
 
 }  // namespace
@@ -102,7 +108,7 @@
   if (fault == fault_mode::kDropAfter) {
     responder->Abort();
   } else if (fault == fault_mode::kTruncate) {
-    SendHalf(*responder, headers, answer.body);
+    SendHalf(core_.context, responder, headers, answer.body);
   } else {
     responder->Send(200, headers, answer.body);
   }
