--- a/bench/answer_check.cc
+++ b/bench/answer_check.cc
@@ -19,13 +19,6 @@
   return static_cast<std::uint32_t>(std::count(text.begin(), text.end(), ' '));
 }
 
-std::string ExpectedAnswer(const load_flow& flow, const std::string& marker) {
-  if (flow.ends_in_plain) {
-    return json::parse(PlainAnswer("marker:" + marker)).at("text");
-  }
-  return AnswerText(marker, flow.max_tokens);
-}
-
 std::string Shortened(const std::string& text) {
   constexpr std::size_t kShown = 160;
   return text.substr(0, kShown);
@@ -38,8 +31,8 @@
     : flow_(flow),
       marker_(marker),
       sent_body_(std::move(body)),
-      expected_(ExpectedAnswer(flow, marker)),
-      expected_tokens_(flow.ends_in_plain ? 0 : CountTokens(expected_)),
+      expected_(AnswerText(marker, flow.max_tokens)),
+      expected_tokens_(AnswerLength(marker, flow.max_tokens)),
       parser_(kMaxEventBytes,
               [this](const sse_event& event) { TakeEvent(event); }) {}
 
@@ -65,8 +58,7 @@
     return;
   }
   const std::string text = event.value("text", "");
-  const bool goes_on =
-      flow_.ends_in_plain || event["offset"].get<std::uint32_t>() == tokens_;
+  const bool goes_on = event["offset"].get<std::uint32_t>() == tokens_;
   if (!goes_on || expected_.compare(received_.size(), text.size(), text) != 0) {
     wrong_ =
         "does not go on at " + std::to_string(tokens_) + ": " + Shortened(data);
--- a/bench/load_flow.h
+++ b/bench/load_flow.h
@@ -15,14 +15,16 @@
 enum class flow_target {
   kPipeline,
   kService,
-  kDirectEngine,  ///< An endpoint without slatestalld, as the reference.
+  /// Encoder, retriever, reranker and engine called one after another by the
+  /// caller itself, without slatestalld: the reference for a pipeline.
+  kDirectChain,
   kDirectPlain,
 };
 
 inline constexpr name_table<flow_target, 4> kFlowTargetNames{{
     {flow_target::kPipeline, "pipeline"},
     {flow_target::kService, "service"},
-    {flow_target::kDirectEngine, "direct-engine"},
+    {flow_target::kDirectChain, "direct-chain"},
     {flow_target::kDirectPlain, "direct-plain"},
 }};
 
@@ -43,7 +45,7 @@
   double per_second = 1;
   key_source key = key_source::kNone;
   bool stream = false;
-  bool ends_in_plain = false;  ///< The answer is a plain service's.
+  std::vector<std::string> chain;  ///< Base URLs, for `kDirectChain`.
   milliseconds deadline{6000};
   std::uint32_t max_tokens = 64;
   std::size_t input_bytes = 200;
--- a/bench/request_run.cc
+++ b/bench/request_run.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "bench/direct_chain.h"
+
 namespace slatestall {
 namespace {
 
@@ -23,7 +25,7 @@
 }
 
 bool IsDirect(const load_flow& flow) {
-  return flow.target == flow_target::kDirectEngine ||
+  return flow.target == flow_target::kDirectChain ||
          flow.target == flow_target::kDirectPlain;
 }
 
@@ -39,20 +41,9 @@
   const std::string input = InputOf(flow, marker);
   switch (flow.target) {
     case flow_target::kPipeline:
-      return flow.ends_in_plain
-                 ? json({{"input", input}}).dump()
-                 : json({{"input", input}, {"max_tokens", flow.max_tokens}})
-                       .dump();
-    case flow_target::kDirectEngine:
-      return json({{"id", marker + "/0/0"},
-                   {"model", flow.called},
-                   {"adapter", ""},
-                   {"prompt", input},
-                   {"max_tokens", flow.max_tokens},
-                   {"priority", 0},
-                   {"stream", true},
-                   {"resume_offset", 0}})
-          .dump();
+      return json({{"input", input}, {"max_tokens", flow.max_tokens}}).dump();
+    case flow_target::kDirectChain:
+      return {};
     case flow_target::kService:
     case flow_target::kDirectPlain:
       break;
@@ -81,9 +72,30 @@
   if (flow_.key == key_source::kOwn) {
     key_ = "own-" + marker_;
   }
+  if (flow_.target == flow_target::kDirectChain) {
+    RunChain();
+    return;
+  }
   SendCopies();
 }
 
+void request_run::RunChain() {
+  open_copies_ = 1;
+  const auto chain = std::make_shared<direct_chain>(
+      shared_.client, flow_, marker_, InputOf(flow_, marker_));
+  chain->Start([self = shared_from_this()](const std::string& engine_call) {
+    if (engine_call.empty()) {
+      self->Finish(std::make_shared<copy_state>(), outcome_kind::kLost,
+                   "the chain broke");
+      return;
+    }
+    self->body_ = engine_call;
+    auto copy = std::make_shared<copy_state>();
+    copy->host = self->shared_.hosts.Pick("");
+    self->Send(copy);
+  });
+}
+
 void request_run::MintKey(unsigned sendings, const std::string& avoided) {
   const std::string host = shared_.hosts.Pick(avoided);
   http_call call;
@@ -126,7 +138,7 @@
     case flow_target::kService:
       return host + "/v1/workspaces/" + workspace_ + "/services/" +
              flow_.called;
-    case flow_target::kDirectEngine:
+    case flow_target::kDirectChain:
       return host + "/v1/completions";
     case flow_target::kDirectPlain:
       break;
--- a/bench/request_run.h
+++ b/bench/request_run.h
@@ -42,6 +42,7 @@
   using copy_ptr = std::shared_ptr<copy_state>;
 
   void MintKey(unsigned sendings, const std::string& avoided);
+  void RunChain();
   void SendCopies();
   void Send(const copy_ptr& copy);
   http_call CallOf(const copy_ptr& copy);
