Focused failure tests of keyed requests; notice a silent writer earlier

They found that a first question could wait longer than the claim may take, so that a caller was told "claim-unavailable" where "request-in-progress" was known, and that a paused writer cost a 2 s request its claim. The first question now waits a third of the claim's time, and its call is given up in time for another writer.

--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr milliseconds kAvoidSilentWriter{2000};
+constexpr milliseconds kLeastSlack{50};  // For the way there and back.
 constexpr milliseconds kLongestWait{5000};
 constexpr milliseconds kEndTimeout{4000};  // Endings are written behind.
 constexpr int kMaxHandovers = 16;          // Of one key, followed in a row.
@@ -200,8 +201,11 @@
                              const answer_function& done) {
   ++peer_claims_;
   const bool is_minted = LooksMinted(attempt.key.key);
+  // A silent writer has to be noticed while there is time for another one.
+  const milliseconds slack =
+      std::min(options_.peer_timeout, std::max(wait, kLeastSlack));
   peers_.call(
-      peer, AsUnion(ToMessage(attempt, wait)), wait + options_.peer_timeout,
+      peer, AsUnion(ToMessage(attempt, wait)), wait + slack,
       [weak = weak_from_this(), peer, is_minted, done](const auto& reply) {
         const auto* message = reply.end == peer_call_end::kReplied
                                   ? reply.body.Asclaim_reply()
--- a/src/slatestall/node/outcome_test_world.h
+++ b/src/slatestall/node/outcome_test_world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "slatestall/node/outcome_service.h"
+#include "slatestall/node/outcome_test_time.h"
 #include "slatestall/policy/key_text.h"
 
 namespace slatestall::outcome_test {
@@ -25,31 +26,6 @@
   double wrongly_gone = 0;  ///< A live holder is reported as gone.
 };
 
-/// @brief One test's time and everything that is to happen in it.
-class virtual_time {
- public:
-  time_point Now() const { return now_; }
-  void At(time_point when, std::function<void()> event) {
-    events_.emplace(std::max(when, now_), std::move(event));
-  }
-  void After(milliseconds delay, std::function<void()> event) {
-    At(now_ + delay, std::move(event));
-  }
-  /// Runs what is due until `end`.
-  void RunUntil(time_point end) {
-    while (!events_.empty() && events_.begin()->first <= end) {
-      auto event = events_.extract(events_.begin());
-      now_ = event.key();
-      event.mapped()();
-    }
-    now_ = end;
-  }
-
- private:
-  time_point now_{std::chrono::hours{1}};
-  std::multimap<time_point, std::function<void()>> events_;
-};
-
 /// @brief Several hosts with real outcome services over a fake log and fake
 /// peers, all in one thread and in virtual time.
 class test_world {
@@ -87,7 +63,7 @@
     return hosts_.at(name)->service != nullptr;
   }
   bool IsDrained(const std::string& name) const {
-    return successors_.contains(hosts_.at(name)->id);
+    return drained_.contains(hosts_.at(name)->id);
   }
   host_id IdOf(const std::string& name) const { return hosts_.at(name)->id; }
   outcome_guard& Guard(const std::string& name) {
@@ -145,6 +121,7 @@
       const host_id id = hosts_.at(name)->id;
       hosts_.at(name)->service->Drain(
           [this, id, done](const std::string& successor) {
+            drained_.insert(id);
             if (!successor.empty()) {
               successors_[id] = successor;
             }
@@ -157,6 +134,18 @@
   void SetCutOff(const std::string& name, bool cut_off) {
     cut_off ? void(cut_off_.insert(name)) : void(cut_off_.erase(name));
   }
+  /// Loses every reply to a handover that `name` sends.
+  void LoseHandoverReplies(const std::string& name) {
+    silent_successor_ = name;
+  }
+  /// Host that the newest handover was sent to first.
+  std::string FirstHandoverTarget() const { return handover_target_; }
+  std::string SuccessorOf(const std::string& name) const {
+    const auto found = successors_.find(hosts_.at(name)->id);
+    const auto id = found == successors_.end() ? std::nullopt
+                                               : ParseHostText(found->second);
+    return id ? id->name : "";
+  }
   /// Lets the log forget all but the newest `kept` records of each stream.
   void DropRecords(std::size_t kept) {
     for (auto& [name, stream] : streams_) {
@@ -328,6 +317,10 @@
                               milliseconds timeout,
                               std::function<void(peer_reply)> done) {
       const auto back = Back<peer_reply>(name, std::move(done));
+      if (request.type == wire::message::key_handover &&
+          handover_target_.empty()) {
+        handover_target_ = to;
+      }
       const bool reachable = hosts_.contains(to) && IsAlive(to) &&
                              !cut_off_.contains(to) && !cut_off_.contains(name);
       if (!reachable) {
@@ -351,7 +344,7 @@
         const auto died = killed_at_.find(at->id);
         const bool noticed = died != killed_at_.end() &&
                              died->second + kDeathNoticed < time_.Now();
-        if (!noticed && !successors_.contains(at->id)) {
+        if (!noticed && !drained_.contains(at->id)) {
           live.push_back(other);
         }
       }
@@ -371,8 +364,10 @@
                    const std::function<void(milliseconds, peer_reply)>& back) {
     OnHost(to, [this, from, to, request, back] {
       const auto& handler = hosts_.at(to)->handlers.at(request.type);
-      handler(request, from, [this, back](wire::messageUnion answer) {
-        if (!Chance(faults_.lost_peer_message)) {
+      const bool mute = to == silent_successor_ &&
+                        request.type == wire::message::key_handover;
+      handler(request, from, [this, back, mute](wire::messageUnion answer) {
+        if (!mute && !Chance(faults_.lost_peer_message)) {
           back(Between(1, 10), {peer_call_end::kReplied, std::move(answer)});
         }
       });
@@ -404,9 +399,12 @@
   std::map<std::string, std::unique_ptr<host>> hosts_;
   std::map<std::string, stream> streams_;
   std::map<host_id, std::string> successors_;
+  std::set<host_id> drained_;
   std::set<host_id> killed_;
   std::map<host_id, time_point> killed_at_;
   std::set<std::string> cut_off_;
+  std::string silent_successor_;
+  std::string handover_target_;
   std::uint64_t incarnations_ = 100;
   std::uint64_t appends_ = 0;
   bool log_down_ = false;
--- a/src/slatestall/policy/claim_tracker.cc
+++ b/src/slatestall/policy/claim_tracker.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kClaimPart = 2;  // A claim may take this part of the deadline.
+constexpr int kFirstWaitPart = 3;  // Of that time, for the first question.
 constexpr milliseconds kLongestEndPause{15'000};
 constexpr milliseconds kRetryAfter{1000};
 
@@ -90,8 +91,14 @@
     if (left <= options_.answer_margin) {
       continue;
     }
+    // The first answer has to come while there is time to tell "held by
+    // another request" from "nobody can tell".
+    const auto first_wait = std::chrono::duration_cast<milliseconds>(
+        (with.claim_by - now) / kFirstWaitPart);
+    const milliseconds longest = with.seen_held ? left : first_wait;
     with.asked = true;
-    asks.push_back({leader.attempt, std::min(left, options_.ask_wait)});
+    asks.push_back({leader.attempt,
+                    std::clamp(longest, milliseconds{0}, options_.ask_wait)});
   }
   return asks;
 }
