--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -28,8 +28,8 @@
   std::uint32_t claim_partitions = 8;
   std::string routing = "least-wait";
   /// How long the platform's log keeps records; the configuration is
-  /// republished before half of it. 0: not known.
-  std::chrono::seconds log_retention{0};
+  /// republished before half of it.
+  milliseconds log_retention{std::chrono::hours{24}};
   /// How long a host that drains still takes what the balancer sends.
   milliseconds drain_grace{5000};
   std::string record_path;  ///< Trace to write; empty: none.
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -93,6 +93,21 @@
                        .choices = {"least-wait", "round-robin"},
                        .meaning = "How an endpoint is chosen; `round-robin` is "
                                   "for comparison"}),
+      MemberField(&s::log_retention,
+                  {.name = "log_retention",
+                   .type = type::kDuration,
+                   .minimum = 1000,
+                   .maximum = 31536000000,
+                   .meaning = "How long the platform's log keeps records at "
+                              "least; the configuration is republished before "
+                              "half of it"}),
+      MemberField(&s::drain_grace,
+                  {.name = "drain_grace",
+                   .type = type::kDuration,
+                   .minimum = 0,
+                   .maximum = 600000,
+                   .meaning = "How long a host that shuts down still takes "
+                              "requests, for the balancer to notice"}),
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -151,7 +151,8 @@
   config_follower_options FollowerOptions() const {
     config_follower_options follower;
     follower.host = self_.name;
-    follower.retention = options_.log_retention;
+    follower.retention = std::chrono::duration_cast<std::chrono::seconds>(
+        options_.log_retention);
     return follower;
   }
 
