--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -96,18 +96,21 @@
       MemberField(&s::log_retention,
                   {.name = "log_retention",
                    .type = type::kDuration,
-                   .minimum = 1000,
-                   .maximum = 31536000000,
-                   .meaning = "How long the platform's log keeps records at "
-                              "least; the configuration is republished before "
-                              "half of it"}),
-      MemberField(&s::drain_grace,
-                  {.name = "drain_grace",
-                   .type = type::kDuration,
+                   .unit = "written with it",
                    .minimum = 0,
-                   .maximum = 600000,
-                   .meaning = "How long a host that shuts down still takes "
-                              "requests, for the balancer to notice"}),
+                   .maximum = 365.0 * 24 * 3600 * 1000,
+                   .meaning = "How long the platform's log keeps records, in "
+                              "whole seconds; the configuration is republished "
+                              "before half of it. 0s: not known"}),
+      MemberField(
+          &s::drain_grace,
+          {.name = "drain_grace",
+           .type = type::kDuration,
+           .unit = "written with it",
+           .minimum = 0,
+           .maximum = 60000,
+           .meaning = "How long a host that drains still takes what the "
+                      "balancer sends"}),
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
