Traffic policy: queue at the host, least-wait choice, budgets for extra attempts

Round robin sends into full or failing endpoints and every retry adds load. The policy now limits what it sends to this thread's share of the slots, orders what waits by class, workspace weight and deadline, refuses calls that can no longer make it before they are sent, chooses endpoints by expected time from corrected load, ejects outliers with a floor, avoids a lost failure domain, and bounds retries and hedges by budgets.

Properties (300 cases each): same calls give the same decisions; no ticket is lost or doubled and counts return to 0; batch keeps 12 to 40 % of the time under full demand of both classes; rate and concurrency hold within 10 %.

shared: attempt_report gains a ticket (0: matched by stage), the options gain host_name and batch_floor; the fields have defaults.

--- a/include/slatestall/policy/control_snapshot.h
+++ b/include/slatestall/policy/control_snapshot.h
@@ -18,7 +18,8 @@
   endpoint where;
   load_report load;
   bool leaving = false;  ///< By list, by its own word or by a peer's.
-  /// Hashes of prompt prefixes its cache is believed to hold; a hint.
+  /// Hashes of prompt prefixes its cache is believed to hold, ascending; a
+  /// hint. Null: not known.
   std::shared_ptr<const std::vector<std::uint64_t>> cached_prefixes;
 };
 
--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -23,13 +23,15 @@
 
 struct traffic_policy_options {
   routing_rule routing = routing_rule::kLeastWait;
-  std::string failure_domain;  ///< Of this host.
-  std::uint64_t seed = 1;      ///< All random choices follow from it.
+  std::string host_name{};       ///< Ranks endpoints where a host uses some.
+  std::string failure_domain{};  ///< Of this host.
+  std::uint64_t seed = 1;        ///< All random choices follow from it.
   bool hedging = true;
   bool early_refusal = true;
   bool queueing = true;        ///< Hold calls back when endpoints are full.
   double retry_budget = 0.1;   ///< Retries per first attempt.
   double hedge_budget = 0.05;  ///< Hedges per first attempt.
+  double batch_floor = 0.2;    ///< Share of time that batch calls are assured.
   std::uint32_t lanes = 1;  ///< Traffic threads that divide this host's share.
 };
 
@@ -55,7 +57,8 @@
   std::uint64_t generated_tokens = 0;
 };
 
-/// @brief Names one stage call of one request inside one traffic thread.
+/// @brief Names one stage call of one request inside one traffic thread; not
+/// 0. Retries and hedges of the call may share it.
 using stage_ticket = std::uint64_t;
 
 struct stage_request {
@@ -66,9 +69,10 @@
   priority_class priority = priority_class::kInteractive;
   time_point deadline{};
   std::vector<std::uint64_t> prefix_hashes;  ///< Shortest prefix first.
-  std::vector<std::string> tried;            ///< Addresses not to use again.
+  std::vector<std::string> tried;  ///< Addresses not to use again; a hedge
+                                   ///< names the one it hedges against.
   bool is_retry = false;
-  bool is_hedge = false;
+  bool is_hedge = false;  ///< Never waits: `kDispatch` or `kRefuse`.
 };
 
 enum class stage_verdict { kDispatch, kWait, kRefuse };
@@ -77,10 +81,12 @@
 struct stage_decision {
   stage_ticket ticket = 0;
   stage_verdict verdict = stage_verdict::kRefuse;
-  std::string address;                      ///< `kDispatch`.
-  milliseconds attempt_timeout{0};          ///< `kDispatch`.
-  std::optional<milliseconds> hedge_after;  ///< `kDispatch`, repeatable only.
-  int engine_priority = 0;                  ///< Lower runs first.
+  std::string address;              ///< `kDispatch`.
+  milliseconds attempt_timeout{0};  ///< `kDispatch`.
+  /// `kDispatch`, repeatable only: plan a hedge where no first byte (engines)
+  /// or no answer has come by then.
+  std::optional<milliseconds> hedge_after;
+  int engine_priority = 0;                       ///< Lower runs first.
   error_kind refusal = error_kind::kNoEndpoint;  ///< `kRefuse`.
   milliseconds retry_after{0};                   ///< `kRefuse`.
   std::string reason;
@@ -96,6 +102,7 @@
 
 /// @brief How one dispatched attempt ended.
 struct attempt_report {
+  stage_ticket ticket = 0;  ///< 0: the oldest call of the stage is meant.
   std::string service;
   std::string address;
   std::string pipeline;
--- /dev/null
+++ b/src/slatestall/policy/deadline_budget.cc
@@ -0,0 +1,38 @@
+#include "slatestall/policy/deadline_budget.h"
+
+#include <algorithm>
+
+#include "slatestall/policy/seconds.h"
+
+namespace slatestall {
+namespace {
+
+constexpr double kTimeoutFactor = 3;      // Times the 99th percentile.
+constexpr double kShortestTimeout = 0.2;  // Seconds.
+
+}  // namespace
+
+deadline_budget::deadline_budget(const pipeline_statistics& pipeline,
+                                 std::size_t stage, time_point deadline)
+    : needed_(pipeline.MedianFrom(stage)),
+      later_(pipeline.MedianFrom(stage + 1)),
+      deadline_(deadline) {}
+
+time_point deadline_budget::LatestStart() const {
+  return deadline_ - FromSeconds(needed_);
+}
+
+milliseconds deadline_budget::AttemptTimeout(const latency_summary& answer,
+                                             bool repeatable,
+                                             time_point now) const {
+  double seconds = Seconds(deadline_ - now) - later_;
+  if (repeatable && answer.known) {
+    const double usual =
+        std::max(kShortestTimeout, answer.worst * kTimeoutFactor);
+    seconds = std::min(seconds, usual);
+  }
+  return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
+                                       std::chrono::duration<double>(seconds)));
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/policy/endpoint_choice.cc
@@ -0,0 +1,199 @@
+#include "slatestall/policy/endpoint_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+constexpr std::size_t kDraws = 3;
+constexpr std::size_t kFewEndpoints = 6;  // Up to here all are compared.
+constexpr std::size_t kMostMisses = 8;
+
+constexpr double kCrossDomainTime = 0.001;  // Seconds; a bit above measured.
+constexpr double kUnknownTime = 0.05;       // Seconds, before any answer.
+constexpr double kAdapterLoadTime = 0.2;    // Seconds to load an adapter.
+constexpr double kColdFactor = 3;  // Loss of an endpoint just returned.
+// A holder of the prefix is believed by own memory or by its cache events;
+// events are late, so they count for less.
+constexpr double kEventConfidence = 0.7;
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool Holds(const endpoint_view& view, std::uint64_t prefix) {
+  return view.cached_prefixes != nullptr &&
+         std::binary_search(view.cached_prefixes->begin(),
+                            view.cached_prefixes->end(), prefix);
+}
+
+}  // namespace
+
+endpoint_choice::endpoint_choice(routing_rule rule, std::string failure_domain)
+    : rule_(rule), failure_domain_(std::move(failure_domain)) {}
+
+endpoint_state* endpoint_choice::Choose(
+    const endpoint_set::candidates& candidates, const choice_request& request,
+    const domain_circuit& circuit, random_generator& random, time_point now) {
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  if (rule_ == routing_rule::kRoundRobin) {
+    return NextInTurn(candidates, request, circuit, now);
+  }
+  endpoint_state* chosen =
+      candidates.size() <= kFewEndpoints
+          ? BestOfAll(candidates, request, circuit, fitness::kGood, now)
+          : BestOfSome(candidates, request, circuit, random, now);
+  if (chosen != nullptr) {
+    return chosen;
+  }
+  // Nothing healthy is left: an ejected endpoint may still answer, and a
+  // refusal certainly does not.
+  return BestOfAll(candidates, request, circuit, fitness::kLastResort, now);
+}
+
+void endpoint_choice::Sent(const std::vector<std::uint64_t>& prefixes,
+                           const std::string& address) {
+  for (const std::uint64_t prefix : prefixes) {
+    memory_.Remember(prefix, address);
+  }
+}
+
+endpoint_choice::fitness endpoint_choice::Fitness(const endpoint_state& state,
+                                                  const choice_request& request,
+                                                  const domain_circuit& circuit,
+                                                  time_point now) {
+  if (state.Leaving() || Contains(*request.tried, state.Address())) {
+    return fitness::kUnusable;
+  }
+  const endpoint_health& health = state.Health();
+  if (health.Ejected(now) || health.Paused(now) ||
+      circuit.Open(state.FailureDomain(), now)) {
+    return fitness::kLastResort;
+  }
+  return fitness::kGood;
+}
+
+endpoint_state* endpoint_choice::NextInTurn(
+    const endpoint_set::candidates& candidates, const choice_request& request,
+    const domain_circuit& circuit, time_point now) {
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    endpoint_state* state = candidates[turn_++ % candidates.size()];
+    if (Fitness(*state, request, circuit, now) != fitness::kUnusable) {
+      return state;
+    }
+  }
+  return nullptr;
+}
+
+endpoint_state* endpoint_choice::BestOfAll(
+    const endpoint_set::candidates& candidates, const choice_request& request,
+    const domain_circuit& circuit, fitness least, time_point now) const {
+  draw_state draw;
+  for (endpoint_state* state : candidates) {
+    if (Fitness(*state, request, circuit, now) >= least) {
+      Consider(state, request, now, draw);
+    }
+  }
+  return draw.best;
+}
+
+// A few random draws instead of the best of all: hosts that share the same old
+// load reports would otherwise all rush to the same endpoint.
+endpoint_state* endpoint_choice::BestOfSome(
+    const endpoint_set::candidates& candidates, const choice_request& request,
+    const domain_circuit& circuit, random_generator& random,
+    time_point now) const {
+  draw_state draw;
+  std::size_t found = 0;
+  for (std::size_t misses = 0; found < kDraws && misses < kMostMisses;) {
+    endpoint_state* state = candidates[random.Below(candidates.size())];
+    if (Fitness(*state, request, circuit, now) != fitness::kGood) {
+      ++misses;
+      continue;
+    }
+    ++found;
+    Consider(state, request, now, draw);
+  }
+  endpoint_state* holder = PrefixHolder(candidates, request);
+  if (holder != nullptr &&
+      Fitness(*holder, request, circuit, now) == fitness::kGood) {
+    Consider(holder, request, now, draw);
+  }
+  if (draw.best != nullptr) {
+    return draw.best;
+  }
+  return BestOfAll(candidates, request, circuit, fitness::kGood, now);
+}
+
+endpoint_state* endpoint_choice::PrefixHolder(
+    const endpoint_set::candidates& candidates,
+    const choice_request& request) const {
+  const std::vector<std::uint64_t>& prefixes = *request.prefixes;
+  for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
+    const std::string& address = memory_.Find(*prefix);
+    if (address.empty()) {
+      continue;
+    }
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+                                    [&](const endpoint_state* state) {
+                                      return state->Address() == address;
+                                    });
+    return found == candidates.end() ? nullptr : *found;
+  }
+  return nullptr;
+}
+
+void endpoint_choice::Consider(endpoint_state* state,
+                               const choice_request& request, time_point now,
+                               draw_state& draw) const {
+  const double score = Score(*state, request, now);
+  if (draw.best == nullptr || score < draw.score) {
+    draw = {state, score};
+  }
+}
+
+double endpoint_choice::Score(const endpoint_state& state,
+                              const choice_request& request,
+                              time_point now) const {
+  const double service =
+      request.service_time > 0 ? request.service_time : kUnknownTime;
+  const double mean = request.mean_time > 0 ? request.mean_time : service;
+  const double per_slot = (state.Load(now) + 1) / state.Slots();
+  // Within its slots a batching engine still slows down with each call.
+  const double queueing = per_slot > 1 ? (per_slot - 1) * mean : 0;
+  double seconds = queueing + service * (1 + 0.5 * std::min(per_slot, 1.0));
+  seconds *= state.Slowness(now);
+  seconds *= 1 + kColdFactor * (1 - state.Health().Ramp(now));
+  seconds -= request.prefix_time * CachedShare(state, request);
+  if (state.FailureDomain() != failure_domain_) {
+    seconds += kCrossDomainTime;
+  }
+  if (!request.adapter.empty() &&
+      !Contains(state.View().load.adapters, request.adapter)) {
+    seconds += kAdapterLoadTime;
+  }
+  return seconds;
+}
+
+// Prefix lengths double, so the longest match among n prefixes stands for
+// 2^-(misses) of the prompt.
+double endpoint_choice::CachedShare(const endpoint_state& state,
+                                    const choice_request& request) const {
+  double share = 1;
+  const std::vector<std::uint64_t>& prefixes = *request.prefixes;
+  for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
+    if (memory_.Find(*prefix) == state.Address()) {
+      return share;
+    }
+    if (Holds(state.View(), *prefix)) {
+      return share * kEventConfidence;
+    }
+    share /= 2;
+  }
+  return 0;
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/policy/service_capacity.cc
@@ -0,0 +1,57 @@
+#include "slatestall/policy/service_capacity.h"
+
+#include <algorithm>
+
+namespace slatestall {
+namespace {
+
+// Hosts are not equally busy; a little more than the share keeps the slots
+// filled, and the little excess waits at the endpoint.
+constexpr double kOvercommit = 1.2;
+// Engines run interactive calls first, so these may wait there.
+constexpr double kInteractiveOvercommit = 1.25;
+// Each refresh takes at most this multiple of its share of the idle slots, so
+// that threads that see the same idle slots do not all take all of them.
+constexpr double kIdleGain = 2;
+
+struct slot_count {
+  double slots = 0;
+  double idle = 0;
+  double in_flight = 0;
+  bool reported = false;
+};
+
+slot_count CountSlots(const endpoint_set& endpoints,
+                      const domain_circuit& circuit, time_point now) {
+  slot_count count;
+  for (const endpoint_state* state : endpoints.Listed()) {
+    count.in_flight += static_cast<double>(state->InFlight());
+    if (state->Leaving() || state->Health().Ejected(now) ||
+        circuit.Open(state->FailureDomain(), now)) {
+      continue;
+    }
+    count.slots += state->Slots();
+    if (state->Reports()) {
+      count.reported = true;
+      count.idle += std::max(0.0, state->Slots() - state->Load(now));
+    }
+  }
+  return count;
+}
+
+}  // namespace
+
+service_capacity MeasureCapacity(const endpoint_set& endpoints,
+                                 const domain_circuit& circuit, double sharers,
+                                 time_point now) {
+  const slot_count count = CountSlots(endpoints, circuit, now);
+  double limit = count.slots / sharers * kOvercommit;
+  if (count.reported) {
+    const double borrowed = count.idle / sharers * kIdleGain;
+    limit = std::max(limit, std::min(count.slots, count.in_flight + borrowed));
+  }
+  limit = std::max(1.0, limit);
+  return {limit, limit * kInteractiveOvercommit};
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/policy/stage_planner.cc
@@ -0,0 +1,333 @@
+#include "slatestall/policy/stage_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "slatestall/policy/seconds.h"
+
+namespace slatestall {
+namespace {
+
+constexpr std::size_t kMostWaiting = 2048;  // Calls of one service.
+constexpr std::size_t kMostAttempts = 4;
+constexpr double kFirstBackoff = 0.01;     // Seconds; doubles, with jitter.
+constexpr double kPrefillShare = 0.7;      // Of the time to the first byte.
+constexpr double kListRetryAfter = 1;      // Seconds, while a list is empty.
+constexpr double kShortRetryAfter = 0.25;  // Seconds.
+
+stage_decision Refuse(const stage_request& request, error_kind kind,
+                      double retry_after, std::string reason) {
+  stage_decision decision;
+  decision.ticket = request.ticket;
+  decision.verdict = stage_verdict::kRefuse;
+  decision.refusal = kind;
+  decision.retry_after = ToMilliseconds(retry_after);
+  decision.reason = std::move(reason);
+  return decision;
+}
+
+int EnginePriority(priority_class priority) {
+  return priority == priority_class::kInteractive ? 0 : 1;
+}
+
+}  // namespace
+
+stage_planner::call_context stage_planner::ContextOf(
+    const stage_request& request, service_traffic& service) {
+  pipeline_statistics& pipeline = state_.Pipeline(request.pipeline->name);
+  stage_statistics& statistics =
+      pipeline.Stage(*request.pipeline, request.stage);
+  return {request, request.pipeline->stages.at(request.stage), service,
+          statistics,
+          deadline_budget(pipeline, request.stage, request.deadline)};
+}
+
+stage_decision stage_planner::Plan(const stage_request& request,
+                                   time_point now) {
+  const std::string& name = request.pipeline->stages.at(request.stage).service;
+  service_traffic* service = state_.Service(name);
+  if (service == nullptr) {
+    return Refuse(request, error_kind::kNoEndpoint, kListRetryAfter,
+                  "service " + name + " has no endpoints");
+  }
+  call_context call = ContextOf(request, *service);
+  if (request.is_hedge) {
+    return PlanHedge(call, now);
+  }
+  if (!request.is_retry) {
+    call.statistics.retries.CountFirstAttempt();
+    call.statistics.hedges.CountFirstAttempt();
+  }
+  const bool too_late = state_.options.early_refusal
+                            ? !call.budget.CanStart(now)
+                            : request.deadline <= now;
+  if (too_late) {
+    return Refuse(request, error_kind::kDeadlineUnreachable, kShortRetryAfter,
+                  "the stages left usually take longer than the time left");
+  }
+  service->Usage().Want(request.priority, now);
+  service->RefreshCapacity(state_.circuit, now);
+  if (service->MustWaitInLine(request.priority, now)) {
+    return Enqueue(call, now);
+  }
+  return Dispatch(call, now);
+}
+
+stage_decision stage_planner::PlanHedge(call_context& call, time_point now) {
+  if (!call.service.Repeatable()) {
+    return Refuse(call.request, error_kind::kOverloaded, 0,
+                  "the service is not repeatable");
+  }
+  if (!call.budget.CanStart(now) || !call.service.HasSpareRoom(now)) {
+    return Refuse(call.request, error_kind::kOverloaded, 0,
+                  "no spare room for a hedge");
+  }
+  if (!call.statistics.hedges.Covers()) {
+    return Refuse(call.request, error_kind::kOverloaded, 0,
+                  "the hedge budget is spent");
+  }
+  stage_decision decision = Dispatch(call, now);
+  if (decision.verdict == stage_verdict::kDispatch) {
+    call.statistics.hedges.Take();
+    decision.hedge_after.reset();
+  }
+  return decision;
+}
+
+stage_decision stage_planner::Enqueue(call_context& call, time_point now) {
+  stage_queue& queue = call.service.Queue();
+  const stage_request& request = call.request;
+  if (queue.Size(request.priority) >= kMostWaiting) {
+    return Refuse(request, error_kind::kOverloaded, 1,
+                  "too many waiting calls");
+  }
+  const time_point latest = state_.options.early_refusal
+                                ? call.budget.LatestStart()
+                                : request.deadline;
+  const latency_summary& answer = call.statistics.answer.Summary();
+  const double cost = answer.known ? answer.median : call.service.MeanTime();
+  queue.Push({request, now, latest, state_.WeightOf(request.workspace), cost});
+  stage_decision decision;
+  decision.ticket = request.ticket;
+  decision.verdict = stage_verdict::kWait;
+  decision.reason = "endpoints of " + call.stage.service + " are full";
+  return decision;
+}
+
+stage_decision stage_planner::Dispatch(call_context& call, time_point now) {
+  const stage_request& request = call.request;
+  endpoint_state* endpoint = Choose(call, now);
+  if (endpoint == nullptr) {
+    return Refuse(request, error_kind::kNoEndpoint, kListRetryAfter,
+                  "no endpoint of " + call.stage.service + " takes work");
+  }
+  const latency_summary& answer = call.statistics.answer.Summary();
+  const double per_slot = (endpoint->Load(now) + 1) / endpoint->Slots();
+  const double expected = answer.median * std::max(1.0, per_slot);
+  endpoint->Start({request.ticket, request.pipeline->name, request.stage,
+                   request.priority, now, expected, answer.worst});
+  call.service.Usage().Start(request.priority, now);
+  call.service.Choice().Sent(request.prefix_hashes, endpoint->Address());
+  stage_decision decision;
+  decision.ticket = request.ticket;
+  decision.verdict = stage_verdict::kDispatch;
+  decision.address = endpoint->Address();
+  decision.attempt_timeout =
+      call.budget.AttemptTimeout(answer, call.service.Repeatable(), now);
+  decision.engine_priority = EnginePriority(request.priority);
+  SetHedge(call, decision, now);
+  return decision;
+}
+
+endpoint_state* stage_planner::Choose(call_context& call, time_point now) {
+  const std::string& model = state_.ModelText(call.stage.model);
+  choice_request choice;
+  choice.prefixes = &call.request.prefix_hashes;
+  choice.tried = &call.request.tried;
+  choice.adapter = call.stage.adapter;
+  choice.service_time = call.statistics.answer.Summary().median;
+  choice.mean_time = call.service.MeanTime();
+  choice.prefix_time =
+      call.statistics.first_byte.Summary().median * kPrefillShare;
+  return call.service.Choice().Choose(call.service.Endpoints().For(model),
+                                      choice, state_.circuit, state_.random,
+                                      now);
+}
+
+void stage_planner::SetHedge(call_context& call, stage_decision& decision,
+                             time_point now) {
+  if (!state_.options.hedging || !call.service.Repeatable() ||
+      !call.statistics.hedges.Covers() ||
+      !AnotherEndpoint(call, decision.address, now)) {
+    return;
+  }
+  const latency_summary& first = call.statistics.first_byte.Summary();
+  const latency_summary& answer = call.statistics.answer.Summary();
+  const double after = first.known ? first.high : answer.high;
+  if (after > 0) {
+    decision.hedge_after = ToMilliseconds(after);
+  }
+}
+
+bool stage_planner::AnotherEndpoint(const call_context& call,
+                                    const std::string& address,
+                                    time_point now) {
+  const auto& tried = call.request.tried;
+  const auto& candidates =
+      call.service.Endpoints().For(state_.ModelText(call.stage.model));
+  return std::any_of(
+      candidates.begin(), candidates.end(), [&](const endpoint_state* state) {
+        return !state->Leaving() && !state->Health().Ejected(now) &&
+               state->Address() != address &&
+               std::find(tried.begin(), tried.end(), state->Address()) ==
+                   tried.end();
+      });
+}
+
+std::vector<stage_decision> stage_planner::TakeReady(time_point now) {
+  std::vector<stage_decision> ready;
+  for (auto& [name, service] : state_.services) {
+    if (!service->Queue().Empty()) {
+      TakeReadyOf(*service, now, ready);
+    }
+  }
+  return ready;
+}
+
+void stage_planner::TakeReadyOf(service_traffic& service, time_point now,
+                                std::vector<stage_decision>& ready) {
+  for (const queued_call& late : service.Queue().PopOverdue(now)) {
+    ready.push_back(Refuse(late.request, error_kind::kDeadlineUnreachable,
+                           kShortRetryAfter,
+                           "waited until the deadline was out of reach"));
+  }
+  service.RefreshCapacity(state_.circuit, now);
+  while (const auto next = service.NextClass(now)) {
+    const auto queued = service.Queue().Pop(*next);
+    call_context call = ContextOf(queued->request, service);
+    ready.push_back(Dispatch(call, now));
+  }
+}
+
+void stage_planner::Withdraw(stage_ticket ticket) {
+  for (auto& [name, service] : state_.services) {
+    if (service->Queue().Remove(ticket)) {
+      return;
+    }
+  }
+}
+
+void stage_planner::Ended(const attempt_report& report, time_point now) {
+  service_traffic* service = state_.Service(report.service);
+  endpoint_state* endpoint =
+      service == nullptr ? nullptr : service->Endpoints().Find(report.address);
+  if (endpoint == nullptr) {
+    return;
+  }
+  const call_in_flight call = endpoint->Stop(report);
+  if (call.sent == time_point{}) {
+    return;
+  }
+  service->Usage().Stop(call.priority, now);
+  if (report.said_leaving) {
+    endpoint->SaidLeaving(now);
+  }
+  Learn(*service, *endpoint, call, report, now);
+  service->JudgeHealth(*endpoint, now);
+}
+
+void stage_planner::Learn(service_traffic& service, endpoint_state& endpoint,
+                          const call_in_flight& call,
+                          const attempt_report& report, time_point now) {
+  const double total = Seconds(report.total);
+  endpoint_health& health = endpoint.Health();
+  stage_statistics* statistics =
+      state_.Pipeline(call.pipeline).Find(call.stage);
+  const bool overdue = total >= call.overdue;
+  switch (report.end) {
+    case attempt_end::kAnswered:
+      health.Answered(now);
+      state_.circuit.Answered(endpoint.FailureDomain(), now);
+      endpoint.Learn(total, call.expected);
+      service.LearnTime(total);
+      if (statistics != nullptr) {
+        statistics->answer.Add(report.total, now);
+        if (report.first_byte > duration::zero()) {
+          statistics->first_byte.Add(report.first_byte, now);
+        }
+      }
+      return;
+    case attempt_end::kCancelled:
+      // The loser of a hedge: it would have taken at least this long.
+      if (total > call.expected) {
+        endpoint.Learn(total, call.expected);
+      }
+      return;
+    case attempt_end::kTimedOut:
+      // A short timeout near a deadline says nothing about the endpoint.
+      if (!overdue) {
+        return;
+      }
+      if (statistics != nullptr) {
+        statistics->answer.Add(report.total, now);
+      }
+      endpoint.Learn(total, call.expected);
+      break;
+    case attempt_end::kRefusedByEndpoint:
+      if (!report.said_leaving) {
+        health.Refused(now);
+        state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(),
+                              now);
+      }
+      return;
+    case attempt_end::kFailed:
+      break;
+  }
+  health.Failed(now);
+  state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+}
+
+retry_decision stage_planner::PlanRetry(const stage_request& request,
+                                        time_point now) {
+  retry_decision decision;
+  const std::string& name = request.pipeline->stages.at(request.stage).service;
+  service_traffic* service = state_.Service(name);
+  if (service == nullptr || request.tried.size() >= kMostAttempts) {
+    decision.reason = "no attempt is left";
+    return decision;
+  }
+  const call_context call = ContextOf(request, *service);
+  const std::size_t earlier =
+      request.tried.empty() ? 0 : request.tried.size() - 1;
+  const double backoff = earlier == 0 ? 0
+                                      : kFirstBackoff *
+                                            static_cast<double>(1U << earlier) *
+                                            (0.5 + state_.random.Unit());
+  if (!call.budget.CanStart(now + FromSeconds(backoff)) ||
+      request.deadline <= now + FromSeconds(backoff)) {
+    decision.reason = "the time left is too short";
+  } else if (!AnotherEndpoint(call, "", now)) {
+    decision.reason = "no other endpoint";
+  } else if (!call.statistics.retries.Take()) {
+    decision.reason = "the retry budget is spent";
+  } else {
+    decision.retry = true;
+    decision.after = ToMilliseconds(backoff);
+    decision.reason = "another endpoint may answer in time";
+  }
+  return decision;
+}
+
+std::map<std::string, std::uint32_t> stage_planner::InFlight() const {
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& [name, service] : state_.services) {
+    for (const auto& [address, endpoint] : service->Endpoints().States()) {
+      if (endpoint->InFlight() > 0) {
+        counts[address] += static_cast<std::uint32_t>(endpoint->InFlight());
+      }
+    }
+  }
+  return counts;
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/policy/stage_planner.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "slatestall/policy/deadline_budget.h"
+#include "slatestall/policy/traffic_state.h"
+
+namespace slatestall {
+
+/// @brief Decides when and where stage calls are sent, and what their ends
+/// teach about endpoints.
+class stage_planner {
+ public:
+  explicit stage_planner(traffic_state& state) : state_(state) {}
+
+  stage_decision Plan(const stage_request& request, time_point now);
+  std::vector<stage_decision> TakeReady(time_point now);
+  void Withdraw(stage_ticket ticket);
+  void Ended(const attempt_report& report, time_point now);
+  retry_decision PlanRetry(const stage_request& request, time_point now);
+  std::map<std::string, std::uint32_t> InFlight() const;
+
+ private:
+  /// @brief What the decisions on one call look at.
+  struct call_context {
+    const stage_request& request;
+    const stage_config& stage;
+    service_traffic& service;
+    stage_statistics& statistics;
+    deadline_budget budget;
+  };
+
+  call_context ContextOf(const stage_request& request,
+                         service_traffic& service);
+  stage_decision PlanHedge(call_context& call, time_point now);
+  stage_decision Enqueue(call_context& call, time_point now);
+  stage_decision Dispatch(call_context& call, time_point now);
+  void TakeReadyOf(service_traffic& service, time_point now,
+                   std::vector<stage_decision>& ready);
+  endpoint_state* Choose(call_context& call, time_point now);
+  bool AnotherEndpoint(const call_context& call, const std::string& address,
+                       time_point now);
+  void SetHedge(call_context& call, stage_decision& decision, time_point now);
+  void Learn(service_traffic& service, endpoint_state& endpoint,
+             const call_in_flight& call, const attempt_report& report,
+             time_point now);
+
+  traffic_state& state_;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/policy/stage_statistics.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "slatestall/model/configuration.h"
+#include "slatestall/policy/attempt_budget.h"
+#include "slatestall/policy/latency_histogram.h"
+
+namespace slatestall {
+
+/// @brief Quantiles of a latency in seconds; all 0 while `known` is false.
+struct latency_summary {
+  bool known = false;
+  double median = 0;
+  double high = 0;   ///< 95 in 100.
+  double worst = 0;  ///< 99 in 100.
+};
+
+/// @brief A histogram with its quantiles kept ready, because decisions read
+/// them far more often than answers change them.
+class stage_latency {
+ public:
+  void Add(duration value, time_point now);
+  const latency_summary& Summary() const { return summary_; }
+
+ private:
+  void Refresh();
+
+  latency_histogram histogram_;
+  latency_summary summary_;
+  unsigned unseen_ = 0;
+};
+
+/// @brief What was measured of one stage of one pipeline, and the extra
+/// attempts it has earned.
+struct stage_statistics {
+  std::string name;
+  std::string service;
+  stage_latency answer;      ///< From dispatch to the whole answer.
+  stage_latency first_byte;  ///< From dispatch to the first byte.
+  attempt_budget retries;
+  attempt_budget hedges;
+};
+
+/// @brief The statistics of all stages of one pipeline.
+class pipeline_statistics {
+ public:
+  pipeline_statistics(double retry_share, double hedge_share)
+      : retry_share_(retry_share), hedge_share_(hedge_share) {}
+
+  /// @brief The stage at `index` of `pipeline`. Where the pipeline has changed
+  /// its stages, those of the same name and service keep what they measured.
+  stage_statistics& Stage(const pipeline_config& pipeline, std::size_t index);
+
+  /// @brief The stage at `index`, or null.
+  stage_statistics* Find(std::size_t index);
+
+  /// @brief Sum of the medians of all stages from `first` on, in seconds.
+  double MedianFrom(std::size_t first) const;
+
+ private:
+  bool Matches(const pipeline_config& pipeline, std::size_t index) const;
+  void Reshape(const pipeline_config& pipeline);
+
+  double retry_share_;
+  double hedge_share_;
+  std::vector<stage_statistics> stages_;
+};
+
+}  // namespace slatestall
--- a/src/slatestall/policy/traffic_policy.cc
+++ b/src/slatestall/policy/traffic_policy.cc
@@ -1,115 +1,30 @@
 #include "slatestall/policy/traffic_policy.h"
 
-#include <algorithm>
 #include <utility>
 
-namespace slatestall {
-namespace {
-
-bool Usable(const endpoint_view& view, const stage_request& request) {
-  const auto& tried = request.tried;
-  return !view.leaving && !view.load.leaving &&
-         std::find(tried.begin(), tried.end(), view.where.address) ==
-             tried.end();
-}
+#include "slatestall/policy/request_admission.h"
+#include "slatestall/policy/stage_planner.h"
+#include "slatestall/policy/traffic_state.h"
 
-milliseconds TimeLeft(time_point deadline, time_point now) {
-  return std::chrono::duration_cast<milliseconds>(deadline - now);
-}
-
-}  // namespace
+namespace slatestall {
 
 class traffic_policy::impl {
  public:
   explicit impl(traffic_policy_options options)
-      : options_(std::move(options)) {}
-
-  void UseSnapshot(control_snapshot_ptr snapshot) {
-    snapshot_ = std::move(snapshot);
-  }
-
-  admission Admit() const {
-    admission result;
-    if (snapshot_ == nullptr || snapshot_->configuration == nullptr) {
-      result.refusal = error_kind::kNoConfiguration;
-      result.reason = "no configuration in force";
-      return result;
-    }
-    result.admitted = true;
-    return result;
-  }
-
-  stage_decision Plan(const stage_request& request, time_point now) {
-    stage_decision decision;
-    decision.ticket = request.ticket;
-    if (request.deadline <= now) {
-      decision.refusal = error_kind::kDeadlineUnreachable;
-      decision.reason = "deadline passed";
-      return decision;
-    }
-    const std::string& service =
-        request.pipeline->stages.at(request.stage).service;
-    const endpoint_view* chosen = Next(service, request);
-    if (chosen == nullptr) {
-      decision.refusal = error_kind::kNoEndpoint;
-      decision.reason = "no endpoint of " + service + " takes work";
-      return decision;
-    }
-    decision.verdict = stage_verdict::kDispatch;
-    decision.address = chosen->where.address;
-    decision.attempt_timeout = TimeLeft(request.deadline, now);
-    decision.engine_priority =
-        request.priority == priority_class::kInteractive ? 0 : 1;
-    ++in_flight_[decision.address];
-    return decision;
-  }
-
-  void Ended(const attempt_report& report) {
-    const auto found = in_flight_.find(report.address);
-    if (found == in_flight_.end()) {
-      return;
-    }
-    --found->second;
-    if (found->second == 0) {
-      in_flight_.erase(found);
-    }
-  }
+      : state_(std::move(options)), admission_(state_), planner_(state_) {}
 
-  static retry_decision PlanRetry(const stage_request& request,
-                                  time_point now) {
-    retry_decision decision;
-    decision.retry = request.deadline > now;
-    decision.reason = decision.retry ? "time left" : "deadline passed";
-    return decision;
+  void UseSnapshot(control_snapshot_ptr snapshot, time_point now) {
+    state_.Use(std::move(snapshot), now);
+    admission_.UseSnapshot(now);
   }
 
-  std::map<std::string, std::uint32_t> InFlight() const { return in_flight_; }
+  request_admission& Admission() { return admission_; }
+  stage_planner& Planner() { return planner_; }
 
  private:
-  const endpoint_view* Next(const std::string& service,
-                            const stage_request& request) {
-    if (snapshot_ == nullptr) {
-      return nullptr;
-    }
-    const auto found = snapshot_->services.find(service);
-    if (found == snapshot_->services.end()) {
-      return nullptr;
-    }
-    const auto& endpoints = found->second.endpoints;
-    std::size_t& turn = turns_[service];
-    for (std::size_t i = 0; i < endpoints.size(); ++i) {
-      const endpoint_view& view = endpoints[turn++ % endpoints.size()];
-      if (Usable(view, request)) {
-        return &view;
-      }
-    }
-    return nullptr;
-  }
-
-  traffic_policy_options options_;
-  control_snapshot_ptr snapshot_;
-  std::map<std::string, std::size_t> turns_;
-  std::map<std::string, std::uint32_t> in_flight_;
+  traffic_state state_;
+  request_admission admission_;
+  stage_planner planner_;
 };
 
 traffic_policy::traffic_policy(traffic_policy_options options)
@@ -117,31 +32,43 @@
 traffic_policy::~traffic_policy() = default;
 
 void traffic_policy::UseSnapshot(control_snapshot_ptr snapshot,
-                                 time_point /*now*/) {
-  impl_->UseSnapshot(std::move(snapshot));
+                                 time_point now) {
+  impl_->UseSnapshot(std::move(snapshot), now);
 }
-admission traffic_policy::Admit(const admission_request& /*request*/,
-                                time_point /*now*/) {
-  return impl_->Admit();
+
+admission traffic_policy::Admit(const admission_request& request,
+                                time_point now) {
+  return impl_->Admission().Admit(request, now);
 }
-void traffic_policy::Release(const request_end& /*end*/, time_point /*now*/) {}
+
+void traffic_policy::Release(const request_end& end, time_point now) {
+  impl_->Admission().Release(end, now);
+}
+
 stage_decision traffic_policy::Plan(const stage_request& request,
                                     time_point now) {
-  return impl_->Plan(request, now);
+  return impl_->Planner().Plan(request, now);
 }
-std::vector<stage_decision> traffic_policy::TakeReady(time_point /*now*/) {
-  return {};
+
+std::vector<stage_decision> traffic_policy::TakeReady(time_point now) {
+  return impl_->Planner().TakeReady(now);
+}
+
+void traffic_policy::Withdraw(stage_ticket ticket) {
+  impl_->Planner().Withdraw(ticket);
 }
-void traffic_policy::Withdraw(stage_ticket /*ticket*/) {}
-void traffic_policy::Ended(const attempt_report& report, time_point /*now*/) {
-  impl_->Ended(report);
+
+void traffic_policy::Ended(const attempt_report& report, time_point now) {
+  impl_->Planner().Ended(report, now);
 }
+
 retry_decision traffic_policy::PlanRetry(const stage_request& request,
                                          time_point now) {
-  return impl::PlanRetry(request, now);
+  return impl_->Planner().PlanRetry(request, now);
 }
+
 std::map<std::string, std::uint32_t> traffic_policy::InFlight() const {
-  return impl_->InFlight();
+  return impl_->Planner().InFlight();
 }
 
 }  // namespace slatestall
