--- a/src/slatestall/policy/traffic_policy_test.cc
+++ b/src/slatestall/policy/traffic_policy_test.cc
@@ -72,6 +72,13 @@
   };
   using sent_calls = std::multimap<stage_ticket, sent_call>;
 
+  template <typename Calls>
+  static auto Picked(Calls& calls, const script_step& step) {
+    auto picked = calls.begin();
+    std::advance(picked, static_cast<int>(step.pick % calls.size()));
+    return picked;
+  }
+
   void Step(const script_step& step) {
     switch (step.kind) {
       case 0:
@@ -149,7 +156,7 @@
 
   void EndOne(const script_step& step, attempt_end end) {
     if (!sent_.empty()) {
-      End(std::next(sent_.begin(), step.pick % sent_.size()), end);
+      End(Picked(sent_, step), end);
       TakeReady();
     }
   }
@@ -186,8 +193,7 @@
 
   void WithdrawOne(const script_step& step) {
     if (!waiting_.empty()) {
-      const auto call =
-          std::next(waiting_.begin(), step.pick % waiting_.size());
+      const auto call = Picked(waiting_, step);
       policy_.Withdraw(call->first);
       waiting_.erase(call);
     }
