--- a/src/slatestall/node/config_follower.cc
+++ b/src/slatestall/node/config_follower.cc
@@ -106,10 +106,11 @@
 
   void Read() {
     read_begun_ = now_();
-    // Until the head is known a long poll of an empty stream would keep a new
-    // host from taking its first publication for the whole wait.
-    const auto wait = history_.Head() ? options_.read_wait : milliseconds{0};
-    log_.read(options_.stream, history_.ReadFrom(), wait,
+    // The first answer tells where the log ends; an empty stream would hold
+    // it back for the whole wait.
+    const bool starting = history_.Trust() == log_trust::kStarting;
+    log_.read(options_.stream, history_.ReadFrom(),
+              starting ? milliseconds{0} : options_.read_wait,
               Weak(&impl::OnRead, history_.Floor()));
   }
 
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -36,6 +36,9 @@
 /// Peers asked at once: a stale head wins only if all of them are stale.
 constexpr std::size_t kHeadsAsked = 8;
 
+/// Where the settings do not say it. Too short costs a record now and then.
+constexpr std::chrono::hours kAssumedRetention{24};
+
 std::optional<configuration> CheckSource(const std::string& source) {
   auto parsed = ParseConfiguration(source, "configuration");
   if (!parsed.Ok()) {
@@ -151,7 +154,9 @@
   config_follower_options FollowerOptions() const {
     config_follower_options follower;
     follower.host = self_.name;
-    follower.retention = options_.log_retention;
+    follower.retention = options_.log_retention.count() > 0
+                             ? options_.log_retention
+                             : std::chrono::seconds(kAssumedRetention);
     return follower;
   }
 
