--- a/src/slatestall/serve/stage_failure_test.cc
+++ b/src/slatestall/serve/stage_failure_test.cc
@@ -38,6 +38,7 @@
     t.AwaitProblem(t.Run("draft"), error_kind::kStageFailed, "yes");
     CPPUNIT_ASSERT(t.Count(lane_event::kCrossedAnswer) > 0);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, t.EngineCalls());
+    t.Until([&] { return t.retriever.Connections() == 0; });
   }
 
   void CrossedTokenEndsTheStreamNotTheAnswer() {
@@ -50,7 +51,7 @@
         return Engine(4)(call, answer);
       }
       StreamTokens(call, *answer, 0, 2);
-      WriteToken(*answer, "entry-9.0.0-1/3/0", 2);
+      WriteText(*answer, "entry-9.0.0-1/3/0", 2, " of another");
       WriteToken(*answer, call.attempt, 2);
       t.held.push_back(std::move(answer));
     });
