Policy: queue and capacity by model, not only by service

Half of the engines hold another model, so a limit over all slots of the service let a flood for one model into engines that were already full, where it can be neither ordered nor refused. Calls are now pooled by service and model, against the slots of the engines that hold it.

--- a/src/slatestall/policy/endpoint_choice_test.cc
+++ b/src/slatestall/policy/endpoint_choice_test.cc
@@ -57,8 +57,8 @@
       }
       endpoint_choice choice(routing_rule::kLeastWait, "even");
       random_generator random(*rc::gen::arbitrary<std::uint64_t>());
-      endpoint_state* chosen = choice.Choose(set.For(""), PlainChoice(),
-                                             domain_circuit(), random, now);
+      endpoint_state* chosen = choice.Choose(
+          set.For("").endpoints, PlainChoice(), domain_circuit(), random, now);
       RC_ASSERT(chosen != nullptr);
       RC_ASSERT(good.empty() || good.count(chosen) == 1);
     }));
@@ -73,7 +73,7 @@
       const service_view view = ViewOf(count);
       const time_point now = TestStart();
       service_traffic service({.host_name = "entry-1"});
-      service.Update(view, 1, domain_circuit(), now);
+      service.Update(view, 1, now);
       for (endpoint_state* state : service.Endpoints().Listed()) {
         for (int i = 0; i < 5; ++i) {
           state->Health().Failed(now);
@@ -129,7 +129,8 @@
     request.prefix_time = 0.08;
     choice.Sent(prefixes, "pool-3");
     const auto choose = [&] {
-      return choice.Choose(set.For(""), request, domain_circuit(), random, now)
+      return choice
+          .Choose(set.For("").endpoints, request, domain_circuit(), random, now)
           ->Address();
     };
     CPPUNIT_ASSERT_EQUAL(std::string("pool-3"), choose());
@@ -146,8 +147,8 @@
     for (std::uint32_t host = 0; host < kHosts; ++host) {
       endpoint_set set("entry-" + std::to_string(host));
       set.Update(view, kHosts, TestStart());
-      CPPUNIT_ASSERT_EQUAL(std::size_t{32}, set.For("").size());
-      for (const endpoint_state* state : set.For("")) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{32}, set.For("").endpoints.size());
+      for (const endpoint_state* state : set.For("").endpoints) {
         used.insert(state->Address());
       }
     }
--- a/src/slatestall/policy/endpoint_set.cc
+++ b/src/slatestall/policy/endpoint_set.cc
@@ -99,17 +99,19 @@
   });
 }
 
-const endpoint_set::candidates& endpoint_set::For(const std::string& model) {
+const endpoint_set::subset& endpoint_set::For(const std::string& model) {
   const auto known = subsets_.find(model);
   if (known != subsets_.end()) {
     return known->second;
   }
-  candidates subset = Holders(model);
-  const std::size_t wanted = SubsetSize(subset.size());
-  if (subset.size() > wanted) {
-    subset.resize(wanted);
+  candidates holders = Holders(model);
+  const std::size_t count = holders.size();
+  const std::size_t wanted = SubsetSize(count);
+  if (count > wanted) {
+    holders.resize(wanted);
   }
-  return subsets_.emplace(model, std::move(subset)).first->second;
+  return subsets_.emplace(model, subset{std::move(holders), count})
+      .first->second;
 }
 
 endpoint_set::candidates endpoint_set::Holders(const std::string& model) const {
--- a/src/slatestall/policy/endpoint_set.h
+++ b/src/slatestall/policy/endpoint_set.h
@@ -16,6 +16,12 @@
  public:
   using candidates = std::vector<endpoint_state*>;
 
+  /// @brief The endpoints this host may use, out of `holders` that could.
+  struct subset {
+    candidates endpoints;
+    std::size_t holders = 0;
+  };
+
   /// @param host_name Ranks the endpoints where a host uses only some.
   explicit endpoint_set(std::string host_name);
 
@@ -28,7 +34,7 @@
 
   /// @brief The endpoints this host may use for `model` ("name@version", or
   /// empty): those that hold it, else those that have not said, else all.
-  const candidates& For(const std::string& model);
+  const subset& For(const std::string& model);
   const candidates& Listed() const { return listed_; }
   /// @brief All endpoints with state, also those no longer listed.
   const auto& States() const { return states_; }
@@ -49,9 +55,9 @@
   std::uint32_t live_hosts_ = 1;
   bool known_ = false;  ///< A first list has been taken.
   std::unordered_map<std::string, std::unique_ptr<endpoint_state>> states_;
-  candidates listed_;                          ///< In the order of the view.
-  candidates ranked_;                          ///< By this host's rank.
-  std::map<std::string, candidates> subsets_;  ///< By model, made on demand.
+  candidates listed_;                      ///< In the order of the view.
+  candidates ranked_;                      ///< By this host's rank.
+  std::map<std::string, subset> subsets_;  ///< By model, made on demand.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/policy/endpoint_state.h
+++ b/src/slatestall/policy/endpoint_state.h
@@ -15,6 +15,7 @@
 struct call_in_flight {
   stage_ticket ticket = 0;
   std::string pipeline;
+  std::string model;
   std::size_t stage = 0;
   priority_class priority = priority_class::kInteractive;
   time_point sent{};
--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -60,8 +60,11 @@
   }
   double wait = 0;
   for (const stage_config& stage : pipeline.stages) {
-    const service_traffic* service = state_.Service(stage.service);
-    wait += service == nullptr ? 0 : service->ExpectedWait(pipeline.priority);
+    service_traffic* service = state_.Service(stage.service);
+    if (service != nullptr) {
+      const std::string& model = state_.ModelText(stage.model);
+      wait += service->Pool(model).ExpectedWait(pipeline.priority);
+    }
   }
   const double late = wait - Seconds(budget.LatestStart() - now);
   if (wait > 0 && late > 0) {
--- a/src/slatestall/policy/service_capacity.cc
+++ b/src/slatestall/policy/service_capacity.cc
@@ -17,15 +17,13 @@
 struct slot_count {
   double slots = 0;
   double idle = 0;
-  double in_flight = 0;
   bool reported = false;
 };
 
-slot_count CountSlots(const endpoint_set& endpoints,
+slot_count CountSlots(const endpoint_set::candidates& endpoints,
                       const domain_circuit& circuit, time_point now) {
   slot_count count;
-  for (const endpoint_state* state : endpoints.Listed()) {
-    count.in_flight += static_cast<double>(state->InFlight());
+  for (const endpoint_state* state : endpoints) {
     if (state->Leaving() || state->Health().Ejected(now) ||
         circuit.Open(state->FailureDomain(), now)) {
       continue;
@@ -41,14 +39,18 @@
 
 }  // namespace
 
-service_capacity MeasureCapacity(const endpoint_set& endpoints,
+service_capacity MeasureCapacity(const endpoint_set::subset& endpoints,
                                  const domain_circuit& circuit, double sharers,
-                                 time_point now) {
-  const slot_count count = CountSlots(endpoints, circuit, now);
-  double limit = count.slots / sharers * kOvercommit;
+                                 double in_flight, time_point now) {
+  const slot_count count = CountSlots(endpoints.endpoints, circuit, now);
+  // Fewer threads share the slots of a subset than those of all endpoints.
+  const double used = static_cast<double>(endpoints.endpoints.size());
+  const double scale =
+      used == 0 ? 1 : static_cast<double>(endpoints.holders) / used;
+  double limit = count.slots * scale / sharers * kOvercommit;
   if (count.reported) {
-    const double borrowed = count.idle / sharers * kIdleGain;
-    limit = std::max(limit, std::min(count.slots, count.in_flight + borrowed));
+    const double borrowed = count.idle * scale / sharers * kIdleGain;
+    limit = std::max(limit, std::min(count.slots, in_flight + borrowed));
   }
   limit = std::max(1.0, limit);
   return {limit, limit * kInteractiveOvercommit};
--- a/src/slatestall/policy/service_capacity.h
+++ b/src/slatestall/policy/service_capacity.h
@@ -7,16 +7,18 @@
 
 namespace slatestall {
 
-/// @brief How many calls of a service one traffic thread may have in flight:
-/// its share of the slots, more while load reports show idle ones.
+/// @brief How many calls to the endpoints of one model one traffic thread may
+/// have in flight: its share of the slots, more while load reports show idle
+/// ones.
 struct service_capacity {
   double nominal = 1;      ///< For batch calls.
   double interactive = 1;  ///< Interactive calls may go a bit further.
 };
 
 /// @param sharers Threads over all hosts among which the slots are divided.
-service_capacity MeasureCapacity(const endpoint_set& endpoints,
+/// @param in_flight Calls of this thread that hold slots of these endpoints.
+service_capacity MeasureCapacity(const endpoint_set::subset& endpoints,
                                  const domain_circuit& circuit, double sharers,
-                                 time_point now);
+                                 double in_flight, time_point now);
 
 }  // namespace slatestall
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -33,11 +33,17 @@
 }  // namespace
 
 stage_planner::call_context stage_planner::ContextOf(
-    const stage_request& request, service_traffic& service) {
+    const stage_request& request, service_traffic& service, time_point now) {
   pipeline_statistics& pipeline = state_.Pipeline(request.pipeline->name);
   stage_statistics& statistics =
       pipeline.Stage(*request.pipeline, request.stage);
-  return {request, request.pipeline->stages.at(request.stage), service,
+  const stage_config& stage = request.pipeline->stages.at(request.stage);
+  const std::string& model = state_.ModelText(stage.model);
+  return {request,
+          stage,
+          service,
+          model,
+          service.FreshPool(model, state_.circuit, now),
           statistics,
           deadline_budget(pipeline, request.stage, request.deadline)};
 }
@@ -50,7 +56,7 @@
     return Refuse(request, error_kind::kNoEndpoint, kListRetryAfter,
                   "service " + name + " has no endpoints");
   }
-  call_context call = ContextOf(request, *service);
+  call_context call = ContextOf(request, *service, now);
   if (request.is_hedge) {
     return PlanHedge(call, now);
   }
@@ -65,9 +71,8 @@
     return Refuse(request, error_kind::kDeadlineUnreachable, kShortRetryAfter,
                   "the stages left usually take longer than the time left");
   }
-  service->Usage().Want(request.priority, now);
-  service->RefreshCapacity(state_.circuit, now);
-  if (service->MustWaitInLine(request.priority, now)) {
+  call.pool.Usage().Want(request.priority, now);
+  if (call.pool.MustWaitInLine(request.priority, now)) {
     return Enqueue(call, now);
   }
   return Dispatch(call, now);
@@ -78,7 +83,7 @@
     return Refuse(call.request, error_kind::kOverloaded, 0,
                   "the service is not repeatable");
   }
-  if (!call.budget.CanStart(now) || !call.service.HasSpareRoom(now)) {
+  if (!call.budget.CanStart(now) || !call.pool.HasSpareRoom()) {
     return Refuse(call.request, error_kind::kOverloaded, 0,
                   "no spare room for a hedge");
   }
@@ -95,7 +100,7 @@
 }
 
 stage_decision stage_planner::Enqueue(call_context& call, time_point now) {
-  stage_queue& queue = call.service.Queue();
+  stage_queue& queue = call.pool.Queue();
   const stage_request& request = call.request;
   if (queue.Size(request.priority) >= kMostWaiting) {
     return Refuse(request, error_kind::kOverloaded, 1,
@@ -105,7 +110,7 @@
                                 ? call.budget.LatestStart()
                                 : request.deadline;
   const latency_summary& answer = call.statistics.answer.Summary();
-  const double cost = answer.known ? answer.median : call.service.MeanTime();
+  const double cost = answer.known ? answer.median : call.pool.MeanTime();
   queue.Push({request, now, latest, state_.WeightOf(request.workspace), cost});
   stage_decision decision;
   decision.ticket = request.ticket;
@@ -124,9 +129,10 @@
   const latency_summary& answer = call.statistics.answer.Summary();
   const double per_slot = (endpoint->Load(now) + 1) / endpoint->Slots();
   const double expected = answer.median * std::max(1.0, per_slot);
-  endpoint->Start({request.ticket, request.pipeline->name, request.stage,
-                   request.priority, now, expected, answer.worst});
-  call.service.Usage().Start(request.priority, now);
+  endpoint->Start({request.ticket, request.pipeline->name, call.model,
+                   request.stage, request.priority, now, expected,
+                   answer.worst});
+  call.pool.Usage().Start(request.priority, now);
   call.service.Choice().Sent(request.prefix_hashes, endpoint->Address());
   stage_decision decision;
   decision.ticket = request.ticket;
@@ -140,18 +146,17 @@
 }
 
 endpoint_state* stage_planner::Choose(call_context& call, time_point now) {
-  const std::string& model = state_.ModelText(call.stage.model);
   choice_request choice;
   choice.prefixes = &call.request.prefix_hashes;
   choice.tried = &call.request.tried;
   choice.adapter = call.stage.adapter;
   choice.service_time = call.statistics.answer.Summary().median;
-  choice.mean_time = call.service.MeanTime();
+  choice.mean_time = call.pool.MeanTime();
   choice.prefix_time =
       call.statistics.first_byte.Summary().median * kPrefillShare;
-  return call.service.Choice().Choose(call.service.Endpoints().For(model),
-                                      choice, state_.circuit, state_.random,
-                                      now);
+  return call.service.Choice().Choose(
+      call.service.Endpoints().For(call.model).endpoints, choice,
+      state_.circuit, state_.random, now);
 }
 
 void stage_planner::SetHedge(call_context& call, stage_decision& decision,
@@ -173,8 +178,7 @@
                                     const std::string& address,
                                     time_point now) {
   const auto& tried = call.request.tried;
-  const auto& candidates =
-      call.service.Endpoints().For(state_.ModelText(call.stage.model));
+  const auto& candidates = call.service.Endpoints().For(call.model).endpoints;
   return std::any_of(
       candidates.begin(), candidates.end(), [&](const endpoint_state* state) {
         return !state->Leaving() && !state->Health().Ejected(now) &&
@@ -187,32 +191,36 @@
 std::vector<stage_decision> stage_planner::TakeReady(time_point now) {
   std::vector<stage_decision> ready;
   for (auto& [name, service] : state_.services) {
-    if (!service->Queue().Empty()) {
-      TakeReadyOf(*service, now, ready);
+    for (auto& [model, pool] : service->Pools()) {
+      if (!pool.Queue().Empty()) {
+        TakeReadyOf(*service, pool, now, ready);
+      }
     }
   }
   return ready;
 }
 
-void stage_planner::TakeReadyOf(service_traffic& service, time_point now,
+void stage_planner::TakeReadyOf(service_traffic& service, stage_pool& pool,
+                                time_point now,
                                 std::vector<stage_decision>& ready) {
-  for (const queued_call& late : service.Queue().PopOverdue(now)) {
+  for (const queued_call& late : pool.Queue().PopOverdue(now)) {
     ready.push_back(Refuse(late.request, error_kind::kDeadlineUnreachable,
                            kShortRetryAfter,
                            "waited until the deadline was out of reach"));
   }
-  service.RefreshCapacity(state_.circuit, now);
-  while (const auto next = service.NextClass(now)) {
-    const auto queued = service.Queue().Pop(*next);
-    call_context call = ContextOf(queued->request, service);
+  while (const auto next = pool.NextClass(now)) {
+    const auto queued = pool.Queue().Pop(*next);
+    call_context call = ContextOf(queued->request, service, now);
     ready.push_back(Dispatch(call, now));
   }
 }
 
 void stage_planner::Withdraw(stage_ticket ticket) {
   for (auto& [name, service] : state_.services) {
-    if (service->Queue().Remove(ticket)) {
-      return;
+    for (auto& [model, pool] : service->Pools()) {
+      if (pool.Queue().Remove(ticket)) {
+        return;
+      }
     }
   }
 }
@@ -228,7 +236,7 @@
   if (call.sent == time_point{}) {
     return;
   }
-  service->Usage().Stop(call.priority, now);
+  service->Pool(call.model).Usage().Stop(call.priority, now);
   if (report.said_leaving) {
     endpoint->SaidLeaving(now);
   }
@@ -249,7 +257,7 @@
       health.Answered(now);
       state_.circuit.Answered(endpoint.FailureDomain(), now);
       endpoint.Learn(total, call.expected);
-      service.LearnTime(total);
+      service.Pool(call.model).LearnTime(total);
       if (statistics != nullptr) {
         statistics->answer.Add(report.total, now);
         if (report.first_byte > duration::zero()) {
@@ -296,7 +304,7 @@
     decision.reason = "no attempt is left";
     return decision;
   }
-  const call_context call = ContextOf(request, *service);
+  const call_context call = ContextOf(request, *service, now);
   const std::size_t earlier =
       request.tried.empty() ? 0 : request.tried.size() - 1;
   const double backoff = earlier == 0 ? 0
--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -28,16 +28,18 @@
     const stage_request& request;
     const stage_config& stage;
     service_traffic& service;
+    const std::string& model;  ///< "name@version", or empty.
+    stage_pool& pool;
     stage_statistics& statistics;
     deadline_budget budget;
   };
 
-  call_context ContextOf(const stage_request& request,
-                         service_traffic& service);
+  call_context ContextOf(const stage_request& request, service_traffic& service,
+                         time_point now);
   stage_decision PlanHedge(call_context& call, time_point now);
   stage_decision Enqueue(call_context& call, time_point now);
   stage_decision Dispatch(call_context& call, time_point now);
-  void TakeReadyOf(service_traffic& service, time_point now,
+  void TakeReadyOf(service_traffic& service, stage_pool& pool, time_point now,
                    std::vector<stage_decision>& ready);
   endpoint_state* Choose(call_context& call, time_point now);
   bool AnotherEndpoint(const call_context& call, const std::string& address,
--- a/src/slatestall/policy/traffic_state.cc
+++ b/src/slatestall/policy/traffic_state.cc
@@ -31,7 +31,7 @@
     if (service == nullptr) {
       service = std::make_unique<service_traffic>(options);
     }
-    service->Update(view, next->live_hosts, circuit, now);
+    service->Update(view, next->live_hosts, now);
   }
   for (auto it = services.begin(); it != services.end();) {
     const bool listed = next->services.count(it->first) > 0;
