Policy: borrow slots only while some are idle

The limit of a pool was the calls in flight plus a share of the idle slots, times the margin of interactive calls. Without idle slots the margin alone let one more call in at each refresh, so the limit grew without end and the queue moved into the engines, where it can be neither ordered nor refused.

--- a/src/slatestall/policy/service_capacity.cc
+++ b/src/slatestall/policy/service_capacity.cc
@@ -17,7 +17,6 @@
 struct slot_count {
   double slots = 0;
   double idle = 0;
-  bool reported = false;
 };
 
 slot_count CountSlots(const endpoint_set::candidates& endpoints,
@@ -30,7 +29,6 @@
     }
     count.slots += state->Slots();
     if (state->Reports()) {
-      count.reported = true;
       count.idle += std::max(0.0, state->Slots() - state->Load(now));
     }
   }
@@ -47,13 +45,15 @@
   const double used = static_cast<double>(endpoints.endpoints.size());
   const double scale =
       used == 0 ? 1 : static_cast<double>(endpoints.holders) / used;
-  double limit = count.slots * scale / sharers * kOvercommit;
-  if (count.reported) {
-    const double borrowed = count.idle * scale / sharers * kIdleGain;
-    limit = std::max(limit, std::min(count.slots, in_flight + borrowed));
-  }
-  limit = std::max(1.0, limit);
-  return {limit, limit * kInteractiveOvercommit};
+  const double share =
+      std::max(1.0, count.slots * scale / sharers * kOvercommit);
+  // Borrowing starts from what is in flight, so it must need idle slots: added
+  // to a full pool, any margin would grow by itself at each refresh.
+  const double idle = count.idle * scale / sharers * kIdleGain;
+  const double borrowed =
+      idle > 0 ? std::min(count.slots, in_flight + idle) : 0;
+  return {std::max(share, borrowed),
+          std::max(share * kInteractiveOvercommit, borrowed)};
 }
 
 }  // namespace slatestall
