Policy: start a call only where its deadline is likely, while others wait

Under overload the earliest deadlines go first, so every call is started at its last moment; with the median as that moment half of them fail at full cost. Waiting calls are now given up when the 80th percentile no longer fits. Timed out calls count into the estimate.

--- a/src/slatestall/policy/deadline_budget.cc
+++ b/src/slatestall/policy/deadline_budget.cc
@@ -14,12 +14,17 @@
 
 deadline_budget::deadline_budget(const pipeline_statistics& pipeline,
                                  std::size_t stage, time_point deadline)
-    : needed_(pipeline.MedianFrom(stage)),
+    : likely_(pipeline.LikelyFrom(stage)),
+      fast_(pipeline.FastFrom(stage)),
       later_(pipeline.MedianFrom(stage + 1)),
       deadline_(deadline) {}
 
 time_point deadline_budget::LatestStart() const {
-  return deadline_ - FromSeconds(needed_);
+  return deadline_ - FromSeconds(likely_);
+}
+
+time_point deadline_budget::LastChance() const {
+  return deadline_ - FromSeconds(fast_);
 }
 
 milliseconds deadline_budget::AttemptTimeout(const latency_summary& answer,
--- a/src/slatestall/policy/deadline_budget.h
+++ b/src/slatestall/policy/deadline_budget.h
@@ -13,10 +13,14 @@
   deadline_budget(const pipeline_statistics& pipeline, std::size_t stage,
                   time_point deadline);
 
-  /// @brief The last moment to start the stage that still gives it and the
-  /// later stages their usual time.
+  /// @brief The last moment to start the stage that makes the deadline
+  /// likely. Later, capacity that others wait for would be wasted.
   time_point LatestStart() const;
-  bool CanStart(time_point now) const { return now <= LatestStart(); }
+  /// @brief The last moment that leaves a chance. Up to it a call may use
+  /// capacity that nobody else wants, which also keeps estimates true: were
+  /// calls refused by an estimate that only calls can correct, an overload
+  /// that has passed would be remembered until it fades.
+  time_point LastChance() const;
 
   /// @brief Time for one attempt. Where another attempt may follow, it is
   /// bounded by the time that nearly all answers need.
@@ -25,7 +29,8 @@
                               time_point now) const;
 
  private:
-  double needed_;  ///< Seconds for this stage and the later ones.
+  double likely_;  ///< Seconds for this stage and the later ones.
+  double fast_;    ///< The same at best.
   double later_;   ///< Seconds for the later stages.
   time_point deadline_;
 };
--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -54,7 +54,7 @@
   const pipeline_config& pipeline = *request.pipeline;
   const pipeline_statistics& statistics = state_.Pipeline(pipeline.name);
   const deadline_budget budget(statistics, 0, request.deadline);
-  if (!budget.CanStart(now)) {
+  if (now > budget.LastChance()) {
     return Refuse(error_kind::kDeadlineUnreachable, kShortestRetryAfter,
                   "the stages usually take longer than the deadline");
   }
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -65,7 +65,7 @@
     call.statistics.hedges.CountFirstAttempt();
   }
   const bool too_late = state_.options.early_refusal
-                            ? !call.budget.CanStart(now)
+                            ? now > call.budget.LastChance()
                             : request.deadline <= now;
   if (too_late) {
     return Refuse(request, error_kind::kDeadlineUnreachable, kShortRetryAfter,
@@ -83,7 +83,7 @@
     return Refuse(call.request, error_kind::kOverloaded, 0,
                   "the service is not repeatable");
   }
-  if (!call.budget.CanStart(now) || !call.pool.HasSpareRoom()) {
+  if (now > call.budget.LatestStart() || !call.pool.HasSpareRoom()) {
     return Refuse(call.request, error_kind::kOverloaded, 0,
                   "no spare room for a hedge");
   }
@@ -272,13 +272,15 @@
       }
       return;
     case attempt_end::kTimedOut:
+      // The answer would have taken at least this long. Were only answers
+      // counted, an overload would look fast: the slow ones never count.
+      if (statistics != nullptr) {
+        statistics->answer.Add(report.total, now);
+      }
       // A short timeout near a deadline says nothing about the endpoint.
       if (!overdue) {
         return;
       }
-      if (statistics != nullptr) {
-        statistics->answer.Add(report.total, now);
-      }
       endpoint.Learn(total, call.expected);
       break;
     case attempt_end::kRefusedByEndpoint:
@@ -311,7 +313,7 @@
                                       : kFirstBackoff *
                                             static_cast<double>(1U << earlier) *
                                             (0.5 + state_.random.Unit());
-  if (!call.budget.CanStart(now + FromSeconds(backoff)) ||
+  if (now + FromSeconds(backoff) > call.budget.LatestStart() ||
       request.deadline <= now + FromSeconds(backoff)) {
     decision.reason = "the time left is too short";
   } else if (!AnotherEndpoint(call, "", now)) {
--- a/src/slatestall/policy/stage_statistics.cc
+++ b/src/slatestall/policy/stage_statistics.cc
@@ -6,6 +6,7 @@
 namespace slatestall {
 namespace {
 
+constexpr double kLikely = 0.80;
 constexpr double kFewestSamples = 5;
 constexpr double kManySamples = 100;
 constexpr unsigned kRefreshEvery = 16;
@@ -27,7 +28,9 @@
     summary_ = {};
     return;
   }
+  summary_.fast = histogram_.Quantile(0.10);
   summary_.median = histogram_.Quantile(0.50);
+  summary_.likely = histogram_.Quantile(kLikely);
   summary_.high = histogram_.Quantile(0.95);
   summary_.worst = histogram_.Quantile(0.99);
 }
@@ -44,14 +47,27 @@
   return index < stages_.size() ? &stages_[index] : nullptr;
 }
 
-double pipeline_statistics::MedianFrom(std::size_t first) const {
+double pipeline_statistics::SumFrom(std::size_t first,
+                                    double latency_summary::*quantile) const {
   double sum = 0;
   for (std::size_t i = first; i < stages_.size(); ++i) {
-    sum += stages_[i].answer.Summary().median;
+    sum += stages_[i].answer.Summary().*quantile;
   }
   return sum;
 }
 
+double pipeline_statistics::FastFrom(std::size_t first) const {
+  return SumFrom(first, &latency_summary::fast);
+}
+
+double pipeline_statistics::MedianFrom(std::size_t first) const {
+  return SumFrom(first, &latency_summary::median);
+}
+
+double pipeline_statistics::LikelyFrom(std::size_t first) const {
+  return SumFrom(first, &latency_summary::likely);
+}
+
 bool pipeline_statistics::Matches(const pipeline_config& pipeline,
                                   std::size_t index) const {
   return stages_.size() == pipeline.stages.size() && index < stages_.size() &&
--- a/src/slatestall/policy/stage_statistics.h
+++ b/src/slatestall/policy/stage_statistics.h
@@ -13,9 +13,11 @@
 /// @brief Quantiles of a latency in seconds; all 0 while `known` is false.
 struct latency_summary {
   bool known = false;
+  double fast = 0;  ///< 10 in 100.
   double median = 0;
-  double high = 0;   ///< 95 in 100.
-  double worst = 0;  ///< 99 in 100.
+  double likely = 0;  ///< 80 in 100.
+  double high = 0;    ///< 95 in 100.
+  double worst = 0;   ///< 99 in 100.
 };
 
 /// @brief A histogram with its quantiles kept ready, because decisions read
@@ -57,10 +59,15 @@
   /// @brief The stage at `index`, or null.
   stage_statistics* Find(std::size_t index);
 
-  /// @brief Sum of the medians of all stages from `first` on, in seconds.
+  /// @brief Seconds that the stages from `first` on need at least.
+  double FastFrom(std::size_t first) const;
+  /// @brief Seconds that they usually need.
   double MedianFrom(std::size_t first) const;
+  /// @brief Seconds within which they are likely to be done.
+  double LikelyFrom(std::size_t first) const;
 
  private:
+  double SumFrom(std::size_t first, double latency_summary::*quantile) const;
   bool Matches(const pipeline_config& pipeline, std::size_t index) const;
   void Reshape(const pipeline_config& pipeline);
 
