Admission: bursts that a thread's small part of a limit can use

Buckets now hold three seconds, and small ones up to four requests within ten seconds of their rate.

--- a/src/slatestall/policy/token_bucket.cc
+++ b/src/slatestall/policy/token_bucket.cc
@@ -8,14 +8,21 @@
 namespace slatestall {
 namespace {
 
-constexpr double kBurstSeconds = 1;
+// A thread's part of a limit is often below one request a second, where even
+// arrivals come in twos and threes; the burst must hold those. It stays under
+// ten seconds of the rate, so that many threads together cannot exceed the
+// limit for long.
+constexpr double kBurstSeconds = 3;
+constexpr double kSmallBurst = 4;
+constexpr double kSmallBurstSeconds = 10;
 
 }  // namespace
 
 void token_bucket::SetRate(double rate) {
   rate_ = rate;
-  // A small share must still let one request through now and then.
-  burst_ = std::max(1.0, rate * kBurstSeconds);
+  const double small = std::min(kSmallBurst, rate * kSmallBurstSeconds);
+  // However small the share, it lets one request through now and then.
+  burst_ = std::max({1.0, small, rate * kBurstSeconds});
   level_ = fresh_ ? burst_ : std::min(level_, burst_);
   fresh_ = false;
 }
