--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -54,14 +54,17 @@
   const pipeline_config& pipeline = *request.pipeline;
   const pipeline_statistics& statistics = state_.Pipeline(pipeline.name);
   const deadline_budget budget(statistics, 0, request.deadline);
-  if (!budget.CanStart(now)) {
+  if (now > budget.LastChance()) {
     return Refuse(error_kind::kDeadlineUnreachable, kShortestRetryAfter,
                   "the stages usually take longer than the deadline");
   }
   double wait = 0;
   for (const stage_config& stage : pipeline.stages) {
-    const service_traffic* service = state_.Service(stage.service);
-    wait += service == nullptr ? 0 : service->ExpectedWait(pipeline.priority);
+    service_traffic* service = state_.Service(stage.service);
+    if (service != nullptr) {
+      const std::string& model = state_.ModelText(stage.model);
+      wait += service->Pool(model).ExpectedWait(pipeline.priority);
+    }
   }
   const double late = wait - Seconds(budget.LatestStart() - now);
   if (wait > 0 && late > 0) {
