--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -17,6 +17,7 @@
 #include "slatestall/node/endpoint_subset.h"
 #include "slatestall/node/listen_address.h"
 #include "slatestall/node/load_poller.h"
+#include "slatestall/node/outcome_service.h"
 #include "slatestall/node/peer_heads.h"
 #include "slatestall/platform/host_list_client.h"
 #include "slatestall/platform/log_client.h"
@@ -80,6 +81,9 @@
         follower_(context_, FollowerOptions(), CheckSource,
                   MakeLogClient(client_, options_.log_url), now_,
                   FollowerHooks()),
+        outcomes_(context_, self_, OutcomeOptions(),
+                  MakeLogClient(client_, options_.log_url), OutcomePeers(),
+                  now_),
         poller_(context_, client_, now_,
                 [this](const std::string& address, load_report load) {
                   OnLoad(address, std::move(load));
@@ -132,7 +136,11 @@
     PublishNow();
   }
 
-  void HandOver(const std::function<void()>& done) { done(); }
+  void HandOver(const std::function<void()>& done) {
+    outcomes_.Drain([done](const std::string&) { done(); });
+  }
+
+  outcome_guard Guard() { return outcomes_.Guard(); }
 
   milliseconds LongestDeadline() const {
     return milliseconds{longest_deadline_ms_.load()};
@@ -165,6 +173,29 @@
             WallClockSeconds};
   }
 
+  outcome_options OutcomeOptions() const {
+    outcome_options outcomes;
+    outcomes.claim_partitions = options_.claim_partitions;
+    return outcomes;
+  }
+
+  outcome_peers OutcomePeers() {
+    outcome_peers peers;
+    peers.call = PeerCall();
+    peers.handle = [this](wire::message kind, peer_node::call_handler handler) {
+      peers_.Handle(kind, std::move(handler));
+    };
+    peers.live_hosts = [this] { return LiveHosts(); };
+    peers.presence = [this](const host_id& host) {
+      const auto live = LiveHosts();
+      return std::count(live.begin(), live.end(), host.name) != 0
+                 ? host_presence::kLive
+                 : host_presence::kUnreachable;
+    };
+    peers.successor = [](const host_id&) { return std::nullopt; };
+    return peers;
+  }
+
   void OnConfiguration() {
     log_reachable_ = follower_.LogReachable();
     const auto& obeyed = follower_.History().Obeyed();
@@ -399,6 +430,7 @@
   fetch_host_list fetch_hosts_;
   peer_node peers_;
   config_follower follower_;
+  outcome_service outcomes_;
   endpoint_directory directory_;
   load_poller poller_;
   asio::steady_timer tick_timer_;
@@ -459,19 +491,7 @@
   };
 }
 
-outcome_guard control_loop::Guard() {
-  outcome_guard guard;
-  guard.begin = [](const keyed_request&, const auto& done) {
-    done(claim_decision{});
-  };
-  guard.may_dispatch = [](const keyed_request&) { return false; };
-  guard.finish = [](const keyed_request&, const stored_outcome&) {};
-  guard.release = [](const keyed_request&) {};
-  guard.mint_key = [](const std::string&) { return std::string(); };
-  guard.lookup = [](const std::string&, const std::string&, time_point,
-                    const auto& done) { done(key_lookup{}); };
-  return guard;
-}
+outcome_guard control_loop::Guard() { return impl_->Guard(); }
 
 void control_loop::EndpointLeaves(const std::string& address) {
   asio::post(impl_->Context(),
--- a/src/slatestall/policy/service_capacity.cc
+++ b/src/slatestall/policy/service_capacity.cc
@@ -17,22 +17,18 @@
 struct slot_count {
   double slots = 0;
   double idle = 0;
-  double in_flight = 0;
-  bool reported = false;
 };
 
-slot_count CountSlots(const endpoint_set& endpoints,
+slot_count CountSlots(const endpoint_set::candidates& endpoints,
                       const domain_circuit& circuit, time_point now) {
   slot_count count;
-  for (const endpoint_state* state : endpoints.Listed()) {
-    count.in_flight += static_cast<double>(state->InFlight());
+  for (const endpoint_state* state : endpoints) {
     if (state->Leaving() || state->Health().Ejected(now) ||
         circuit.Open(state->FailureDomain(), now)) {
       continue;
     }
     count.slots += state->Slots();
     if (state->Reports()) {
-      count.reported = true;
       count.idle += std::max(0.0, state->Slots() - state->Load(now));
     }
   }
@@ -41,17 +37,23 @@
 
 }  // namespace
 
-service_capacity MeasureCapacity(const endpoint_set& endpoints,
+service_capacity MeasureCapacity(const endpoint_set::subset& endpoints,
                                  const domain_circuit& circuit, double sharers,
-                                 time_point now) {
-  const slot_count count = CountSlots(endpoints, circuit, now);
-  double limit = count.slots / sharers * kOvercommit;
-  if (count.reported) {
-    const double borrowed = count.idle / sharers * kIdleGain;
-    limit = std::max(limit, std::min(count.slots, count.in_flight + borrowed));
-  }
-  limit = std::max(1.0, limit);
-  return {limit, limit * kInteractiveOvercommit};
+                                 double in_flight, time_point now) {
+  const slot_count count = CountSlots(endpoints.endpoints, circuit, now);
+  // Fewer threads share the slots of a subset than those of all endpoints.
+  const double used = static_cast<double>(endpoints.endpoints.size());
+  const double scale =
+      used == 0 ? 1 : static_cast<double>(endpoints.holders) / used;
+  const double share =
+      std::max(1.0, count.slots * scale / sharers * kOvercommit);
+  // Borrowing starts from what is in flight, so it must need idle slots: added
+  // to a full pool, any margin would grow by itself at each refresh.
+  const double idle = count.idle * scale / sharers * kIdleGain;
+  const double borrowed =
+      idle > 0 ? std::min(count.slots, in_flight + idle) : 0;
+  return {std::max(share, borrowed),
+          std::max(share * kInteractiveOvercommit, borrowed)};
 }
 
 }  // namespace slatestall
