--- /dev/null
+++ b/programs/slatestall/exit_code.h
@@ -0,0 +1,25 @@
+#pragma once
+
+namespace slatestall {
+
+/// @brief Exit codes of the program, the same for all subcommands; listed in
+/// --help and docs/OPERATORS.md.
+enum class exit_code {
+  kOk = 0,
+  kNegative = 1,
+  kBadInput = 2,
+  kUnknown = 3,
+  kUnreachable = 4,
+  kNotBuilt = 5,
+};
+
+inline constexpr const char* kExitCodeHelp =
+    "Exit codes:\n"
+    "  0  done, or nothing wrong\n"
+    "  1  a negative outcome: refused, not published, behind, not found\n"
+    "  2  bad input: a wrong file, flag or argument; nothing was sent\n"
+    "  3  the outcome is unknown; the message says what to do\n"
+    "  4  a host could not be reached\n"
+    "  5  not built yet\n";
+
+}  // namespace slatestall
--- /dev/null
+++ b/programs/slatestall/queries/explain_query.cc
@@ -0,0 +1,123 @@
+#include <cstdio>
+#include <memory>
+
+#include "slatestall/console.h"
+#include "slatestall/host_option.h"
+#include "slatestall/subcommands.h"
+#include "slatestall/system_view.h"
+
+namespace slatestall {
+namespace {
+
+using nlohmann::json;
+
+struct explain_options {
+  std::string host;
+  std::string request;
+  bool json = false;
+};
+
+constexpr int kNotFound = 404;
+
+admin_answer Ask(const std::string& host, const std::string& request) {
+  admin_call call;
+  call.host = host;
+  call.path = "/v1/admin/explain/" + request;
+  return SendOverHttp({call}).front();
+}
+
+// A trace is kept by the host that served the request, and its name begins the
+// request id: where the asked host knows the address, that one is asked.
+admin_answer AskItsHost(const explain_options& options) {
+  admin_answer answer = Ask(options.host, options.request);
+  if (!answer.answered || answer.status != kNotFound) {
+    return answer;
+  }
+  std::string detail;
+  const auto view = AskSystem(SendOverHttp, options.host, detail);
+  if (!view) {
+    return answer;
+  }
+  for (const host_view& host : view->hosts) {
+    if (options.request.rfind(host.name + ".", 0) == 0 &&
+        host.name != view->asked_host && !host.http_address.empty()) {
+      return Ask("http://" + host.http_address, options.request);
+    }
+  }
+  return answer;
+}
+
+std::string Milliseconds(const json& value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.1f",  // NOLINT
+                value.is_number() ? value.get<double>() : 0.0);
+  return text.data();
+}
+
+std::string DecisionTable(const json& decisions) {
+  std::vector<std::vector<std::string>> rows{
+      {"AT ms", "STAGE", "WHAT", "ENDPOINT", "REASON"}};
+  for (const json& each : decisions) {
+    rows.push_back({Milliseconds(each.value("at_ms", json())),
+                    each.value("stage", ""), each.value("what", ""),
+                    each.value("endpoint", ""), each.value("reason", "")});
+  }
+  return TextTable(rows);
+}
+
+std::string Headline(const json& trace) {
+  const std::string end = trace.value("answered_in_full", false)
+                              ? "answered in full"
+                              : trace.value("error", "not answered") +
+                                    ", ran: " + trace.value("ran", "?");
+  return trace.value("request_id", "") + "  " + trace.value("workspace", "") +
+         "/" + trace.value("pipeline", "") + "  " + end + "  " +
+         Milliseconds(trace.value("total_ms", json())) + " of " +
+         Milliseconds(trace.value("deadline_ms", json())) + " ms";
+}
+
+exit_code RunExplain(const explain_options& options) {
+  const admin_answer answer = AskItsHost(options);
+  if (!answer.answered || answer.status != 200) {
+    PrintError(options.request + ": " + DetailOf(answer));
+    return answer.answered ? exit_code::kNegative : exit_code::kUnreachable;
+  }
+  if (options.json) {
+    PrintJson(answer.body);
+    return exit_code::kOk;
+  }
+  Print(Headline(answer.body));
+  Print(DecisionTable(answer.body.value("decisions", json::array())));
+  return exit_code::kOk;
+}
+
+// CLI11 shows what this returns; an empty text means that the value is fine.
+std::string RequestIdProblem(const std::string& text) {
+  for (const char c : text) {
+    const bool fits = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                      (c >= '0' && c <= '9') || c == '.' || c == '-' ||
+                      c == '_';
+    if (!fits) {
+      return "'" + text + "' is no request id";
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+void AddExplain(CLI::App& app, exit_code& result) {
+  auto options = std::make_shared<explain_options>();
+  CLI::App* command = app.add_subcommand(
+      "explain", "Show every decision taken for a recent request, and why");
+  command
+      ->add_option("REQUEST_ID", options->request, "X-Request-Id of the answer")
+      ->required()
+      ->check(RequestIdProblem);
+  AddHostOption(*command, options->host);
+  command->add_flag("--json", options->json, "Answer in JSON");
+  command->footer(kExitCodeHelp);
+  command->callback([options, &result] { result = RunExplain(*options); });
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/programs/slatestall/queries/report_query.cc
@@ -0,0 +1,7 @@
+#include "slatestall/subcommands.h"
+
+namespace slatestall {
+
+void AddReport(CLI::App& /*app*/, exit_code& /*result*/) {}
+
+}  // namespace slatestall
