Admission: refuse while half as much waiting again would be too much

Requests admitted at the very edge were given up in the queue of their last stage, after the first ones had run.

--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -10,6 +10,9 @@
 
 constexpr double kMeanWeight = 0.1;
 constexpr double kUnknownTokenShare = 0.5;  // Of the most a stage may make.
+// Admitted at the very edge, half of the calls would be given up later, after
+// their first stages have run, and could no longer be told "not run".
+constexpr double kWaitMargin = 1.5;
 constexpr double kShortestRetryAfter = 0.25;
 constexpr double kLongestRetryAfter = 30;
 
@@ -66,7 +69,7 @@
       wait += service->Pool(model).ExpectedWait(pipeline.priority);
     }
   }
-  const double late = wait - Seconds(budget.LatestStart() - now);
+  const double late = wait * kWaitMargin - Seconds(budget.LatestStart() - now);
   if (wait > 0 && late > 0) {
     // Spread, so that callers refused together do not come back together.
     const double spread = 0.5 + state_.random.Unit();
