Policy: a pause inside a stream is a failure after 0.7 s

An engine whose network is gone in the middle of an answer says nothing more; the hedge is not sent, because the answer has begun, and the attempt timeout of a long draft is its whole deadline. stage_decision gains stall_timeout for engines. In the replay a restarted process now closes its connections, as a real one does, so that its callers see the failure at once.

--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -86,6 +86,9 @@
   /// `kDispatch`, repeatable only: plan a hedge where no first byte (engines)
   /// or no answer has come by then.
   std::optional<milliseconds> hedge_after;
+  /// `kDispatch`, engines only: the longest pause inside a stream. A longer
+  /// one is a failed attempt, for an engine that is gone says nothing more.
+  std::optional<milliseconds> stall_timeout;
   int engine_priority = 0;                       ///< Lower runs first.
   error_kind refusal = error_kind::kNoEndpoint;  ///< `kRefuse`.
   milliseconds retry_after{0};                   ///< `kRefuse`.
--- a/src/slatestall/policy/modelled_endpoint.cc
+++ b/src/slatestall/policy/modelled_endpoint.cc
@@ -97,6 +97,7 @@
              : duration::zero();
   const auto answer = state.call.answer;
   Close(number);
+  found->second.over = true;
   answer({attempt_end::kAnswered, false, first});
   StartWaiting();
 }
@@ -117,6 +118,7 @@
   }
   std::deque<call_number>& line = waiting_[found->second.call.priority];
   line.erase(std::remove(line.begin(), line.end(), number), line.end());
+  found->second.over = true;
   Close(number);
   StartWaiting();
 }
@@ -146,8 +148,28 @@
 
 void modelled_endpoint::Begin(const trace_fault& fault) {
   faults_[fault.kind] = fault.factor;
+  if (fault.kind == fault_kind::kSilent || fault.kind == fault_kind::kPaused) {
+    StallBegun();
+  }
   if (!Reachable()) {
-    DropAll();
+    DropAll(fault.kind == fault_kind::kRestart);
+  }
+}
+
+// Streams that have begun stop; the caller notices by the pause.
+void modelled_endpoint::StallBegun() {
+  for (const auto& [number, state] : calls_) {
+    if (!AnswerHasBegun(number) || state.call.stall_timeout == duration{}) {
+      continue;
+    }
+    events_.After(state.call.stall_timeout, [this, number = number] {
+      const call_state& stalled = calls_.at(number);
+      const bool resumed =
+          faults_.count(fault_kind::kPaused) == 0 && stalled.running;
+      if (!resumed) {
+        stalled.call.answer({attempt_end::kTimedOut, false, duration(1)});
+      }
+    });
   }
 }
 
@@ -160,12 +182,18 @@
   StartWaiting();
 }
 
-// The process or its network is gone: its calls are never answered.
-void modelled_endpoint::DropAll() {
+// A process that ends closes its connections, which callers see at once; one
+// whose network is gone leaves them open.
+void modelled_endpoint::DropAll(bool closed) {
   waiting_.clear();
   for (auto& [number, state] : calls_) {
-    if (state.running) {
-      Close(number);
+    if (state.over) {
+      continue;
+    }
+    Close(number);
+    state.over = true;
+    if (closed) {
+      Reply(state.call, {attempt_end::kFailed, false, {}});
     }
   }
 }
--- a/src/slatestall/policy/modelled_endpoint.h
+++ b/src/slatestall/policy/modelled_endpoint.h
@@ -24,7 +24,8 @@
 struct modelled_call {
   duration work{};  ///< On an idle endpoint at normal speed.
   std::uint64_t prefix = 0;
-  int priority = 0;  ///< Lower runs first.
+  int priority = 0;          ///< Lower runs first.
+  duration stall_timeout{};  ///< Pause that the caller bears; zero: any.
   std::function<void(const modelled_answer&)> answer;
 };
 
@@ -73,6 +74,7 @@
     time_point first_byte{};
     time_point ended{};
     bool running = false;
+    bool over = false;  ///< Answered, given up or dropped.
   };
 
   void Reply(const modelled_call& call, const modelled_answer& answer);
@@ -80,7 +82,8 @@
   void Start(call_number number);
   void Finish(call_number number);
   void Close(call_number number);
-  void DropAll();
+  void DropAll(bool closed);
+  void StallBegun();
   bool UsePrefix(std::uint64_t prefix);
   void TakeReport();
 
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -153,6 +153,7 @@
   sent.address = decision.address;
   sent.endpoint = around_.endpoint(decision.address);
   sent.sent = around_.events.Now();
+  sent.stall_timeout = decision.stall_timeout.value_or(milliseconds(0));
   live.attempts.push_back(sent);
   const std::size_t index = live.attempts.size() - 1;
   const std::size_t stage = live.stage;
@@ -193,6 +194,7 @@
   call.work = live.arrival->work.at(stage);
   call.prefix = live.arrival->prefix;
   call.priority = priority;
+  call.stall_timeout = sent.stall_timeout;
   call.answer = [this, number, index, stage,
                  back](const modelled_answer& answer) {
     around_.events.After(back, [this, number, index, stage, answer] {
--- a/src/slatestall/policy/replay_lane.h
+++ b/src/slatestall/policy/replay_lane.h
@@ -42,6 +42,7 @@
     modelled_endpoint* endpoint = nullptr;
     modelled_endpoint::call_number call = 0;  ///< 0: not arrived there.
     time_point sent{};
+    duration stall_timeout{};
     bool open = true;
   };
 
--- a/src/slatestall/policy/service_traffic.cc
+++ b/src/slatestall/policy/service_traffic.cc
@@ -19,6 +19,7 @@
 
 void service_traffic::Update(const service_view& view, std::uint32_t live_hosts,
                              time_point now) {
+  kind_ = view.config.kind;
   repeatable_ = view.config.repeatable;
   sharers_ = static_cast<double>(std::max(1U, options_.lanes)) *
              std::max(1U, live_hosts);
--- a/src/slatestall/policy/service_traffic.h
+++ b/src/slatestall/policy/service_traffic.h
@@ -22,6 +22,7 @@
   /// @brief Whether nothing is in flight or waiting.
   bool Idle() const;
 
+  service_kind Kind() const { return kind_; }
   bool Repeatable() const { return repeatable_; }
   /// @brief Threads over all hosts among which the endpoints are shared.
   double Sharers() const { return sharers_; }
@@ -44,6 +45,7 @@
 
   traffic_policy_options options_;
   double sharers_ = 1;
+  service_kind kind_ = service_kind::kPlain;
   bool repeatable_ = true;
   endpoint_set endpoints_;
   endpoint_choice choice_;
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -10,6 +10,8 @@
 
 constexpr std::size_t kMostWaiting = 2048;  // Calls of one service.
 constexpr std::size_t kMostAttempts = 4;
+// Ten times the slowest usual gap between tokens, and short against deadlines.
+constexpr auto kStallTimeout = milliseconds(700);
 constexpr double kFirstBackoff = 0.01;  // Seconds; doubles, with jitter.
 // Some way beyond the 95th percentile: at that percentile itself one call in
 // twenty is hedged on the best of days, and its endpoint time is wasted.
@@ -144,6 +146,9 @@
   decision.attempt_timeout =
       call.budget.AttemptTimeout(answer, call.service.Repeatable(), now);
   decision.engine_priority = EnginePriority(request.priority);
+  if (call.service.Kind() == service_kind::kEngine) {
+    decision.stall_timeout = kStallTimeout;
+  }
   SetHedge(call, decision, now);
   return decision;
 }
