--- a/bench/answer_check.cc
+++ b/bench/load/answer_check.cc
@@ -1,4 +1,4 @@
-#include "bench/answer_check.h"
+#include "bench/load/answer_check.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/bench/answer_check.h
+++ b/bench/load/answer_check.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "bench/load_flow.h"
+#include "bench/load/load_flow.h"
 #include "slatestall/http/sse_parser.h"
 
 namespace slatestall {
--- a/bench/balancer.cc
+++ b/bench/load/balancer.cc
@@ -1,4 +1,4 @@
-#include "bench/balancer.h"
+#include "bench/load/balancer.h"
 
 #include <algorithm>
 #include <fstream>
--- a/bench/direct_chain.cc
+++ b/bench/load/direct_chain.cc
@@ -1,4 +1,4 @@
-#include "bench/direct_chain.h"
+#include "bench/load/direct_chain.h"
 
 #include <utility>
 
--- a/bench/direct_chain.h
+++ b/bench/load/direct_chain.h
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "bench/load_flow.h"
+#include "bench/load/load_flow.h"
 #include "slatestall/http/http_client.h"
 
 namespace slatestall {
--- a/bench/load_flow.cc
+++ b/bench/load/load_flow.cc
@@ -1,4 +1,4 @@
-#include "bench/load_flow.h"
+#include "bench/load/load_flow.h"
 
 #include <stdexcept>
 
--- a/bench/load_generator.cc
+++ b/bench/load/load_generator.cc
@@ -6,8 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "bench/balancer.h"
-#include "bench/load_run.h"
+#include "bench/load/balancer.h"
+#include "bench/load/load_run.h"
 #include "slatestall/http/http_client.h"
 
 namespace slatestall {
--- a/bench/load_run.cc
+++ b/bench/load/load_run.cc
@@ -1,4 +1,4 @@
-#include "bench/load_run.h"
+#include "bench/load/load_run.h"
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
--- a/bench/load_run.h
+++ b/bench/load/load_run.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "bench/request_run.h"
+#include "bench/load/request_run.h"
 
 namespace slatestall {
 
--- a/bench/request_run.cc
+++ b/bench/load/request_run.cc
@@ -1,11 +1,11 @@
-#include "bench/request_run.h"
+#include "bench/load/request_run.h"
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "bench/direct_chain.h"
+#include "bench/load/direct_chain.h"
 
 namespace slatestall {
 namespace {
--- a/bench/request_run.h
+++ b/bench/load/request_run.h
@@ -5,10 +5,10 @@
 #include <memory>
 #include <string>
 
-#include "bench/answer_check.h"
-#include "bench/balancer.h"
-#include "bench/load_flow.h"
-#include "bench/request_outcome.h"
+#include "bench/load/answer_check.h"
+#include "bench/load/balancer.h"
+#include "bench/load/load_flow.h"
+#include "bench/load/request_outcome.h"
 #include "slatestall/http/http_client.h"
 
 namespace slatestall {
