--- a/bench/peer_gossip_bench.cc
+++ b/bench/peer_gossip_bench.cc
@@ -25,7 +25,9 @@
 
 using std::chrono::seconds;
 
-constexpr milliseconds kHop{2};
+constexpr milliseconds kHop{5};
+constexpr milliseconds kStep{5};
+constexpr int kStepsToCheck = 10;  // Times are exact to 50 ms.
 constexpr std::size_t kDomains = 20;
 
 struct traffic {
@@ -86,8 +88,12 @@
 
   void RunFor(duration time, const std::function<bool()>& done = nullptr) {
     const time_point end = now_ + time;
-    while (now_ < end && !(done && done())) {
-      now_ += milliseconds(1);
+    int steps = 0;
+    while (now_ < end) {
+      if (done && steps++ % kStepsToCheck == 0 && done()) {
+        return;
+      }
+      now_ += kStep;
       Deliver();
       for (std::size_t i = 0; i < hosts_.size(); ++i) {
         if (hosts_[i].up && now_ >= hosts_[i].exchange->DueAt()) {
@@ -392,6 +398,7 @@
 }  // namespace slatestall
 
 int main(int argc, char** argv) {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::vector<std::size_t> counts;
   for (int i = 1; i < argc; ++i) {
     counts.push_back(std::strtoul(argv[i], nullptr, 10));
--- a/include/slatestall/peer/gossip_exchange.h
+++ b/include/slatestall/peer/gossip_exchange.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -98,18 +99,22 @@
 
   // Building.
   wire::gossipT NewMessage(time_point now);
-  void AddRumors(wire::gossipT& message, time_point now);
+  void AddRumors(wire::gossipT& message, const wire::gossipT* request,
+                 time_point now);
+  bool Tells(const wire::gossipT& message, const std::string& host) const;
+  static bool Tells(const wire::gossipT& message, const notice_key& key);
   void AddMember(wire::gossipT& message, const std::string& host) const;
   void AddNotice(wire::gossipT& message, const notice_key& key,
                  time_point now) const;
-  void AddBucket(wire::gossipT& message, const wire::gossipT& request) const;
-  void AddAllNotices(wire::gossipT& message, time_point now) const;
+  std::unique_ptr<wire::bucket_sumsT> NewSums(std::size_t entries);
+  void AddHostSums(wire::bucket_sumsT& sums) const;
+  void AddNoticeSums(wire::bucket_sumsT& sums) const;
+  void AddMissing(wire::gossipT& reply, const wire::gossipT& request,
+                  time_point now) const;
   bool NeedsTexts(const member& known) const;
-  std::uint64_t BucketSum(std::uint32_t bucket, std::uint32_t count) const;
-  std::uint64_t NoticeSum() const;
+  static std::uint64_t HashOf(const notice_key& key);
 
   // Names behind the hashes in marks.
-  static std::uint32_t ShortHash(const std::string& host);
   void LearnNames();
   const std::string* NameOf(std::uint32_t hash);
 
--- a/include/slatestall/policy/membership_types.h
+++ b/include/slatestall/policy/membership_types.h
@@ -62,6 +62,7 @@
 /// @brief What this host knows of another one, or of itself.
 struct member {
   member_digest digest;  ///< `version.sequence` is 0 while never heard of.
+  std::uint32_t name_hash = 0;  ///< Low half of the stable hash of the name.
   member_state state = member_state::kLive;
   bool listed = false;
   bool list_says_leaving = false;
--- a/include/slatestall/policy/share_allocator.h
+++ b/include/slatestall/policy/share_allocator.h
@@ -37,7 +37,8 @@
   };
   struct workspace_pool {
     std::map<std::string, lease> leases;
-    time_point since{};  ///< When this host began to allocate it.
+    /// Until here grants of a former allocator may run that are not known.
+    time_point learning_until{};
   };
   /// One of the three limits of a workspace.
   struct resource {
@@ -47,8 +48,7 @@
     double workspace_share::*lent = nullptr;
   };
 
-  milliseconds IntervalOf(std::size_t hosts) const;
-  bool IsLearning(const workspace_pool& pool, time_point now) const;
+  milliseconds Interval() const;
   double Lend(const workspace_pool& pool, const std::string& host,
               const resource& wanted, bool learning) const;
 
--- a/include/slatestall/policy/share_divider.h
+++ b/include/slatestall/policy/share_divider.h
@@ -46,6 +46,7 @@
     bool allocator_answers = true;
   };
 
+  milliseconds Pace() const;
   bool WantsMore(const workspace_state& state) const;
   double ShareOf(const workspace_state& state, double limit, double lent,
                  time_point now) const;
--- a/include/slatestall/policy/share_types.h
+++ b/include/slatestall/policy/share_types.h
@@ -24,6 +24,7 @@
   workspace_demand demand;
   workspace_share held;      ///< Granted before, on top of the floor.
   milliseconds held_for{0};  ///< How long that grant still runs.
+  milliseconds pace{0};      ///< The asker will not ask again before.
 };
 
 /// @brief What the allocator lends, on top of the host's floor.
@@ -38,14 +39,14 @@
 struct share_rules {
   /// Part of its equal share that every host has without asking. The rest is
   /// the pool that allocators lend.
-  double floor_part = 0.5;
+  double floor_part = 0.25;
   /// Shortest time between two requests of one host.
   milliseconds min_interval{2'000};
-  /// What an allocator's traffic for one workspace may cost.
-  /// Unit: bytes a second, both ways.
-  double max_bytes_per_second = 1'500;
-  /// Bytes of one request with its answer, for that bound.
-  double bytes_per_request = 260;
+  /// What a host may spend on asking, and again on answering as allocator.
+  /// Unit: bytes a second, requests and answers together.
+  double max_bytes_per_second = 1'200;
+  double bytes_per_entry = 76;     ///< Of one workspace, both ways.
+  double bytes_per_message = 200;  ///< The rest of a request and its answer.
   /// A grant outlives this many intervals, so that one lost message does not
   /// take it away.
   double grant_intervals = 2.5;
--- a/src/slatestall/peer/gossip_exchange.cc
+++ b/src/slatestall/peer/gossip_exchange.cc
@@ -229,11 +229,8 @@
   for (const std::string& host : stale) {
     AddMember(reply, host);
   }
-  AddRumors(reply, now);
-  AddBucket(reply, request);
-  if (request.notice_sum != reply.notice_sum) {
-    AddAllNotices(reply, now);
-  }
+  AddRumors(reply, &request, now);
+  AddMissing(reply, request, now);
   return reply;
 }
 
--- a/src/slatestall/peer/gossip_messages.cc
+++ b/src/slatestall/peer/gossip_messages.cc
@@ -8,10 +8,11 @@
 namespace slatestall {
 namespace {
 
-// Hosts in one part that a sum is over. A mismatch costs that many marks; with
-// more parts, going once through all of them takes more rounds.
-constexpr std::uint32_t kHostsPerBucket = 6;
+// A difference in one bucket costs about this many entries; smaller buckets
+// take more requests to go through.
+constexpr std::uint32_t kEntriesPerBucket = 6;
 constexpr std::uint32_t kMaxBuckets = 4096;
+constexpr std::uint32_t kBucketsPerMessage = 16;
 
 std::uint64_t Mix(std::uint64_t hash, std::uint64_t value) {
   hash ^= value;
@@ -19,9 +20,9 @@
   return hash ^ (hash >> 32U);
 }
 
-std::uint64_t SumOf(std::uint32_t host, const member& known) {
+std::uint64_t SumOf(const member& known) {
   const member_version& version = known.digest.version;
-  std::uint64_t hash = Mix(host, version.incarnation);
+  std::uint64_t hash = Mix(known.name_hash, version.incarnation);
   hash = Mix(hash, version.generation);
   hash = Mix(hash, version.sequence);
   return Mix(hash, known.suspected ? 1 : 0);
@@ -35,6 +36,37 @@
          (known.state != member_state::kGone || known.digest.drained);
 }
 
+bool IsReadable(const wire::bucket_sumsT* sums) {
+  return sums != nullptr && sums->count > 0 && sums->first < sums->count &&
+         sums->sums.size() <= sums->count;
+}
+
+/// The sum that is over the bucket of `hash`; null where none is.
+std::uint32_t* SumFor(wire::bucket_sumsT& sums, std::uint64_t hash) {
+  const std::uint64_t bucket = hash % sums.count;
+  const std::uint64_t offset = (bucket + sums.count - sums.first) % sums.count;
+  return offset < sums.sums.size() ? &sums.sums[offset] : nullptr;
+}
+
+void AddToSum(wire::bucket_sumsT& sums, std::uint64_t hash,
+              std::uint64_t value) {
+  if (std::uint32_t* sum = SumFor(sums, hash)) {
+    *sum += static_cast<std::uint32_t>(value);
+  }
+}
+
+void Negate(wire::bucket_sumsT& sums) {
+  for (std::uint32_t& sum : sums.sums) {
+    sum = 0 - sum;
+  }
+}
+
+/// Whether the bucket of `hash` has a sum that is not 0.
+bool Covers(wire::bucket_sumsT& sums, std::uint64_t hash) {
+  const std::uint32_t* sum = SumFor(sums, hash);
+  return sum != nullptr && *sum != 0;
+}
+
 std::unique_ptr<wire::host_digestT> ToWire(const member_digest& digest) {
   auto wire = std::make_unique<wire::host_digestT>();
   wire->host = digest.host;
@@ -68,10 +100,6 @@
 
 }  // namespace
 
-std::uint32_t gossip_exchange::ShortHash(const std::string& host) {
-  return static_cast<std::uint32_t>(StableHash(host));
-}
-
 void gossip_exchange::LearnNames() {
   if (names_known_ == view_.Members().size()) {
     return;
@@ -79,7 +107,7 @@
   names_known_ = view_.Members().size();
   names_.clear();
   for (const auto& [host, known] : view_.Members()) {
-    const auto [entry, is_new] = names_.try_emplace(ShortHash(host), host);
+    const auto [entry, is_new] = names_.try_emplace(known.name_hash, host);
     if (!is_new) {
       entry->second.clear();
     }
@@ -99,7 +127,7 @@
       known.digest.peer_address != known.listed_address) {
     return true;
   }
-  const auto name = names_.find(ShortHash(known.digest.host));
+  const auto name = names_.find(known.name_hash);
   return name == names_.end() || name->second.empty();
 }
 
@@ -108,27 +136,42 @@
   LearnNames();
   wire::gossipT message;
   message.config_head = head_;
-  message.notice_sum = NoticeSum();
+
   AddMember(message, announced_.host);
   return message;
 }
 
 wire::gossipT gossip_exchange::MakeRequest(time_point now) {
   wire::gossipT message = NewMessage(now);
-  AddRumors(message, now);
-  const auto hosts = static_cast<std::uint32_t>(view_.Members().size());
-  const std::uint32_t count =
-      std::clamp(std::bit_ceil(hosts / kHostsPerBucket), 1U, kMaxBuckets);
-  const auto bucket = static_cast<std::uint32_t>(Random() % count);
-  message.bucket = static_cast<std::uint16_t>(bucket);
-  message.bucket_count = static_cast<std::uint16_t>(count);
-  message.bucket_sum = BucketSum(bucket, count);
+  AddRumors(message, nullptr, now);
+  message.host_sums = NewSums(view_.Members().size());
+  AddHostSums(*message.host_sums);
+  message.notice_sums = NewSums(notices_.size());
+  AddNoticeSums(*message.notice_sums);
   return message;
 }
 
-void gossip_exchange::AddRumors(wire::gossipT& message, time_point now) {
+std::unique_ptr<wire::bucket_sumsT> gossip_exchange::NewSums(
+    std::size_t entries) {
+  const std::uint32_t count = std::bit_ceil(
+      std::clamp(static_cast<std::uint32_t>(entries) / kEntriesPerBucket, 1U,
+                 kMaxBuckets));
+  auto sums = std::make_unique<wire::bucket_sumsT>();
+  sums->count = static_cast<std::uint16_t>(count);
+  sums->first = static_cast<std::uint16_t>(Random() % count);
+  sums->sums.resize(std::min(count, kBucketsPerMessage));
+  return sums;
+}
+
+// What the request has just told is not told back: the asker would take it for
+// a sign that the news has spread, and stop too early.
+void gossip_exchange::AddRumors(wire::gossipT& message,
+                                const wire::gossipT* request, time_point now) {
   for (const std::string& host : FreshestFirst(host_rumors_)) {
     rumor& sent = host_rumors_.at(host);
+    if (request != nullptr && Tells(*request, host)) {
+      continue;
+    }
     if (message.marks.size() >= options_.max_marks ||
         message.digests.size() >= options_.max_digests) {
       if (sent.urgent) {
@@ -143,6 +186,9 @@
     }
   }
   for (const notice_key& key : FreshestFirst(notice_rumors_)) {
+    if (request != nullptr && Tells(*request, key)) {
+      continue;
+    }
     if (message.notices.size() >= options_.max_notices) {
       HurryUp(now);
       break;
@@ -156,13 +202,44 @@
   }
 }
 
+bool gossip_exchange::Tells(const wire::gossipT& message,
+                            const std::string& host) const {
+  const member* known = view_.Find(host);
+  if (known == nullptr) {
+    return false;
+  }
+  const member_version& version = known->digest.version;
+  const auto same_mark = [&](const wire::host_mark& mark) {
+    return mark.host() == known->name_hash &&
+           mark.suspected() == known->suspected &&
+           mark.sequence() == version.sequence &&
+           mark.incarnation() == version.incarnation;
+  };
+  const auto same_digest = [&](const auto& digest) {
+    return digest->host == host && digest->sequence == version.sequence &&
+           digest->incarnation == version.incarnation && !known->suspected;
+  };
+  return std::any_of(message.marks.begin(), message.marks.end(), same_mark) ||
+         std::any_of(message.digests.begin(), message.digests.end(),
+                     same_digest);
+}
+
+bool gossip_exchange::Tells(const wire::gossipT& message,
+                            const notice_key& key) {
+  return std::any_of(message.notices.begin(), message.notices.end(),
+                     [&key](const auto& notice) {
+                       return notice->address == key.first &&
+                              notice->kind == key.second;
+                     });
+}
+
 void gossip_exchange::AddMember(wire::gossipT& message,
                                 const std::string& host) const {
   const member* known = view_.Find(host);
   if (known == nullptr || known->digest.version.sequence == 0) {
     return;
   }
-  const std::uint32_t hash = ShortHash(host);
+  const std::uint32_t hash = known->name_hash;
   for (const wire::host_mark& mark : message.marks) {
     if (mark.host() == hash) {
       return;
@@ -201,53 +278,50 @@
   message.notices.push_back(std::move(wire));
 }
 
-void gossip_exchange::AddBucket(wire::gossipT& message,
-                                const wire::gossipT& request) const {
-  const std::uint32_t count = request.bucket_count;
-  if (count == 0 || request.bucket >= count ||
-      BucketSum(request.bucket, count) == request.bucket_sum) {
-    return;
-  }
+void gossip_exchange::AddHostSums(wire::bucket_sumsT& sums) const {
   for (const auto& [host, known] : view_.Members()) {
-    if (message.marks.size() >= options_.max_marks ||
-        message.digests.size() >= options_.max_digests) {
-      return;
-    }
-    if (IsCompared(known) && ShortHash(host) % count == request.bucket) {
-      AddMember(message, host);
+    if (IsCompared(known)) {
+      AddToSum(sums, known.name_hash, SumOf(known));
     }
   }
 }
 
-void gossip_exchange::AddAllNotices(wire::gossipT& message,
-                                    time_point now) const {
-  message.notices.clear();
+void gossip_exchange::AddNoticeSums(wire::bucket_sumsT& sums) const {
   for (const auto& [key, seen_at] : notices_) {
-    if (message.notices.size() >= options_.max_notices) {
-      return;
-    }
-    AddNotice(message, key, now);
+    AddToSum(sums, HashOf(key), HashOf(key));
   }
 }
 
-std::uint64_t gossip_exchange::BucketSum(std::uint32_t bucket,
-                                         std::uint32_t count) const {
-  std::uint64_t sum = 0;
-  for (const auto& [host, known] : view_.Members()) {
-    const std::uint32_t hash = ShortHash(host);
-    if (hash % count == bucket && IsCompared(known)) {
-      sum += SumOf(hash, known);
+void gossip_exchange::AddMissing(wire::gossipT& reply,
+                                 const wire::gossipT& request,
+                                 time_point now) const {
+  if (IsReadable(request.host_sums.get())) {
+    wire::bucket_sumsT differs = *request.host_sums;
+    Negate(differs);
+    AddHostSums(differs);
+    for (const auto& [host, known] : view_.Members()) {
+      if (IsCompared(known) && Covers(differs, known.name_hash) &&
+          reply.marks.size() < options_.max_marks &&
+          reply.digests.size() < options_.max_digests) {
+        AddMember(reply, host);
+      }
+    }
+  }
+  if (IsReadable(request.notice_sums.get())) {
+    wire::bucket_sumsT differs = *request.notice_sums;
+    Negate(differs);
+    AddNoticeSums(differs);
+    for (const auto& [key, seen_at] : notices_) {
+      if (Covers(differs, HashOf(key)) && !Tells(reply, key) &&
+          reply.notices.size() < options_.max_notices) {
+        AddNotice(reply, key, now);
+      }
     }
   }
-  return sum;
 }
 
-std::uint64_t gossip_exchange::NoticeSum() const {
-  std::uint64_t sum = 0;
-  for (const auto& [key, seen_at] : notices_) {
-    sum += StableHash(key.first, static_cast<std::uint64_t>(key.second) + 1);
-  }
-  return sum;
+std::uint64_t gossip_exchange::HashOf(const notice_key& key) {
+  return StableHash(key.first, static_cast<std::uint64_t>(key.second) + 1);
 }
 
 }  // namespace slatestall
--- a/src/slatestall/policy/membership_view.cc
+++ b/src/slatestall/policy/membership_view.cc
@@ -20,6 +20,7 @@
     : self_(self.host), options_(options) {
   member& own = members_[self_];
   own.digest = std::move(self);
+  own.name_hash = static_cast<std::uint32_t>(StableHash(self_));
   own.heard_at = now;
   own.run_since = now;
   own.unlisted_at = now;
@@ -51,6 +52,7 @@
     member& known = members_[line.host];
     if (is_new) {
       known.digest.host = line.host;
+      known.name_hash = static_cast<std::uint32_t>(StableHash(line.host));
       known.heard_at = now;
     }
     known.listed = true;
@@ -88,6 +90,8 @@
       return false;
     }
     found = members_.try_emplace(digest.host).first;
+    found->second.name_hash =
+        static_cast<std::uint32_t>(StableHash(digest.host));
     found->second.unlisted_at = now;
   }
   member& known = found->second;
--- a/src/slatestall/policy/share_allocator.cc
+++ b/src/slatestall/policy/share_allocator.cc
@@ -41,22 +41,14 @@
   reachable_hosts_ = std::clamp<double>(reachable_hosts, 1.0, known_hosts_);
 }
 
-milliseconds share_allocator::IntervalOf(std::size_t hosts) const {
-  const double seconds = static_cast<double>(hosts) * rules_.bytes_per_request /
-                         rules_.max_bytes_per_second;
-  const milliseconds paced(std::llround(seconds * 1000));
+milliseconds share_allocator::Interval() const {
+  const double bytes = static_cast<double>(GrantCount()) *
+                       (rules_.bytes_per_entry + rules_.bytes_per_message);
+  const milliseconds paced(
+      std::llround(bytes / rules_.max_bytes_per_second * 1000));
   return std::max(rules_.min_interval, paced);
 }
 
-// The grants of a former allocator still run, unknown to this one until their
-// holders ask again. Lending from what looks like a full pool before that
-// would admit up to twice the limit.
-bool share_allocator::IsLearning(const workspace_pool& pool,
-                                 time_point now) const {
-  const auto known = static_cast<std::size_t>(known_hosts_);
-  return now - pool.since < IntervalOf(std::min(pool.leases.size() + 1, known));
-}
-
 share_grant share_allocator::Ask(const std::string& host,
                                  const share_request& request,
                                  const workspace_limits& limits,
@@ -64,11 +56,15 @@
   auto [entry, is_new] = pools_.try_emplace(request.workspace);
   workspace_pool& pool = entry->second;
   if (is_new) {
-    pool.since = now;
+    // The grants of a former allocator still run, unknown to this one until
+    // their holders ask again. Lending from what looks like a full pool before
+    // that would admit up to twice the limit.
+    pool.learning_until =
+        now + std::max({request.pace, request.held_for, rules_.min_interval});
   }
   std::erase_if(pool.leases,
                 [now](const auto& e) { return e.second.ends <= now; });
-  const bool learning = IsLearning(pool, now);
+  const bool learning = now < pool.learning_until;
   const bool holds = request.held_for > milliseconds{0};
   const workspace_share held = holds ? request.held : workspace_share{};
 
@@ -89,7 +85,7 @@
   granted.concurrency = lend(limits.concurrency, &workspace_demand::concurrency,
                              &workspace_share::concurrency);
 
-  const milliseconds interval = IntervalOf(pool.leases.size());
+  const milliseconds interval = std::max(Interval(), request.pace);
   const milliseconds valid_for(std::llround(
       static_cast<double>(interval.count()) * rules_.grant_intervals));
   own.lent = granted;
--- a/src/slatestall/policy/share_divider.cc
+++ b/src/slatestall/policy/share_divider.cc
@@ -1,6 +1,7 @@
 #include "slatestall/policy/share_divider.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace slatestall {
 
@@ -47,15 +48,32 @@
          above(state.limits.concurrency, state.demand.concurrency);
 }
 
+// With many busy workspaces the requests go further apart, so that their cost
+// stays what one host may spend. A workspace that turns busy asks at once.
+milliseconds share_divider::Pace() const {
+  const auto busy = std::count_if(
+      workspaces_.begin(), workspaces_.end(),
+      [this](const auto& entry) { return WantsMore(entry.second); });
+  const auto entries = static_cast<double>(busy);
+  const double messages = std::min(entries, known_hosts_ - 1);
+  const double bytes =
+      entries * rules_.bytes_per_entry + messages * rules_.bytes_per_message;
+  const milliseconds paced(
+      std::llround(bytes / rules_.max_bytes_per_second * 1000));
+  return std::max(rules_.min_interval, paced);
+}
+
 std::vector<share_request> share_divider::TakeDue(time_point now) {
   std::vector<share_request> due;
+  const milliseconds pace = Pace();
   for (auto& [name, state] : workspaces_) {
     if (now < state.ask_at || !WantsMore(state)) {
       continue;
     }
-    state.ask_at = now + rules_.min_interval;
+    state.ask_at = now + pace;
     share_request request;
     request.workspace = name;
+    request.pace = pace;
     request.demand = state.demand;
     if (state.lent_until > now) {
       request.held = state.lent;
@@ -75,7 +93,7 @@
   workspace_state& state = found->second;
   state.lent = grant.lent;
   state.lent_until = asked_at + grant.valid_for;
-  state.ask_at = asked_at + std::max(grant.ask_again, rules_.min_interval);
+  state.ask_at = std::max(state.ask_at, asked_at + grant.ask_again);
   state.allocator_answers = true;
 }
 
