Retries: six before the first attempts have paid for them, and while nobody waits up to the last chance

A stage on one of 18 threads sees few calls; three retries were spent by the loss of a domain before the traffic had paid for more, and calls that still had seconds failed. Where no call waits a retry takes nobody's place, so it only needs a chance to be in time.

--- a/src/slatestall/policy/attempt_budget.h
+++ b/src/slatestall/policy/attempt_budget.h
@@ -10,7 +10,7 @@
 class attempt_budget {
  public:
   /// Lets a quiet stage retry before its traffic has paid for it.
-  static constexpr double kInitial = 3;
+  static constexpr double kInitial = 6;
 
   explicit attempt_budget(double share) : share_(share) {}
 
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -321,7 +321,11 @@
                                       : kFirstBackoff *
                                             static_cast<double>(1U << earlier) *
                                             (0.5 + state_.random.Unit());
-  if (now + FromSeconds(backoff) > call.budget.LatestStart() ||
+  // Where calls wait, a retry that will likely be late takes their place.
+  const time_point latest = call.pool.Queue().Empty()
+                                ? call.budget.LastChance()
+                                : call.budget.LatestStart();
+  if (now + FromSeconds(backoff) > latest ||
       request.deadline <= now + FromSeconds(backoff)) {
     decision.reason = "the time left is too short";
   } else if (!AnotherEndpoint(call, "", now)) {
