Policy: over-commit by the square root of a thread's part

A fifth more than the part of a thread is nothing where the part is 4 slots, and the slots stay idle while calls wait at another thread. The margin is now twice the square root of the part.

--- a/src/slatestall/policy/service_capacity.cc
+++ b/src/slatestall/policy/service_capacity.cc
@@ -1,13 +1,15 @@
 #include "slatestall/policy/service_capacity.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace slatestall {
 namespace {
 
-// Hosts are not equally busy; a little more than the share keeps the slots
-// filled, and the little excess waits at the endpoint.
-constexpr double kOvercommit = 1.2;
+// Arrivals at one of many threads vary like the square root of their number: a
+// thread with a part of 4 slots needs twice that to use them, one with 100
+// needs a fifth more. The excess waits at the endpoints for a moment.
+constexpr double kSpread = 2;
 // Engines run interactive calls first, so these may wait there.
 constexpr double kInteractiveOvercommit = 1.25;
 // Each refresh takes at most this multiple of its share of the idle slots, so
@@ -45,8 +47,8 @@
   const double used = static_cast<double>(endpoints.endpoints.size());
   const double scale =
       used == 0 ? 1 : static_cast<double>(endpoints.holders) / used;
-  const double share =
-      std::max(1.0, count.slots * scale / sharers * kOvercommit);
+  const double part = count.slots * scale / sharers;
+  const double share = std::max(1.0, part + kSpread * std::sqrt(part));
   // Borrowing starts from what is in flight, so it must need idle slots: added
   // to a full pool, any margin would grow by itself at each refresh.
   const double idle = count.idle * scale / sharers * kIdleGain;
