--- a/bench/policy_compare.cc
+++ b/bench/policy_compare.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -41,31 +42,48 @@
   return variants;
 }
 
-void PrintGroup(const replay_result& result, const std::string& name) {
-  const auto found = result.classes.find(name);
-  const replay_group group =
-      found == result.classes.end() ? replay_group() : found->second;
+/// @brief Means over several seeds of the policy's random choices.
+class mean_measures {
+ public:
+  void Add(const replay_result& result) {
+    ++runs_;
+    for (const auto& [name, value] : result.Measures()) {
+      sums_[name] += value;
+    }
+    for (const auto& [stage, cost] : result.stages) {
+      sums_["used_s"] += cost.used;
+    }
+  }
+
+  double Of(const std::string& name) const {
+    const auto found = sums_.find(name);
+    return found == sums_.end() ? 0 : found->second / runs_;
+  }
+
+ private:
+  double runs_ = 0;
+  std::map<std::string, double> sums_;
+};
+
+void PrintGroup(const mean_measures& means, const std::string& name) {
   std::cout << std::setw(9) << std::fixed << std::setprecision(2)
-            << group.Attainment() * 100 << "%" << std::setw(8)
-            << std::setprecision(0) << group.p99 * 1000 << std::setw(7)
-            << group.late << std::setw(7) << group.refused << std::setw(7)
-            << group.failed;
+            << means.Of(name + ".attainment") * 100 << "%" << std::setw(8)
+            << std::setprecision(0) << means.Of(name + ".p99_ms")
+            << std::setw(7) << means.Of(name + ".late") << std::setw(7)
+            << means.Of(name + ".refused") << std::setw(7)
+            << means.Of(name + ".failed");
 }
 
-void PrintRow(const std::string& name, const replay_result& result) {
-  const auto measures = result.Measures();
-  double used = 0;
-  for (const auto& [stage, cost] : result.stages) {
-    used += cost.used;
-  }
+void PrintRow(const std::string& name, const mean_measures& means) {
   std::cout << "  " << std::left << std::setw(17) << name << std::right;
-  PrintGroup(result, "interactive");
-  PrintGroup(result, "batch");
-  std::cout << std::setw(9) << std::setprecision(1) << used << std::setw(8)
-            << std::setprecision(2) << measures.at("waste_share") * 100 << "%"
-            << std::setw(8) << result.retries << std::setw(7) << result.hedges
-            << std::setw(5) << result.lost << std::setw(5) << result.doubled
-            << "\n";
+  PrintGroup(means, "interactive");
+  PrintGroup(means, "batch");
+  std::cout << std::setw(9) << std::setprecision(1) << means.Of("used_s")
+            << std::setw(8) << std::setprecision(2)
+            << means.Of("waste_share") * 100 << "%" << std::setprecision(0)
+            << std::setw(8) << means.Of("retries") << std::setw(7)
+            << means.Of("hedges") << std::setw(5) << means.Of("lost")
+            << std::setw(5) << means.Of("doubled") << "\n";
 }
 
 void PrintHead() {
@@ -82,8 +100,11 @@
   std::vector<std::string> paths;
   bool parts = false;
   bool whole = false;
+  std::uint64_t seeds = 1;
   app.add_option("traces", paths, "Trace files")->required();
   app.add_flag("--parts", parts, "Also leave out one part at a time");
+  app.add_option("--seeds", seeds, "Average over this many seeds")
+      ->check(CLI::Range(1, 100));
   app.add_flag("--whole", whole, "Print the whole report of each replay");
   CLI11_PARSE(app, argc, argv);
   PrintHead();
@@ -93,11 +114,17 @@
       const slatestall::trace trace = slatestall::ReadTrace(in);
       std::cout << trace.name << "\n";
       for (const variant& one : Variants(parts)) {
-        const replay_result result = slatestall::Replay(trace, one.options);
-        PrintRow(one.name, result);
-        if (whole) {
-          slatestall::PrintReplay(trace.name, result, std::cout);
+        mean_measures means;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+          traffic_policy_options options = one.options;
+          options.seed = seed;
+          const replay_result result = slatestall::Replay(trace, options);
+          means.Add(result);
+          if (whole) {
+            slatestall::PrintReplay(trace.name, result, std::cout);
+          }
         }
+        PrintRow(one.name, means);
       }
     } catch (const slatestall::trace_error& problem) {
       std::cerr << path << ": " << problem.what() << "\n";
