--- a/include/slatestall/report/report_data.h
+++ b/include/slatestall/report/report_data.h
@@ -95,6 +95,7 @@
 struct route_report {
   double objective = 0;  ///< Share of requests to be attained.
   latency_histogram latency = MakeLatencyHistogram();  ///< Whole answers.
+  microseconds latency_total{0};                       ///< Sum of the same.
   std::array<std::uint64_t, kRequestOutcomes> outcomes{};
   std::array<window_counts, kBurnWindows> windows{};
 };
--- a/src/slatestall/report/report_collector.cc
+++ b/src/slatestall/report/report_collector.cc
@@ -1,7 +1,6 @@
 #include "slatestall/report/report_collector.h"
 
 #include <mutex>
-#include <type_traits>
 
 #include "slatestall/report/window_ring.h"
 
@@ -42,6 +41,7 @@
 struct route_counts {
   double objective = 0;
   latency_histogram latency = MakeLatencyHistogram();
+  microseconds latency_total{0};
   std::array<std::uint64_t, kRequestOutcomes> outcomes{};
   std::array<window_ring, kBurnWindows> windows{
       window_ring(kBurnWindowLengths[0]), window_ring(kBurnWindowLengths[1]),
@@ -56,6 +56,7 @@
   route_report report;
   report.objective = counts.objective;
   report.latency = counts.latency;
+  report.latency_total = counts.latency_total;
   report.outcomes = counts.outcomes;
   for (std::size_t i = 0; i < kBurnWindows; ++i) {
     report.windows[i] = counts.windows[i].Sum(now);
@@ -87,6 +88,8 @@
     ++counts.outcomes[static_cast<std::size_t>(outcome)];
     if (!record.error) {
       counts.latency(InMilliseconds(record.latency));
+      counts.latency_total +=
+          std::chrono::duration_cast<microseconds>(record.latency);
     }
     if (outcome == request_outcome::kUncounted) {
       return;
--- a/src/slatestall/report/report_data.cc
+++ b/src/slatestall/report/report_data.cc
@@ -15,6 +15,7 @@
 void MergeRoute(route_report& into, const route_report& from) {
   into.objective = std::max(into.objective, from.objective);
   into.latency += from.latency;
+  into.latency_total += from.latency_total;
   for (std::size_t i = 0; i < kRequestOutcomes; ++i) {
     into.outcomes[i] += from.outcomes[i];
   }
--- a/src/slatestall/report/report_json.cc
+++ b/src/slatestall/report/report_json.cc
@@ -48,6 +48,7 @@
           {"objective", route.objective},
           {"outcomes", outcomes},
           {"windows", windows},
+          {"latency_total_us", route.latency_total.count()},
           {"latency", LatencyToJson(route.latency)}};
 }
 
@@ -76,6 +77,8 @@
     report.windows[i] = {window.at("attained").get<std::uint64_t>(),
                          window.at("missed").get<std::uint64_t>()};
   }
+  report.latency_total =
+      microseconds(route.at("latency_total_us").get<std::int64_t>());
   report.latency = LatencyFromJson(route.at("latency"));
   return report;
 }
