Test the client and server against misbehaving peers

Mended on the way: PendingBytes stayed above zero after Finish, the closed hook ran twice when set again, and a drain cut the second of two pipelined requests.

--- /dev/null
+++ b/src/slatestall/http/http_client_test.cc
@@ -0,0 +1,325 @@
+#include "slatestall/http/http_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "slatestall/http/test_peers.h"
+
+namespace slatestall {
+namespace {
+
+constexpr const char* kWhole =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+http_call Get(const std::string& url) {
+  http_call call;
+  call.url = url;
+  call.timeout = milliseconds(5000);
+  return call;
+}
+
+class http_client_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(http_client_test);
+  CPPUNIT_TEST(ReturnsAWholeAnswer);
+  CPPUNIT_TEST(NeverTakesACutAnswerForWhole);
+  CPPUNIT_TEST(PassesOverInterimAnswers);
+  CPPUNIT_TEST(SendsAnAtMostOnceCallOnce);
+  CPPUNIT_TEST(NeverGivesALateAnswerToTheNextCall);
+  CPPUNIT_TEST(RefusedConnectionProvesThatNothingWasSent);
+  CPPUNIT_TEST(UnansweredConnectProvesThatNothingWasSent);
+  CPPUNIT_TEST(SilentEndpointProvesNothing);
+  CPPUNIT_TEST(SpentDeadlineStillEndsTheCall);
+  CPPUNIT_TEST(BoundsTheAnswer);
+  CPPUNIT_TEST(CancelClosesTheConnection);
+  CPPUNIT_TEST(CancelsFromInsideData);
+  CPPUNIT_TEST(StartsFromCompletionsAndData);
+  CPPUNIT_TEST(GoesAwayWithCallsInFlight);
+  CPPUNIT_TEST(ThrowsOnWhatAHookThrew);
+  CPPUNIT_TEST(SendsNoHeaderOfTheCallersMaking);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReturnsAWholeAnswer() {
+    std::string request;
+    fake_endpoint endpoint(context_, [&](raw_peer& peer, int) {
+      request = peer.Received();
+      peer.Send(
+          "HTTP/1.1 404 Not Found\r\nX-A: b\r\nContent-Length: 2\r\n\r\nno");
+    });
+    http_call call = Get(endpoint.Url() + "p?q=1");
+    call.method = "POST";
+    call.body = "body";
+    call.headers = {{"X-Attempt-Id", "r/s/1"}};
+    int status = 0;
+    call.on_status = [&](int seen) { status = seen; };
+    call.on_data = [](std::string_view) { CPPUNIT_FAIL("data of a 404"); };
+    const http_result result = Run(context_, client_, call);
+    CPPUNIT_ASSERT(result.end == call_end::kComplete);
+    CPPUNIT_ASSERT_EQUAL(404, result.status);
+    CPPUNIT_ASSERT_EQUAL(404, status);
+    CPPUNIT_ASSERT_EQUAL(std::string("no"), result.body);
+    CPPUNIT_ASSERT(FindHeader(result.headers, "x-a") == "b");
+    CPPUNIT_ASSERT(request.starts_with("POST /p?q=1 HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(request.find("X-Attempt-Id: r/s/1\r\n") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(request.find("Expect") == std::string::npos);
+    CPPUNIT_ASSERT(request.find("form") == std::string::npos);
+    CPPUNIT_ASSERT(request.ends_with("\r\n\r\nbody"));
+  }
+
+  // The caller sees kTruncated and never kComplete.
+  // The endpoint begins its answer and its connection ends: inside a body of
+  // known length, inside a chunked one, before the closing chunk, before any
+  // byte, or with a body whose end nothing marks.
+  void NeverTakesACutAnswerForWhole() {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& cut :
+         {head + "Content-Length: 5\r\n\r\nhel",
+          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel",
+          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+          head + "Content-Le", head + "\r\nhello", std::string()}) {
+      fake_endpoint endpoint(context_, [&](raw_peer& peer, int) {
+        peer.Send(cut);
+        peer.Close();
+      });
+      http_call call = Get(endpoint.Url());
+      call.at_most_once = true;
+      const http_result result = Run(context_, client_, call);
+      CPPUNIT_ASSERT_MESSAGE(cut, result.end == call_end::kTruncated);
+      CPPUNIT_ASSERT(result.may_have_been_sent);
+      CPPUNIT_ASSERT(!result.detail.empty());
+    }
+  }
+
+  void PassesOverInterimAnswers() {
+    fake_endpoint endpoint(context_, [](raw_peer& peer, int) {
+      peer.Send("HTTP/1.1 103 Early Hints\r\nX-Not-Run: 1\r\n\r\n");
+      peer.Send(kWhole);
+    });
+    http_call call = Get(endpoint.Url());
+    std::vector<int> statuses;
+    call.on_status = [&](int status) { statuses.push_back(status); };
+    const http_result result = Run(context_, client_, call);
+    CPPUNIT_ASSERT(statuses == std::vector<int>{200});
+    CPPUNIT_ASSERT(FindHeader(result.headers, "X-Not-Run").empty());
+  }
+
+  // The caller sees kTruncated and the endpoint sees the letter once.
+  // A first call leaves its connection open. For the second the endpoint
+  // reads the request, posts the letter, and dies before it answers. Had the
+  // call gone out on the first one's connection, libcurl would take that for
+  // a connection that idled out and send the letter again, unasked.
+  void SendsAnAtMostOnceCallOnce() {
+    fake_endpoint endpoint(context_, [](raw_peer& peer, int number) {
+      number == 1 ? peer.Send(kWhole) : peer.Close();
+    });
+    Run(context_, client_, Get(endpoint.Url()));
+    http_call letter = Get(endpoint.Url());
+    letter.method = "POST";
+    letter.body = "letter";
+    letter.at_most_once = true;
+    const http_result result = Run(context_, client_, letter);
+    Settle(context_);
+    CPPUNIT_ASSERT_EQUAL(2, endpoint.Requests());
+    CPPUNIT_ASSERT(result.end == call_end::kTruncated);
+    CPPUNIT_ASSERT(result.may_have_been_sent);
+  }
+
+  // The second caller gets its own answer, not the one of the first.
+  // The endpoint answers the first call twice. The second copy lies unread
+  // on the kept connection when the next call starts; sent there, that call
+  // would take the copy for its answer.
+  void NeverGivesALateAnswerToTheNextCall() {
+    fake_endpoint endpoint(context_, [&](raw_peer& peer, int number) {
+      const std::string body = "answer" + std::to_string(number);
+      const std::string answer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + body;
+      peer.Send(answer);
+      if (number == 1) {
+        asio::post(context_, [&peer, answer] { peer.Send(answer); });
+      }
+    });
+    Run(context_, client_, Get(endpoint.Url()));
+    Settle(context_);
+    const http_result second = Run(context_, client_, Get(endpoint.Url()));
+    CPPUNIT_ASSERT_EQUAL(std::string("answer2"), second.body);
+  }
+
+  void RefusedConnectionProvesThatNothingWasSent() {
+    asio::ip::tcp::acceptor unused(context_,
+                                   {asio::ip::address_v4::loopback(), 0});
+    const auto port = unused.local_endpoint().port();
+    unused.close();
+    const http_result result =
+        Run(context_, client_, Get("http://127.0.0.1:" + std::to_string(port)));
+    CPPUNIT_ASSERT(result.end == call_end::kConnectFailed);
+    CPPUNIT_ASSERT(!result.may_have_been_sent);
+  }
+
+  // The caller may go elsewhere at once, even with a letter.
+  // The endpoint's host is too busy to accept: its backlog is full, so the
+  // handshake is not answered and the connect timeout ends the call.
+  void UnansweredConnectProvesThatNothingWasSent() {
+    asio::ip::tcp::acceptor acceptor(context_);
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    acceptor.listen(0);
+    std::vector<asio::ip::tcp::socket> filling;
+    filling.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+      filling.emplace_back(context_).async_connect(acceptor.local_endpoint(),
+                                                   [](std::error_code) {});
+    }
+    http_call call = Get(
+        "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) +
+        "/");
+    call.connect_timeout = milliseconds(100);
+    const http_result result = Run(context_, client_, call);
+    CPPUNIT_ASSERT(result.end == call_end::kConnectFailed);
+    CPPUNIT_ASSERT(!result.may_have_been_sent);
+  }
+
+  void SilentEndpointProvesNothing() {
+    fake_endpoint endpoint(context_, [](raw_peer&, int) {});
+    http_call call = Get(endpoint.Url());
+    call.timeout = milliseconds(50);
+    const http_result result = Run(context_, client_, call);
+    CPPUNIT_ASSERT(result.end == call_end::kTimedOut);
+    CPPUNIT_ASSERT(result.may_have_been_sent);
+  }
+
+  // The caller sees a timeout; without care it would wait for good, since
+  // libcurl reads a limit of zero as no limit.
+  void SpentDeadlineStillEndsTheCall() {
+    fake_endpoint endpoint(context_, [](raw_peer&, int) {});
+    http_call call = Get(endpoint.Url());
+    call.timeout = milliseconds(0);
+    const http_result result = Run(context_, client_, call);
+    CPPUNIT_ASSERT(result.end == call_end::kTimedOut ||
+                   result.end == call_end::kConnectFailed);
+  }
+
+  void BoundsTheAnswer() {
+    const std::string fields(70'000, 'x');
+    for (const std::string& answer :
+         {std::string(kWhole),
+          "HTTP/1.1 200 OK\r\nX-A: " + fields + "\r\n\r\n"}) {
+      fake_endpoint endpoint(context_,
+                             [&](raw_peer& peer, int) { peer.Send(answer); });
+      http_call call = Get(endpoint.Url());
+      call.max_answer_bytes = 4;
+      CPPUNIT_ASSERT(Run(context_, client_, call).end == call_end::kTooLarge);
+    }
+  }
+
+  void CancelClosesTheConnection() {
+    fake_endpoint endpoint(context_, [](raw_peer&, int) {});
+    const auto number = client_.Start(Get(endpoint.Url()), MustNotRun());
+    RunUntil(context_, [&] { return endpoint.Requests() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client_.InFlight());
+    client_.Cancel(number);
+    client_.Cancel(number);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client_.InFlight());
+    RunUntil(context_, [&] { return endpoint.Peers().front()->Ended(); });
+  }
+
+  void CancelsFromInsideData() {
+    fake_endpoint endpoint(context_,
+                           [](raw_peer& peer, int) { peer.Send(kWhole); });
+    fake_endpoint silent(context_, [](raw_peer&, int) {});
+    const auto other = client_.Start(Get(silent.Url()), MustNotRun());
+    RunUntil(context_, [&] { return silent.Requests() == 1; });
+    http_call call = Get(endpoint.Url());
+    http_client::call_number number = 0;
+    bool cancelled = false;
+    call.on_data = [&](std::string_view) {
+      client_.Cancel(number);
+      client_.Cancel(other);
+      cancelled = true;
+    };
+    number = client_.Start(call, MustNotRun());
+    RunUntil(context_, [&] { return cancelled; });
+    RunUntil(context_, [&] {
+      return endpoint.Peers().back()->Ended() && silent.Peers().back()->Ended();
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client_.InFlight());
+  }
+
+  void StartsFromCompletionsAndData() {
+    fake_endpoint endpoint(context_,
+                           [](raw_peer& peer, int) { peer.Send(kWhole); });
+    int ended = 0;
+    http_call first = Get(endpoint.Url());
+    first.on_data = [&](std::string_view) {
+      client_.Start(Get(endpoint.Url()), [&](http_result) { ++ended; });
+    };
+    client_.Start(first, [&](http_result) {
+      ++ended;
+      client_.Start(Get(endpoint.Url()), [&](http_result) { ++ended; });
+    });
+    RunUntil(context_, [&] { return ended == 3; });
+  }
+
+  void GoesAwayWithCallsInFlight() {
+    fake_endpoint endpoint(context_,
+                           [](raw_peer& peer, int) { peer.Send(kWhole); });
+    auto client = std::make_unique<http_client>(context_);
+    for (const bool from_data : {false, true}) {
+      if (!client) {
+        client = std::make_unique<http_client>(context_);
+      }
+      http_call call = Get(endpoint.Url());
+      if (from_data) {
+        call.on_data = [&](std::string_view) { client.reset(); };
+        client->Start(call, MustNotRun());
+      } else {
+        client->Start(call, [&](http_result) { client.reset(); });
+      }
+      client->Start(Get(endpoint.Url()), [](http_result) {});
+      RunUntil(context_, [&] { return client == nullptr; });
+    }
+    client = std::make_unique<http_client>(context_);
+    client->Start(Get(endpoint.Url()), MustNotRun());
+    client.reset();
+    Settle(context_);
+    for (const auto& peer : endpoint.Peers()) {
+      CPPUNIT_ASSERT(peer->Ended());
+    }
+  }
+
+  void ThrowsOnWhatAHookThrew() {
+    fake_endpoint endpoint(context_,
+                           [](raw_peer& peer, int) { peer.Send(kWhole); });
+    http_call call = Get(endpoint.Url());
+    call.on_data = [](std::string_view) { throw std::logic_error("hook"); };
+    client_.Start(call, MustNotRun());
+    CPPUNIT_ASSERT_THROW(RunUntil(context_, [] { return false; }),
+                         std::logic_error);
+    CPPUNIT_ASSERT(Run(context_, client_, Get(endpoint.Url())).end ==
+                   call_end::kComplete);
+  }
+
+  void SendsNoHeaderOfTheCallersMaking() {
+    fake_endpoint endpoint(context_,
+                           [](raw_peer& peer, int) { peer.Send(kWhole); });
+    http_call call = Get(endpoint.Url());
+    call.headers = {{"X-A", "b\r\nX-Priority: interactive"}};
+    const http_result result = Run(context_, client_, call);
+    CPPUNIT_ASSERT(result.end == call_end::kConnectFailed);
+    CPPUNIT_ASSERT(!result.may_have_been_sent);
+    CPPUNIT_ASSERT_EQUAL(0, endpoint.Requests());
+  }
+
+ private:
+  static http_client::completion MustNotRun() {
+    return [](http_result) { CPPUNIT_FAIL("a completion that must not run"); };
+  }
+
+  asio::io_context context_;
+  http_client client_{context_};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
+
+}  // namespace
+}  // namespace slatestall
--- a/src/slatestall/http/http_server.cc
+++ b/src/slatestall/http/http_server.cc
@@ -157,11 +157,13 @@
   void Flush();
   void OnWritten(std::size_t bytes);
   void End();
+  void TellClosed();
 
   asio::io_context& context_;
   std::size_t max_pending_bytes_;
   std::function<bool()> draining_;
   std::shared_ptr<server_connection> connection_;
+  std::size_t request_number_;
   restinio::request_handle_t request_;
   std::optional<chunked_answer> stream_;
   std::function<void()> closed_hook_;
@@ -169,6 +171,7 @@
   std::size_t in_flight_bytes_ = 0;
   phase phase_ = phase::kFresh;
   bool connection_closed_ = false;
+  bool told_closed_ = false;
 };
 
 responder::responder(asio::io_context& context, std::size_t max_pending_bytes,
@@ -179,9 +182,8 @@
       max_pending_bytes_(max_pending_bytes),
       draining_(std::move(draining)),
       connection_(std::move(connection)),
-      request_(std::move(request)) {
-  connection_->Add(*this);
-}
+      request_number_(connection_->Add(*this)),
+      request_(std::move(request)) {}
 
 responder::~responder() {
   if (phase_ == phase::kFresh) {
@@ -204,9 +206,7 @@
       builder.append_header(header.name, header.value);
     }
   }
-  // With another request behind this one, closing would cut that one: its own
-  // answer says that the connection ends.
-  if (draining_() && connection_->InHand() <= 1) {
+  if (draining_() && connection_->EndAfter(request_number_)) {
     builder.connection_close();
   }
 }
@@ -305,8 +305,11 @@
 }
 
 void responder::OnWritten(std::size_t bytes) {
+  if (connection_closed_) {
+    return;
+  }
   in_flight_bytes_ -= bytes;
-  if (phase_ == phase::kStreaming && !connection_closed_ && !waiting_.empty()) {
+  if (phase_ == phase::kStreaming && !waiting_.empty()) {
     Flush();
   }
 }
@@ -319,11 +322,9 @@
   if (connection_closed_) {
     return;
   }
-  if (!waiting_.empty()) {
-    in_flight_bytes_ += waiting_.size();
-    stream_->append_chunk(std::exchange(waiting_, {}));
-  }
-  stream_->done(Written(0));
+  const std::size_t bytes = waiting_.size();
+  stream_->append_chunk(std::exchange(waiting_, {}));
+  stream_->done(Written(bytes));
 }
 
 void responder::Abort() {
@@ -335,22 +336,24 @@
 }
 
 void responder::OnClosed(std::function<void()> hook) {
-  if (phase_ == phase::kDone) {
-    return;
-  }
-  if (connection_closed_) {
-    asio::post(context_, std::move(hook));
+  if (phase_ == phase::kDone || told_closed_) {
     return;
   }
   closed_hook_ = std::move(hook);
+  TellClosed();
 }
 
 void responder::OnConnectionClosed() {
   connection_closed_ = true;
   in_flight_bytes_ = 0;
   waiting_.clear();
-  if (closed_hook_) {
-    // Posted: RESTinio is on the stack.
+  TellClosed();
+}
+
+void responder::TellClosed() {
+  if (connection_closed_ && closed_hook_) {
+    told_closed_ = true;
+    // Posted: RESTinio or the handler may be on the stack.
     asio::post(context_, std::exchange(closed_hook_, nullptr));
   }
 }
@@ -486,6 +489,10 @@
   }
   server_connection* connection = found->second;
   connection->OnRequest();
+  if (connection->EndAnnounced()) {
+    // Its answer could not be sent any more, so it is not run either.
+    return;
+  }
   const auto& header = request->header();
   http_request taken;
   taken.method = header.method().c_str();
@@ -502,6 +509,9 @@
         return !self || self->draining_;
       },
       connection->shared_from_this(), request);
+  if (!header.should_keep_alive()) {
+    connection->EndAfterLast();
+  }
   try {
     handler_(taken, answer);
   } catch (const std::exception&) {
--- a/src/slatestall/http/server_connection.cc
+++ b/src/slatestall/http/server_connection.cc
@@ -80,8 +80,17 @@
   last_activity_ = Now();
 }
 
-void server_connection::Add(request_in_hand& request) {
+std::size_t server_connection::Add(request_in_hand& request) {
   in_hand_.push_back(&request);
+  return ++requests_;
+}
+
+bool server_connection::EndAfter(std::size_t request_number) {
+  if (request_number != requests_) {
+    return false;
+  }
+  end_announced_ = true;
+  return true;
 }
 
 void server_connection::Remove(request_in_hand& request) {
--- a/src/slatestall/http/server_connection.h
+++ b/src/slatestall/http/server_connection.h
@@ -71,9 +71,17 @@
   /// @brief A whole request has been read.
   void OnRequest();
 
-  void Add(request_in_hand& request);
+  /// @returns the number of the request on this connection.
+  std::size_t Add(request_in_hand& request);
   void Remove(request_in_hand& request);
-  std::size_t InHand() const { return in_hand_.size(); }
+
+  /// @brief Makes this answer the last of the connection.
+  /// @returns false where another request follows: ending the connection here
+  /// would cut that one.
+  bool EndAfter(std::size_t request_number);
+  /// @brief Makes the answer to the latest request the last.
+  void EndAfterLast() { end_announced_ = true; }
+  bool EndAnnounced() const { return end_announced_; }
 
   void Refuse(read_refusal refusal) { refusal_ = refusal; }
   /// @brief Tells the caller to go on sending its body.
@@ -100,6 +108,8 @@
   std::optional<read_refusal> refusal_;
   std::optional<time_point> request_started_;
   time_point last_activity_;
+  std::size_t requests_ = 0;
+  bool end_announced_ = false;
   bool writing_ = false;
   bool parsing_fresh_input_ = false;
   bool closed_ = false;
--- a/src/slatestall/http/sse_parser.cc
+++ b/src/slatestall/http/sse_parser.cc
@@ -31,6 +31,7 @@
   }
   if (c == '\r' || c == '\n') {
     TakeLine();
+    line_.clear();
     return;
   }
   if (line_.size() + event_.data.size() + event_.type.size() >=
@@ -42,8 +43,7 @@
 }
 
 void sse_parser::TakeLine() {
-  const std::string taken = std::exchange(line_, {});
-  std::string_view line = taken;
+  std::string_view line = line_;
   if (std::exchange(first_line_, false) && line.starts_with(kByteOrderMark)) {
     line.remove_prefix(kByteOrderMark.size());
   }
