Carry callers' keys past the log's retention; tests of the claim machines

The log forgets records, and with them that a key was used; a caller who resends later would have run it again. The writer of a partition now writes its keys again at half the retention, without bodies, in records of up to some 400, as long as the table is less than half full; past that old keys expire with the log and are counted (keys_not_carried). An ended entry drops its request id.

--- a/include/slatestall/node/outcome_service.h
+++ b/include/slatestall/node/outcome_service.h
@@ -33,6 +33,11 @@
   std::size_t max_open_requests = 10'000;  ///< Keyed requests in hand.
   milliseconds key_lifetime{std::chrono::hours{12}};  ///< Of minted keys.
   milliseconds peer_timeout{1000};                    ///< Of one peer call.
+  /// How long the platform's log keeps records; 0: not known. Callers' keys
+  /// are written again before that, so that they are not forgotten with it.
+  std::chrono::seconds log_retention{0};
+  /// Seconds since 1970; null: the system's clock.
+  std::function<std::int64_t()> wall_clock;
   std::uint64_t key_secret = 0;  ///< Proves minted keys; 0: random.
   bool run_timer = true;         ///< False: the owner calls `Tick`.
 };
@@ -73,6 +78,8 @@
   std::uint64_t log_appends_unknown = 0;  ///< Answers lost.
   std::uint64_t claims_appended = 0;
   std::uint64_t peer_claims = 0;  ///< Claims asked of other hosts.
+  /// Callers' keys left to expire with the log, since the table was half full.
+  std::uint64_t keys_not_carried = 0;
   std::size_t home_keys = 0;
   std::size_t indexed_keys = 0;
   std::size_t outcome_bytes = 0;
--- a/include/slatestall/policy/claim_table.h
+++ b/include/slatestall/policy/claim_table.h
@@ -60,10 +60,13 @@
     std::uint64_t position = 0;
   };
   std::vector<row> Rows() const;
+  /// @brief Up to `max` lines that are only known from positions under
+  /// `below`.
+  std::vector<row> RowsBelow(std::uint64_t below, std::size_t max) const;
 
  private:
   struct entry {
-    std::string request;
+    std::string request;  ///< Empty once ended.
     std::weak_ptr<const claim_outcome> outcome;
     const host_id* holder = nullptr;
     std::uint64_t body_hash = 0;
@@ -73,6 +76,7 @@
     bool outcome_recorded = false;
   };
 
+  static row RowOf(const std::string& text, const entry& found);
   claim_answer Describe(const entry& found, const claim_attempt& attempt) const;
   void Release(const claim_ending& ending, std::uint64_t position);
   void KeepOutcome(entry& ended, const claim_outcome_ptr& outcome);
--- a/include/slatestall/policy/claim_types.h
+++ b/include/slatestall/policy/claim_types.h
@@ -60,9 +60,8 @@
   claim_result result = claim_result::kRefused;
   host_id holder;                  ///< `kHeld`.
   claim_outcome_ptr outcome;       ///< `kEnded`; null where not at hand.
-  bool outcome_in_log = false;     ///< `kEnded`: can be read at `position`.
+  bool outcome_in_log = false;     ///< `kEnded`: readable at `end_position`.
   std::uint64_t end_position = 0;  ///< `kEnded`.
-  std::string end_request;         ///< `kEnded`: the request that ended.
   error_kind refusal = error_kind::kClaimUnavailable;  ///< `kRefused`.
   std::string detail;
   /// The attempt may be recorded although the answer does not say so; its
--- a/include/slatestall/policy/claim_writer.h
+++ b/include/slatestall/policy/claim_writer.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "slatestall/model/time.h"
@@ -23,11 +26,15 @@
   std::size_t max_batch_bytes = std::size_t{64} << 10U;
   std::size_t max_pending =
       10'000;  ///< Claims, and endings, not yet read back.
+  /// How long the log keeps records; keys are written again at half of it.
+  /// 0: not known, they are not.
+  std::chrono::seconds retention{0};
   claim_table_limits table;
 };
 
 /// @brief One record of a claim stream. The endings count before the claims.
 struct claim_batch {
+  std::int64_t written_at = 0;  ///< Wall clock of the writer, s; 0: not told.
   std::vector<claim_ending> ends;
   std::vector<claim_attempt> claims;
 
@@ -44,6 +51,7 @@
 enum class claim_append { kAppended, kRefused, kUnknown };
 
 struct settled_claim {
+  claim_key key;
   std::string request;
   claim_answer answer;
 };
@@ -64,6 +72,13 @@
   /// @brief Queues an ending. False where there is no room.
   bool SubmitEnd(const claim_ending& ending, time_point now);
 
+  /// @brief Writes keys again before the log forgets them, so that none runs a
+  /// second time after the retention. Only as long as the table is less than
+  /// half full: past that, old keys make room for new ones. Call now and then
+  /// where this host is the partition's writer.
+  /// @param wall_time Seconds, as in `claim_batch::written_at`.
+  void Carry(std::int64_t wall_time);
+
   /// @brief The record to append now, if one is due. `Appended` must follow.
   std::optional<claim_batch> NextAppend(time_point now);
   /// @param position Offset of the record, for `kAppended`.
@@ -75,8 +90,10 @@
   void ReadBegins();
   /// @brief Takes a successful read: the records in order, the oldest kept
   /// offset and the next one.
+  /// @param wall_time Seconds, as in `claim_batch::written_at`.
   void Read(std::uint64_t first, std::uint64_t next,
-            const std::vector<claim_log_record>& records);
+            const std::vector<claim_log_record>& records,
+            std::int64_t wall_time = 0);
   /// @brief Whether an append waits for a read to learn what became of it.
   bool NeedsRead() const { return settle_ != settle::kNone; }
 
@@ -90,6 +107,8 @@
     return table_.Find(attempt);
   }
   bool IsIdle() const;
+  /// @brief Keys that had to be left to expire with the log.
+  std::uint64_t NotCarried() const { return not_carried_; }
   const claim_table& Table() const { return table_; }
 
  private:
@@ -117,8 +136,10 @@
   bool EndsAreDue(time_point now) const;
   void AddEnds(claim_batch& batch, std::size_t max_bytes);
   void AddClaims(claim_batch& batch, std::size_t max_bytes);
+  void AddCarried(claim_batch& batch, std::size_t max_bytes);
+  void NoteAge(const claim_log_record& record, std::int64_t wall_time);
   void Settle();
-  void Apply(const claim_log_record& record);
+  void Apply(const claim_log_record& record, std::int64_t wall_time);
   void ForgetBelow(std::uint64_t first, std::uint64_t next);
   void CollectStored();
   void DropBodies();
@@ -130,6 +151,11 @@
   std::map<std::string, pending_claim> claims_;  ///< By request.
   std::map<std::string, pending_end> ends_;      ///< By request.
   std::vector<std::string> stored_;
+  /// When records were written, at intervals; positions and times rise.
+  std::deque<std::pair<std::uint64_t, std::int64_t>> ages_;
+  std::uint64_t carry_below_ = 0;
+  std::vector<claim_table::row> carried_;  ///< To be written again now.
+  std::uint64_t not_carried_ = 0;
   std::uint64_t read_from_ = 0;
   std::uint64_t forgotten_ = 0;
   time_point next_append_{};
--- a/include/slatestall/policy/key_home.h
+++ b/include/slatestall/policy/key_home.h
@@ -43,7 +43,8 @@
   claim_answer Find(const claim_attempt& attempt, time_point now);
   void End(const claim_ending& ending);
 
-  /// @brief Forgets the keys whose lifetime is over.
+  /// @brief Forgets the keys whose lifetime is over. Call every minute: keys
+  /// minted between two calls live as long as the youngest of them.
   void Expire(time_point now);
 
   key_home_state State() const;
--- a/src/slatestall/node/claim_log.cc
+++ b/src/slatestall/node/claim_log.cc
@@ -27,14 +27,13 @@
   return claim_append::kUnknown;
 }
 
-claim_outcome_ptr OutcomeIn(const log_record& record,
-                            const std::string& request) {
+claim_outcome_ptr OutcomeIn(const log_record& record, const claim_key& key) {
   const auto batch = DecodeClaims(record.payload);
   if (!batch) {
     return nullptr;
   }
   for (const auto& ending : batch->ends) {
-    if (ending.request == request && !ending.released) {
+    if (ending.key == key && !ending.released && ending.outcome != nullptr) {
       return ending.outcome;
     }
   }
@@ -51,11 +50,13 @@
 }  // namespace
 
 claim_log::claim_log(log_service log, std::uint32_t partitions,
-                     claim_writer_options options, now_function now)
+                     claim_writer_options options, now_function now,
+                     wall_clock_function wall_clock)
     : log_(std::move(log)),
       partition_count_(std::max(partitions, 1U)),
       options_(options),
-      now_(std::move(now)) {}
+      now_(std::move(now)),
+      wall_clock_(std::move(wall_clock)) {}
 
 claim_log::partition& claim_log::Use(std::uint32_t number) {
   partition_ptr& at = partitions_[number];
@@ -66,7 +67,9 @@
   return *at;
 }
 
-void claim_log::Warm(std::uint32_t partition) { Use(partition); }
+void claim_log::Tend(std::uint32_t number) {
+  Use(number).writer.Carry(wall_clock_());
+}
 
 void claim_log::Claim(const claim_attempt& attempt, milliseconds wait,
                       answer_function done) {
@@ -150,10 +153,11 @@
 }
 
 void claim_log::PumpAppend(const partition_ptr& at) {
-  const auto batch = at->writer.NextAppend(now_());
+  auto batch = at->writer.NextAppend(now_());
   if (!batch) {
     return;
   }
+  batch->written_at = wall_clock_();
   ++counters_.appends;
   counters_.claims_appended += batch->claims.size();
   log_.append(at->stream, EncodeClaims(*batch),
@@ -207,7 +211,7 @@
     records.push_back(
         {record.offset, batch ? std::move(*batch) : claim_batch{}});
   }
-  at->writer.Read(result.first, result.next, records);
+  at->writer.Read(result.first, result.next, records, wall_clock_());
   const bool at_end = at->writer.ReadFrom() >= result.next;
   if (at_end) {
     at->full_reads = at->reads_begun;
@@ -224,7 +228,7 @@
     }
     std::vector<answer_function> askers = std::move(found->second);
     at->askers.erase(found);
-    Give(at, std::move(settled.answer), std::move(askers));
+    Give(at, settled.key, std::move(settled.answer), std::move(askers));
   }
   for (const auto& request : at->writer.TakeStored()) {
     const auto found = at->enders.find(request);
@@ -251,7 +255,7 @@
       if (is_free) {
         answer.refusal = error_kind::kNotFound;
       }
-      Give(at, std::move(answer), {std::move(asked.done)});
+      Give(at, asked.attempt.key, std::move(answer), {std::move(asked.done)});
     } else if (asked.answer_by <= now_()) {
       asked.done(RefusedClaim(error_kind::kClaimUnavailable,
                               "the log cannot be read now"));
@@ -261,8 +265,8 @@
   }
 }
 
-void claim_log::Give(const partition_ptr& at, claim_answer answer,
-                     std::vector<answer_function> askers) {
+void claim_log::Give(const partition_ptr& at, const claim_key& key,
+                     claim_answer answer, std::vector<answer_function> askers) {
   const bool needs_log = answer.result == claim_result::kEnded &&
                          answer.outcome == nullptr && answer.outcome_in_log;
   if (!needs_log) {
@@ -271,21 +275,30 @@
     }
     return;
   }
-  log_.read(at->stream, answer.end_position, milliseconds{0},
-            [answer, askers = std::move(askers)](const read_result& result) {
-              claim_answer told = answer;
-              if (!result.ok) {
-                told = NotReadableNow();
-              }
-              for (const auto& record : result.records) {
-                if (result.ok && record.offset == answer.end_position) {
-                  told.outcome = OutcomeIn(record, answer.end_request);
-                }
-              }
-              for (const auto& done : askers) {
-                done(told);
-              }
-            });
+  log_.read(
+      at->stream, answer.end_position, milliseconds{0},
+      [key, answer, askers = std::move(askers)](const read_result& result) {
+        claim_answer told = answer;
+        if (!result.ok) {
+          told = NotReadableNow();
+        }
+        for (const auto& record : result.records) {
+          if (result.ok && record.offset == answer.end_position) {
+            told.outcome = OutcomeIn(record, key);
+          }
+        }
+        for (const auto& done : askers) {
+          done(told);
+        }
+      });
+}
+
+claim_log_counters claim_log::Counters() const {
+  claim_log_counters counters = counters_;
+  for (const auto& [number, at] : partitions_) {
+    counters.keys_not_carried += at->writer.NotCarried();
+  }
+  return counters;
 }
 
 std::size_t claim_log::IndexedKeys() const {
--- a/src/slatestall/node/claim_log.h
+++ b/src/slatestall/node/claim_log.h
@@ -18,6 +18,7 @@
   std::uint64_t appends_unknown = 0;
   std::uint64_t claims_appended = 0;
   std::uint64_t records_not_understood = 0;
+  std::uint64_t keys_not_carried = 0;
 };
 
 /// @brief Drives one `claim_writer` for each partition that this host is asked
@@ -28,8 +29,11 @@
  public:
   using answer_function = std::function<void(const claim_answer&)>;
 
+  using wall_clock_function = std::function<std::int64_t()>;
+
   claim_log(log_service log, std::uint32_t partitions,
-            claim_writer_options options, now_function now);
+            claim_writer_options options, now_function now,
+            wall_clock_function wall_clock);
 
   /// @brief Claims a key; `done` runs once, after `wait` at the latest unless
   /// the log has to be asked for an outcome.
@@ -41,11 +45,12 @@
   /// @brief Writes an ending behind; `stored` runs once it is in the log, and
   /// never where it cannot be told: ask again.
   void End(const claim_ending& ending, std::function<void()> stored);
-  /// @brief Reads a partition ahead of its first claim.
-  void Warm(std::uint32_t partition);
+  /// @brief Looks after a partition whose writer this host is: reads it ahead
+  /// of its first claim and keeps its keys from expiring. Call every second.
+  void Tend(std::uint32_t partition);
   void Tick();
 
-  claim_log_counters Counters() const { return counters_; }
+  claim_log_counters Counters() const;
   std::size_t IndexedKeys() const;
   std::size_t OutcomeBytes() const;
 
@@ -82,13 +87,14 @@
   void TakeRead(const partition_ptr& at, const read_result& result);
   void Reply(const partition_ptr& at);
   void ReplyToLookups(const partition_ptr& at);
-  void Give(const partition_ptr& at, claim_answer answer,
+  void Give(const partition_ptr& at, const claim_key& key, claim_answer answer,
             std::vector<answer_function> askers);
 
   log_service log_;
   std::uint32_t partition_count_;
   claim_writer_options options_;
   now_function now_;
+  wall_clock_function wall_clock_;
   std::map<std::uint32_t, partition_ptr> partitions_;
   claim_log_counters counters_;
 };
--- a/src/slatestall/node/claim_record_codec.cc
+++ b/src/slatestall/node/claim_record_codec.cc
@@ -11,6 +11,7 @@
 using json = nlohmann::json;
 
 // Short names: a claim is some 200 bytes, and the log keeps millions.
+constexpr const char* kWrittenAt = "a";
 constexpr const char* kClaims = "c";
 constexpr const char* kEnds = "e";
 constexpr const char* kWorkspace = "w";
@@ -139,13 +140,17 @@
   for (const auto& attempt : batch.claims) {
     claims.push_back(ToJson(attempt));
   }
-  return json{{kEnds, std::move(ends)}, {kClaims, std::move(claims)}}.dump();
+  return json{{kWrittenAt, batch.written_at},
+              {kEnds, std::move(ends)},
+              {kClaims, std::move(claims)}}
+      .dump();
 }
 
 std::optional<claim_batch> DecodeClaims(std::string_view payload) {
   try {
     const json record = json::parse(payload);
     claim_batch batch;
+    batch.written_at = record.value(kWrittenAt, std::int64_t{0});
     for (const auto& line : record.at(kEnds)) {
       batch.ends.push_back(EndingFrom(line));
     }
--- a/src/slatestall/node/outcome_control.cc
+++ b/src/slatestall/node/outcome_control.cc
@@ -11,9 +11,9 @@
 namespace slatestall {
 namespace {
 
-constexpr milliseconds kWarmEvery{1000};
+constexpr milliseconds kTendEvery{1000};
 constexpr milliseconds kExpireEvery{60'000};
-constexpr milliseconds kWaitForEnds{5000};  // Of a drain, for stored endings.
+constexpr milliseconds kWaitForEnds{2000};  // Of a drain, for stored endings.
 constexpr milliseconds kHandoverAgain{500};
 constexpr milliseconds kHandoverTime{20'000};  // Then the keys are given up.
 constexpr std::size_t kMaxLookups = 1000;
@@ -23,11 +23,23 @@
   writer.flush_interval = options.flush_interval;
   writer.max_batch_bytes = options.max_batch_bytes;
   writer.max_pending = options.max_open_requests;
+  writer.retention = options.log_retention;
   writer.table.max_keys = options.max_indexed_keys;
   writer.table.max_outcome_bytes = options.max_outcome_memory;
   return writer;
 }
 
+claim_log::wall_clock_function WallClock(const outcome_options& options) {
+  if (options.wall_clock) {
+    return options.wall_clock;
+  }
+  return [] {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::int64_t{
+        std::chrono::duration_cast<std::chrono::seconds>(now).count()};
+  };
+}
+
 claim_tracker_options TrackerOptions(const outcome_options& options) {
   claim_tracker_options tracker;
   tracker.max_open = options.max_open_requests;
@@ -66,7 +78,8 @@
       keys_(std::move(keys)),
       gate_(std::move(gate)),
       log_(std::make_shared<claim_log>(std::move(log), options.claim_partitions,
-                                       WriterOptions(options), now_)),
+                                       WriterOptions(options), now_,
+                                       WallClock(options))),
       router_(std::make_shared<outcome_router>(self, options, log_, keys_,
                                                peers, now_)),
       tracker_(TrackerOptions(options)) {}
@@ -100,9 +113,9 @@
 
 void outcome_control::Tick() {
   const time_point now = now_();
-  if (next_warm_ <= now) {
-    next_warm_ = now + kWarmEvery;
-    router_->Warm();
+  if (next_tend_ <= now) {
+    next_tend_ = now + kTendEvery;
+    router_->Tend();
   }
   if (next_expire_ <= now) {
     next_expire_ = now + kExpireEvery;
@@ -348,6 +361,7 @@
   counters.log_appends = log.appends;
   counters.log_appends_unknown = log.appends_unknown;
   counters.claims_appended = log.claims_appended;
+  counters.keys_not_carried = log.keys_not_carried;
   counters.peer_claims = router_->PeerClaims();
   counters.home_keys = keys_->Keys();
   counters.indexed_keys = log_->IndexedKeys();
--- a/src/slatestall/node/outcome_control.h
+++ b/src/slatestall/node/outcome_control.h
@@ -78,7 +78,7 @@
   std::map<std::string, decision_function> deciders_;  ///< By request.
   std::vector<open_lookup_ptr> lookups_;
   outcome_counters counters_;
-  time_point next_warm_{};
+  time_point next_tend_{};
   time_point next_expire_{};
   drained_function drained_;
   time_point drain_since_{};
--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -138,11 +138,11 @@
                   UsableHosts());
 }
 
-void outcome_router::Warm() {
+void outcome_router::Tend() {
   const std::vector<std::string> hosts = UsableHosts();
   for (std::uint32_t at = 0; at < options_.claim_partitions; ++at) {
     if (WriterOf(at, hosts) == self_.name) {
-      log_->Warm(at);
+      log_->Tend(at);
     }
   }
 }
--- a/src/slatestall/node/outcome_router.h
+++ b/src/slatestall/node/outcome_router.h
@@ -47,8 +47,9 @@
   }
   /// @brief Whether this incarnation is known to be gone.
   bool IsGone(const host_id& host) const;
-  /// @brief Reads the partitions that this host writes ahead of claims.
-  void Warm();
+  /// @brief Looks after the partitions that this host writes. Call every
+  /// second.
+  void Tend();
 
   std::uint64_t PeerClaims() const { return peer_claims_; }
 
--- a/src/slatestall/node/outcome_test_world.h
+++ b/src/slatestall/node/outcome_test_world.h
@@ -34,6 +34,11 @@
       : options_(options), random_(seed) {
     options_.run_timer = false;
     options_.key_secret = seed | 1U;
+    options_.wall_clock = [this] {
+      return std::chrono::duration_cast<std::chrono::seconds>(
+                 time_.Now().time_since_epoch())
+          .count();
+    };
     for (int number = 0; number < hosts; ++number) {
       hosts_["e" + std::to_string(number)] = std::make_unique<host>();
     }
@@ -324,10 +329,10 @@
       const bool reachable = hosts_.contains(to) && IsAlive(to) &&
                              !cut_off_.contains(to) && !cut_off_.contains(name);
       if (!reachable) {
-        back(Between(1, 5), {peer_call_end::kNotSent, {}});
+        back(Between(1, 5), ReplyOf(peer_call_end::kNotSent, {}));
         return;
       }
-      back(timeout, {peer_call_end::kUnknown, {}});
+      back(timeout, ReplyOf(peer_call_end::kUnknown, {}));
       if (!Chance(faults_.lost_peer_message)) {
         time_.After(Between(1, 10), [this, name, to, request, back] {
           DeliverCall(name, to, request, back);
@@ -359,6 +364,13 @@
     return peers;
   }
 
+  static peer_reply ReplyOf(peer_call_end end, wire::messageUnion body) {
+    peer_reply reply;
+    reply.end = end;
+    reply.body = std::move(body);
+    return reply;
+  }
+
   void DeliverCall(const std::string& from, const std::string& to,
                    const wire::messageUnion& request,
                    const std::function<void(milliseconds, peer_reply)>& back) {
@@ -368,7 +380,8 @@
                         request.type == wire::message::key_handover;
       handler(request, from, [this, back, mute](wire::messageUnion answer) {
         if (!mute && !Chance(faults_.lost_peer_message)) {
-          back(Between(1, 10), {peer_call_end::kReplied, std::move(answer)});
+          back(Between(1, 10),
+               ReplyOf(peer_call_end::kReplied, std::move(answer)));
         }
       });
     });
--- a/src/slatestall/policy/claim_table.cc
+++ b/src/slatestall/policy/claim_table.cc
@@ -31,7 +31,11 @@
   const std::string text = KeyText(attempt.key);
   const auto found = entries_.find(text);
   if (found != entries_.end()) {
-    return Describe(found->second, attempt);
+    entry& known = found->second;
+    if (known.request == attempt.request) {
+      known.position = std::max(known.position, position);
+    }
+    return Describe(known, attempt);
   }
   // An append or a peer call that was believed lost can arrive after its
   // release. Counted then, it would hold the key for a request that has long
@@ -78,7 +82,6 @@
     answer.outcome = found.outcome.lock();
     answer.outcome_in_log = found.outcome_recorded;
     answer.end_position = found.end_position;
-    answer.end_request = found.request;
     return answer;
   }
   answer.holder = *found.holder;
@@ -103,13 +106,11 @@
   ended.ended = true;
   ended.end_position = position;
   ended.outcome_recorded = ending.outcome != nullptr;
-  if (ended.request != ending.request) {
-    ended.request = ending.request;
-    ended.body_hash = ending.body_hash;
-  }
-  if (ended.body_hash == 0) {
+  const bool is_holders = ended.request == ending.request;
+  if (ending.body_hash != 0 && !is_holders) {
     ended.body_hash = ending.body_hash;
   }
+  std::string().swap(ended.request);
   KeepOutcome(ended, ending.outcome);
 }
 
@@ -162,21 +163,40 @@
   return &*hosts_.insert(host).first;
 }
 
+claim_table::row claim_table::RowOf(const std::string& text,
+                                    const entry& found) {
+  row line;
+  line.attempt.key = KeyOf(text);
+  line.attempt.body_hash = found.body_hash;
+  line.attempt.request = found.request;
+  if (found.holder != nullptr) {
+    line.attempt.holder = *found.holder;
+  }
+  line.ended = found.ended;
+  line.outcome = found.outcome.lock();
+  line.position = found.position;
+  return line;
+}
+
 std::vector<claim_table::row> claim_table::Rows() const {
   std::vector<row> rows;
   rows.reserve(entries_.size());
   for (const auto& [text, found] : entries_) {
-    row line;
-    line.attempt.key = KeyOf(text);
-    line.attempt.body_hash = found.body_hash;
-    line.attempt.request = found.request;
-    if (found.holder != nullptr) {
-      line.attempt.holder = *found.holder;
+    rows.push_back(RowOf(text, found));
+  }
+  return rows;
+}
+
+std::vector<claim_table::row> claim_table::RowsBelow(std::uint64_t below,
+                                                     std::size_t max) const {
+  std::vector<row> rows;
+  for (const auto& [text, found] : entries_) {
+    if (rows.size() == max) {
+      break;
+    }
+    if (found.position < below) {
+      rows.push_back(RowOf(text, found));
     }
-    line.ended = found.ended;
-    line.outcome = found.outcome.lock();
-    line.position = found.position;
-    rows.push_back(std::move(line));
   }
   return rows;
 }
--- a/src/slatestall/policy/claim_writer.cc
+++ b/src/slatestall/policy/claim_writer.cc
@@ -9,6 +9,8 @@
 constexpr std::size_t kRecordOverheadBytes = 96;  // Field names and numbers.
 constexpr std::size_t kSparePart = 16;  // Of the table, for others' records.
 constexpr int kRefusalsBeforeBodiesGo = 10;
+constexpr std::size_t kCarriedAtOnce = 400;
+constexpr std::int64_t kAgesPerRetention = 128;
 constexpr std::uint64_t kForgetSteps = 64;  // Sweeps per retention time.
 
 std::size_t BytesOf(const claim_key& key) {
@@ -71,7 +73,7 @@
   if (appending_ || settle_ != settle::kNone || now < next_append_) {
     return std::nullopt;
   }
-  if (!HasClaimToSend() && !EndsAreDue(now)) {
+  if (!HasClaimToSend() && !EndsAreDue(now) && carried_.empty()) {
     return std::nullopt;
   }
   // Claims have callers waiting for them, so endings leave them half a record.
@@ -79,6 +81,7 @@
   claim_batch batch;
   AddEnds(batch, HasClaimToSend() ? bytes / 2 : bytes);
   AddClaims(batch, bytes / 2);
+  AddCarried(batch, bytes / 2);
   appending_ = true;
   next_append_ = now + options_.flush_interval;
   return batch;
@@ -144,6 +147,57 @@
   }
 }
 
+void claim_writer::AddCarried(claim_batch& batch, std::size_t max_bytes) {
+  std::size_t bytes = 0;
+  while (!carried_.empty() && bytes < max_bytes) {
+    const claim_attempt& attempt = carried_.back().attempt;
+    bytes += BytesOf(attempt);
+    if (carried_.back().ended) {
+      batch.ends.push_back(
+          {attempt.key, attempt.body_hash, "", false, nullptr});
+    } else {
+      batch.claims.push_back(attempt);
+    }
+    carried_.pop_back();
+  }
+}
+
+void claim_writer::Carry(std::int64_t wall_time) {
+  const std::int64_t half = options_.retention.count() / 2;
+  const bool may_carry =
+      half > 0 && carried_.empty() && !appending_ && settle_ == settle::kNone;
+  if (!may_carry) {
+    return;
+  }
+  while (!ages_.empty() && ages_.front().second <= wall_time - half) {
+    carry_below_ = ages_.front().first;
+    ages_.pop_front();
+  }
+  auto rows = table_.RowsBelow(carry_below_, kCarriedAtOnce);
+  if (table_.Size() > options_.table.max_keys / 2) {
+    not_carried_ += rows.size();
+    carry_below_ = 0;
+    return;
+  }
+  carried_ = std::move(rows);
+  if (carried_.empty()) {
+    carry_below_ = 0;
+  }
+}
+
+// A record between two noted ages waits for the second, at most a step longer.
+// A writer's clock that runs ahead must not make its records look new for ever.
+void claim_writer::NoteAge(const claim_log_record& record,
+                           std::int64_t wall_time) {
+  const std::int64_t step = options_.retention.count() / kAgesPerRetention;
+  const std::int64_t written_at = std::min(record.batch.written_at, wall_time);
+  const bool is_due =
+      ages_.empty() ? written_at > 0 : written_at > ages_.back().second + step;
+  if (options_.retention.count() > 0 && is_due) {
+    ages_.emplace_back(record.position + 1, written_at);
+  }
+}
+
 void claim_writer::Appended(claim_append end, std::uint64_t position,
                             time_point now) {
   appending_ = false;
@@ -178,7 +232,8 @@
 }
 
 void claim_writer::Read(std::uint64_t first, std::uint64_t next,
-                        const std::vector<claim_log_record>& records) {
+                        const std::vector<claim_log_record>& records,
+                        std::int64_t wall_time) {
   ForgetBelow(first, next);
   read_from_ = std::max(read_from_, first);
   full_ = false;
@@ -193,7 +248,7 @@
       full_ = true;
       break;
     }
-    Apply(record);
+    Apply(record, wall_time);
     read_from_ = record.position + 1;
   }
   CollectStored();
@@ -206,7 +261,9 @@
   }
 }
 
-void claim_writer::Apply(const claim_log_record& record) {
+void claim_writer::Apply(const claim_log_record& record,
+                         std::int64_t wall_time) {
+  NoteAge(record, wall_time);
   for (const auto& ending : record.batch.ends) {
     table_.End(ending, record.position);
   }
@@ -254,7 +311,8 @@
     if (!answer) {
       return false;
     }
-    answers.push_back({item.first, std::move(*answer)});
+    answers.push_back(
+        {item.second.attempt.key, item.first, std::move(*answer)});
     return true;
   });
   return answers;
@@ -291,7 +349,7 @@
 }
 
 bool claim_writer::IsIdle() const {
-  return claims_.empty() && ends_.empty() && !appending_ &&
+  return claims_.empty() && ends_.empty() && carried_.empty() && !appending_ &&
          settle_ == settle::kNone;
 }
 
