--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -10,6 +10,9 @@
 
 constexpr double kMeanWeight = 0.1;
 constexpr double kUnknownTokenShare = 0.5;  // Of the most a stage may make.
+// Admitted at the very edge, half of the calls would be given up later, after
+// their first stages have run, and could no longer be told "not run".
+constexpr double kWaitMargin = 1.5;
 constexpr double kShortestRetryAfter = 0.25;
 constexpr double kLongestRetryAfter = 30;
 
@@ -54,16 +57,19 @@
   const pipeline_config& pipeline = *request.pipeline;
   const pipeline_statistics& statistics = state_.Pipeline(pipeline.name);
   const deadline_budget budget(statistics, 0, request.deadline);
-  if (!budget.CanStart(now)) {
+  if (now > budget.LastChance()) {
     return Refuse(error_kind::kDeadlineUnreachable, kShortestRetryAfter,
                   "the stages usually take longer than the deadline");
   }
   double wait = 0;
   for (const stage_config& stage : pipeline.stages) {
-    const service_traffic* service = state_.Service(stage.service);
-    wait += service == nullptr ? 0 : service->ExpectedWait(pipeline.priority);
+    service_traffic* service = state_.Service(stage.service);
+    if (service != nullptr) {
+      const std::string& model = state_.ModelText(stage.model);
+      wait += service->Pool(model).ExpectedWait(pipeline.priority);
+    }
   }
-  const double late = wait - Seconds(budget.LatestStart() - now);
+  const double late = wait * kWaitMargin - Seconds(budget.LatestStart() - now);
   if (wait > 0 && late > 0) {
     // Spread, so that callers refused together do not come back together.
     const double spread = 0.5 + state_.random.Unit();
