--- a/src/slatestall/node/outcome_test_world.h
+++ b/src/slatestall/node/outcome_test_world.h
@@ -324,10 +324,10 @@
       const bool reachable = hosts_.contains(to) && IsAlive(to) &&
                              !cut_off_.contains(to) && !cut_off_.contains(name);
       if (!reachable) {
-        back(Between(1, 5), {peer_call_end::kNotSent, {}});
+        back(Between(1, 5), {peer_call_end::kNotSent, {}, {}});
         return;
       }
-      back(timeout, {peer_call_end::kUnknown, {}});
+      back(timeout, {peer_call_end::kUnknown, {}, {}});
       if (!Chance(faults_.lost_peer_message)) {
         time_.After(Between(1, 10), [this, name, to, request, back] {
           DeliverCall(name, to, request, back);
@@ -368,7 +368,8 @@
                         request.type == wire::message::key_handover;
       handler(request, from, [this, back, mute](wire::messageUnion answer) {
         if (!mute && !Chance(faults_.lost_peer_message)) {
-          back(Between(1, 10), {peer_call_end::kReplied, std::move(answer)});
+          back(Between(1, 10),
+               {peer_call_end::kReplied, std::move(answer), {}});
         }
       });
     });
