Join hosts: membership, gossip, shares and peers' heads

Cause: a host alone divided limits blindly, learned of leaving endpoints only by itself and asked nobody for the head while the log was down. Change: host_network drives the exchange between hosts; control_core joins all parts (it was control_loop, now only the thread); demand_meter counts refused requests as demand. After an outage the log is read without a long poll: a test of the follower found that it stayed 'unreachable' until the next record.

--- a/include/slatestall/node/control_loop.h
+++ b/include/slatestall/node/control_loop.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -11,6 +12,7 @@
 #include "slatestall/model/ids.h"
 #include "slatestall/model/time.h"
 #include "slatestall/policy/control_snapshot.h"
+#include "slatestall/policy/share_types.h"
 #include "slatestall/serve/outcome_guard.h"
 
 namespace slatestall {
@@ -24,6 +26,8 @@
   std::function<std::string(const std::string& request)> explain;
   /// Body of GET /v1/admin/report.
   std::function<std::string()> report;
+  /// What the workspaces would use of their limits here.
+  std::function<std::map<std::string, workspace_demand>()> demand;
 };
 
 /// @brief The control state of one host, on one thread: configuration, host
--- a/include/slatestall/policy/config_history.h
+++ b/include/slatestall/policy/config_history.h
@@ -65,6 +65,7 @@
   /// @brief Takes a head that a peer obeys.
   /// @param claim `read_to` 0 where the peer's own log reading is not
   /// anchored; the revision is then obeyed and nothing is folded from it.
+  /// @param source Not looked at for the revision already obeyed.
   void TakePeerHead(const head_claim& claim, const std::string& source);
 
   /// @brief What this host obeys; null until there is one.
--- a/src/slatestall/node/config_follower.cc
+++ b/src/slatestall/node/config_follower.cc
@@ -106,11 +106,13 @@
 
   void Read() {
     read_begun_ = now_();
-    // The first answer tells where the log ends; an empty stream would hold
-    // it back for the whole wait.
-    const bool starting = history_.Trust() == log_trust::kStarting;
+    // A long poll of a stream without news is answered late: a new host would
+    // not know where the log ends, and one that lost the log not that it is
+    // back.
+    const bool at_once =
+        !reachable_ || history_.Trust() == log_trust::kStarting;
     log_.read(options_.stream, history_.ReadFrom(),
-              starting ? milliseconds{0} : options_.read_wait,
+              at_once ? milliseconds{0} : options_.read_wait,
               Weak(&impl::OnRead, history_.Floor()));
   }
 
--- /dev/null
+++ b/src/slatestall/node/control_core.cc
@@ -0,0 +1,357 @@
+#include "slatestall/node/control_core.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "slatestall/config/pipeline_file.h"
+#include "slatestall/node/endpoint_subset.h"
+#include "slatestall/node/listen_address.h"
+#include "slatestall/node/longest_deadline.h"
+#include "slatestall/node/peer_heads.h"
+#include "slatestall/platform/host_list_client.h"
+#include "slatestall/platform/log_client.h"
+
+namespace slatestall {
+namespace {
+
+constexpr milliseconds kTick{250};
+constexpr milliseconds kHostListInterval{1000};
+constexpr milliseconds kDemandInterval{1000};
+/// Snapshots that carry only new load reports are at least this far apart.
+constexpr milliseconds kSnapshotGap{50};
+constexpr milliseconds kHeadTimeout{500};
+/// Between two rounds of asking peers for their head while the log cannot
+/// tell it.
+constexpr milliseconds kHeadInterval{1000};
+/// Peers asked at once: a stale head wins only if all of them are stale.
+constexpr std::size_t kHeadsAsked = 8;
+/// For others to learn who has this host's keys before it goes.
+constexpr milliseconds kFarewell{600};
+
+/// Where the settings do not say it. Too short costs a record now and then.
+constexpr std::chrono::hours kAssumedRetention{24};
+
+std::optional<configuration> CheckSource(const std::string& source) {
+  auto parsed = ParseConfiguration(source, "configuration");
+  if (!parsed.Ok()) {
+    return std::nullopt;
+  }
+  return std::move(parsed.content);
+}
+
+std::int64_t WallClockSeconds() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+peer_node_options PeerOptions(const settings& options) {
+  const auto listen = ParseListenAddress(options.peer_listen);
+  peer_node_options peer;
+  peer.listen_address = listen.address;
+  peer.listen_port = listen.port;
+  return peer;
+}
+
+std::string PeerAddress(const settings& options, std::uint16_t port) {
+  return ParseListenAddress(options.peer_listen).address + ":" +
+         std::to_string(port);
+}
+
+member_digest OwnDigest(const settings& options, const host_id& self,
+                        std::uint16_t port) {
+  member_digest digest;
+  digest.host = self.name;
+  digest.version.generation = static_cast<std::uint32_t>(WallClockSeconds());
+  digest.version.incarnation = self.incarnation;
+  digest.peer_address = PeerAddress(options, port);
+  digest.failure_domain = options.failure_domain;
+  return digest;
+}
+
+host_presence PresenceOf(const membership_view& members, const host_id& host,
+                         time_point now) {
+  if (members.HasEnded(host, now)) {
+    return host_presence::kGone;
+  }
+  const auto* known = members.Find(host.name);
+  const bool live = known != nullptr && known->reachable &&
+                    (known->state == member_state::kLive ||
+                     known->state == member_state::kDraining);
+  return live ? host_presence::kLive : host_presence::kUnreachable;
+}
+
+}  // namespace
+
+control_core::control_core(asio::io_context& context, const settings& options,
+                           const host_id& self, now_function now,
+                           snapshot_cell& snapshots, control_hooks hooks)
+    : options_(options),
+      self_(self),
+      now_(std::move(now)),
+      snapshots_(snapshots),
+      hooks_(std::move(hooks)),
+      client_(context),
+      fetch_hosts_(MakeHostListClient(client_, options_.host_list_url)),
+      peers_(context, self_, PeerOptions(options_)),
+      network_(context, peers_, OwnDigest(options_, self_, peers_.Port()), now_,
+               [this] { OnNetwork(); }),
+      follower_(context, FollowerOptions(), CheckSource,
+                MakeLogClient(client_, options_.log_url), now_,
+                FollowerHooks()),
+      outcomes_(context, self_, OutcomeOptions(),
+                MakeLogClient(client_, options_.log_url), OutcomePeers(), now_),
+      reporter_(self_, now_, peers_, follower_, directory_, network_),
+      poller_(context, client_, now_,
+              [this](const std::string& address, load_report load) {
+                OnLoad(address, std::move(load));
+              }),
+      tick_timer_(context),
+      host_list_timer_(context),
+      snapshot_timer_(context),
+      farewell_timer_(context) {
+  reporter_.SetPeerAddress(PeerAddress(options_, peers_.Port()));
+}
+
+void control_core::Start() {
+  follower_.Start();
+  network_.Start();
+  FetchHosts();
+  ScheduleTick();
+}
+
+void control_core::HandleAdminCall(const http_request& request,
+                                   const admin_reply& reply) {
+  HandleAdmin(AdminActions(), request, reply);
+}
+
+void control_core::EndpointLeaves(const std::string& address) {
+  network_.NoteLeaving(address);
+  if (directory_.MarkLeaving(address, now_())) {
+    PublishNow();
+  }
+}
+
+void control_core::BeginDrain() {
+  draining_ = true;
+  reporter_.SetDraining();
+  network_.SetDraining();
+  PublishNow();
+}
+
+void control_core::HandOver(const std::function<void()>& done) {
+  outcomes_.Drain([this, done](const std::string& successor) {
+    network_.SetDrained(successor);
+    farewell_timer_.expires_after(kFarewell);
+    farewell_timer_.async_wait([done](const asio::error_code&) { done(); });
+  });
+}
+
+config_follower_options control_core::FollowerOptions() const {
+  config_follower_options follower;
+  follower.host = self_.name;
+  follower.retention = options_.log_retention.count() > 0
+                           ? options_.log_retention
+                           : std::chrono::seconds(kAssumedRetention);
+  return follower;
+}
+
+config_follower_hooks control_core::FollowerHooks() {
+  return {[this] { OnConfiguration(); },
+          [this] { return network_.Members().LiveHosts(); }, WallClockSeconds};
+}
+
+outcome_options control_core::OutcomeOptions() const {
+  outcome_options outcomes;
+  outcomes.claim_partitions = options_.claim_partitions;
+  return outcomes;
+}
+
+outcome_peers control_core::OutcomePeers() {
+  outcome_peers peers;
+  peers.call = [this](const std::string& host, wire::messageUnion request,
+                      milliseconds timeout,
+                      std::function<void(peer_reply)> done) {
+    peers_.Call(host, std::move(request), timeout, std::move(done));
+  };
+  peers.handle = [this](wire::message kind, peer_node::call_handler handler) {
+    peers_.Handle(kind, std::move(handler));
+  };
+  peers.live_hosts = [this] { return network_.Members().LiveHosts(); };
+  peers.presence = [this](const host_id& host) {
+    return PresenceOf(network_.Members(), host, now_());
+  };
+  peers.successor = [this](const host_id& host) {
+    return network_.Members().SuccessorOf(host);
+  };
+  return peers;
+}
+
+admin_actions control_core::AdminActions() {
+  admin_actions actions;
+  actions.status = [this](const auto& done) { reporter_.SystemStatus(done); };
+  actions.publish = [this](config_revision base, std::string source,
+                           std::function<void(publish_result)> done) {
+    follower_.Publish(base, std::move(source), std::move(done));
+  };
+  actions.configuration = [this] { return follower_.History().Obeyed(); };
+  actions.drain = hooks_.drain;
+  actions.explain = hooks_.explain;
+  actions.report = hooks_.report;
+  return actions;
+}
+
+void control_core::OnConfiguration() {
+  figures_.log_reachable = follower_.LogReachable();
+  const auto& obeyed = follower_.History().Obeyed();
+  if (!obeyed || obeyed == directory_.Configuration()) {
+    return;
+  }
+  reporter_.InForceSince(now_());
+  figures_.revision = obeyed->revision;
+  figures_.longest_deadline_ms = LongestDeadlineOf(obeyed->content).count();
+  directory_.UseConfiguration(obeyed);
+  network_.UseConfiguration(obeyed);
+  ChooseEndpoints();
+  PublishNow();
+}
+
+void control_core::OnHostList(const std::vector<listed_host>& hosts) {
+  network_.UseHostList(hosts);
+  directory_.UseHostList(hosts, now_());
+  ChooseEndpoints();
+  PublishNow();
+  if (!std::exchange(host_list_seen_, true)) {
+    AskPeersForHead();
+  }
+}
+
+void control_core::OnNetwork() {
+  bool leaving = false;
+  for (const auto& notice : network_.Notices()) {
+    leaving |= directory_.MarkLeaving(notice.address, notice.seen_at);
+  }
+  if (leaving) {
+    PublishNow();
+  } else {
+    PublishSoon();
+  }
+}
+
+// An endpoint's own word reaches only the hosts that poll or call it, so it
+// is passed on.
+void control_core::OnLoad(const std::string& address, load_report load) {
+  const bool says_leaving = load.leaving;
+  if (!directory_.TakeLoad(address, std::move(load))) {
+    PublishSoon();
+    return;
+  }
+  if (says_leaving) {
+    network_.NoteLeaving(address);
+  }
+  PublishNow();
+}
+
+void control_core::OnTick() {
+  const bool behind =
+      network_.HeadHeardOf() > follower_.History().ObeyedRevision();
+  if ((behind || !LogTellsHead()) && now_() >= next_heads_) {
+    AskPeersForHead();
+  }
+  if (hooks_.demand && now_() >= next_demand_) {
+    next_demand_ = now_() + kDemandInterval;
+    network_.UseDemand(hooks_.demand());
+  }
+}
+
+void control_core::FetchHosts() {
+  fetch_hosts_([this](const host_list_result& result) {
+    if (result.ok) {
+      OnHostList(result.hosts);
+    }
+    host_list_timer_.expires_after(kHostListInterval);
+    host_list_timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        FetchHosts();
+      }
+    });
+  });
+}
+
+void control_core::ChooseEndpoints() {
+  used_.clear();
+  milliseconds interval{0};
+  const std::size_t hosts = network_.Members().KnownHosts();
+  for (const auto& [name, endpoints] : directory_.Services()) {
+    used_.merge(SubsetOf(endpoints, self_.name, options_.failure_domain,
+                         SubsetSize(endpoints.size(), hosts)));
+    interval = std::max(interval, PollInterval(endpoints.size(), hosts));
+  }
+  poller_.SetTargets(used_, interval);
+}
+
+bool control_core::LogTellsHead() const {
+  return follower_.LogReachable() &&
+         follower_.History().Trust() == log_trust::kTrusted;
+}
+
+void control_core::AskPeersForHead() {
+  next_heads_ = now_() + kHeadInterval;
+  std::vector<std::string> names;
+  for (const auto& peer : network_.Peers()) {
+    names.push_back(peer.host);
+  }
+  const auto call = [this](const std::string& host, wire::messageUnion request,
+                           milliseconds timeout,
+                           std::function<void(peer_reply)> done) {
+    peers_.Call(host, std::move(request), timeout, std::move(done));
+  };
+  AskHeads(call, SomeOf(std::move(names), kHeadsAsked),
+           follower_.History().ObeyedRevision(), kHeadTimeout,
+           [this](const std::vector<peer_head>& heads, std::size_t) {
+             // Highest first: lower ones are then known to be stale and not
+             // obeyed even for a moment.
+             for (auto head = heads.rbegin(); head != heads.rend(); ++head) {
+               follower_.TakePeerHead(head->claim, head->source);
+             }
+           });
+}
+
+void control_core::PublishSoon() {
+  if (publish_pending_) {
+    return;
+  }
+  publish_pending_ = true;
+  snapshot_timer_.expires_after(kSnapshotGap);
+  snapshot_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      PublishNow();
+    }
+  });
+}
+
+void control_core::PublishNow() {
+  publish_pending_ = false;
+  auto snapshot = std::make_shared<control_snapshot>();
+  snapshot->configuration = directory_.Configuration();
+  snapshot->services = directory_.Views(used_);
+  snapshot->shares = network_.Shares();
+  snapshot->live_hosts = std::max(1U, network_.Members().KnownHosts());
+  snapshot->draining = draining_;
+  figures_.live_hosts = snapshot->live_hosts;
+  snapshots_.Publish(std::move(snapshot));
+  ++figures_.snapshots;
+}
+
+void control_core::ScheduleTick() {
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      OnTick();
+      ScheduleTick();
+    }
+  });
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/node/control_core.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "slatestall/config/settings.h"
+#include "slatestall/http/http_client.h"
+#include "slatestall/node/admin_api.h"
+#include "slatestall/node/config_follower.h"
+#include "slatestall/node/control_loop.h"
+#include "slatestall/node/endpoint_directory.h"
+#include "slatestall/node/host_network.h"
+#include "slatestall/node/host_reporter.h"
+#include "slatestall/node/load_poller.h"
+#include "slatestall/node/outcome_service.h"
+#include "slatestall/platform/host_list.h"
+
+namespace slatestall {
+
+/// @brief Figures of the control thread that other threads may read.
+struct control_figures {
+  std::atomic<config_revision> revision{0};
+  std::atomic<bool> log_reachable{false};
+  std::atomic<std::uint64_t> snapshots{0};
+  std::atomic<std::uint32_t> live_hosts{1};
+  std::atomic<std::int64_t> longest_deadline_ms{6000};
+};
+
+/// @brief Everything the control thread owns; used from that thread only, but
+/// for `Figures`. Joins what the parts learn into snapshots.
+class control_core {
+ public:
+  control_core(asio::io_context& context, const settings& options,
+               const host_id& self, now_function now, snapshot_cell& snapshots,
+               control_hooks hooks);
+
+  void Start();
+  void HandleAdminCall(const http_request& request, const admin_reply& reply);
+  void EndpointLeaves(const std::string& address);
+  void BeginDrain();
+  void HandOver(const std::function<void()>& done);
+  outcome_guard Guard() { return outcomes_.Guard(); }
+
+  std::uint16_t PeerPort() const { return peers_.Port(); }
+  const control_figures& Figures() const { return figures_; }
+
+ private:
+  // Parts.
+  config_follower_options FollowerOptions() const;
+  config_follower_hooks FollowerHooks();
+  outcome_options OutcomeOptions() const;
+  outcome_peers OutcomePeers();
+  admin_actions AdminActions();
+
+  // What changed.
+  void OnConfiguration();
+  void OnHostList(const std::vector<listed_host>& hosts);
+  void OnNetwork();
+  void OnLoad(const std::string& address, load_report load);
+  void OnTick();
+
+  void FetchHosts();
+  void ChooseEndpoints();
+  bool LogTellsHead() const;
+  void AskPeersForHead();
+  void PublishSoon();
+  void PublishNow();
+  void ScheduleTick();
+
+  const settings options_;
+  const host_id self_;
+  const now_function now_;
+  snapshot_cell& snapshots_;
+  const control_hooks hooks_;
+  control_figures figures_;
+
+  http_client client_;
+  fetch_host_list fetch_hosts_;
+  peer_node peers_;
+  host_network network_;
+  config_follower follower_;
+  outcome_service outcomes_;
+  endpoint_directory directory_;
+  host_reporter reporter_;
+  load_poller poller_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer host_list_timer_;
+  asio::steady_timer snapshot_timer_;
+  asio::steady_timer farewell_timer_;
+
+  std::set<std::string> used_;  ///< Endpoints of this host's use.
+  time_point next_heads_{};
+  time_point next_demand_{};
+  bool host_list_seen_ = false;
+  bool draining_ = false;
+  bool publish_pending_ = false;
+};
+
+}  // namespace slatestall
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -76,6 +76,7 @@
       return traffic_->Explain(request);
     };
     hooks.report = [this] { return traffic_->Report(); };
+    hooks.demand = [this] { return traffic_->TakeDemand(); };
     return hooks;
   }
 
--- a/src/slatestall/node/longest_deadline.cc
+++ b/src/slatestall/node/longest_deadline.cc
@@ -1,4 +1,4 @@
-#include "slatestall/node/control_state.h"
+#include "slatestall/node/longest_deadline.h"
 
 #include <algorithm>
 
@@ -10,29 +10,6 @@
 
 }  // namespace
 
-std::vector<peer_address> PeersOf(const std::vector<listed_host>& hosts,
-                                  const std::string& self) {
-  std::vector<peer_address> peers;
-  for (const auto& host : hosts) {
-    if (host.service == kEntryService && host.name != self) {
-      peers.push_back({host.name, host.where.address});
-    }
-  }
-  return peers;
-}
-
-std::map<std::string, workspace_share> EqualShares(const configuration& content,
-                                                   std::uint32_t hosts) {
-  const double part = 1.0 / std::max(hosts, 1U);
-  std::map<std::string, workspace_share> shares;
-  for (const auto& [name, workspace] : content.workspaces) {
-    shares[name] = {workspace.limits.requests_per_second * part,
-                    workspace.limits.tokens_per_second * part,
-                    workspace.limits.concurrency * part};
-  }
-  return shares;
-}
-
 milliseconds LongestDeadlineOf(const configuration& content) {
   milliseconds longest = kServiceDeadline;
   for (const auto& [name, pipeline] : content.pipelines) {
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -58,7 +58,8 @@
       self_(self),
       now_(std::move(now)),
       snapshots_(snapshots),
-      links_(std::move(links)) {
+      links_(std::move(links)),
+      demand_(now_()) {
   std::uint16_t port = 0;
   for (unsigned number = 0; number < options_.traffic_threads; ++number) {
     lanes_.push_back(MakeLane(number, port));
@@ -126,6 +127,10 @@
   return ReportToJson(total).dump();
 }
 
+std::map<std::string, workspace_demand> traffic_threads::TakeDemand() {
+  return demand_.Take(now_());
+}
+
 std::string traffic_threads::Metrics() const {
   std::string text = links_.control_metrics();
   for (const auto& entry : kLaneEventNames) {
@@ -151,6 +156,9 @@
   hooks.admin = links_.admin_handler(lane->context);
   hooks.metrics = [this] { return Metrics(); };
   hooks.on_endpoint_leaving = links_.endpoint_leaves;
+  hooks.on_request_end = [this](const request_trace_ptr& trace) {
+    demand_.Note(*trace);
+  };
   lane->lane = std::make_unique<traffic_lane>(
       lane->context, LaneOptions(options_, port), self_, number, snapshots_,
       links_.guard, now_, lane->report, std::move(hooks));
--- a/src/slatestall/node/traffic_threads.h
+++ b/src/slatestall/node/traffic_threads.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "slatestall/config/settings.h"
 #include "slatestall/http/http_server.h"
 #include "slatestall/model/ids.h"
+#include "slatestall/node/demand_meter.h"
 #include "slatestall/policy/control_snapshot.h"
 #include "slatestall/serve/outcome_guard.h"
 
@@ -45,6 +47,8 @@
   std::string Explain(const std::string& request) const;
   /// @brief Burn and cost over all threads, as JSON.
   std::string Report() const;
+  /// @brief Demand of the workspaces; call about once a second.
+  std::map<std::string, workspace_demand> TakeDemand();
 
  private:
   struct lane_thread;
@@ -57,6 +61,7 @@
   const now_function now_;
   const snapshot_cell& snapshots_;
   const traffic_links links_;
+  demand_meter demand_;
   std::vector<std::unique_ptr<lane_thread>> lanes_;
 };
 
