Give orders to engines under leases; hints of what their caches hold

Cause: models were not ordered, and the traffic policy got no word of engines' prefix caches. Status shows what unreachable hosts last said.

--- a/include/slatestall/node/config_follower.h
+++ b/include/slatestall/node/config_follower.h
@@ -31,7 +31,6 @@
 
 struct config_follower_options {
   std::string stream = "config";
-  milliseconds read_wait{10'000};      ///< Long poll.
   milliseconds publish_timeout{5000};  ///< Until a publication is "unknown".
   std::chrono::seconds retention{0};   ///< Of the log; 0: not known.
   std::string host;                    ///< Of this host.
--- a/src/slatestall/node/config_follower.cc
+++ b/src/slatestall/node/config_follower.cc
@@ -7,16 +7,13 @@
 
 #include "slatestall/node/config_record_codec.h"
 #include "slatestall/node/publication_table.h"
+#include "slatestall/node/stream_reader.h"
 #include "slatestall/policy/config_republication.h"
 
 namespace slatestall {
 namespace {
 
 constexpr milliseconds kTick{100};
-constexpr milliseconds kFirstBackoff{100};
-constexpr milliseconds kMaxBackoff{2000};
-/// Between two reads, where the log answers without waiting.
-constexpr milliseconds kMinReadGap{10};
 /// After an answer that is not believed.
 constexpr milliseconds kDistrustGap{1000};
 /// Before a refused append is tried again.
@@ -37,17 +34,16 @@
         log_(std::move(log)),
         now_(std::move(now)),
         hooks_(std::move(hooks)),
-        read_timer_(context),
-        tick_timer_(context) {}
+        tick_timer_(context),
+        reader_(context, log_, options_.stream, now_, ReaderHooks()) {}
 
   void Start() {
-    Read();
+    reader_.Start();
     ScheduleTick();
   }
 
   void Stop() {
     stopped_ = true;
-    read_timer_.cancel();
     tick_timer_.cancel();
   }
 
@@ -104,37 +100,42 @@
     };
   }
 
-  void Read() {
-    read_begun_ = now_();
-    // A long poll of a stream without news is answered late: a new host would
-    // not know where the log ends, and one that lost the log not that it is
-    // back.
-    const bool at_once =
-        !reachable_ || history_.Trust() == log_trust::kStarting;
-    log_.read(options_.stream, history_.ReadFrom(),
-              at_once ? milliseconds{0} : options_.read_wait,
-              Weak(&impl::OnRead, history_.Floor()));
+  stream_reader_hooks ReaderHooks() {
+    stream_reader_hooks hooks;
+    hooks.from = [this] {
+      floor_ = history_.Floor();
+      return history_.ReadFrom();
+    };
+    // Until the log's end is known nothing can be published.
+    hooks.may_wait = [this] {
+      return history_.Trust() != log_trust::kStarting;
+    };
+    hooks.take = [this](const read_result& read) { return OnRead(read); };
+    return hooks;
   }
 
-  void OnRead(std::uint64_t floor, const read_result& read) {
+  milliseconds OnRead(const read_result& read) {
     const auto before_reachable = reachable_;
     const auto before_trust = history_.Trust();
     const auto before_revision = history_.ObeyedRevision();
     reachable_ = read.ok;
     if (read.ok) {
-      Take(read, floor);
+      Take(read);
     }
-    if (before_reachable != reachable_ || before_trust != history_.Trust() ||
+    const auto trust = history_.Trust();
+    if (before_reachable != reachable_ || before_trust != trust ||
         before_revision != history_.ObeyedRevision()) {
       hooks_.on_change();
     }
-    ReadAfter(PauseAfter(read));
+    const bool distrusted =
+        trust == log_trust::kLostData || trust == log_trust::kDiverged;
+    return distrusted ? kDistrustGap : milliseconds{0};
   }
 
-  void Take(const read_result& read, std::uint64_t floor) {
+  void Take(const read_result& read) {
     const auto old_anchor = history_.AnchorOffset();
     const bool was_anchored = history_.Head().has_value();
-    publications_.Settle(history_.Take(DecodeConfigPage(read), floor));
+    publications_.Settle(history_.Take(DecodeConfigPage(read), floor_));
     const auto head = history_.Head();
     if (!head) {
       return;
@@ -145,31 +146,6 @@
     }
   }
 
-  milliseconds PauseAfter(const read_result& read) {
-    if (!read.ok) {
-      backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
-      return backoff_;
-    }
-    backoff_ = milliseconds{0};
-    const auto trust = history_.Trust();
-    if (trust == log_trust::kLostData || trust == log_trust::kDiverged) {
-      return kDistrustGap;
-    }
-    const bool at_once = now_() - read_begun_ < kMinReadGap;
-    return at_once && read.records.empty() ? kMinReadGap : milliseconds{0};
-  }
-
-  void ReadAfter(milliseconds pause) {
-    read_timer_.expires_after(pause);
-    read_timer_.async_wait(Weak(&impl::OnReadTimer));
-  }
-
-  void OnReadTimer(const asio::error_code& error) {
-    if (!error) {
-      Read();
-    }
-  }
-
   void Append(const std::string& id, const std::string& payload) {
     publications_.Sending(id);
     log_.append(options_.stream, payload, Weak(&impl::OnAppended, id, payload));
@@ -271,17 +247,16 @@
   log_service log_;
   now_function now_;
   config_follower_hooks hooks_;
-  asio::steady_timer read_timer_;
   asio::steady_timer tick_timer_;
   publication_table publications_;
   std::vector<append_retry> retries_;
   bool stopped_ = false;
   bool reachable_ = false;
-  milliseconds backoff_{0};
-  time_point read_begun_{};
+  std::uint64_t floor_ = 0;  ///< When the read under way was begun.
   time_point anchor_seen_{};
   std::optional<time_point> due_since_;
   time_point next_republication_{};
+  stream_reader reader_;  ///< Last: its hooks use the members above.
 };
 
 config_follower::config_follower(asio::io_context& context,
--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -4,13 +4,14 @@
 #include <chrono>
 #include <utility>
 
-#include "slatestall/config/pipeline_file.h"
+#include "slatestall/node/control_setup.h"
 #include "slatestall/node/endpoint_subset.h"
-#include "slatestall/node/listen_address.h"
+#include "slatestall/node/load_report_json.h"
 #include "slatestall/node/longest_deadline.h"
 #include "slatestall/node/peer_heads.h"
 #include "slatestall/platform/host_list_client.h"
 #include "slatestall/platform/log_client.h"
+#include "slatestall/platform/weight_store.h"
 
 namespace slatestall {
 namespace {
@@ -20,6 +21,8 @@
 constexpr milliseconds kDemandInterval{1000};
 /// Snapshots that carry only new load reports are at least this far apart.
 constexpr milliseconds kSnapshotGap{50};
+/// Between two questions for cache events.
+constexpr milliseconds kCacheInterval{1000};
 constexpr milliseconds kHeadTimeout{500};
 /// Between two rounds of asking peers for their head while the log cannot
 /// tell it.
@@ -29,59 +32,6 @@
 /// For others to learn who has this host's keys before it goes.
 constexpr milliseconds kFarewell{600};
 
-/// Where the settings do not say it. Too short costs a record now and then.
-constexpr std::chrono::hours kAssumedRetention{24};
-
-std::optional<configuration> CheckSource(const std::string& source) {
-  auto parsed = ParseConfiguration(source, "configuration");
-  if (!parsed.Ok()) {
-    return std::nullopt;
-  }
-  return std::move(parsed.content);
-}
-
-std::int64_t WallClockSeconds() {
-  return std::chrono::duration_cast<std::chrono::seconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
-peer_node_options PeerOptions(const settings& options) {
-  const auto listen = ParseListenAddress(options.peer_listen);
-  peer_node_options peer;
-  peer.listen_address = listen.address;
-  peer.listen_port = listen.port;
-  return peer;
-}
-
-std::string PeerAddress(const settings& options, std::uint16_t port) {
-  return ParseListenAddress(options.peer_listen).address + ":" +
-         std::to_string(port);
-}
-
-member_digest OwnDigest(const settings& options, const host_id& self,
-                        std::uint16_t port) {
-  member_digest digest;
-  digest.host = self.name;
-  digest.version.generation = static_cast<std::uint32_t>(WallClockSeconds());
-  digest.version.incarnation = self.incarnation;
-  digest.peer_address = PeerAddress(options, port);
-  digest.failure_domain = options.failure_domain;
-  return digest;
-}
-
-host_presence PresenceOf(const membership_view& members, const host_id& host,
-                         time_point now) {
-  if (members.HasEnded(host, now)) {
-    return host_presence::kGone;
-  }
-  const auto* known = members.Find(host.name);
-  const bool live = known != nullptr && known->reachable &&
-                    (known->state == member_state::kLive ||
-                     known->state == member_state::kDraining);
-  return live ? host_presence::kLive : host_presence::kUnreachable;
-}
-
 }  // namespace
 
 control_core::control_core(asio::io_context& context, const settings& options,
@@ -103,10 +53,22 @@
       outcomes_(context, self_, OutcomeOptions(),
                 MakeLogClient(client_, options_.log_url), OutcomePeers(), now_),
       reporter_(self_, now_, peers_, follower_, directory_, network_),
-      poller_(context, client_, now_,
-              [this](const std::string& address, load_report load) {
-                OnLoad(address, std::move(load));
-              }),
+      load_poller_(
+          context, client_, now_,
+          {[](const std::string&) { return "/load"; },
+           [this](const std::string& address, const std::string& body) {
+             OnLoad(address, body);
+           }}),
+      cache_poller_(
+          context, client_, now_,
+          {[this](const std::string& address) {
+             return "/cache_events?from=" +
+                    std::to_string(caches_.NextOf(address));
+           },
+           [this](const std::string& address, const std::string& body) {
+             OnCacheEvents(address, body);
+           }}),
+      orders_(MakeOrders(context)),
       tick_timer_(context),
       host_list_timer_(context),
       snapshot_timer_(context),
@@ -117,6 +79,9 @@
 void control_core::Start() {
   follower_.Start();
   network_.Start();
+  if (orders_) {
+    orders_->Start();
+  }
   FetchHosts();
   ScheduleTick();
 }
@@ -137,6 +102,9 @@
   draining_ = true;
   reporter_.SetDraining();
   network_.SetDraining();
+  if (orders_) {
+    orders_->Resign();
+  }
   PublishNow();
 }
 
@@ -151,9 +119,7 @@
 config_follower_options control_core::FollowerOptions() const {
   config_follower_options follower;
   follower.host = self_.name;
-  follower.retention = options_.log_retention.count() > 0
-                           ? options_.log_retention
-                           : std::chrono::seconds(kAssumedRetention);
+  follower.retention = RetentionOf(options_);
   return follower;
 }
 
@@ -202,6 +168,19 @@
   return actions;
 }
 
+std::unique_ptr<order_service> control_core::MakeOrders(
+    asio::io_context& context) {
+  if (options_.weight_store_url.empty()) {
+    return nullptr;
+  }
+  return std::make_unique<order_service>(
+      context, self_, client_, directory_,
+      MakeLogClient(client_, options_.log_url),
+      MakeWeightStoreClient(client_, options_.weight_store_url), now_,
+      order_links{[this] { return network_.Members().LiveHosts(); },
+                  [this] { ChooseEndpoints(); }});
+}
+
 void control_core::OnConfiguration() {
   figures_.log_reachable = follower_.LogReachable();
   const auto& obeyed = follower_.History().Obeyed();
@@ -241,9 +220,13 @@
 
 // An endpoint's own word reaches only the hosts that poll or call it, so it
 // is passed on.
-void control_core::OnLoad(const std::string& address, load_report load) {
-  const bool says_leaving = load.leaving;
-  if (!directory_.TakeLoad(address, std::move(load))) {
+void control_core::OnLoad(const std::string& address, const std::string& body) {
+  auto load = LoadReportOf(body, now_());
+  if (!load) {
+    return;
+  }
+  const bool says_leaving = load->leaving;
+  if (!directory_.TakeLoad(address, std::move(*load))) {
     PublishSoon();
     return;
   }
@@ -253,6 +236,14 @@
   PublishNow();
 }
 
+void control_core::OnCacheEvents(const std::string& address,
+                                 const std::string& body) {
+  if (caches_.Take(address, body)) {
+    directory_.TakeCachedPrefixes(address, caches_.PrefixesOf(address));
+    PublishSoon();
+  }
+}
+
 void control_core::OnTick() {
   const bool behind =
       network_.HeadHeardOf() > follower_.History().ObeyedRevision();
@@ -281,14 +272,35 @@
 
 void control_core::ChooseEndpoints() {
   used_.clear();
+  std::set<std::string> engines;
   milliseconds interval{0};
   const std::size_t hosts = network_.Members().KnownHosts();
   for (const auto& [name, endpoints] : directory_.Services()) {
-    used_.merge(SubsetOf(endpoints, self_.name, options_.failure_domain,
-                         SubsetSize(endpoints.size(), hosts)));
+    auto chosen = SubsetOf(endpoints, self_.name, options_.failure_domain,
+                           SubsetSize(endpoints.size(), hosts));
+    const auto& service = directory_.Configuration()->content.services.at(name);
+    if (service.kind == service_kind::kEngine) {
+      engines.insert(chosen.begin(), chosen.end());
+    }
+    used_.merge(chosen);
     interval = std::max(interval, PollInterval(endpoints.size(), hosts));
   }
-  poller_.SetTargets(used_, interval);
+  auto polled = used_;
+  if (orders_) {
+    // Who gives orders needs the reports of all engines it gives them to.
+    for (const auto& service : orders_->HeldServices()) {
+      const auto found = directory_.Services().find(service);
+      if (found == directory_.Services().end()) {
+        continue;
+      }
+      for (const auto& where : found->second) {
+        polled.insert(where.address);
+      }
+    }
+  }
+  load_poller_.SetTargets(polled, interval);
+  caches_.KeepOnly(engines);
+  cache_poller_.SetTargets(engines, std::max(interval, kCacheInterval));
 }
 
 bool control_core::LogTellsHead() const {
--- a/src/slatestall/node/control_core.h
+++ b/src/slatestall/node/control_core.h
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,10 +15,12 @@
 #include "slatestall/node/config_follower.h"
 #include "slatestall/node/control_loop.h"
 #include "slatestall/node/endpoint_directory.h"
+#include "slatestall/node/endpoint_poller.h"
 #include "slatestall/node/host_network.h"
 #include "slatestall/node/host_reporter.h"
-#include "slatestall/node/load_poller.h"
+#include "slatestall/node/order_service.h"
 #include "slatestall/node/outcome_service.h"
+#include "slatestall/node/prefix_cache_index.h"
 #include "slatestall/platform/host_list.h"
 
 namespace slatestall {
@@ -48,6 +51,10 @@
 
   std::uint16_t PeerPort() const { return peers_.Port(); }
   const control_figures& Figures() const { return figures_; }
+  /// @brief Null where this host gives no orders.
+  const order_counters* Orders() const {
+    return orders_ ? &orders_->Counters() : nullptr;
+  }
 
  private:
   // Parts.
@@ -56,12 +63,14 @@
   outcome_options OutcomeOptions() const;
   outcome_peers OutcomePeers();
   admin_actions AdminActions();
+  std::unique_ptr<order_service> MakeOrders(asio::io_context& context);
 
   // What changed.
   void OnConfiguration();
   void OnHostList(const std::vector<listed_host>& hosts);
   void OnNetwork();
-  void OnLoad(const std::string& address, load_report load);
+  void OnLoad(const std::string& address, const std::string& body);
+  void OnCacheEvents(const std::string& address, const std::string& body);
   void OnTick();
 
   void FetchHosts();
@@ -87,7 +96,10 @@
   outcome_service outcomes_;
   endpoint_directory directory_;
   host_reporter reporter_;
-  load_poller poller_;
+  prefix_cache_index caches_;
+  endpoint_poller load_poller_;
+  endpoint_poller cache_poller_;           ///< Engines only.
+  std::unique_ptr<order_service> orders_;  ///< Null without a weight store.
   asio::steady_timer tick_timer_;
   asio::steady_timer host_list_timer_;
   asio::steady_timer snapshot_timer_;
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -116,10 +116,18 @@
 
 std::string control_loop::Metrics() const {
   const auto& figures = impl_->Core().Figures();
-  return Metric("config_revision", "gauge", figures.revision) +
-         Metric("log_reachable", "gauge", figures.log_reachable ? 1 : 0) +
-         Metric("live_hosts", "gauge", figures.live_hosts) +
-         Metric("snapshots_total", "counter", figures.snapshots);
+  auto text = Metric("config_revision", "gauge", figures.revision) +
+              Metric("log_reachable", "gauge", figures.log_reachable ? 1 : 0) +
+              Metric("live_hosts", "gauge", figures.live_hosts) +
+              Metric("snapshots_total", "counter", figures.snapshots);
+  if (const auto* orders = impl_->Core().Orders()) {
+    text += Metric("order_leases_held", "gauge", orders->leases_held) +
+            Metric("orders_sent_total", "counter", orders->sent) +
+            Metric("orders_applied_total", "counter", orders->applied) +
+            Metric("orders_fenced_total", "counter", orders->fenced) +
+            Metric("orders_failed_total", "counter", orders->failed);
+  }
+  return text;
 }
 
 }  // namespace slatestall
--- a/src/slatestall/node/load_poller.cc
+++ b/src/slatestall/node/endpoint_poller.cc
@@ -1,8 +1,8 @@
-#include "slatestall/node/load_poller.h"
+#include "slatestall/node/endpoint_poller.h"
 
 #include <asio/steady_timer.hpp>
 #include <map>
-#include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "slatestall/model/ids.h"
@@ -10,15 +10,13 @@
 namespace slatestall {
 namespace {
 
-using nlohmann::json;
-
 constexpr milliseconds kTick{20};
 constexpr milliseconds kPollTimeout{1000};
-constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 10U;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{1} << 20U;
 
-http_call LoadCall(const std::string& address) {
+http_call PollCall(const std::string& address, const std::string& path) {
   http_call call;
-  call.url = "http://" + address + "/load";
+  call.url = "http://" + address + path;
   call.timeout = kPollTimeout;
   call.max_answer_bytes = kMaxAnswerBytes;
   return call;
@@ -26,32 +24,14 @@
 
 }  // namespace
 
-std::optional<load_report> LoadReportOf(const std::string& body,
-                                        time_point received) {
-  try {
-    const auto answer = json::parse(body);
-    load_report load;
-    load.running = answer.value("running", 0U);
-    load.waiting = answer.value("waiting", 0U);
-    load.slots = answer.value("slots", 0U);
-    load.leaving = answer.value("leaving", false);
-    load.models = answer.value("models", std::vector<std::string>{});
-    load.adapters = answer.value("adapters", std::vector<std::string>{});
-    load.received = received;
-    return load;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
-}
-
-class load_poller::impl
-    : public std::enable_shared_from_this<load_poller::impl> {
+class endpoint_poller::impl
+    : public std::enable_shared_from_this<endpoint_poller::impl> {
  public:
   impl(asio::io_context& context, http_client& client, now_function now,
-       load_handler on_load)
+       endpoint_poller_hooks hooks)
       : client_(client),
         now_(std::move(now)),
-        on_load_(std::move(on_load)),
+        hooks_(std::move(hooks)),
         timer_(context) {}
 
   void Start() { Schedule(); }
@@ -123,7 +103,7 @@
   void Poll(const std::string& address, target& target) {
     target.due = now_() + interval_;
     target.call = client_.Start(
-        LoadCall(address),
+        PollCall(address, hooks_.path(address)),
         [weak = weak_from_this(), address](const http_result& result) {
           const auto self = weak.lock();
           if (self && !self->stopped_) {
@@ -141,31 +121,29 @@
     if (result.end != call_end::kComplete || result.status != 200) {
       return;
     }
-    if (auto load = LoadReportOf(result.body, now_())) {
-      on_load_(address, std::move(*load));
-    }
+    hooks_.on_answer(address, result.body);
   }
 
   http_client& client_;
   now_function now_;
-  load_handler on_load_;
+  endpoint_poller_hooks hooks_;
   asio::steady_timer timer_;
   std::map<std::string, target> targets_;
   milliseconds interval_{500};
   bool stopped_ = false;
 };
 
-load_poller::load_poller(asio::io_context& context, http_client& client,
-                         now_function now, load_handler on_load)
+endpoint_poller::endpoint_poller(asio::io_context& context, http_client& client,
+                                 now_function now, endpoint_poller_hooks hooks)
     : impl_(std::make_shared<impl>(context, client, std::move(now),
-                                   std::move(on_load))) {
+                                   std::move(hooks))) {
   impl_->Start();
 }
 
-load_poller::~load_poller() { impl_->Stop(); }
+endpoint_poller::~endpoint_poller() { impl_->Stop(); }
 
-void load_poller::SetTargets(const std::set<std::string>& addresses,
-                             milliseconds interval) {
+void endpoint_poller::SetTargets(const std::set<std::string>& addresses,
+                                 milliseconds interval) {
   impl_->SetTargets(addresses, interval);
 }
 
--- a/src/slatestall/node/host_reporter.cc
+++ b/src/slatestall/node/host_reporter.cc
@@ -58,6 +58,7 @@
                 system_status status;
                 status.self = OwnStatus();
                 status.hosts = std::move(hosts);
+                AddLastWords(status.hosts);
                 status.hosts.push_back(status.self);
                 status.log_reachable = follower_.LogReachable();
                 status.trust = follower_.History().Trust();
@@ -66,6 +67,21 @@
               });
 }
 
+// A host that went is listed for a while. What it last said tells an operator
+// who waits for all hosts that this one need not be waited for.
+void host_reporter::AddLastWords(std::vector<host_status>& hosts) const {
+  for (auto& host : hosts) {
+    const auto* known = network_.Members().Find(host.host.name);
+    if (host.reachable || known == nullptr) {
+      continue;
+    }
+    host.host.incarnation = known->digest.version.incarnation;
+    host.revision = known->digest.revision;
+    host.draining = known->digest.draining || known->digest.drained ||
+                    known->state == member_state::kDraining;
+  }
+}
+
 void host_reporter::AnswerHead(
     const wire::messageUnion& request,
     const std::function<void(wire::messageUnion)>& reply) const {
--- a/src/slatestall/node/host_reporter.h
+++ b/src/slatestall/node/host_reporter.h
@@ -31,6 +31,7 @@
  private:
   void AnswerHead(const wire::messageUnion& request,
                   const std::function<void(wire::messageUnion)>& reply) const;
+  void AddLastWords(std::vector<host_status>& hosts) const;
   std::vector<service_status> ServiceStatuses() const;
 
   const host_id self_;
--- a/src/slatestall/policy/order_planner.cc
+++ b/src/slatestall/policy/order_planner.cc
@@ -150,6 +150,21 @@
   }
 }
 
+/// Models that are wanted no more stay while others are still being loaded:
+/// one of them may be what serves under its old name.
+void KeepOthers(const std::vector<model_demand>& demand,
+                const engine_state& engine, engine_order& order) {
+  for (const auto& label : engine.models) {
+    const bool is_demanded = std::any_of(
+        demand.begin(), demand.end(),
+        [&label](const auto& model) { return NameIs(label, model.name); });
+    if (!is_demanded) {
+      order.models.insert(label);
+      order.adapters.insert(engine.adapters.begin(), engine.adapters.end());
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<model_demand> DemandOf(const configuration& content,
@@ -196,10 +211,19 @@
 std::vector<engine_order> PlanOrders(const std::vector<model_demand>& demand,
                                      const std::vector<engine_state>& engines,
                                      const std::set<std::string>& available) {
+  // A service that no pipeline names may be on its way in or out: its engines
+  // are left alone.
+  if (demand.empty()) {
+    return {};
+  }
   const auto places = PlaceModels(demand, engines);
   std::vector<engine_order> wanted(engines.size());
+  bool all_ready = true;
+  std::set<std::string> changing;
   for (const auto& model : demand) {
     const auto state = RolloutOf(model, engines, places, available);
+    all_ready = all_ready && state.ready == state.targets;
+    changing.insert(state.may_change.begin(), state.may_change.end());
     for (std::size_t i = 0; i < engines.size(); ++i) {
       AddModel(model, state, places[i].count(model.name) != 0, engines[i],
                wanted[i]);
@@ -208,6 +232,9 @@
   std::vector<engine_order> orders;
   for (std::size_t i = 0; i < engines.size(); ++i) {
     const auto& engine = engines[i];
+    if (!all_ready && changing.count(engine.address) == 0) {
+      KeepOthers(demand, engine, wanted[i]);
+    }
     const bool differs = wanted[i].models != engine.models ||
                          wanted[i].adapters != engine.adapters;
     if (engine.reported && !engine.leaving && differs) {
--- a/src/slatestall/policy/order_planner_test.cc
+++ b/src/slatestall/policy/order_planner_test.cc
@@ -63,6 +63,8 @@
   CPPUNIT_TEST_SUITE(order_planner_test);
   CPPUNIT_TEST(OrdersConvergeInAnyOrder);
   CPPUNIT_TEST(ANewVersionKeepsTheModelServed);
+  CPPUNIT_TEST(ARenamedModelIsKeptUntilTheNewOneIsReady);
+  CPPUNIT_TEST(EnginesWithoutDemandAreLeftAlone);
   CPPUNIT_TEST(ReplicasSpreadOverFailureDomains);
   CPPUNIT_TEST(OneEngineLessMovesLittle);
   CPPUNIT_TEST(NothingIsOrderedBlindly);
@@ -131,6 +133,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Holding(engines, "m@1"));
   }
 
+  // A file gives a model another name. Dropped at once for not being named any
+  // more, it would be missing until the new one has been loaded.
+  void ARenamedModelIsKeptUntilTheNewOneIsReady() {
+    auto engines = Engines(8);
+    for (auto& engine : engines) {
+      engine.models = {"old@1"};
+    }
+    const std::vector<model_demand> demand{{"new", "1", {}, 8}};
+    auto orders = PlanOrders(demand, engines, {"new@1"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+    for (int round = 0; round < 8; ++round) {
+      for (const auto& order : PlanOrders(demand, engines, {"new@1"})) {
+        Carry(order, engines);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{8},
+                           Holding(engines, "old@") + Holding(engines, "new@"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, Holding(engines, "new@"));
+  }
+
+  // A file without any pipeline on the engines must not empty them.
+  void EnginesWithoutDemandAreLeftAlone() {
+    auto engines = Engines(2);
+    engines[0].models = {"m@1"};
+    CPPUNIT_ASSERT(PlanOrders({}, engines, {}).empty());
+  }
+
   void ReplicasSpreadOverFailureDomains() {
     const auto engines = Engines(20);
     const auto places = PlaceModels({{"m", "1", {}, 4}}, engines);
