Tests of membership and shares; a cut-off host's equal part ends by itself

Cause: the property of a partition found shares that summed to 120.118 of 120: a host that had failed to reach its allocator and then turned idle kept its equal part for good, while the allocator lent it to others. Change: the equal part holds for two intervals after a failed request.

--- a/include/slatestall/policy/share_divider.h
+++ b/include/slatestall/policy/share_divider.h
@@ -43,7 +43,7 @@
     workspace_share lent;
     time_point lent_until{};
     time_point ask_at{};
-    bool allocator_answers = true;
+    time_point cut_off_until{};  ///< The allocator did not answer.
   };
 
   milliseconds Pace() const;
--- a/src/slatestall/policy/share_divider.cc
+++ b/src/slatestall/policy/share_divider.cc
@@ -94,13 +94,15 @@
   state.lent = grant.lent;
   state.lent_until = asked_at + grant.valid_for;
   state.ask_at = std::max(state.ask_at, asked_at + grant.ask_again);
-  state.allocator_answers = true;
+  state.cut_off_until = {};
 }
 
 void share_divider::AskFailed(const std::string& workspace, time_point now) {
   const auto found = workspaces_.find(workspace);
   if (found != workspaces_.end()) {
-    found->second.allocator_answers = false;
+    // Ends by itself: a host that no longer asks would else keep a part that
+    // the allocator, back again, lends to others.
+    found->second.cut_off_until = now + 2 * rules_.min_interval;
     found->second.ask_at = now + rules_.min_interval;
   }
 }
@@ -119,7 +121,7 @@
   // the whole limit, which every cut off host would take, and never on nothing.
   // The allocator on the other side lends no more than the part of the hosts
   // it can reach, so that the sides together stay within the limit.
-  return state.allocator_answers ? floor : equal;
+  return now < state.cut_off_until ? equal : floor;
 }
 
 std::map<std::string, workspace_share> share_divider::Shares(
