--- a/bench/peer_gossip_bench.cc
+++ b/bench/peer_gossip_bench.cc
@@ -1,7 +1,7 @@
 // Bytes, messages, rounds and processor time of the exchange between hosts, by
 // running the pure exchange of N hosts in one process: each message is encoded
-// by the codec of the hosts and counted. Time is a counter; a message takes
-// kHop. A measurement of the exchange alone, no model of a cluster.
+// by the codec of the hosts and counted. Time is a counter. A measurement of
+// the exchange alone, no model of a cluster.
 //
 //   peer_gossip_bench [hosts...]
 #include <algorithm>
@@ -9,13 +9,11 @@
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
-#include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
 #include "slatestall/peer/frame_codec.h"
-#include "slatestall/peer/gossip_exchange.h"
+#include "slatestall/peer/gossip_group.h"
 #include "slatestall/policy/membership_rendezvous.h"
 #include "slatestall/policy/share_allocator.h"
 #include "slatestall/policy/share_divider.h"
@@ -25,161 +23,13 @@
 
 using std::chrono::seconds;
 
-constexpr milliseconds kHop{5};
-constexpr milliseconds kStep{5};
-constexpr int kStepsToCheck = 10;  // Times are exact to 50 ms.
 constexpr std::size_t kDomains = 20;
 
-struct traffic {
-  std::uint64_t messages = 0;
-  std::uint64_t bytes = 0;
-};
-
-struct bench_host {
-  std::string name;
-  bool up = true;
-  std::unique_ptr<membership_view> view;
-  std::unique_ptr<gossip_exchange> exchange;
-};
-
-/// The hosts, the messages under way, and what they cost.
-class host_group {
- public:
-  explicit host_group(std::size_t count) {
-    std::vector<listed_member> list;
-    for (std::size_t i = 0; i < count; ++i) {
-      const std::size_t domains =
-          std::min(kDomains, std::max<std::size_t>(count / 2, 1));
-      list.push_back({"entry-" + std::to_string(i),
-                      "10.0." + std::to_string(i / 250) + "." +
-                          std::to_string(i % 250) + ":8081",
-                      "domain-" + std::to_string(i % domains), false});
-    }
-    for (std::size_t i = 0; i < count; ++i) {
-      member_digest self;
-      self.host = list[i].host;
-      self.version = {1000, StableHash(self.host), 0};
-      self.peer_address = list[i].peer_address;
-      self.failure_domain = list[i].failure_domain;
-      gossip_options options;
-      options.seed = i + 1;
-      bench_host host;
-      host.name = self.host;
-      host.view =
-          std::make_unique<membership_view>(self, membership_options(), now_);
-      host.view->UseList(list, now_);
-      // Hosts start at different moments of a round.
-      const time_point start =
-          now_ + milliseconds(Random() % options.round.count());
-      host.exchange =
-          std::make_unique<gossip_exchange>(*host.view, options, start);
-      hosts_.push_back(std::move(host));
-      index_[list[i].host] = i;
-    }
-  }
-
-  std::vector<bench_host>& Hosts() { return hosts_; }
-  time_point Now() const { return now_; }
-  const traffic& Sent() const { return sent_; }
-  std::uint64_t Random() {
-    random_ = random_ * 6364136223846793005U + 1442695040888963407U;
-    return random_ >> 33U;
-  }
-
-  void RunFor(duration time, const std::function<bool()>& done = nullptr) {
-    const time_point end = now_ + time;
-    int steps = 0;
-    while (now_ < end) {
-      if (done && steps++ % kStepsToCheck == 0 && done()) {
-        return;
-      }
-      now_ += kStep;
-      Deliver();
-      for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        if (hosts_[i].up && now_ >= hosts_[i].exchange->DueAt()) {
-          Begin(i);
-        }
-      }
-      if ((now_.time_since_epoch() / milliseconds(1)) % 1000 == 0) {
-        for (bench_host& host : hosts_) {
-          host.view->Tick(now_);
-          host.exchange->Tick(now_);
-        }
-      }
-    }
-  }
-
- private:
-  struct delivery {
-    time_point at;
-    std::uint64_t order = 0;
-    std::function<void()> run;
-    bool operator<(const delivery& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
-
-  void Later(duration after, std::function<void()> run) {
-    pending_.push({now_ + after, order_++, std::move(run)});
-  }
-
-  void Deliver() {
-    while (!pending_.empty() && pending_.top().at <= now_) {
-      const auto run = pending_.top().run;
-      pending_.pop();
-      run();
-    }
-  }
-
-  wire::gossipT OverTheWire(wire::gossipT message, bool is_reply) {
-    wire::frameT frame;
-    frame.call = 1;
-    frame.is_reply = is_reply;
-    frame.body = MakeMessage(std::move(message));
-    const std::string bytes = EncodeFrame(frame);
-    ++sent_.messages;
-    sent_.bytes += bytes.size();
-    auto decoded = DecodeFrame({bytes.begin() + 4, bytes.end()});
-    return std::move(*decoded->body.Asgossip());
-  }
-
-  void Begin(std::size_t from) {
-    for (const std::string& target : hosts_[from].exchange->TakeTargets(now_)) {
-      const std::size_t to = index_.at(target);
-      auto request = std::make_shared<wire::gossipT>(
-          OverTheWire(hosts_[from].exchange->MakeRequest(now_), false));
-      Later(kHop, [this, from, to, request] { Arrive(from, to, *request); });
-    }
-  }
-
-  void Arrive(std::size_t from, std::size_t to, const wire::gossipT& request) {
-    if (!hosts_[to].up) {
-      Later(seconds(1), [this, from, to] {
-        hosts_[from].exchange->ExchangeFailed(hosts_[to].name, now_);
-      });
-      return;
-    }
-    auto reply = std::make_shared<wire::gossipT>(OverTheWire(
-        hosts_[to].exchange->TakeRequest(request, hosts_[from].name, now_),
-        true));
-    Later(kHop, [this, from, to, reply] {
-      hosts_[from].exchange->TakeReply(*reply, hosts_[to].name, now_);
-    });
-  }
-
-  time_point now_ = time_point(seconds(1000));
-  std::vector<bench_host> hosts_;
-  std::map<std::string, std::size_t> index_;
-  std::priority_queue<delivery> pending_;
-  std::uint64_t order_ = 0;
-  std::uint64_t random_ = 7;
-  traffic sent_;
-};
-
-double Share(host_group& group, const std::function<bool(bench_host&)>& knows) {
+double Share(gossip_group& group,
+             const std::function<bool(gossip_host&)>& knows) {
   std::size_t up = 0;
   std::size_t count = 0;
-  for (bench_host& host : group.Hosts()) {
+  for (gossip_host& host : group.Hosts()) {
     up += host.up ? 1 : 0;
     count += host.up && knows(host) ? 1 : 0;
   }
@@ -187,10 +37,10 @@
 }
 
 /// Seconds until all hosts know, at most `limit`; and until 99 in 100 do.
-void Spread(host_group& group, const char* what, seconds limit,
-            const std::function<bool(bench_host&)>& knows) {
+void Spread(gossip_group& group, const char* what, seconds limit,
+            const std::function<bool(gossip_host&)>& knows) {
   const time_point start = group.Now();
-  const traffic before = group.Sent();
+  const std::uint64_t bytes_before = group.Bytes();
   double most_at = -1;
   group.RunFor(limit, [&] {
     const double share = Share(group, knows);
@@ -204,39 +54,38 @@
   const auto hosts = static_cast<double>(group.Hosts().size());
   std::printf("  %-28s 99%% %6.2f s, all %6.2f s%s, %5.0f bytes a host\n", what,
               most_at, took, Share(group, knows) < 1 ? " (NOT ALL)" : "",
-              static_cast<double>(group.Sent().bytes - before.bytes) / hosts);
+              static_cast<double>(group.Bytes() - bytes_before) / hosts);
 }
 
-void Rate(host_group& group, const char* what, seconds time) {
-  const traffic before = group.Sent();
+void Rate(gossip_group& group, const char* what, seconds time) {
+  const std::uint64_t bytes_before = group.Bytes();
+  const std::uint64_t messages_before = group.Messages();
   const auto cpu = std::clock();
   group.RunFor(time);
   const double cpu_seconds =
       static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC;
   const auto hosts = static_cast<double>(group.Hosts().size());
   const double span = std::chrono::duration<double>(time).count();
-  const auto messages =
-      static_cast<double>(group.Sent().messages - before.messages);
+  const auto messages = static_cast<double>(group.Messages() - messages_before);
   std::printf(
       "  %-28s sent %6.0f bytes/s and %5.2f messages/s a host, %4.0f bytes a "
       "message, %5.1f us a message, %.4f of a core a host\n",
-      what,
-      static_cast<double>(group.Sent().bytes - before.bytes) / hosts / span,
+      what, static_cast<double>(group.Bytes() - bytes_before) / hosts / span,
       messages / hosts / span,
-      static_cast<double>(group.Sent().bytes - before.bytes) / messages,
+      static_cast<double>(group.Bytes() - bytes_before) / messages,
       cpu_seconds / messages * 1e6, cpu_seconds / hosts / span);
 }
 
-void SetRevision(host_group& group, config_revision revision) {
-  for (bench_host& host : group.Hosts()) {
+void SetRevision(gossip_group& group, config_revision revision) {
+  for (gossip_host& host : group.Hosts()) {
     host.view->SetRevision(revision, group.Now());
   }
 }
 
 void RunGossip(std::size_t count) {
-  host_group group(count);
+  gossip_group group(count, std::min(kDomains, count / 2));
   std::printf("%zu hosts\n", count);
-  const auto knows_all = [&](bench_host& host) {
+  const auto knows_all = [&](gossip_host& host) {
     const auto& members = host.view->Members();
     return std::all_of(members.begin(), members.end(), [](const auto& entry) {
       return entry.second.digest.version.sequence > 0;
@@ -249,13 +98,13 @@
   group.Hosts()[0].exchange->NoteEndpoint(
       "10.9.0.1:9000", wire::notice_kind::leaving, group.Now());
   Spread(group, "one leaving endpoint", seconds(60),
-         [](bench_host& host) { return !host.exchange->Notices().empty(); });
+         [](gossip_host& host) { return !host.exchange->Notices().empty(); });
   for (int i = 0; i < 65; ++i) {
     group.Hosts()[1].exchange->NoteEndpoint(
         "10.9.1." + std::to_string(i) + ":9000", wire::notice_kind::leaving,
         group.Now());
   }
-  Spread(group, "65 leaving endpoints", seconds(60), [](bench_host& host) {
+  Spread(group, "65 leaving endpoints", seconds(60), [](gossip_host& host) {
     return host.exchange->Notices().size() >= 66;
   });
   group.RunFor(seconds(10));
@@ -263,10 +112,10 @@
   group.Hosts()[0].view->SetRevision(1, group.Now());
   group.Hosts()[0].exchange->NoteHead(1, group.Now());
   Spread(group, "configuration head", seconds(60),
-         [](bench_host& host) { return host.exchange->Head() >= 1; });
+         [](gossip_host& host) { return host.exchange->Head() >= 1; });
   SetRevision(group, 1);
   Spread(group, "in force, known of all by all", seconds(300),
-         [](bench_host& host) {
+         [](gossip_host& host) {
            const auto& members = host.view->Members();
            return std::all_of(members.begin(), members.end(),
                               [](const auto& entry) {
@@ -275,19 +124,20 @@
          });
   group.RunFor(seconds(30));
 
-  bench_host& dead = group.Hosts().back();
+  gossip_host& dead = group.Hosts().back();
   dead.up = false;
-  Spread(group, "dead host suspected", seconds(120), [&](bench_host& host) {
+  Spread(group, "dead host suspected", seconds(120), [&](gossip_host& host) {
     return host.view->Find(dead.name)->suspected;
   });
   dead.up = true;
-  Spread(group, "back, suspected by none", seconds(120), [&](bench_host& host) {
-    return !host.view->Find(dead.name)->suspected;
-  });
+  Spread(group, "back, suspected by none", seconds(120),
+         [&](gossip_host& host) {
+           return !host.view->Find(dead.name)->suspected;
+         });
   group.RunFor(seconds(30));
 
   // 2,400 changes of configuration a day, on top of heartbeats.
-  const traffic before = group.Sent();
+  const std::uint64_t bytes_before = group.Bytes();
   const time_point start = group.Now();
   for (config_revision revision = 2; revision < 12; ++revision) {
     SetRevision(group, revision);
@@ -297,7 +147,7 @@
       std::chrono::duration<double>(group.Now() - start).count();
   std::printf("  %-28s sent %6.0f bytes/s a host\n",
               "a new revision every 36 s",
-              static_cast<double>(group.Sent().bytes - before.bytes) /
+              static_cast<double>(group.Bytes() - bytes_before) /
                   static_cast<double>(count) / span);
 }
 
--- a/include/slatestall/peer/gossip_exchange.h
+++ b/include/slatestall/peer/gossip_exchange.h
@@ -103,7 +103,8 @@
                  time_point now);
   bool Tells(const wire::gossipT& message, const std::string& host) const;
   static bool Tells(const wire::gossipT& message, const notice_key& key);
-  void AddMember(wire::gossipT& message, const std::string& host) const;
+  void AddMember(wire::gossipT& message, const std::string& host,
+                 time_point now) const;
   void AddNotice(wire::gossipT& message, const notice_key& key,
                  time_point now) const;
   std::unique_ptr<wire::bucket_sumsT> NewSums(std::size_t entries);
@@ -111,7 +112,7 @@
   void AddNoticeSums(wire::bucket_sumsT& sums) const;
   void AddMissing(wire::gossipT& reply, const wire::gossipT& request,
                   time_point now) const;
-  bool NeedsTexts(const member& known) const;
+  bool NeedsTexts(const member& known, time_point now) const;
   static std::uint64_t HashOf(const notice_key& key);
 
   // Names behind the hashes in marks.
--- a/include/slatestall/peer/peer_node.h
+++ b/include/slatestall/peer/peer_node.h
@@ -31,7 +31,7 @@
 struct peer_reply {
   peer_call_end end = peer_call_end::kUnknown;
   wire::messageUnion body;  ///< `kReplied`: the reply or an `error_reply`.
-  std::string detail{};       ///< Why there is no reply.
+  std::string detail{};     ///< Why there is no reply.
 };
 
 struct peer_node_options {
--- a/include/slatestall/policy/membership_view.h
+++ b/include/slatestall/policy/membership_view.h
@@ -51,6 +51,9 @@
   /// @return Whether it was news.
   bool TakeSuspicion(const std::string& host, const member_version& version,
                      time_point now);
+  /// @brief The host called this one: it runs, but may be out of reach.
+  void HeardFrom(const std::string& host, time_point now);
+  /// @brief A call to the host was answered.
   void ContactSucceeded(const std::string& host, time_point now);
   /// @return Whether the host became a suspect by this.
   bool ContactFailed(const std::string& host, time_point now);
--- a/src/slatestall/peer/gossip_exchange.cc
+++ b/src/slatestall/peer/gossip_exchange.cc
@@ -223,11 +223,11 @@
   wire::gossipT reply = NewMessage(now);
   if (sender_was_suspected) {
     // Told so that it can refute; the suspicion may have reached many others.
-    AddMember(reply, from);
+    AddMember(reply, from, now);
   }
-  view_.ContactSucceeded(from, now);
+  view_.HeardFrom(from, now);
   for (const std::string& host : stale) {
-    AddMember(reply, host);
+    AddMember(reply, host, now);
   }
   AddRumors(reply, &request, now);
   AddMissing(reply, request, now);
--- a/src/slatestall/peer/gossip_messages.cc
+++ b/src/slatestall/peer/gossip_messages.cc
@@ -11,6 +11,7 @@
 // A difference in one bucket costs about this many entries; smaller buckets
 // take more requests to go through.
 constexpr std::uint32_t kEntriesPerBucket = 6;
+constexpr std::chrono::seconds kListLag{30};
 constexpr std::uint32_t kMaxBuckets = 4096;
 constexpr std::uint32_t kBucketsPerMessage = 16;
 
@@ -120,9 +121,13 @@
   return known ? &found->second : nullptr;
 }
 
-// A mark is understood only by who has the host's texts from the list, and
-// says nothing of draining.
-bool gossip_exchange::NeedsTexts(const member& known) const {
+// A mark is understood only by who has the host's texts from the list, which a
+// new run may not be on yet everywhere, and says nothing of draining.
+bool gossip_exchange::NeedsTexts(const member& known, time_point now) const {
+  const bool is_self = known.digest.host == announced_.host;
+  if (is_self && now - known.run_since < kListLag) {
+    return true;
+  }
   if (!known.listed || known.digest.draining ||
       known.digest.peer_address != known.listed_address) {
     return true;
@@ -137,7 +142,7 @@
   wire::gossipT message;
   message.config_head = head_;
 
-  AddMember(message, announced_.host);
+  AddMember(message, announced_.host, now);
   return message;
 }
 
@@ -179,7 +184,7 @@
       }
       continue;
     }
-    AddMember(message, host);
+    AddMember(message, host, now);
     sent.urgent = false;
     if (--sent.sends_left <= 0) {
       host_rumors_.erase(host);
@@ -233,8 +238,8 @@
                      });
 }
 
-void gossip_exchange::AddMember(wire::gossipT& message,
-                                const std::string& host) const {
+void gossip_exchange::AddMember(wire::gossipT& message, const std::string& host,
+                                time_point now) const {
   const member* known = view_.Find(host);
   if (known == nullptr || known->digest.version.sequence == 0) {
     return;
@@ -245,7 +250,7 @@
       return;
     }
   }
-  const bool texts = NeedsTexts(*known);
+  const bool texts = NeedsTexts(*known, now);
   for (const auto& digest : message.digests) {
     if (digest->host == host) {
       return;
@@ -303,7 +308,7 @@
       if (IsCompared(known) && Covers(differs, known.name_hash) &&
           reply.marks.size() < options_.max_marks &&
           reply.digests.size() < options_.max_digests) {
-        AddMember(reply, host);
+        AddMember(reply, host, now);
       }
     }
   }
--- a/src/slatestall/policy/membership_view.cc
+++ b/src/slatestall/policy/membership_view.cc
@@ -171,21 +171,28 @@
   return true;
 }
 
-void membership_view::ContactSucceeded(const std::string& host,
-                                       time_point now) {
-  failed_in_a_row_.clear();
+void membership_view::HeardFrom(const std::string& host, time_point now) {
   const auto found = members_.find(host);
   if (found == members_.end()) {
     return;
   }
   member& known = found->second;
-  known.contact_failures = 0;
-  known.reachable = true;
   known.suspected = false;
   known.heard_at = now;
   known.state = Judge(known, now);
 }
 
+void membership_view::ContactSucceeded(const std::string& host,
+                                       time_point now) {
+  failed_in_a_row_.clear();
+  const auto found = members_.find(host);
+  if (found != members_.end()) {
+    found->second.contact_failures = 0;
+    found->second.reachable = true;
+    HeardFrom(host, now);
+  }
+}
+
 bool membership_view::ContactFailed(const std::string& host, time_point now) {
   const auto found = members_.find(host);
   if (found == members_.end() || host == self_) {
