Prove that a caller still sending reads its 413

The test of refused requests passed also with the draining close taken out: Linux keeps what a raw reader has received. libcurl in the middle of its upload does not get that far.

--- a/src/slatestall/http/http_server_test.cc
+++ b/src/slatestall/http/http_server_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TellsOnceThatTheCallerClosed);
   CPPUNIT_TEST(AbortLeavesTheAnswerOpen);
   CPPUNIT_TEST(DroppedResponderAnswers500);
+  CPPUNIT_TEST(TellsACallerThatIsStillSending);
   CPPUNIT_TEST(RefusesWhatItCannotRead);
   CPPUNIT_TEST(TakesABodyOfTheFullSize);
   CPPUNIT_TEST(SlowReaderIsSeenAndBounded);
@@ -136,9 +137,23 @@
     RunUntil(context_, [&] { return caller->Has("HTTP/1.1 500 "); });
   }
 
-  // The caller sees the reason, not a broken connection.
-  // It sends more than the server reads. Closing then would reset the
-  // connection, and the reset would overtake the answer.
+  // The caller sees 413, not a broken connection.
+  // It is still sending its body when the server, which reads no more of it,
+  // answers and closes. Closed with input unread the connection is reset, the
+  // caller's send fails, and it never reads the answer.
+  void TellsACallerThatIsStillSending() {
+    http_client client(context_);
+    http_call call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(server_->Port()) + "/";
+    call.body = std::string(16'000'000, 'b');
+    for (int i = 0; i < 5; ++i) {
+      const http_result result = Run(context_, client, call);
+      CPPUNIT_ASSERT_EQUAL(413, result.status);
+      CPPUNIT_ASSERT(result.end == call_end::kComplete);
+    }
+  }
+
   void RefusesWhatItCannotRead() {
     struct refused {
       std::string request;
--- a/src/slatestall/http/server_connection.cc
+++ b/src/slatestall/http/server_connection.cc
@@ -146,9 +146,9 @@
     Close();
     return;
   }
-  // Closing with input unread resets the connection, and the reset can
-  // overtake the answer: the caller would see a broken connection instead of
-  // the reason. So the socket is drained first.
+  // Closing with input unread resets the connection: a caller that is still
+  // sending would fail on that and never read the answer. So what it sends is
+  // read and dropped first.
   socket_->cancel(error);
   socket_->shutdown(asio::ip::tcp::socket::shutdown_send, error);
   End(std::move(*socket_));
