Do not keep the connection of a call that may not be repeated

Each such call takes a fresh connection; kept afterwards, every one of them would add an idle connection to the endpoint, up to the 256 that the client keeps in all, and push out those that are reused.

--- a/src/slatestall/http/client_call.cc
+++ b/src/slatestall/http/client_call.cc
@@ -70,7 +70,10 @@
   // libcurl sends a request again, unasked, when a reused connection ends
   // before the first byte of the answer; the endpoint may have run it by then.
   // It does so on reused connections only, so a fresh one rules it out.
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call_.at_most_once ? 1L : 0L);
+  // It is not kept either: each would add an idle connection to the endpoint.
+  const long at_most_once = call_.at_most_once ? 1 : 0;  // NOLINT
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, at_most_once);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, at_most_once);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, error_text_.data());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -111,7 +111,7 @@
   // a connection that idled out and send the letter again, unasked.
   void SendsAnAtMostOnceCallOnce() {
     fake_endpoint endpoint(context_, [](raw_peer& peer, int number) {
-      number == 1 ? peer.Send(kWhole) : peer.Close();
+      number == 2 ? peer.Close() : peer.Send(kWhole);
     });
     Run(context_, client_, Get(endpoint.Url()));
     http_call letter = Get(endpoint.Url());
@@ -123,6 +123,9 @@
     CPPUNIT_ASSERT_EQUAL(2, endpoint.Requests());
     CPPUNIT_ASSERT(result.end == call_end::kTruncated);
     CPPUNIT_ASSERT(result.may_have_been_sent);
+    Run(context_, client_, letter);
+    RunUntil(context_, [&] { return endpoint.Peers().back()->Ended(); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, endpoint.Peers().size());
   }
 
   // The second caller gets its own answer, not the one of the first.
