--- a/programs/slatestall/queries/explain_query.cc
+++ b/programs/slatestall/queries/explain_query.cc
@@ -1,7 +1,7 @@
-#include <cstdio>
 #include <memory>
 
 #include "slatestall/console.h"
+#include "slatestall/format_number.h"
 #include "slatestall/host_option.h"
 #include "slatestall/subcommands.h"
 #include "slatestall/system_view.h"
@@ -48,10 +48,7 @@
 }
 
 std::string Milliseconds(const json& value) {
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.1f",  // NOLINT
-                value.is_number() ? value.get<double>() : 0.0);
-  return text.data();
+  return FormatNumber(value.is_number() ? value.get<double>() : 0.0, 1);
 }
 
 std::string DecisionTable(const json& decisions) {
