Policy: a prefix has a home that all hosts agree on

Each thread followed the endpoint it had last sent a prefix to, so 18 threads filled 18 caches with the same prompt. The home of a prefix is now the endpoint with the highest hash of both; it is compared with the random draws and gets a bonus, so a loaded home is left.

--- a/src/slatestall/policy/endpoint_choice.cc
+++ b/src/slatestall/policy/endpoint_choice.cc
@@ -11,12 +11,14 @@
 constexpr std::size_t kMostMisses = 8;
 
 constexpr double kCrossDomainTime = 0.0005;  // Seconds; a bit above measured.
-constexpr double kUnknownTime = 0.05;       // Seconds, before any answer.
-constexpr double kAdapterLoadTime = 0.2;    // Seconds to load an adapter.
+constexpr double kUnknownTime = 0.05;        // Seconds, before any answer.
+constexpr double kAdapterLoadTime = 0.2;     // Seconds to load an adapter.
 constexpr double kColdFactor = 3;  // Loss of an endpoint just returned.
 // A holder of the prefix is believed by own memory or by its cache events;
 // events are late, so they count for less.
 constexpr double kEventConfidence = 0.7;
+// Other hosts send prompts with the prefix to its home, too.
+constexpr double kHomeConfidence = 0.7;
 
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::find(names.begin(), names.end(), name) != names.end();
@@ -94,7 +96,7 @@
   draw_state draw;
   for (endpoint_state* state : candidates) {
     if (Fitness(*state, request, circuit, now) >= least) {
-      Consider(state, request, now, draw);
+      Consider(state, request, now, 0, draw);
     }
   }
   return draw.best;
@@ -115,12 +117,12 @@
       continue;
     }
     ++found;
-    Consider(state, request, now, draw);
+    Consider(state, request, now, 0, draw);
   }
-  endpoint_state* holder = PrefixHolder(candidates, request);
-  if (holder != nullptr &&
-      Fitness(*holder, request, circuit, now) == fitness::kGood) {
-    Consider(holder, request, now, draw);
+  endpoint_state* home = PrefixHome(candidates, request);
+  if (home != nullptr &&
+      Fitness(*home, request, circuit, now) == fitness::kGood) {
+    Consider(home, request, now, kHomeConfidence * request.prefix_time, draw);
   }
   if (draw.best != nullptr) {
     return draw.best;
@@ -128,28 +130,30 @@
   return BestOfAll(candidates, request, circuit, fitness::kGood, now);
 }
 
-endpoint_state* endpoint_choice::PrefixHolder(
-    const endpoint_set::candidates& candidates,
-    const choice_request& request) const {
-  const std::vector<std::uint64_t>& prefixes = *request.prefixes;
-  for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
-    const std::string& address = memory_.Find(*prefix);
-    if (address.empty()) {
-      continue;
+// Every host ranks the endpoints alike for a prefix, so that prompts with it
+// meet at one endpoint without a word between the hosts.
+endpoint_state* endpoint_choice::PrefixHome(
+    const endpoint_set::candidates& candidates, const choice_request& request) {
+  if (request.prefixes->empty()) {
+    return nullptr;
+  }
+  const std::uint64_t prefix = request.prefixes->front();
+  endpoint_state* home = nullptr;
+  std::uint64_t highest = 0;
+  for (endpoint_state* state : candidates) {
+    const std::uint64_t rank = random_generator(state->Rank() ^ prefix).Next();
+    if (home == nullptr || rank > highest) {
+      home = state;
+      highest = rank;
     }
-    const auto found = std::find_if(candidates.begin(), candidates.end(),
-                                    [&](const endpoint_state* state) {
-                                      return state->Address() == address;
-                                    });
-    return found == candidates.end() ? nullptr : *found;
   }
-  return nullptr;
+  return home;
 }
 
 void endpoint_choice::Consider(endpoint_state* state,
                                const choice_request& request, time_point now,
-                               draw_state& draw) const {
-  const double score = Score(*state, request, now);
+                               double bonus, draw_state& draw) const {
+  const double score = Score(*state, request, now) - bonus;
   if (draw.best == nullptr || score < draw.score) {
     draw = {state, score};
   }
--- a/src/slatestall/policy/endpoint_choice.h
+++ b/src/slatestall/policy/endpoint_choice.h
@@ -59,10 +59,10 @@
                              const choice_request& request,
                              const domain_circuit& circuit,
                              random_generator& random, time_point now) const;
-  endpoint_state* PrefixHolder(const endpoint_set::candidates& candidates,
-                               const choice_request& request) const;
+  static endpoint_state* PrefixHome(const endpoint_set::candidates& candidates,
+                                    const choice_request& request);
   void Consider(endpoint_state* state, const choice_request& request,
-                time_point now, draw_state& draw) const;
+                time_point now, double bonus, draw_state& draw) const;
   double Score(const endpoint_state& state, const choice_request& request,
                time_point now) const;
   double CachedShare(const endpoint_state& state,
--- a/src/slatestall/policy/endpoint_state.cc
+++ b/src/slatestall/policy/endpoint_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "slatestall/model/ids.h"
 #include "slatestall/policy/seconds.h"
 
 namespace slatestall {
@@ -21,7 +22,7 @@
 
 endpoint_state::endpoint_state(const endpoint_view& view, std::uint32_t slots,
                                time_point now)
-    : address_(view.where.address) {
+    : address_(view.where.address), rank_(StableHash(address_)) {
   Update(view, slots, now);
 }
 
--- a/src/slatestall/policy/endpoint_state.h
+++ b/src/slatestall/policy/endpoint_state.h
@@ -35,6 +35,8 @@
   void Unlist() { view_ = nullptr; }
 
   const std::string& Address() const { return address_; }
+  /// @brief Hash of the address, equal on every host.
+  std::uint64_t Rank() const { return rank_; }
   const std::string& FailureDomain() const { return failure_domain_; }
   bool Listed() const { return view_ != nullptr; }
   /// @brief Valid only while listed.
@@ -69,6 +71,7 @@
 
  private:
   std::string address_;
+  std::uint64_t rank_;
   std::string failure_domain_;
   const endpoint_view* view_ = nullptr;
   double slots_ = 1;
