--- a/src/slatestall/serve/answered_once_test.cc
+++ b/src/slatestall/serve/answered_once_test.cc
@@ -32,16 +32,17 @@
   explicit scripted_lane(std::vector<int> acts) : acts_(std::move(acts)) {
     encoder.Act(Scripted(Encoder()));
     letters.Act([this, normal = Scripted(Encoder())](
-                    const seen_call& call, http_responder_ptr answer) {
+                    const seen_call& call, const http_responder_ptr& answer) {
       CountRun(call);
-      normal(call, std::move(answer));
-    });
-    BothEngines([this](const seen_call& call, http_responder_ptr answer) {
-      if (IsBilled(call) && !call.body.contains("resume")) {
-        CountRun(call);
-      }
-      ActAsEngine(call, std::move(answer));
+      normal(call, answer);
     });
+    BothEngines(
+        [this](const seen_call& call, const http_responder_ptr& answer) {
+          if (IsBilled(call) && !call.body.contains("resume")) {
+            CountRun(call);
+          }
+          ActAsEngine(call, answer);
+        });
   }
 
   /// Calls that must not be repeated, but for those proven not run.
@@ -70,7 +71,8 @@
   }
 
   test_endpoint::behaviour Scripted(const test_endpoint::behaviour& normal) {
-    return [this, normal](const seen_call& call, http_responder_ptr answer) {
+    return [this, normal](const seen_call& call,
+                          const http_responder_ptr& answer) {
       seen_call other = call;
       other.attempt += "9";
       switch (Next()) {
@@ -79,23 +81,23 @@
         case act::kFail:
           return answer->Send(500, {}, "");
         case act::kCut:
-          return CutLater(context, std::move(answer));
+          return CutLater(context, answer);
         case act::kCross:
-          return normal(other, std::move(answer));
+          return normal(other, answer);
         case act::kHang:
-          held.push_back(std::move(answer));
+          held.push_back(answer);
           return;
         default:
-          return normal(call, std::move(answer));
+          return normal(call, answer);
       }
     };
   }
 
-  void ActAsEngine(const seen_call& call, http_responder_ptr answer) {
+  void ActAsEngine(const seen_call& call, const http_responder_ptr& answer) {
     const std::uint64_t first = call.body.value("resume_offset", 0U);
     switch (Next()) {
       case act::kAnswer:
-        return Engine(kTokens)(call, std::move(answer));
+        return Engine(kTokens)(call, answer);
       case act::kRefuse:
         return answer->Send(429, {{"X-Not-Run", "1"}}, "");
       case act::kFail:
@@ -104,7 +106,7 @@
         return answer->Send(410, {{"X-Not-Run", "1"}}, "");
       case act::kCut:
         StreamTokens(call, *answer, first, 2);
-        return CutLater(context, std::move(answer));
+        return CutLater(context, answer);
       case act::kCross:
         StreamTokens(call, *answer, first, 1);
         WriteText(*answer, call.attempt + "9", 1, " of another");
@@ -121,7 +123,7 @@
       case act::kHang:
         break;
     }
-    held.push_back(std::move(answer));
+    held.push_back(answer);
   }
 
   std::vector<int> acts_;
--- a/src/slatestall/serve/keyed_request_test.cc
+++ b/src/slatestall/serve/keyed_request_test.cc
@@ -135,8 +135,8 @@
 
   void LetterWithoutAnAnswerIsUnknown() {
     test_lane t;
-    t.letters.Act([&t](const seen_call&, http_responder_ptr answer) {
-      CutLater(t.context, std::move(answer));
+    t.letters.Act([&t](const seen_call&, const http_responder_ptr& answer) {
+      CutLater(t.context, answer);
     });
     t.Start();
     t.AwaitProblem(SendLetter(t, kKey), error_kind::kOutcomeUnknown, "maybe");
@@ -172,12 +172,13 @@
     // The engine's 410 proves that the resuming call ran nothing. It says
     // nothing of the call before it, so the caller must not be told "no".
     test_lane t;
-    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
-      if (call.body.contains("resume")) {
-        return answer->Send(410, {{"X-Not-Run", "1"}}, "");
-      }
-      CutLater(t.context, std::move(answer));
-    });
+    t.BothEngines(
+        [&t](const seen_call& call, const http_responder_ptr& answer) {
+          if (call.body.contains("resume")) {
+            return answer->Send(410, {{"X-Not-Run", "1"}}, "");
+          }
+          CutLater(t.context, answer);
+        });
     t.Start();
     t.AwaitProblem(t.Run("billed", kKey), error_kind::kOutcomeUnknown, "maybe");
     CPPUNIT_ASSERT(t.engine_a.Calls().empty() || t.engine_b.Calls().empty());
--- a/src/slatestall/serve/request_front.cc
+++ b/src/slatestall/serve/request_front.cc
@@ -61,7 +61,7 @@
 }
 
 void request_front::Handle(const http_request& request,
-                           http_responder_ptr responder) {
+                           const http_responder_ptr& responder) {
   try {
     Serve(RouteOf(request.method, request.path), request, responder);
   } catch (const request_error& error) {
--- a/src/slatestall/serve/request_front.h
+++ b/src/slatestall/serve/request_front.h
@@ -30,7 +30,7 @@
   request_front(const lane_environment& environment, const host_id& host,
                 unsigned lane);
 
-  void Handle(const http_request& request, http_responder_ptr responder);
+  void Handle(const http_request& request, const http_responder_ptr& responder);
   void UseSnapshot(control_snapshot_ptr snapshot);
 
   /// @brief May be called from any thread, as may `InHand`.
--- a/src/slatestall/serve/request_front_test.cc
+++ b/src/slatestall/serve/request_front_test.cc
@@ -81,7 +81,7 @@
 
   void PlainServiceAnswersAsItIs() {
     test_lane t;
-    t.letters.Act([](const seen_call& call, http_responder_ptr answer) {
+    t.letters.Act([](const seen_call& call, const http_responder_ptr& answer) {
       answer->Send(404,
                    {{"X-Attempt-Id", call.attempt}, {"Content-Type", "text/x"}},
                    "no \xff such letter");
@@ -138,7 +138,8 @@
 
   void OperatorsPagesAreServed() {
     test_lane t;
-    t.hooks.admin = [](const http_request& request, http_responder_ptr answer) {
+    t.hooks.admin = [](const http_request& request,
+                       const http_responder_ptr& answer) {
       answer->Send(200, {}, "admin " + request.path);
     };
     t.Start();
--- a/src/slatestall/serve/stage_codec.cc
+++ b/src/slatestall/serve/stage_codec.cc
@@ -148,8 +148,10 @@
   }
   const json parsed = ParseJson(result.body);
   answer.output.usage = UsageMember(parsed);
-  const auto text = StringMember(parsed, "text");
-  answer.output.text = text ? *text : std::move(result.body);
+  answer.output.text = StringMember(parsed, "text");
+  if (!answer.output.text) {
+    answer.output.text = std::move(result.body);
+  }
   return answer;
 }
 
--- a/src/slatestall/serve/stage_failure_test.cc
+++ b/src/slatestall/serve/stage_failure_test.cc
@@ -29,11 +29,12 @@
     // The caller sees a failure, never another request's documents: the
     // retriever answers with the id of some other attempt, every time.
     test_lane t;
-    t.retriever.Act([](const seen_call& call, http_responder_ptr answer) {
-      seen_call other = call;
-      other.attempt = "entry-9.0.0-1/1/0";
-      Documents()(other, std::move(answer));
-    });
+    t.retriever.Act(
+        [](const seen_call& call, const http_responder_ptr& answer) {
+          seen_call other = call;
+          other.attempt = "entry-9.0.0-1/1/0";
+          Documents()(other, answer);
+        });
     t.Start();
     t.AwaitProblem(t.Run("draft"), error_kind::kStageFailed, "yes");
     CPPUNIT_ASSERT(t.Count(lane_event::kCrossedAnswer) > 0);
@@ -46,15 +47,16 @@
     // token of another attempt: it is dropped, the connection is closed, and
     // the stream goes on from its offset over a new one.
     test_lane t;
-    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
-      if (call.body.contains("resume")) {
-        return Engine(4)(call, answer);
-      }
-      StreamTokens(call, *answer, 0, 2);
-      WriteText(*answer, "entry-9.0.0-1/3/0", 2, " of another");
-      WriteToken(*answer, call.attempt, 2);
-      t.held.push_back(std::move(answer));
-    });
+    t.BothEngines(
+        [&t](const seen_call& call, const http_responder_ptr& answer) {
+          if (call.body.contains("resume")) {
+            return Engine(4)(call, answer);
+          }
+          StreamTokens(call, *answer, 0, 2);
+          WriteText(*answer, "entry-9.0.0-1/3/0", 2, " of another");
+          WriteToken(*answer, call.attempt, 2);
+          t.held.push_back(answer);
+        });
     t.Start();
     const auto answer = t.Run("draft", kAsStream);
     t.Await(answer);
@@ -66,7 +68,7 @@
 
   void DoubledTokensAreGivenOnce() {
     test_lane t;
-    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+    t.BothEngines([](const seen_call& call, const http_responder_ptr& answer) {
       StreamTokens(call, *answer, 0, 2);
       WriteToken(*answer, call.attempt, 0);
       WriteToken(*answer, call.attempt, 1);
@@ -85,14 +87,15 @@
 
   void MissingTokensAreFetchedByResume() {
     test_lane t;
-    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
-      if (call.body.contains("resume")) {
-        return Engine(4)(call, answer);
-      }
-      StreamTokens(call, *answer, 0, 1);
-      WriteToken(*answer, call.attempt, 3);
-      t.held.push_back(std::move(answer));
-    });
+    t.BothEngines(
+        [&t](const seen_call& call, const http_responder_ptr& answer) {
+          if (call.body.contains("resume")) {
+            return Engine(4)(call, answer);
+          }
+          StreamTokens(call, *answer, 0, 1);
+          WriteToken(*answer, call.attempt, 3);
+          t.held.push_back(answer);
+        });
     t.Start();
     const auto answer = t.Run("draft", kAsStream);
     t.Await(answer);
@@ -124,13 +127,14 @@
     // engine behind them: the engine has lost the stream, and another one
     // would word the answer differently.
     test_lane t;
-    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
-      if (call.body.contains("resume")) {
-        return answer->Send(410, {{"X-Not-Run", "1"}}, "");
-      }
-      StreamTokens(call, *answer, 0, 2);
-      CutLater(t.context, std::move(answer));
-    });
+    t.BothEngines(
+        [&t](const seen_call& call, const http_responder_ptr& answer) {
+          if (call.body.contains("resume")) {
+            return answer->Send(410, {{"X-Not-Run", "1"}}, "");
+          }
+          StreamTokens(call, *answer, 0, 2);
+          CutLater(t.context, answer);
+        });
     t.Start();
     const auto answer = t.Run("draft", kAsStream);
     t.Await(answer);
@@ -146,7 +150,7 @@
     test_lane t;
     bool first = true;
     t.BothEngines(
-        [&first, &t](const seen_call& call, http_responder_ptr answer) {
+        [&first, &t](const seen_call& call, const http_responder_ptr& answer) {
           if (call.body.contains("resume")) {
             return answer->Send(410, {{"X-Not-Run", "1"}}, "");
           }
@@ -154,7 +158,7 @@
             return Engine(3)(call, answer);
           }
           StreamTokens(call, *answer, 0, 2);
-          CutLater(t.context, std::move(answer));
+          CutLater(t.context, answer);
         });
     t.Start();
     const auto answer = t.Run("draft");
@@ -166,7 +170,7 @@
 
   void StreamWithoutItsEndIsNotWhole() {
     test_lane t;
-    t.BothEngines([&t](const seen_call& call, http_responder_ptr answer) {
+    t.BothEngines([](const seen_call& call, const http_responder_ptr& answer) {
       if (call.body.contains("resume")) {
         return answer->Send(410, {{"X-Not-Run", "1"}}, "");
       }
@@ -183,7 +187,7 @@
     test_lane t;
     bool first = true;
     t.BothEngines(
-        [&first, &t](const seen_call& call, http_responder_ptr answer) {
+        [&first](const seen_call& call, const http_responder_ptr& answer) {
           if (std::exchange(first, false)) {
             return answer->Send(429, {{"X-Not-Run", "1"}}, "");
           }
--- a/src/slatestall/serve/test_endpoint.h
+++ b/src/slatestall/serve/test_endpoint.h
@@ -25,13 +25,15 @@
 /// @brief An endpoint whose behaviour the test sets by a hook.
 class test_endpoint {
  public:
-  using behaviour = std::function<void(const seen_call&, http_responder_ptr)>;
+  using behaviour =
+      std::function<void(const seen_call&, const http_responder_ptr&)>;
 
   test_endpoint(asio::io_context& context, behaviour act)
       : act_(std::move(act)),
         server_(context, {},
-                [this](const http_request& request, http_responder_ptr answer) {
-                  Serve(request, std::move(answer));
+                [this](const http_request& request,
+                       const http_responder_ptr& answer) {
+                  Serve(request, answer);
                 }) {}
 
   std::string Address() const {
@@ -43,13 +45,13 @@
   std::size_t Closed() const { return closed_; }
 
  private:
-  void Serve(const http_request& request, http_responder_ptr answer) {
+  void Serve(const http_request& request, const http_responder_ptr& answer) {
     answer->OnClosed([this] { ++closed_; });
     calls_.push_back({request.path,
                       std::string(FindHeader(request.headers, "X-Attempt-Id")),
                       nlohmann::json::parse(request.body, nullptr, false)});
     const behaviour act = act_;
-    act(calls_.back(), std::move(answer));
+    act(calls_.back(), answer);
   }
 
   behaviour act_;
@@ -65,7 +67,7 @@
 }
 
 inline test_endpoint::behaviour Encoder() {
-  return [](const seen_call& call, http_responder_ptr answer) {
+  return [](const seen_call& call, const http_responder_ptr& answer) {
     AnswerJson(call, *answer,
                {{"embedding", {0.5, 1.0}},
                 {"usage", {{"prompt_tokens", 3}, {"engine_ms", 1}}}});
@@ -73,21 +75,22 @@
 }
 
 inline test_endpoint::behaviour Documents() {
-  return [](const seen_call& call, http_responder_ptr answer) {
+  return [](const seen_call& call, const http_responder_ptr& answer) {
     AnswerJson(call, *answer,
                {{"documents", {{{"id", "d1"}, {"text", "shelf"}}}}});
   };
 }
 
-inline test_endpoint::behaviour Refuse(int status, http_headers headers) {
-  return [status, headers](const seen_call&, http_responder_ptr answer) {
+inline test_endpoint::behaviour Refuse(int status,
+                                       const http_headers& headers) {
+  return [status, headers](const seen_call&, const http_responder_ptr& answer) {
     answer->Send(status, headers, "");
   };
 }
 
 inline test_endpoint::behaviour Hang(std::vector<http_responder_ptr>& held) {
-  return [&held](const seen_call&, http_responder_ptr answer) {
-    held.push_back(std::move(answer));
+  return [&held](const seen_call&, const http_responder_ptr& answer) {
+    held.push_back(answer);
   };
 }
 
@@ -141,7 +144,7 @@
 
 /// @brief An engine that generates `tokens` and resumes what it began.
 inline test_endpoint::behaviour Engine(std::uint64_t tokens) {
-  return [tokens](const seen_call& call, http_responder_ptr answer) {
+  return [tokens](const seen_call& call, const http_responder_ptr& answer) {
     StreamTokens(call, *answer, call.body.value("resume_offset", 0U), tokens);
     WriteEnd(*answer, call.attempt, tokens);
     answer->Finish();
@@ -149,7 +152,8 @@
 }
 
 /// @brief Breaks the connection once what was written has left.
-inline void CutLater(asio::io_context& context, http_responder_ptr answer) {
+inline void CutLater(asio::io_context& context,
+                     const http_responder_ptr& answer) {
   auto timer = std::make_shared<asio::steady_timer>(context, milliseconds(10));
   timer->async_wait([timer, answer](asio::error_code) { answer->Abort(); });
 }
@@ -159,12 +163,12 @@
                                         std::uint64_t cut,
                                         std::uint64_t tokens) {
   return [&context, cut, tokens](const seen_call& call,
-                                 http_responder_ptr answer) {
+                                 const http_responder_ptr& answer) {
     if (call.body.contains("resume")) {
       return Engine(tokens)(call, answer);
     }
     StreamTokens(call, *answer, 0, cut);
-    CutLater(context, std::move(answer));
+    CutLater(context, answer);
   };
 }
 
--- a/src/slatestall/serve/test_guard.h
+++ b/src/slatestall/serve/test_guard.h
@@ -48,9 +48,9 @@
   outcome_guard Hooks() {
     outcome_guard guard;
     guard.begin = [this](const keyed_request& request,
-                         std::function<void(claim_decision)> done) {
+                         const std::function<void(claim_decision)>& done) {
       if (silent) {
-        kept = std::move(done);
+        kept = done;
         return;
       }
       done(Begin(request));
@@ -70,7 +70,8 @@
       return "minted-for-" + workspace;
     };
     guard.lookup = [this](const std::string& workspace, const std::string& key,
-                          time_point, std::function<void(key_lookup)> done) {
+                          time_point,
+                          const std::function<void(key_lookup)>& done) {
       done(Lookup(workspace, key));
     };
     return guard;
--- a/src/slatestall/serve/test_lane.h
+++ b/src/slatestall/serve/test_lane.h
@@ -186,7 +186,7 @@
   nlohmann::json AwaitProblem(const test_answer_ptr& answer, error_kind kind,
                               const std::string& ran) {
     Await(answer);
-    const nlohmann::json problem = answer->Json();
+    nlohmann::json problem = answer->Json();
     CPPUNIT_ASSERT_EQUAL(
         "urn:slatestall:error:" + std::string(AnswerFor(kind).name),
         problem.value("type", answer->result.body));
--- a/src/slatestall/serve/token_stream.cc
+++ b/src/slatestall/serve/token_stream.cc
@@ -27,7 +27,8 @@
     // be cut out exactly.
     return end <= next_ ? splice::kDoubled : splice::kDiverged;
   }
-  const std::string_view known = std::string_view(text_).substr(start->bytes);
+  const std::string_view whole = text_;
+  const std::string_view known = whole.substr(start->bytes);
   const std::string_view repeated = event.text;
   if (end <= next_) {
     return known.starts_with(repeated) ? splice::kDoubled : splice::kDiverged;
--- a/src/slatestall/serve/traffic_lane.cc
+++ b/src/slatestall/serve/traffic_lane.cc
@@ -39,11 +39,11 @@
                      explain_,
                      options_,
                      hooks_},
-        server_(
-            context, options.server,
-            [this](const http_request& request, http_responder_ptr responder) {
-              front_.Handle(request, std::move(responder));
-            }),
+        server_(context, options.server,
+                [this](const http_request& request,
+                       const http_responder_ptr& responder) {
+                  front_.Handle(request, responder);
+                }),
         front_(environment_, host, lane),
         snapshot_timer_(context),
         alive_(std::make_shared<impl*>(this)) {
