--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr milliseconds kAvoidSilentWriter{2000};
+constexpr milliseconds kLeastSlack{50};  // For the way there and back.
 constexpr milliseconds kLongestWait{5000};
 constexpr milliseconds kEndTimeout{4000};  // Endings are written behind.
 constexpr int kMaxHandovers = 16;          // Of one key, followed in a row.
@@ -137,11 +138,11 @@
                   UsableHosts());
 }
 
-void outcome_router::Warm() {
+void outcome_router::Tend() {
   const std::vector<std::string> hosts = UsableHosts();
   for (std::uint32_t at = 0; at < options_.claim_partitions; ++at) {
     if (WriterOf(at, hosts) == self_.name) {
-      log_->Warm(at);
+      log_->Tend(at);
     }
   }
 }
@@ -200,8 +201,11 @@
                              const answer_function& done) {
   ++peer_claims_;
   const bool is_minted = LooksMinted(attempt.key.key);
+  // A silent writer has to be noticed while there is time for another one.
+  const milliseconds slack =
+      std::min(options_.peer_timeout, std::max(wait, kLeastSlack));
   peers_.call(
-      peer, AsUnion(ToMessage(attempt, wait)), wait + options_.peer_timeout,
+      peer, AsUnion(ToMessage(attempt, wait)), wait + slack,
       [weak = weak_from_this(), peer, is_minted, done](const auto& reply) {
         const auto* message = reply.end == peer_call_end::kReplied
                                   ? reply.body.Asclaim_reply()
