--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -254,11 +254,11 @@
     int ended = 0;
     http_call first = Get(endpoint.Url());
     first.on_data = [&](std::string_view) {
-      client_.Start(Get(endpoint.Url()), [&](http_result) { ++ended; });
+      client_.Start(Get(endpoint.Url()), [&](const http_result&) { ++ended; });
     };
-    client_.Start(first, [&](http_result) {
+    client_.Start(first, [&](const http_result&) {
       ++ended;
-      client_.Start(Get(endpoint.Url()), [&](http_result) { ++ended; });
+      client_.Start(Get(endpoint.Url()), [&](const http_result&) { ++ended; });
     });
     RunUntil(context_, [&] { return ended == 3; });
   }
@@ -276,9 +276,9 @@
         call.on_data = [&](std::string_view) { client.reset(); };
         client->Start(call, MustNotRun());
       } else {
-        client->Start(call, [&](http_result) { client.reset(); });
+        client->Start(call, [&](const http_result&) { client.reset(); });
       }
-      client->Start(Get(endpoint.Url()), [](http_result) {});
+      client->Start(Get(endpoint.Url()), [](const http_result&) {});
       RunUntil(context_, [&] { return client == nullptr; });
     }
     client = std::make_unique<http_client>(context_);
@@ -315,7 +315,9 @@
 
  private:
   static http_client::completion MustNotRun() {
-    return [](http_result) { CPPUNIT_FAIL("a completion that must not run"); };
+    return [](const http_result&) {
+      CPPUNIT_FAIL("a completion that must not run");
+    };
   }
 
   asio::io_context context_;
--- a/src/slatestall/http/http_server_test.cc
+++ b/src/slatestall/http/http_server_test.cc
@@ -146,7 +146,7 @@
     http_call call;
     call.method = "POST";
     call.url = "http://127.0.0.1:" + std::to_string(server_->Port()) + "/";
-    call.body = std::string(16'000'000, 'b');
+    call.body = std::string().append(16'000'000, 'b');
     for (int i = 0; i < 5; ++i) {
       const http_result result = Run(context_, client, call);
       CPPUNIT_ASSERT_EQUAL(413, result.status);
@@ -248,24 +248,32 @@
     CPPUNIT_ASSERT(caller->Has("whole"));
   }
 
+  // One limit at a time is short, so that no other can end the connection.
   void ClosesSlowAndIdleCallers() {
-    http_server_options options;
-    options.read_timeout = milliseconds(1);
-    options.write_timeout = milliseconds(1);
-    options.answer_timeout = milliseconds(1);
-    options.idle_timeout = milliseconds(1);
-    Open(options);
-    const auto slow = Ask("GET / HT");
+    const milliseconds brief(1);
+    OpenWith(
+        [&](http_server_options& options) { options.idle_timeout = brief; });
     const auto idle = Ask("");
-    RunUntil(context_, [&] { return slow->Ended() && idle->Ended(); });
+    RunUntil(context_, [&] { return idle->Ended(); });
+
+    OpenWith(
+        [&](http_server_options& options) { options.read_timeout = brief; });
+    const auto slow_writer = Ask("GET / HT");
+    RunUntil(context_, [&] { return slow_writer->Ended(); });
+
+    OpenWith(
+        [&](http_server_options& options) { options.answer_timeout = brief; });
     const auto unanswered = Ask(kGet);
-    bool told = false;
     AwaitRequest(1);
+    bool told = false;
     kept_.responders[0]->OnClosed([&] { told = true; });
     RunUntil(context_, [&] { return told && unanswered->Ended(); });
-    const auto not_reading = Ask(kGet, false);
+
+    OpenWith(
+        [&](http_server_options& options) { options.write_timeout = brief; });
+    const auto slow_reader = Ask(kGet, false);
     AwaitRequest(2);
-    kept_.responders[1]->Send(200, {}, std::string(32'000'000, 'x'));
+    kept_.responders[1]->Send(200, {}, std::string().append(32'000'000, 'x'));
     RunUntil(context_, [&] { return server_->OpenConnections() == 0; });
   }
 
@@ -358,6 +366,12 @@
         });
   }
 
+  void OpenWith(const std::function<void(http_server_options&)>& change) {
+    http_server_options options;
+    change(options);
+    Open(options);
+  }
+
   std::shared_ptr<raw_peer> Ask(std::string_view request, bool read = true) {
     return raw_peer::Connect(context_, server_->Port(), request, read);
   }
