--- a/src/slatestall/report/report_data_test.cc
+++ b/src/slatestall/report/report_data_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -205,13 +206,15 @@
     const std::string text = WritePrometheus(collector.Snapshot(kStart));
     const std::string labels = R"({route="dr\"aft",class="interactive")";
     const std::string name = "slatestall_request_latency_seconds";
-    for (const std::string& line :
-         {name + "_bucket" + labels + ",le=\"1\"} 2\n",
-          name + "_bucket" + labels + ",le=\"+Inf\"} 3\n",
-          name + "_sum" + labels + "} 500.502\n",
-          name + "_count" + labels + "} 3\n",
-          "slatestall_requests_by_outcome_total" + labels +
-              ",outcome=\"late\"} 1\n"}) {
+    const std::vector<std::array<std::string, 3>> samples{
+        {name + "_bucket", ",le=\"1\"", "2"},
+        {name + "_bucket", ",le=\"+Inf\"", "3"},
+        {name + "_sum", "", "500.502"},
+        {name + "_count", "", "3"},
+        {"slatestall_requests_by_outcome_total", ",outcome=\"late\"", "1"}};
+    for (const auto& [metric, label, value] : samples) {
+      std::string line = metric;
+      line.append(labels).append(label).append("} ").append(value) += '\n';
       CPPUNIT_ASSERT_MESSAGE(line + text, text.find(line) != std::string::npos);
     }
   }
