Policy: learn from losers of hedges, and give up slow attempts sooner where there is room

A straggler that is the home of a prefix sends the first byte at once and then crawls, so no hedge was sent, and its attempts were given up only at three times the 99th percentile. Losers without a first byte now count against the time of a first byte, and the timeout is twice the 99th percentile; four times where the endpoints are nearly full, since giving up there adds to the load.

--- a/src/slatestall/policy/deadline_budget.cc
+++ b/src/slatestall/policy/deadline_budget.cc
@@ -7,7 +7,10 @@
 namespace slatestall {
 namespace {
 
-constexpr double kTimeoutFactor = 3;      // Times the 99th percentile.
+// Times the 99th percentile. Where calls wait, answers are late because of the
+// load, and giving them up to start anew would only add to it.
+constexpr double kTimeoutFactor = 2;
+constexpr double kLoadedTimeoutFactor = 4;
 constexpr double kShortestTimeout = 0.2;  // Seconds.
 
 }  // namespace
@@ -28,12 +31,12 @@
 }
 
 milliseconds deadline_budget::AttemptTimeout(const latency_summary& answer,
-                                             bool repeatable,
+                                             bool repeatable, bool others_wait,
                                              time_point now) const {
   double seconds = Seconds(deadline_ - now) - later_;
   if (repeatable && answer.known) {
-    const double usual =
-        std::max(kShortestTimeout, answer.worst * kTimeoutFactor);
+    const double factor = others_wait ? kLoadedTimeoutFactor : kTimeoutFactor;
+    const double usual = std::max(kShortestTimeout, answer.worst * factor);
     seconds = std::min(seconds, usual);
   }
   return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
--- a/src/slatestall/policy/deadline_budget.h
+++ b/src/slatestall/policy/deadline_budget.h
@@ -25,8 +25,9 @@
   /// @brief Time for one attempt. Where another attempt may follow, it is
   /// bounded by the time that nearly all answers need.
   /// @param answer Latency of this stage.
+  /// @param others_wait Whether calls wait for the same endpoints.
   milliseconds AttemptTimeout(const latency_summary& answer, bool repeatable,
-                              time_point now) const;
+                              bool others_wait, time_point now) const;
 
  private:
   double likely_;  ///< Seconds for this stage and the later ones.
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -248,6 +248,8 @@
 void replay_lane::CloseAttempt(live_request& live, attempt& closed,
                                attempt_end end, const modelled_answer& answer) {
   closed.open = false;
+  const bool begun =
+      closed.call != 0 && closed.endpoint->AnswerHasBegun(closed.call);
   if (closed.call != 0) {
     closed.endpoint->Cancel(closed.call);
   }
@@ -259,7 +261,7 @@
   report.stage = live.stage;
   report.end = end;
   report.said_leaving = answer.said_leaving;
-  report.first_byte = answer.first_byte;
+  report.first_byte = begun ? duration(1) : answer.first_byte;
   report.total = around_.events.Now() - closed.sent;
   policy_.Ended(report, around_.events.Now());
 }
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -143,8 +143,8 @@
   decision.ticket = request.ticket;
   decision.verdict = stage_verdict::kDispatch;
   decision.address = endpoint->Address();
-  decision.attempt_timeout =
-      call.budget.AttemptTimeout(answer, call.service.Repeatable(), now);
+  decision.attempt_timeout = call.budget.AttemptTimeout(
+      answer, call.service.Repeatable(), !call.pool.HasSpareRoom(), now);
   decision.engine_priority = EnginePriority(request.priority);
   if (call.service.Kind() == service_kind::kEngine) {
     decision.stall_timeout = kStallTimeout;
@@ -274,10 +274,7 @@
       }
       return;
     case attempt_end::kCancelled:
-      // The loser of a hedge: it would have taken at least this long.
-      if (total > call.expected) {
-        endpoint.Learn(total, call.expected);
-      }
+      LearnUnfinished(endpoint, call, report, statistics);
       return;
     case attempt_end::kTimedOut:
       // The answer would have taken at least this long. Were only answers
@@ -289,7 +286,7 @@
       if (!overdue) {
         return;
       }
-      endpoint.Learn(total, call.expected);
+      LearnUnfinished(endpoint, call, report, statistics);
       break;
     case attempt_end::kRefusedByEndpoint:
       if (!report.said_leaving) {
@@ -305,6 +302,27 @@
   state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
 }
 
+// An attempt that was given up, often as the loser of a hedge, would have taken
+// at least this long. Where not even its first byte came, the wait is compared
+// with that of a first byte: the loser is cancelled long before it has shown
+// how slow the whole answer would be.
+void stage_planner::LearnUnfinished(endpoint_state& endpoint,
+                                    const call_in_flight& call,
+                                    const attempt_report& report,
+                                    const stage_statistics* statistics) {
+  const double total = Seconds(report.total);
+  double expected = call.expected;
+  if (statistics != nullptr && report.first_byte == duration::zero()) {
+    const latency_summary& first = statistics->first_byte.Summary();
+    if (first.known && total > first.high) {
+      expected = std::min(expected, first.median);
+    }
+  }
+  if (total > expected) {
+    endpoint.Learn(total, expected);
+  }
+}
+
 retry_decision stage_planner::PlanRetry(const stage_request& request,
                                         time_point now) {
   retry_decision decision;
--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -48,6 +48,10 @@
   void Learn(service_traffic& service, endpoint_state& endpoint,
              const call_in_flight& call, const attempt_report& report,
              time_point now);
+  static void LearnUnfinished(endpoint_state& endpoint,
+                              const call_in_flight& call,
+                              const attempt_report& report,
+                              const stage_statistics* statistics);
 
   traffic_state& state_;
 };
