--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -28,11 +28,12 @@
   std::uint64_t seed = 1;        ///< All random choices follow from it.
   bool hedging = true;
   bool early_refusal = true;
-  bool queueing = true;        ///< Hold calls back when endpoints are full.
-  double retry_budget = 0.1;   ///< Retries per first attempt.
-  double hedge_budget = 0.05;  ///< Hedges per first attempt.
-  double batch_floor = 0.2;    ///< Share of time that batch calls are assured.
-  std::uint32_t lanes = 1;  ///< Traffic threads that divide this host's share.
+  bool learned_timeouts = true;  ///< Else an attempt may take all time left.
+  bool queueing = true;          ///< Hold calls back when endpoints are full.
+  double retry_budget = 0.1;     ///< Retries per first attempt.
+  double hedge_budget = 0.05;    ///< Hedges per first attempt.
+  double batch_floor = 0.2;  ///< Share of time that batch calls are assured.
+  std::uint32_t lanes = 1;   ///< Traffic threads that divide this host's share.
 };
 
 struct admission_request {
--- a/src/slatestall/policy/deadline_budget.cc
+++ b/src/slatestall/policy/deadline_budget.cc
@@ -31,10 +31,10 @@
 }
 
 milliseconds deadline_budget::AttemptTimeout(const latency_summary& answer,
-                                             bool repeatable, bool others_wait,
+                                             bool bounded, bool others_wait,
                                              time_point now) const {
   double seconds = Seconds(deadline_ - now) - later_;
-  if (repeatable && answer.known) {
+  if (bounded && answer.known) {
     const double factor = others_wait ? kLoadedTimeoutFactor : kTimeoutFactor;
     const double usual = std::max(kShortestTimeout, answer.worst * factor);
     seconds = std::min(seconds, usual);
--- a/src/slatestall/policy/deadline_budget.h
+++ b/src/slatestall/policy/deadline_budget.h
@@ -22,11 +22,12 @@
   /// that has passed would be remembered until it fades.
   time_point LastChance() const;
 
-  /// @brief Time for one attempt. Where another attempt may follow, it is
-  /// bounded by the time that nearly all answers need.
+  /// @brief Time for one attempt.
+  /// @param bounded Another attempt may follow, so it gets no more than the
+  /// time that nearly all answers need.
   /// @param answer Latency of this stage.
   /// @param others_wait Whether calls wait for the same endpoints.
-  milliseconds AttemptTimeout(const latency_summary& answer, bool repeatable,
+  milliseconds AttemptTimeout(const latency_summary& answer, bool bounded,
                               bool others_wait, time_point now) const;
 
  private:
--- a/src/slatestall/policy/replay.cc
+++ b/src/slatestall/policy/replay.cc
@@ -212,6 +212,7 @@
   options.hedging = false;
   options.early_refusal = false;
   options.queueing = false;
+  options.learned_timeouts = false;
   options.retry_budget = kRetryEverything;
   return options;
 }
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -143,8 +143,10 @@
   decision.ticket = request.ticket;
   decision.verdict = stage_verdict::kDispatch;
   decision.address = endpoint->Address();
+  const bool bounded =
+      call.service.Repeatable() && state_.options.learned_timeouts;
   decision.attempt_timeout = call.budget.AttemptTimeout(
-      answer, call.service.Repeatable(), !call.pool.HasSpareRoom(), now);
+      answer, bounded, !call.pool.HasSpareRoom(), now);
   decision.engine_priority = EnginePriority(request.priority);
   if (call.service.Kind() == service_kind::kEngine) {
     decision.stall_timeout = kStallTimeout;
