--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -28,11 +28,12 @@
   std::uint64_t seed = 1;        ///< All random choices follow from it.
   bool hedging = true;
   bool early_refusal = true;
-  bool queueing = true;        ///< Hold calls back when endpoints are full.
-  double retry_budget = 0.1;   ///< Retries per first attempt.
-  double hedge_budget = 0.05;  ///< Hedges per first attempt.
-  double batch_floor = 0.2;    ///< Share of time that batch calls are assured.
-  std::uint32_t lanes = 1;  ///< Traffic threads that divide this host's share.
+  bool learned_timeouts = true;  ///< Else an attempt may take all time left.
+  bool queueing = true;          ///< Hold calls back when endpoints are full.
+  double retry_budget = 0.1;     ///< Retries per first attempt.
+  double hedge_budget = 0.05;    ///< Hedges per first attempt.
+  double batch_floor = 0.2;  ///< Share of time that batch calls are assured.
+  std::uint32_t lanes = 1;   ///< Traffic threads that divide this host's share.
 };
 
 struct admission_request {
@@ -112,7 +113,7 @@
   std::size_t stage = 0;
   attempt_end end = attempt_end::kAnswered;
   bool said_leaving = false;  ///< The endpoint itself said that it leaves.
-  duration first_byte{};      ///< Zero where none came.
+  duration first_byte{};      ///< Zero where none came, whatever the end.
   duration total{};
   std::uint64_t generated_tokens = 0;
 };
@@ -134,7 +135,7 @@
   traffic_policy& operator=(const traffic_policy&) = delete;
 
   /// @brief Takes the control state all later decisions rest on.
-  void UseSnapshot(control_snapshot_ptr snapshot, time_point now);
+  void UseSnapshot(const control_snapshot_ptr& snapshot, time_point now);
 
   admission Admit(const admission_request& request, time_point now);
   /// @brief Ends what `Admit` began; call exactly once per admitted request.
