Tests: a hedge answers for a straggler; verdicts from other threads

Cause: nothing drove the hedge through two live streams, and the fake guard told its verdicts on the caller's thread only.

--- a/src/slatestall/serve/keyed_request_test.cc
+++ b/src/slatestall/serve/keyed_request_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(ClosedCallerLeavesASentRequestRunning);
   CPPUNIT_TEST(ClosedCallerFreesAnUnsentRequest);
   CPPUNIT_TEST(ClaimWonTooLateIsGivenBack);
+  CPPUNIT_TEST(VerdictsMayComeOnAnyThread);
   CPPUNIT_TEST(DeadlineOfASentRequestIsUnknown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -233,6 +234,20 @@
     CPPUNIT_ASSERT(t.encoder.Calls().empty());
   }
 
+  void VerdictsMayComeOnAnyThread() {
+    test_lane t;
+    t.guard.on_thread = true;
+    t.Start();
+    const auto answer = t.Run("billed", kKey);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(200, answer->result.status);
+    const auto state =
+        t.Call("GET", "/v1/workspaces/shop/requests?key=k1", {}, "");
+    t.Await(state);
+    CPPUNIT_ASSERT_EQUAL(std::string("ended"),
+                         state->Json().value("state", ""));
+  }
+
   void DeadlineOfASentRequestIsUnknown() {
     test_lane t;
     t.letters.Act(Hang(t.held));
--- a/src/slatestall/serve/stage_failure_test.cc
+++ b/src/slatestall/serve/stage_failure_test.cc
@@ -7,6 +7,9 @@
 
 const http_headers kAsStream{{"Accept", "text/event-stream"}};
 
+/// Answers after which the policy knows an engine's usual time.
+constexpr int kLearning = 60;
+
 class stage_failure_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(stage_failure_test);
   CPPUNIT_TEST(CrossedAnswerIsNeverGiven);
@@ -19,6 +22,7 @@
   CPPUNIT_TEST(StreamWithoutItsEndIsNotWhole);
   CPPUNIT_TEST(RefusedCallGoesElsewhere);
   CPPUNIT_TEST(BadRequestIsNotRetried);
+  CPPUNIT_TEST(HedgeAnswersForAStraggler);
   CPPUNIT_TEST(DeadlineAnswersAtOnceAndCancels);
   CPPUNIT_TEST(ClosedCallerCancelsItsCalls);
   CPPUNIT_TEST(LeavingEndpointIsToldOn);
@@ -209,6 +213,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, t.EngineCalls());
   }
 
+  void HedgeAnswersForAStraggler() {
+    // The caller sees one engine's whole answer. The engine asked first goes
+    // silent, the hedge's first token settles it, and the silent one's
+    // connection is closed before it can add a word.
+    test_lane t;
+    // A pause of the test's machine may cost hedges before the straggler's.
+    t.options.policy.hedge_budget = 1;
+    t.Start();
+    for (int i = 0; i < kLearning; ++i) {
+      t.Await(t.Run("draft"));
+    }
+    const std::uint64_t before = t.Count(lane_event::kHedge);
+    bool first = true;
+    t.BothEngines([&](const seen_call& call, const http_responder_ptr& answer) {
+      if (std::exchange(first, false)) {
+        t.held.push_back(answer);
+        return;
+      }
+      Engine(4)(call, answer);
+    });
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->Last());
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(4), answer->streamed);
+    CPPUNIT_ASSERT(t.Count(lane_event::kHedge) > before);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, t.Count(lane_event::kRetry));
+    t.Until([&] { return t.engine_a.Closed() + t.engine_b.Closed() > 0; });
+  }
+
   void DeadlineAnswersAtOnceAndCancels() {
     // The caller sees the end of its time as an answer, even though the engine
     // never answers; the engine sees its connection closed.
