--- a/include/slatestall/model/ids.h
+++ b/include/slatestall/model/ids.h
@@ -14,6 +14,7 @@
   std::string name;               ///< Unique by settings, e.g. "entry-3".
   std::uint64_t incarnation = 0;  ///< Random at start, never 0 when valid.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report of clang-tidy 14.
   friend auto operator<=>(const host_id&, const host_id&) = default;
 };
 
