--- a/include/slatestall/node/outcome_service.h
+++ b/include/slatestall/node/outcome_service.h
@@ -95,7 +95,7 @@
   /// @param now Monotonic clock; also called from traffic threads.
   outcome_service(asio::io_context& control, const host_id& self,
                   const outcome_options& options, log_service log,
-                  outcome_peers peers, now_function now);
+                  const outcome_peers& peers, now_function now);
   ~outcome_service();
   outcome_service(const outcome_service&) = delete;
   outcome_service& operator=(const outcome_service&) = delete;
--- a/include/slatestall/policy/claim_types.h
+++ b/include/slatestall/policy/claim_types.h
@@ -16,6 +16,7 @@
   std::string workspace;
   std::string key;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report of clang-tidy 14.
   friend auto operator<=>(const claim_key&, const claim_key&) = default;
 };
 
--- a/src/slatestall/node/claim_log.cc
+++ b/src/slatestall/node/claim_log.cc
@@ -221,14 +221,14 @@
 }
 
 void claim_log::Reply(const partition_ptr& at) {
-  for (auto& settled : at->writer.TakeAnswers(now_())) {
+  for (const auto& settled : at->writer.TakeAnswers(now_())) {
     const auto found = at->askers.find(settled.request);
     if (found == at->askers.end()) {
       continue;
     }
     std::vector<answer_function> askers = std::move(found->second);
     at->askers.erase(found);
-    Give(at, settled.key, std::move(settled.answer), std::move(askers));
+    Give(at, settled.key, settled.answer, std::move(askers));
   }
   for (const auto& request : at->writer.TakeStored()) {
     const auto found = at->enders.find(request);
@@ -255,7 +255,7 @@
       if (is_free) {
         answer.refusal = error_kind::kNotFound;
       }
-      Give(at, asked.attempt.key, std::move(answer), {std::move(asked.done)});
+      Give(at, asked.attempt.key, answer, {std::move(asked.done)});
     } else if (asked.answer_by <= now_()) {
       asked.done(RefusedClaim(error_kind::kClaimUnavailable,
                               "the log cannot be read now"));
--- a/src/slatestall/node/claim_log.h
+++ b/src/slatestall/node/claim_log.h
@@ -87,8 +87,8 @@
   void TakeRead(const partition_ptr& at, const read_result& result);
   void Reply(const partition_ptr& at);
   void ReplyToLookups(const partition_ptr& at);
-  void Give(const partition_ptr& at, const claim_key& key, claim_answer answer,
-            std::vector<answer_function> askers);
+  void Give(const partition_ptr& at, const claim_key& key,
+            const claim_answer& answer, std::vector<answer_function> askers);
 
   log_service log_;
   std::uint32_t partition_count_;
--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -148,12 +148,12 @@
 }
 
 void outcome_router::Claim(const claim_attempt& attempt, milliseconds wait,
-                           answer_function done) {
+                           const answer_function& done) {
   Ask(attempt, wait, done);
 }
 
 void outcome_router::Find(const claim_key& key, milliseconds wait,
-                          answer_function done) {
+                          const answer_function& done) {
   claim_attempt question;
   question.key = key;
   question.holder = self_;
@@ -228,7 +228,8 @@
       });
 }
 
-void outcome_router::End(const claim_ending& ending, stored_function done) {
+void outcome_router::End(const claim_ending& ending,
+                         const stored_function& done) {
   const route to = RouteOf(ending.key);
   switch (to.at) {
     case place::kHome:
@@ -309,7 +310,7 @@
   const auto answer = [reply](bool stored) {
     wire::claim_end_replyT told;
     told.stored = stored;
-    reply(AsUnion(std::move(told)));
+    reply(AsUnion(told));
   };
   const claim_ending ending = FromMessage(message);
   const auto minted = ParseMintedKey(ending.key.key);
@@ -329,7 +330,7 @@
   wire::key_handover_replyT told;
   told.accepted = keys_->TakeOver(part, now_());
   told.incarnation = self_.incarnation;
-  reply(AsUnion(std::move(told)));
+  reply(AsUnion(told));
 }
 
 }  // namespace slatestall
--- a/src/slatestall/node/outcome_router.h
+++ b/src/slatestall/node/outcome_router.h
@@ -33,11 +33,12 @@
 
   /// @brief Claims a key for a request of this host; `done` runs once.
   void Claim(const claim_attempt& attempt, milliseconds wait,
-             answer_function done);
+             const answer_function& done);
   /// @brief The state of a key; `kNotFound` where no request has begun.
-  void Find(const claim_key& key, milliseconds wait, answer_function done);
+  void Find(const claim_key& key, milliseconds wait,
+            const answer_function& done);
   /// @brief `done(false)`: not stored as far as is known; try again later.
-  void End(const claim_ending& ending, stored_function done);
+  void End(const claim_ending& ending, const stored_function& done);
 
   /// @brief Where the keys of this host went when it drained.
   void SetSuccessor(const host_id& successor) { successor_ = successor; }
--- a/src/slatestall/node/outcome_service.cc
+++ b/src/slatestall/node/outcome_service.cc
@@ -141,7 +141,7 @@
 
 outcome_service::outcome_service(asio::io_context& control, const host_id& self,
                                  const outcome_options& options,
-                                 log_service log, outcome_peers peers,
+                                 log_service log, const outcome_peers& peers,
                                  now_function now)
     : impl_(std::make_shared<impl>(control, self, options, std::move(log),
                                    peers, std::move(now))) {
--- a/src/slatestall/node/outcome_service_test.cc
+++ b/src/slatestall/node/outcome_service_test.cc
@@ -51,6 +51,7 @@
     control_thread control;
     outcome_guard guard = control.Guard();
     std::vector<std::string> keys;
+    keys.reserve(kRequestsPerThread);
     for (int number = 0; number < kRequestsPerThread; ++number) {
       keys.push_back(guard.mint_key("shop"));
     }
@@ -141,6 +142,7 @@
   template <typename Work>
   static void Threads(Work work) {
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int number = 0; number < kThreads; ++number) {
       threads.emplace_back([work, number] { work(number); });
     }
--- a/src/slatestall/node/outcome_test_caller.h
+++ b/src/slatestall/node/outcome_test_caller.h
@@ -46,7 +46,7 @@
                                 const std::string& workspace,
                                 const std::string& key, std::uint64_t body,
                                 milliseconds deadline, run_plan plan) {
-    const auto sent = std::make_shared<sending>();
+    auto sent = std::make_shared<sending>();
     sent->host = host;
     sent->incarnation = world_.IdOf(host);
     sent->sent = world_.Time().Now();
--- a/src/slatestall/policy/key_home_test.cc
+++ b/src/slatestall/policy/key_home_test.cc
@@ -125,6 +125,7 @@
       const int count = *rc::gen::inRange(2, 40);
       const int gone = *rc::gen::inRange(0, count);
       std::vector<std::string> all;
+      all.reserve(static_cast<std::size_t>(count));
       for (int number = 0; number < count; ++number) {
         all.push_back("entry-" + std::to_string(number));
       }
