--- a/include/slatestall/policy/share_divider.h
+++ b/include/slatestall/policy/share_divider.h
@@ -43,9 +43,10 @@
     workspace_share lent;
     time_point lent_until{};
     time_point ask_at{};
-    bool allocator_answers = true;
+    time_point cut_off_until{};  ///< The allocator did not answer.
   };
 
+  milliseconds Pace() const;
   bool WantsMore(const workspace_state& state) const;
   double ShareOf(const workspace_state& state, double limit, double lent,
                  time_point now) const;
--- a/src/slatestall/http/server_connection.cc
+++ b/src/slatestall/http/server_connection.cc
@@ -80,8 +80,17 @@
   last_activity_ = Now();
 }
 
-void server_connection::Add(request_in_hand& request) {
+std::size_t server_connection::Add(request_in_hand& request) {
   in_hand_.push_back(&request);
+  return ++requests_;
+}
+
+bool server_connection::EndAfter(std::size_t request_number) {
+  if (request_number != requests_) {
+    return false;
+  }
+  end_announced_ = true;
+  return true;
 }
 
 void server_connection::Remove(request_in_hand& request) {
@@ -137,9 +146,9 @@
     Close();
     return;
   }
-  // Closing with input unread resets the connection, and the reset can
-  // overtake the answer: the caller would see a broken connection instead of
-  // the reason. So the socket is drained first.
+  // Closing with input unread resets the connection: a caller that is still
+  // sending would fail on that and never read the answer. So what it sends is
+  // read and dropped first.
   socket_->cancel(error);
   socket_->shutdown(asio::ip::tcp::socket::shutdown_send, error);
   End(std::move(*socket_));
--- a/src/slatestall/policy/share_divider.cc
+++ b/src/slatestall/policy/share_divider.cc
@@ -1,6 +1,7 @@
 #include "slatestall/policy/share_divider.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace slatestall {
 
@@ -47,15 +48,32 @@
          above(state.limits.concurrency, state.demand.concurrency);
 }
 
+// With many busy workspaces the requests go further apart, so that their cost
+// stays what one host may spend. A workspace that turns busy asks at once.
+milliseconds share_divider::Pace() const {
+  const auto busy = std::count_if(
+      workspaces_.begin(), workspaces_.end(),
+      [this](const auto& entry) { return WantsMore(entry.second); });
+  const auto entries = static_cast<double>(busy);
+  const double messages = std::min(entries, known_hosts_ - 1);
+  const double bytes =
+      entries * rules_.bytes_per_entry + messages * rules_.bytes_per_message;
+  const milliseconds paced(
+      std::llround(bytes / rules_.max_bytes_per_second * 1000));
+  return std::max(rules_.min_interval, paced);
+}
+
 std::vector<share_request> share_divider::TakeDue(time_point now) {
   std::vector<share_request> due;
+  const milliseconds pace = Pace();
   for (auto& [name, state] : workspaces_) {
     if (now < state.ask_at || !WantsMore(state)) {
       continue;
     }
-    state.ask_at = now + rules_.min_interval;
+    state.ask_at = now + pace;
     share_request request;
     request.workspace = name;
+    request.pace = pace;
     request.demand = state.demand;
     if (state.lent_until > now) {
       request.held = state.lent;
@@ -75,14 +93,16 @@
   workspace_state& state = found->second;
   state.lent = grant.lent;
   state.lent_until = asked_at + grant.valid_for;
-  state.ask_at = asked_at + std::max(grant.ask_again, rules_.min_interval);
-  state.allocator_answers = true;
+  state.ask_at = std::max(state.ask_at, asked_at + grant.ask_again);
+  state.cut_off_until = {};
 }
 
 void share_divider::AskFailed(const std::string& workspace, time_point now) {
   const auto found = workspaces_.find(workspace);
   if (found != workspaces_.end()) {
-    found->second.allocator_answers = false;
+    // Ends by itself: a host that no longer asks would else keep a part that
+    // the allocator, back again, lends to others.
+    found->second.cut_off_until = now + 2 * rules_.min_interval;
     found->second.ask_at = now + rules_.min_interval;
   }
 }
@@ -101,7 +121,7 @@
   // the whole limit, which every cut off host would take, and never on nothing.
   // The allocator on the other side lends no more than the part of the hosts
   // it can reach, so that the sides together stay within the limit.
-  return state.allocator_answers ? floor : equal;
+  return now < state.cut_off_until ? equal : floor;
 }
 
 std::map<std::string, workspace_share> share_divider::Shares(
