--- a/src/slatestall/node/host_network.cc
+++ b/src/slatestall/node/host_network.cc
@@ -27,7 +27,8 @@
           static_cast<float>(request.held.requests_per_second),
           static_cast<float>(request.held.tokens_per_second),
           static_cast<float>(request.held.concurrency),
-          static_cast<std::uint32_t>(request.held_for.count())};
+          static_cast<std::uint32_t>(request.held_for.count()),
+          static_cast<std::uint32_t>(request.pace.count())};
 }
 
 share_request RequestOf(const wire::share_ask_entry& entry,
@@ -37,7 +38,8 @@
       {entry.demand_requests(), entry.demand_tokens(),
        entry.demand_concurrency()},
       {entry.held_requests(), entry.held_tokens(), entry.held_concurrency()},
-      milliseconds{entry.held_ms()}};
+      milliseconds{entry.held_ms()},
+      milliseconds{entry.pace_ms()}};
 }
 
 wire::share_answer_entry AnswerEntry(const share_grant& grant) {
