--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -131,6 +131,7 @@
 outcome_options control_core::OutcomeOptions() const {
   outcome_options outcomes;
   outcomes.claim_partitions = options_.claim_partitions;
+  outcomes.log_retention = options_.log_retention;
   return outcomes;
 }
 
