--- a/src/slatestall/node/claim_log.cc
+++ b/src/slatestall/node/claim_log.cc
@@ -266,7 +266,8 @@
 }
 
 void claim_log::Give(const partition_ptr& at, const claim_key& key,
-                     claim_answer answer, std::vector<answer_function> askers) {
+                     const claim_answer& answer,
+                     std::vector<answer_function> askers) {
   const bool needs_log = answer.result == claim_result::kEnded &&
                          answer.outcome == nullptr && answer.outcome_in_log;
   if (!needs_log) {
