--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -112,7 +112,7 @@
   std::size_t stage = 0;
   attempt_end end = attempt_end::kAnswered;
   bool said_leaving = false;  ///< The endpoint itself said that it leaves.
-  duration first_byte{};      ///< Zero where none came.
+  duration first_byte{};      ///< Zero where none came, whatever the end.
   duration total{};
   std::uint64_t generated_tokens = 0;
 };
@@ -134,7 +134,7 @@
   traffic_policy& operator=(const traffic_policy&) = delete;
 
   /// @brief Takes the control state all later decisions rest on.
-  void UseSnapshot(control_snapshot_ptr snapshot, time_point now);
+  void UseSnapshot(const control_snapshot_ptr& snapshot, time_point now);
 
   admission Admit(const admission_request& request, time_point now);
   /// @brief Ends what `Admit` began; call exactly once per admitted request.
