shared: status names the address where each host takes operators

A report is asked of every host, and the status named peer addresses only. Each host now tells its listen address with the port it took, its peers pass it on, and GET /v1/admin/status gives it as http_address.

--- a/include/slatestall/node/control_loop.h
+++ b/include/slatestall/node/control_loop.h
@@ -28,6 +28,8 @@
   std::function<std::string()> report;
   /// What the workspaces would use of their limits here.
   std::function<std::map<std::string, workspace_demand>()> demand;
+  /// "IP:port" where this host takes callers and operators.
+  std::function<std::string()> http_address;
 };
 
 /// @brief The control state of one host, on one thread: configuration, host
--- a/src/slatestall/node/admin_api.cc
+++ b/src/slatestall/node/admin_api.cc
@@ -42,11 +42,14 @@
 }
 
 json HostJson(const host_status& host, config_revision newest) {
-  return {
-      {"name", host.host.name},          {"peer_address", host.peer_address},
-      {"revision", host.revision},       {"since_ms", host.since.count()},
-      {"draining", host.draining},       {"reachable", host.reachable},
-      {"behind", host.revision < newest}};
+  return {{"name", host.host.name},
+          {"peer_address", host.peer_address},
+          {"http_address", host.http_address},
+          {"revision", host.revision},
+          {"since_ms", host.since.count()},
+          {"draining", host.draining},
+          {"reachable", host.reachable},
+          {"behind", host.revision < newest}};
 }
 
 config_revision NewestOf(const system_status& status) {
--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -77,6 +77,9 @@
 }
 
 void control_core::Start() {
+  if (hooks_.http_address) {
+    reporter_.SetHttpAddress(hooks_.http_address());
+  }
   follower_.Start();
   network_.Start();
   if (orders_) {
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -9,6 +9,7 @@
 #include "slatestall/model/ids.h"
 #include "slatestall/node/control_loop.h"
 #include "slatestall/node/drain_sequence.h"
+#include "slatestall/node/listen_address.h"
 #include "slatestall/node/traffic_threads.h"
 
 namespace slatestall {
@@ -77,6 +78,10 @@
     };
     hooks.report = [this] { return traffic_->Report(); };
     hooks.demand = [this] { return traffic_->TakeDemand(); };
+    hooks.http_address = [this] {
+      return ParseListenAddress(options_.listen).address + ":" +
+             std::to_string(traffic_->Port());
+    };
     return hooks;
   }
 
--- a/src/slatestall/node/host_reporter.cc
+++ b/src/slatestall/node/host_reporter.cc
@@ -37,6 +37,7 @@
   host_status status;
   status.host = self_;
   status.peer_address = peer_address_;
+  status.http_address = http_address_;
   status.draining = draining_;
   if (const auto& configuration = directory_.Configuration()) {
     status.revision = configuration->revision;
--- a/src/slatestall/node/host_reporter.h
+++ b/src/slatestall/node/host_reporter.h
@@ -22,6 +22,7 @@
 
   void InForceSince(time_point when) { in_force_since_ = when; }
   void SetPeerAddress(const std::string& address) { peer_address_ = address; }
+  void SetHttpAddress(const std::string& address) { http_address_ = address; }
   void SetDraining() { draining_ = true; }
 
   host_status OwnStatus() const;
@@ -41,6 +42,7 @@
   const endpoint_directory& directory_;
   const host_network& network_;
   std::string peer_address_;
+  std::string http_address_;
   time_point in_force_since_{};
   bool draining_ = false;
 };
--- a/src/slatestall/node/host_status.cc
+++ b/src/slatestall/node/host_status.cc
@@ -36,11 +36,10 @@
 }  // namespace
 
 std::string EncodeHostStatus(const host_status& status) {
-  return json{{"host", status.host.name},
-              {"incarnation", status.host.incarnation},
-              {"revision", status.revision},
-              {"since_ms", status.since.count()},
-              {"draining", status.draining}}
+  return json{
+      {"host", status.host.name},    {"incarnation", status.host.incarnation},
+      {"revision", status.revision}, {"since_ms", status.since.count()},
+      {"draining", status.draining}, {"http_address", status.http_address}}
       .dump();
 }
 
@@ -53,6 +52,7 @@
     status.revision = body.at("revision").get<config_revision>();
     status.since = milliseconds{body.at("since_ms").get<std::int64_t>()};
     status.draining = body.at("draining").get<bool>();
+    status.http_address = body.value("http_address", "");
   } catch (const json::exception&) {
     status = {};
     status.reachable = false;
--- a/src/slatestall/node/host_status.h
+++ b/src/slatestall/node/host_status.h
@@ -17,6 +17,7 @@
 struct host_status {
   host_id host;
   std::string peer_address;
+  std::string http_address;  ///< Of callers and operators; empty: not told.
   config_revision revision = 0;
   milliseconds since{0};  ///< How long the revision has been in force.
   bool draining = false;
