--- a/programs/slatestall/commands/apply.cc
+++ b/programs/slatestall/commands/apply.cc
@@ -178,6 +178,9 @@
                                              config_revision revision) {
     std::vector<host_view> missing;
     for (const host_view& host : view.hosts) {
+      if (host.Gone()) {
+        continue;
+      }
       if (!host.reachable || host.revision < revision) {
         missing.push_back(host);
       }
@@ -188,8 +191,11 @@
   static std::string InForceText(const system_view& view,
                                  config_revision revision) {
     const config_revision newest = NewestRevision(view);
-    return "in force on " + std::to_string(view.hosts.size()) +
-           (view.hosts.size() == 1 ? " host" : " hosts") +
+    const auto hosts = static_cast<std::size_t>(
+        std::count_if(view.hosts.begin(), view.hosts.end(),
+                      [](const host_view& host) { return !host.Gone(); }));
+    return "in force on " + std::to_string(hosts) +
+           (hosts == 1 ? " host" : " hosts") +
            (newest > revision
                 ? ", and followed by revision " + std::to_string(newest)
                 : "");
--- a/programs/slatestall/commands/apply_test.cc
+++ b/programs/slatestall/commands/apply_test.cc
@@ -20,6 +20,7 @@
   config_revision first_revision = 4;
   config_revision second_revision = 4;
   bool second_reachable = true;
+  bool second_draining = false;
   std::string source = "old";
   /// Answer to a publication, and what it leaves behind.
   std::function<admin_answer(fake_system&)> publish;
@@ -80,6 +81,7 @@
     second["name"] = "b";
     second["revision"] = second_revision;
     second["reachable"] = second_reachable;
+    second["draining"] = second_draining;
     return {{"host", "a"},
             {"revision", first_revision},
             {"hosts", {first, second}},
@@ -122,6 +124,7 @@
   CPPUNIT_TEST(FileInForceIsNotPublishedAgain);
   CPPUNIT_TEST(HostThatIsBehindDoesNotProveThatAFileIsInForce);
   CPPUNIT_TEST(UnreachableHostKeepsItFromBeingInForce);
+  CPPUNIT_TEST(HostThatDrainedAndWentIsNotWaitedFor);
   CPPUNIT_TEST(ProblemsAreFoundBeforeAnyCall);
   CPPUNIT_TEST(HostThatIsDownIsToldApart);
   CPPUNIT_TEST_SUITE_END();
@@ -226,6 +229,22 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), result.waiting_for[0].name);
   }
 
+  // A host was drained and its process has ended, but the platform's list still
+  // names it. It serves nobody, so the operator does not wait for it.
+  void HostThatDrainedAndWentIsNotWaitedFor() {
+    fake_system system;
+    system.second_reachable = false;
+    system.second_draining = true;
+    system.publish = [](fake_system& self) {
+      self.Accept(5);
+      return fake_system::Whole(200,
+                                {{"outcome", "accepted"}, {"revision", 5}});
+    };
+    const apply_result result = system.Run();
+    CPPUNIT_ASSERT(result.outcome == apply_outcome::kInForce);
+    CPPUNIT_ASSERT_EQUAL(std::string("in force on 1 host"), result.detail);
+  }
+
   void ProblemsAreFoundBeforeAnyCall() {
     fake_system system;
     const apply_result result = system.Run(std::nullopt, "services: 3\n");
--- a/programs/slatestall/host_reports.cc
+++ b/programs/slatestall/host_reports.cc
@@ -24,6 +24,11 @@
       AddSystemOf(host);
     }
     AskAll();
+    for (const std::string& name : gone_) {
+      if (!urls_.contains(name)) {
+        reports_.gone.push_back(name);
+      }
+    }
     return std::move(reports_);
   }
 
@@ -36,6 +41,10 @@
       return;
     }
     for (const host_view& host : view->hosts) {
+      if (host.Gone()) {
+        gone_.insert(host.name);
+        continue;
+      }
       std::string& known = urls_[host.name];
       if (known.empty() && !host.http_address.empty()) {
         known = kScheme + host.http_address;
@@ -83,6 +92,7 @@
 
   const send_admin_calls& send_;
   host_urls urls_;
+  std::set<std::string> gone_;
   host_reports reports_;
 };
 
--- a/programs/slatestall/host_reports.h
+++ b/programs/slatestall/host_reports.h
@@ -13,6 +13,7 @@
   report_data merged;
   std::vector<std::string> asked;    ///< Hosts whose figures are in `merged`.
   std::vector<std::string> missing;  ///< "host: why" of each that is not.
+  std::vector<std::string> gone;     ///< Drained hosts; their counts are lost.
 };
 
 /// @brief Asks `hosts` for the system's hosts and all of them for their
--- a/programs/slatestall/queries/report_query.cc
+++ b/programs/slatestall/queries/report_query.cc
@@ -9,6 +9,9 @@
   for (const std::string& missing : reports.missing) {
     PrintError("not in the figures: " + missing);
   }
+  for (const std::string& gone : reports.gone) {
+    PrintError("gone after a drain, its counts with it: " + gone);
+  }
   return reports.missing.empty() ? exit_code::kOk : exit_code::kUnreachable;
 }
 
--- a/programs/slatestall/queries/status_query.cc
+++ b/programs/slatestall/queries/status_query.cc
@@ -14,6 +14,9 @@
 };
 
 std::string StateOf(const host_view& host) {
+  if (host.Gone()) {
+    return "gone after a drain";
+  }
   if (!host.reachable) {
     return "unreachable";
   }
@@ -48,7 +51,7 @@
 bool AllWell(const system_view& view) {
   bool well = view.log_reachable;
   for (const host_view& host : view.hosts) {
-    well = well && host.reachable && !host.behind;
+    well = well && (host.Gone() || (host.reachable && !host.behind));
   }
   return well;
 }
--- a/programs/slatestall/system_view.h
+++ b/programs/slatestall/system_view.h
@@ -20,6 +20,10 @@
   bool draining = false;
   bool reachable = false;
   bool behind = false;
+
+  /// @brief Whether it drained and has ended; the platform's list still names
+  /// it for a while.
+  bool Gone() const { return !reachable && draining; }
 };
 
 /// @brief The system as one host sees it.
