Accounts of attempts on their own; a refused retry is a failed stage

Change: attempt_accounts tells policy and request what attempts did; such a request ends as 'stage-failed'.

--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -20,6 +20,7 @@
     : environment_(environment),
       spec_(std::move(spec)),
       hooks_(std::move(hooks)),
+      accounts_(environment_, spec_, hooks_.on_usage),
       hedge_timer_(environment.context),
       retry_timer_(environment.context) {}
 
@@ -80,19 +81,23 @@
     return Dispatch(decision, why);
   }
   Note("", "", "refuse", decision.reason);
-  if (why != ask::kHedge) {
-    Fail({decision.refusal, decision.reason, Positive(decision.retry_after)});
+  if (why == ask::kHedge) {
+    return;
   }
+  // Once an attempt may have run, a kind that promises "not run" would count
+  // the request among those that cost nothing.
+  Fail({may_have_run_ ? error_kind::kStageFailed : decision.refusal,
+        decision.reason, Positive(decision.retry_after)});
 }
 
 void stage_runner::Dispatch(const stage_decision& decision, ask why) {
   if (why == ask::kHedge && (attempts_.size() != 1 || text_sent_)) {
-    return ReportUnsent(decision);
+    return accounts_.Unsent(decision);
   }
   // Asked last: from here to the socket nothing can pause this thread's work
   // for longer than the guard's own margin allows for.
   if (spec_.at_most_once && !hooks_.may_dispatch()) {
-    ReportUnsent(decision);
+    accounts_.Unsent(decision);
     return Fail({error_kind::kClaimUnavailable,
                  "the claim of the key is no longer safe to use",
                  {}});
@@ -196,7 +201,7 @@
   if (ended_ || ended == nullptr) {
     return;
   }
-  Report(*ended, result);
+  accounts_.Ended(*ended, result);
   if (result.end == attempt_end::kAnswered) {
     return OnAnswered(*ended, std::move(result));
   }
@@ -209,7 +214,7 @@
   may_have_run_ = true;
   StopWaiting();
   CancelOthers(nullptr, attempt_use::kHedged);
-  CountUsage(attempt, attempt_use::kUsed, &result.output.usage);
+  accounts_.Use(attempt, attempt_use::kUsed, &result.output.usage);
   Note(attempt.Id().Text(), attempt.Address(), "answered", "");
   stage_summary summary{Stage().name,
                         Stage().service,
@@ -229,7 +234,7 @@
                           attempt.Address(), attempt.Id().Text(),
                           result.detail});
   if (result.may_have_run) {
-    CountUsage(attempt, UseOfFailed(result), nullptr);
+    accounts_.Use(attempt, UseOfFailed(result), nullptr);
   }
   if (!attempts_.empty()) {
     return;  // The other of an attempt and its hedge still runs.
@@ -328,63 +333,9 @@
     loser->Cancel();
     attempt_result cancelled;
     cancelled.end = attempt_end::kCancelled;
-    Report(*loser, cancelled);
-    CountUsage(*loser, use, nullptr);
-  }
-}
-
-attempt_report stage_runner::ReportOf(stage_ticket ticket,
-                                      const std::string& address,
-                                      attempt_end end) const {
-  attempt_report report;
-  report.ticket = ticket;
-  report.service = Stage().service;
-  report.address = address;
-  report.pipeline = spec_.pipeline->name;
-  report.stage = spec_.stage;
-  report.end = end;
-  return report;
-}
-
-void stage_runner::ReportUnsent(const stage_decision& decision) {
-  environment_.scheduler.Ended(
-      ReportOf(decision.ticket, decision.address, attempt_end::kCancelled));
-}
-
-void stage_runner::Report(const stage_attempt& attempt,
-                          const attempt_result& result) {
-  attempt_report report =
-      ReportOf(attempt.Ticket(), attempt.Address(), result.end);
-  report.said_leaving = result.said_leaving;
-  report.first_byte = attempt.FirstByte();
-  report.total = attempt.Elapsed();
-  report.generated_tokens = attempt.Tokens();
-  environment_.scheduler.Ended(report);
-  if (result.said_leaving && environment_.hooks.on_endpoint_leaving) {
-    environment_.hooks.on_endpoint_leaving(attempt.Address());
-  }
-}
-
-// An attempt that did not end by itself never told its usage: its tokens are
-// those that came, and its time is how long it was let run.
-void stage_runner::CountUsage(const stage_attempt& attempt, attempt_use use,
-                              const call_usage* told) {
-  stage_usage usage;
-  usage.workspace = spec_.workspace;
-  usage.pipeline = spec_.pipeline->name;
-  usage.stage = Stage().name;
-  usage.use = use;
-  if (told != nullptr) {
-    usage.prompt_tokens = told->prompt_tokens;
-    usage.cached_tokens = told->cached_tokens;
-    usage.generated_tokens = told->generated_tokens;
-    usage.endpoint_time = told->endpoint_time;
-  } else {
-    usage.generated_tokens = attempt.Tokens();
-    usage.endpoint_time =
-        std::chrono::duration_cast<microseconds>(attempt.Elapsed());
+    accounts_.Ended(*loser, cancelled);
+    accounts_.Use(*loser, use, nullptr);
   }
-  hooks_.on_usage(usage);
 }
 
 void stage_runner::Note(std::string_view attempt, std::string_view endpoint,
--- a/src/slatestall/serve/stage_runner.h
+++ b/src/slatestall/serve/stage_runner.h
@@ -12,9 +12,11 @@
 #include "slatestall/model/error_kind.h"
 #include "slatestall/model/stage_usage.h"
 #include "slatestall/policy/traffic_policy.h"
+#include "slatestall/serve/attempt_accounts.h"
 #include "slatestall/serve/call_scheduler.h"
 #include "slatestall/serve/lane_environment.h"
 #include "slatestall/serve/stage_attempt.h"
+#include "slatestall/serve/stage_spec.h"
 
 namespace slatestall {
 
@@ -25,19 +27,6 @@
   std::optional<milliseconds> retry_after;
 };
 
-struct stage_spec {
-  request_id request;
-  std::string workspace;
-  const pipeline_config* pipeline = nullptr;  ///< Outlives the run.
-  std::size_t stage = 0;                      ///< Index in the pipeline.
-  service_kind kind = service_kind::kPlain;
-  const pipeline_data* data = nullptr;  ///< Outlives the run.
-  time_point deadline{};
-  bool at_most_once = false;
-  bool streams = false;  ///< Its text goes to the caller as it comes.
-  bool lower_max_tokens = false;
-};
-
 /// @brief What a stage that was answered cost, for the caller.
 struct stage_summary {
   std::string stage;
@@ -95,12 +84,6 @@
   void Fail(request_failure failure);
   attempt_ptr Take(const stage_attempt* attempt);
   void CancelOthers(const stage_attempt* winner, attempt_use use);
-  attempt_report ReportOf(stage_ticket ticket, const std::string& address,
-                          attempt_end end) const;
-  void ReportUnsent(const stage_decision& decision);
-  void Report(const stage_attempt& attempt, const attempt_result& result);
-  void CountUsage(const stage_attempt& attempt, attempt_use use,
-                  const call_usage* told);
   void StopWaiting();
   void Note(std::string_view attempt, std::string_view endpoint,
             std::string_view what, std::string_view reason) const;
@@ -109,6 +92,7 @@
   const lane_environment& environment_;
   stage_spec spec_;
   stage_hooks hooks_;
+  attempt_accounts accounts_;
   bool ended_ = false;
   bool text_sent_ = false;
   bool may_have_run_ = false;  ///< By an attempt that ended.
