--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -111,7 +111,7 @@
   // a connection that idled out and send the letter again, unasked.
   void SendsAnAtMostOnceCallOnce() {
     fake_endpoint endpoint(context_, [](raw_peer& peer, int number) {
-      number == 1 ? peer.Send(kWhole) : peer.Close();
+      number == 2 ? peer.Close() : peer.Send(kWhole);
     });
     Run(context_, client_, Get(endpoint.Url()));
     http_call letter = Get(endpoint.Url());
@@ -123,6 +123,9 @@
     CPPUNIT_ASSERT_EQUAL(2, endpoint.Requests());
     CPPUNIT_ASSERT(result.end == call_end::kTruncated);
     CPPUNIT_ASSERT(result.may_have_been_sent);
+    Run(context_, client_, letter);
+    RunUntil(context_, [&] { return endpoint.Peers().back()->Ended(); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, endpoint.Peers().size());
   }
 
   // The second caller gets its own answer, not the one of the first.
@@ -251,11 +254,11 @@
     int ended = 0;
     http_call first = Get(endpoint.Url());
     first.on_data = [&](std::string_view) {
-      client_.Start(Get(endpoint.Url()), [&](http_result) { ++ended; });
+      client_.Start(Get(endpoint.Url()), [&](const http_result&) { ++ended; });
     };
-    client_.Start(first, [&](http_result) {
+    client_.Start(first, [&](const http_result&) {
       ++ended;
-      client_.Start(Get(endpoint.Url()), [&](http_result) { ++ended; });
+      client_.Start(Get(endpoint.Url()), [&](const http_result&) { ++ended; });
     });
     RunUntil(context_, [&] { return ended == 3; });
   }
@@ -273,9 +276,9 @@
         call.on_data = [&](std::string_view) { client.reset(); };
         client->Start(call, MustNotRun());
       } else {
-        client->Start(call, [&](http_result) { client.reset(); });
+        client->Start(call, [&](const http_result&) { client.reset(); });
       }
-      client->Start(Get(endpoint.Url()), [](http_result) {});
+      client->Start(Get(endpoint.Url()), [](const http_result&) {});
       RunUntil(context_, [&] { return client == nullptr; });
     }
     client = std::make_unique<http_client>(context_);
@@ -312,7 +315,9 @@
 
  private:
   static http_client::completion MustNotRun() {
-    return [](http_result) { CPPUNIT_FAIL("a completion that must not run"); };
+    return [](const http_result&) {
+      CPPUNIT_FAIL("a completion that must not run");
+    };
   }
 
   asio::io_context context_;
