--- a/include/slatestall/policy/membership_types.h
+++ b/include/slatestall/policy/membership_types.h
@@ -21,8 +21,8 @@
   std::uint64_t incarnation = 0;
   std::uint32_t sequence = 0;
 
-  friend auto operator<=>(const member_version&,
-                          const member_version&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report of clang-tidy 14.
+  auto operator<=>(const member_version&) const = default;
 };
 
 /// @brief What a host says of itself; relayed by others.
