A writer claims nothing before it has read its stream; the next in line follows

Now the second host by rendezvous reads along, a writer that still reads says so, and the claim goes to the second.

--- a/bench/claim_bench.cc
+++ b/bench/claim_bench.cc
@@ -69,6 +69,7 @@
     options.flush_interval = flush;
     options.table.max_keys = 2'000'000;
     writer_ = std::make_unique<claim_writer>(options);
+    writer_->Read(0, 0, {});
   }
 
   using schedule = std::function<void(time_point, std::function<void()>)>;
--- a/include/slatestall/policy/claim_writer.h
+++ b/include/slatestall/policy/claim_writer.h
@@ -94,6 +94,9 @@
   void Read(std::uint64_t first, std::uint64_t next,
             const std::vector<claim_log_record>& records,
             std::int64_t wall_time = 0);
+  /// @brief Whether the stream was read to its end once. Before that nothing
+  /// is claimed: the key may have been used long ago.
+  bool IsReady() const { return ready_; }
   /// @brief Whether an append waits for a read to learn what became of it.
   bool NeedsRead() const { return settle_ != settle::kNone; }
 
@@ -164,6 +167,7 @@
   std::uint64_t settle_position_ = 0;
   bool full_read_begun_ = false;
   bool full_ = false;
+  bool ready_ = false;
   int refusals_in_row_ = 0;
 };
 
--- a/src/slatestall/node/claim_log.cc
+++ b/src/slatestall/node/claim_log.cc
@@ -67,6 +67,12 @@
   return *at;
 }
 
+bool claim_log::IsReady(const claim_key& key) {
+  return Use(PartitionOf(key, partition_count_)).writer.IsReady();
+}
+
+void claim_log::Follow(std::uint32_t number) { Use(number); }
+
 void claim_log::Tend(std::uint32_t number) {
   Use(number).writer.Carry(wall_clock_());
 }
--- a/src/slatestall/node/claim_log.h
+++ b/src/slatestall/node/claim_log.h
@@ -45,6 +45,11 @@
   /// @brief Writes an ending behind; `stored` runs once it is in the log, and
   /// never where it cannot be told: ask again.
   void End(const claim_ending& ending, std::function<void()> stored);
+  /// @brief Whether the key's partition was read to its end. Begins to read it
+  /// where not.
+  bool IsReady(const claim_key& key);
+  /// @brief Reads a partition ahead of the day that this host writes it.
+  void Follow(std::uint32_t number);
   /// @brief Looks after a partition whose writer this host is: reads it ahead
   /// of its first claim and keeps its keys from expiring. Call every second.
   void Tend(std::uint32_t partition);
--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr milliseconds kAvoidSilentWriter{2000};
+constexpr milliseconds kAvoidColdWriter{1000};
 constexpr milliseconds kLeastSlack{50};  // For the way there and back.
 constexpr milliseconds kLongestWait{5000};
 constexpr milliseconds kEndTimeout{4000};  // Endings are written behind.
@@ -133,16 +134,40 @@
   return hosts;
 }
 
+// The first host by rendezvous, or the second while the first one still reads
+// the log: it may have just started, and the second has followed all along.
 std::string outcome_router::WriterFor(const claim_key& key) const {
-  return WriterOf(PartitionOf(key, std::max(options_.claim_partitions, 1U)),
-                  UsableHosts());
+  const std::uint32_t partition =
+      PartitionOf(key, std::max(options_.claim_partitions, 1U));
+  std::vector<std::string> hosts = UsableHosts();
+  const std::string first = WriterOf(partition, hosts);
+  if (first.empty() || !IsCold(first, key)) {
+    return first;
+  }
+  std::erase(hosts, first);
+  const std::string second = WriterOf(partition, hosts);
+  return second.empty() || IsCold(second, key) ? first : second;
+}
+
+bool outcome_router::IsCold(const std::string& writer,
+                            const claim_key& key) const {
+  if (writer == self_.name) {
+    return !log_->IsReady(key);
+  }
+  const auto found = cold_.find(writer);
+  return found != cold_.end() && now_() < found->second;
 }
 
 void outcome_router::Tend() {
   const std::vector<std::string> hosts = UsableHosts();
   for (std::uint32_t at = 0; at < options_.claim_partitions; ++at) {
-    if (WriterOf(at, hosts) == self_.name) {
+    std::vector<std::string> others = hosts;
+    const std::string first = WriterOf(at, hosts);
+    std::erase(others, first);
+    if (first == self_.name) {
       log_->Tend(at);
+    } else if (WriterOf(at, others) == self_.name) {
+      log_->Follow(at);
     }
   }
 }
@@ -210,13 +235,20 @@
         const auto* message = reply.end == peer_call_end::kReplied
                                   ? reply.body.Asclaim_reply()
                                   : nullptr;
+        const auto self = weak.lock();
         if (message != nullptr) {
-          done(FromMessage(*message));
+          claim_answer told = FromMessage(*message);
+          const bool is_cold = told.result == claim_result::kRefused &&
+                               told.refusal == error_kind::kOverloaded;
+          if (is_cold && self != nullptr) {
+            told.refusal = error_kind::kClaimUnavailable;
+            self->cold_[peer] = self->now_() + kAvoidColdWriter;
+          }
+          done(told);
           return;
         }
         // Any host may write a partition, so a silent writer is passed over
         // for a while; a home cannot be replaced.
-        const auto self = weak.lock();
         if (self != nullptr && !is_minted) {
           self->avoid_[peer] = self->now_() + kAvoidSilentWriter;
         }
@@ -290,6 +322,10 @@
     answer(RefusedClaim(error_kind::kInvalidRequest, "malformed key"));
     return;
   }
+  if (!minted && !IsLookup(attempt) && !log_->IsReady(attempt.key)) {
+    answer(RefusedClaim(error_kind::kOverloaded, "still reading the log"));
+    return;
+  }
   if (!minted) {
     AskHere({place::kLog, {}, {}}, attempt, wait, answer);
     return;
--- a/src/slatestall/node/outcome_router.h
+++ b/src/slatestall/node/outcome_router.h
@@ -66,6 +66,7 @@
   route RouteOf(const claim_key& key) const;
   route HomeRoute(const host_id& home) const;
   std::string WriterFor(const claim_key& key) const;
+  bool IsCold(const std::string& writer, const claim_key& key) const;
   std::vector<std::string> UsableHosts() const;
 
   void Ask(const claim_attempt& attempt, milliseconds wait,
@@ -92,6 +93,7 @@
   now_function now_;
   std::optional<host_id> successor_;
   std::map<std::string, time_point> avoid_;  ///< Writers that did not answer.
+  std::map<std::string, time_point> cold_;   ///< Writers still reading.
   std::uint64_t peer_claims_ = 0;
 };
 
--- a/src/slatestall/policy/claim_writer.cc
+++ b/src/slatestall/policy/claim_writer.cc
@@ -92,7 +92,7 @@
 }
 
 bool claim_writer::HasClaimToSend() const {
-  return !IsCrowded() &&
+  return ready_ && !IsCrowded() &&
          std::any_of(claims_.begin(), claims_.end(), [this](const auto& item) {
            return table_.IsFree(item.second.attempt.key);
          });
@@ -126,7 +126,7 @@
 }
 
 void claim_writer::AddClaims(claim_batch& batch, std::size_t max_bytes) {
-  if (IsCrowded()) {
+  if (!ready_ || IsCrowded()) {
     return;
   }
   std::size_t bytes = 0;
@@ -251,6 +251,7 @@
     Apply(record, wall_time);
     read_from_ = record.position + 1;
   }
+  ready_ = ready_ || read_from_ >= next;
   CollectStored();
   const bool read_back =
       settle_ == settle::kUntilReadBack && read_from_ > settle_position_;
--- a/src/slatestall/policy/claim_writer_test.cc
+++ b/src/slatestall/policy/claim_writer_test.cc
@@ -78,11 +78,13 @@
   CPPUNIT_TEST(FullTableRefuses);
   CPPUNIT_TEST(KeysOutliveTheRetention);
   CPPUNIT_TEST(HalfFullTableLetsKeysExpire);
+  CPPUNIT_TEST(NothingIsClaimedBeforeTheStreamIsRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void ManyClaimsShareOneAppend() {
     claim_writer writer({});
+    writer.Read(0, 0, {});
     for (int number = 0; number < 100; ++number) {
       const std::string name = std::to_string(number);
       writer.Submit(Attempt(name, "r" + name), kStart + seconds{1});
@@ -106,6 +108,8 @@
     kept_log log;
     claim_writer one({});
     claim_writer two({});
+    one.Read(0, 0, {});
+    two.Read(0, 0, {});
     one.Submit(Attempt("k", "r1"), kStart + seconds{1});
     two.Submit(Attempt("k", "r2"), kStart + seconds{1});
     const std::uint64_t first = log.Append(*one.NextAppend(kStart));
@@ -124,6 +128,7 @@
   void LostAnswerIsReadNotRepeated() {
     kept_log log;
     claim_writer writer({});
+    writer.Read(0, 0, {});
     writer.Submit(Attempt("k", "r"), kStart + seconds{9});
     writer.ReadBegins();
     log.Append(*writer.NextAppend(kStart));
@@ -142,6 +147,7 @@
   void LostAnswerOfALostRecord() {
     kept_log log;
     claim_writer writer({});
+    writer.Read(0, 0, {});
     writer.Submit(Attempt("k", "r"), kStart + seconds{9});
     const claim_batch late = *writer.NextAppend(kStart);
     writer.Appended(claim_append::kUnknown, 0, kStart);
@@ -158,6 +164,7 @@
 
   void RefusedAppendIsSentLater() {
     claim_writer writer({});
+    writer.Read(0, 0, {});
     writer.Submit(Attempt("k", "r"), kStart + seconds{9});
     CPPUNIT_ASSERT(writer.NextAppend(kStart));
     writer.Appended(claim_append::kRefused, 0, kStart);
@@ -171,6 +178,7 @@
     claim_writer_options options;
     options.table.max_keys = 16;
     claim_writer writer(options);
+    writer.Read(0, 0, {});
     kept_log log;
     for (int number = 0; number < 15; ++number) {
       const std::string name = std::to_string(number);
@@ -201,6 +209,7 @@
     options.retention = seconds{kRetention};
     kept_log log;
     claim_writer writer(options);
+    writer.Read(0, 0, {});
     writer.Submit(Attempt("ended", "r1"), kStart + seconds{1});
     writer.Submit(Attempt("held", "r2"), kStart + seconds{1});
     Flush(writer, log, kStart);
@@ -216,6 +225,20 @@
     CPPUNIT_ASSERT(log.Size() < 100);
   }
 
+  // A host has just become the writer and reads a long stream. What it has not
+  // read may say that the key was used, so it appends no claim yet; asked for
+  // longer than the caller can wait, it refuses and owes nobody a release.
+  void NothingIsClaimedBeforeTheStreamIsRead() {
+    claim_writer writer({});
+    writer.Submit(Attempt("k", "r"), kStart + seconds{1});
+    writer.Read(0, 5, {{0, {}}});
+    CPPUNIT_ASSERT(!writer.IsReady());
+    CPPUNIT_ASSERT(!writer.NextAppend(kStart));
+    const auto refused = AnswerOf(writer, "r", kStart + seconds{1});
+    CPPUNIT_ASSERT(refused->refusal == error_kind::kClaimUnavailable);
+    CPPUNIT_ASSERT(!refused->may_be_claimed);
+  }
+
   // More keys than half the table are in use. Carrying them all on would fill
   // it and refuse every new key, so the old ones go with the log, are counted,
   // and make room.
@@ -225,6 +248,7 @@
     options.table.max_keys = 20;
     kept_log log;
     claim_writer writer(options);
+    writer.Read(0, 0, {});
     for (int number = 0; number < 12; ++number) {
       const std::string name = std::to_string(number);
       writer.Submit(Attempt(name, "r" + name), kStart + seconds{1});
