--- a/src/slatestall/node/outcome_failure_test.cc
+++ b/src/slatestall/node/outcome_failure_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(LogDownWhileTheRequestRuns);
   CPPUNIT_TEST(HolderDiesAfterDispatch);
   CPPUNIT_TEST(PausedHolderWakes);
+  CPPUNIT_TEST(WriterRestarts);
   CPPUNIT_TEST(HomeDies);
   CPPUNIT_TEST(HomeCannotBeReached);
   CPPUNIT_TEST(HomeDrains);
@@ -133,6 +134,26 @@
     AssertRan(*Resend("e2", "own"));
   }
 
+  // The writer of the claims restarts and has to read a long stream. A caller
+  // with little time is not refused meanwhile: the host that followed the
+  // stream claims the key, and a key used long before is still known.
+  void WriterRestarts() {
+    for (int number = 0; number < 150; ++number) {
+      Send("e0", "old-" + std::to_string(number), kQuick);
+      Run(milliseconds{100});
+    }
+    const std::string writer = BusiestWriter();
+    world_->Kill(writer);
+    world_->Start(writer);
+    Run(milliseconds{30});
+    const std::string other = writer == "e3" ? "e2" : "e3";
+    const auto fresh = Send(other, "own", kQuick, milliseconds{600});
+    const auto used = Send(other, "old-0", kQuick, milliseconds{600});
+    Run(milliseconds{700});
+    AssertRan(*fresh);
+    AssertAnswered(*used);
+  }
+
   // The home of a minted key dies, and its memory with it. The key may have
   // run, so it never runs again, on any host, even when the home is back
   // under its old name.
@@ -307,6 +328,17 @@
     return sent;
   }
 
+  std::string BusiestWriter() const {
+    std::string busiest = "e0";
+    for (const auto& host : world_->HostNames()) {
+      if (world_->Counters(host).log_appends >
+          world_->Counters(busiest).log_appends) {
+        busiest = host;
+      }
+    }
+    return busiest;
+  }
+
   void Drain(const std::string& host) {
     world_->Drain(host, [] {});
     Run(std::chrono::seconds{30});
