--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -140,7 +140,7 @@
   const std::uint32_t partition =
       PartitionOf(key, std::max(options_.claim_partitions, 1U));
   std::vector<std::string> hosts = UsableHosts();
-  const std::string first = WriterOf(partition, hosts);
+  std::string first = WriterOf(partition, hosts);
   if (first.empty() || !IsCold(first, key)) {
     return first;
   }
--- a/src/slatestall/node/outcome_test_world.h
+++ b/src/slatestall/node/outcome_test_world.h
@@ -30,7 +30,7 @@
 /// peers, all in one thread and in virtual time.
 class test_world {
  public:
-  test_world(std::uint64_t seed, int hosts, outcome_options options)
+  test_world(std::uint64_t seed, int hosts, const outcome_options& options)
       : options_(options), random_(seed) {
     options_.run_timer = false;
     options_.key_secret = seed | 1U;
@@ -317,7 +317,8 @@
 
   outcome_peers FakePeers(const std::string& name) {
     outcome_peers peers;
-    peers.call = [this, name](const std::string& to, wire::messageUnion request,
+    peers.call = [this, name](const std::string& to,
+                              const wire::messageUnion& request,
                               milliseconds timeout,
                               std::function<void(peer_reply)> done) {
       const auto back = Back<peer_reply>(name, std::move(done));
