--- a/src/slatestall/policy/deadline_budget.h
+++ b/src/slatestall/policy/deadline_budget.h
@@ -22,11 +22,13 @@
   /// that has passed would be remembered until it fades.
   time_point LastChance() const;
 
-  /// @brief Time for one attempt. Where another attempt may follow, it is
-  /// bounded by the time that nearly all answers need.
+  /// @brief Time for one attempt.
+  /// @param bounded Another attempt may follow, so it gets no more than the
+  /// time that nearly all answers need.
   /// @param answer Latency of this stage.
-  milliseconds AttemptTimeout(const latency_summary& answer, bool repeatable,
-                              time_point now) const;
+  /// @param others_wait Whether calls wait for the same endpoints.
+  milliseconds AttemptTimeout(const latency_summary& answer, bool bounded,
+                              bool others_wait, time_point now) const;
 
  private:
   double likely_;  ///< Seconds for this stage and the later ones.
