--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -32,6 +32,8 @@
   std::chrono::seconds log_retention{0};
   /// How long a host that drains still takes what the balancer sends.
   milliseconds drain_grace{5000};
+  /// SHA-256 digests of operators' keys; empty: /v1/admin/ is open.
+  std::vector<std::string> operator_key_hashes;
   std::string record_path;  ///< Trace to write; empty: none.
 };
 
--- a/programs/slatestall/admin_client.cc
+++ b/programs/slatestall/admin_client.cc
@@ -1,6 +1,7 @@
 #include "slatestall/admin_client.h"
 
 #include <asio/io_context.hpp>
+#include <cstdlib>
 
 #include "slatestall/http/http_client.h"
 
@@ -16,6 +17,11 @@
   http.body = call.body;
   http.connect_timeout = kConnectTimeout;
   http.timeout = call.timeout;
+  // By the environment, so that it stands in no list of processes.
+  const char* key = std::getenv("SLATE_OPERATOR_KEY");
+  if (key != nullptr) {
+    http.headers.push_back({"Authorization", std::string("Bearer ") + key});
+  }
   if (!call.body.empty()) {
     http.headers.push_back({"Content-Type", "application/json"});
   }
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -111,6 +111,12 @@
            .maximum = 60000,
            .meaning = "How long a host that drains still takes what the "
                       "balancer sends"}),
+      MemberField(&s::operator_key_hashes,
+                  {.name = "operator_key_hashes",
+                   .type = type::kDigests,
+                   .meaning = "Digests of the operators' keys; without any, "
+                              "whoever reaches `listen` may publish and "
+                              "drain. In the file only"}),
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
--- a/src/slatestall/node/admin_api.cc
+++ b/src/slatestall/node/admin_api.cc
@@ -164,6 +164,11 @@
 
 }  // namespace
 
+admin_answer UnauthorizedAnswer() {
+  return Problem(error_kind::kUnauthorized,
+                 "send an operator's key: Authorization: Bearer KEY");
+}
+
 void HandleAdmin(const admin_actions& actions, const http_request& request,
                  const admin_reply& reply) {
   const std::string call =
--- a/src/slatestall/node/admin_api.h
+++ b/src/slatestall/node/admin_api.h
@@ -46,6 +46,9 @@
   std::function<std::string()> report;
 };
 
+/// @brief The answer to a call without an operator's key.
+admin_answer UnauthorizedAnswer();
+
 /// @brief Answers one call under /v1/admin/.
 void HandleAdmin(const admin_actions& actions, const http_request& request,
                  const admin_reply& reply);
--- a/src/slatestall/node/config_follower.cc
+++ b/src/slatestall/node/config_follower.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr milliseconds kTick{100};
-/// After an answer that is not believed.
+/// After an answer that is not believed, or tells no head.
 constexpr milliseconds kDistrustGap{1000};
 /// Before a refused append is tried again.
 constexpr milliseconds kAppendRetry{250};
@@ -106,10 +106,9 @@
       floor_ = history_.Floor();
       return history_.ReadFrom();
     };
-    // Until the log's end is known nothing can be published.
-    hooks.may_wait = [this] {
-      return history_.Trust() != log_trust::kStarting;
-    };
+    // Until the head is known nothing can be published, so nothing is waited
+    // for; an anchor may also come from a peer.
+    hooks.may_wait = [this] { return history_.Trust() == log_trust::kTrusted; };
     hooks.take = [this](const read_result& read) { return OnRead(read); };
     return hooks;
   }
@@ -127,9 +126,9 @@
         before_revision != history_.ObeyedRevision()) {
       hooks_.on_change();
     }
-    const bool distrusted =
-        trust == log_trust::kLostData || trust == log_trust::kDiverged;
-    return distrusted ? kDistrustGap : milliseconds{0};
+    return trust == log_trust::kTrusted || trust == log_trust::kStarting
+               ? milliseconds{0}
+               : kDistrustGap;
   }
 
   void Take(const read_result& read) {
--- a/src/slatestall/node/config_follower_test.cc
+++ b/src/slatestall/node/config_follower_test.cc
@@ -63,7 +63,8 @@
   publish_result Publish(config_follower& follower, config_revision base,
                          const std::string& source) {
     std::optional<publish_result> end;
-    follower.Publish(base, source, [&end](publish_result r) { end = r; });
+    follower.Publish(base, source,
+                     [&end](const publish_result& r) { end = r; });
     RunUntil([&end] { return end.has_value(); });
     return *end;
   }
@@ -103,7 +104,7 @@
     auto& second = Follow(seconds{10});
     log_->Script({fake_append::kLose});
     std::optional<publish_result> lost;
-    first.Publish(0, "a", [&lost](publish_result r) { lost = r; });
+    first.Publish(0, "a", [&lost](const publish_result& r) { lost = r; });
     const auto won = Publish(second, 0, "b");
     RunUntil([&lost] { return lost.has_value(); });
     CPPUNIT_ASSERT(won.end == publish_end::kAccepted);
@@ -142,8 +143,8 @@
     auto& second = Follow(seconds{10});
     std::optional<publish_result> a;
     std::optional<publish_result> b;
-    first.Publish(0, "a", [&a](publish_result r) { a = r; });
-    second.Publish(0, "b", [&b](publish_result r) { b = r; });
+    first.Publish(0, "a", [&a](const publish_result& r) { a = r; });
+    second.Publish(0, "b", [&b](const publish_result& r) { b = r; });
     RunUntil([&] { return a.has_value() && b.has_value(); });
     CPPUNIT_ASSERT(a->end == publish_end::kAccepted);
     CPPUNIT_ASSERT(b->end == publish_end::kRefused);
--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -12,12 +12,18 @@
 #include "slatestall/platform/host_list_client.h"
 #include "slatestall/platform/log_client.h"
 #include "slatestall/platform/weight_store.h"
+#include "slatestall/serve/workspace_auth.h"
 
 namespace slatestall {
 namespace {
 
 constexpr milliseconds kTick{250};
+/// Between two fetches of the host list. Its size grows with the fleet and the
+/// control traffic of a host must not, so a long list is fetched less often;
+/// what others see in it meanwhile comes by gossip.
 constexpr milliseconds kHostListInterval{1000};
+constexpr milliseconds kHostListIntervalPerLine{35};
+constexpr std::size_t kShortHostList = 50;
 constexpr milliseconds kDemandInterval{1000};
 /// Snapshots that carry only new load reports are at least this far apart.
 constexpr milliseconds kSnapshotGap{50};
@@ -32,6 +38,11 @@
 /// For others to learn who has this host's keys before it goes.
 constexpr milliseconds kFarewell{600};
 
+milliseconds HostListInterval(std::size_t lines) {
+  const auto more = lines - std::min(lines, kShortHostList);
+  return kHostListInterval + kHostListIntervalPerLine * more;
+}
+
 }  // namespace
 
 control_core::control_core(asio::io_context& context, const settings& options,
@@ -88,6 +99,11 @@
 
 void control_core::HandleAdminCall(const http_request& request,
                                    const admin_reply& reply) {
+  const auto& hashes = options_.operator_key_hashes;
+  if (!hashes.empty() && !HoldsKey(hashes, request.headers)) {
+    reply(UnauthorizedAnswer());
+    return;
+  }
   HandleAdmin(AdminActions(), request, reply);
 }
 
@@ -191,12 +207,18 @@
   figures_.revision = obeyed->revision;
   figures_.longest_deadline_ms = LongestDeadlineOf(obeyed->content).count();
   directory_.UseConfiguration(obeyed);
-  network_.UseConfiguration(obeyed);
+  network_.UseConfiguration(*obeyed);
   ChooseEndpoints();
   PublishNow();
 }
 
 void control_core::OnHostList(const std::vector<listed_host>& hosts) {
+  for (const auto& host : hosts) {
+    if (host.leaving && host.service != kEntryService &&
+        !directory_.IsLeaving(host.where.address)) {
+      network_.NoteLeaving(host.where.address);
+    }
+  }
   network_.UseHostList(hosts);
   directory_.UseHostList(hosts, now_());
   ChooseEndpoints();
@@ -261,7 +283,7 @@
     if (result.ok) {
       OnHostList(result.hosts);
     }
-    host_list_timer_.expires_after(kHostListInterval);
+    host_list_timer_.expires_after(HostListInterval(result.hosts.size()));
     host_list_timer_.async_wait([this](const asio::error_code& error) {
       if (!error) {
         FetchHosts();
--- a/src/slatestall/node/control_setup.cc
+++ b/src/slatestall/node/control_setup.cc
@@ -4,6 +4,7 @@
 
 #include "slatestall/config/pipeline_file.h"
 #include "slatestall/node/listen_address.h"
+#include "slatestall/peer/gossip_service.h"
 
 namespace slatestall {
 namespace {
@@ -44,7 +45,7 @@
                         std::uint16_t port) {
   member_digest digest;
   digest.host = self.name;
-  digest.version.generation = static_cast<std::uint32_t>(WallClockSeconds());
+  digest.version.generation = GenerationNow();
   digest.version.incarnation = self.incarnation;
   digest.peer_address = PeerAddress(options, port);
   digest.failure_domain = options.failure_domain;
--- a/src/slatestall/node/endpoint_directory.cc
+++ b/src/slatestall/node/endpoint_directory.cc
@@ -37,6 +37,7 @@
   } else if (const auto said = said_leaving_.find(address);
              said != said_leaving_.end() &&
              load.received - said->second > kLeavingStands) {
+    back_[address] = load.received;
     said_leaving_.erase(said);
   }
   loads_[address] = std::move(load);
@@ -46,6 +47,12 @@
 bool endpoint_directory::MarkLeaving(const std::string& address,
                                      time_point said) {
   const bool was_leaving = IsLeaving(address);
+  // Peers pass a notice on for two minutes; what the endpoint has taken back
+  // since must not come up again with it.
+  const auto back = back_.find(address);
+  if (back != back_.end() && said <= back->second) {
+    return false;
+  }
   auto& latest = said_leaving_[address];
   latest = std::max(latest, said);
   return !was_leaving;
@@ -159,6 +166,7 @@
   };
   forget(loads_);
   forget(said_leaving_);
+  forget(back_);
   forget(prefixes_);
 }
 
--- a/src/slatestall/node/endpoint_directory.h
+++ b/src/slatestall/node/endpoint_directory.h
@@ -32,11 +32,6 @@
       std::shared_ptr<const std::vector<std::uint64_t>> prefixes);
 
   bool IsLeaving(const std::string& address) const;
-  /// @brief Endpoints that said themselves, or by a peer, that they leave, and
-  /// when that was last heard.
-  const std::map<std::string, time_point>& SaidLeaving() const {
-    return said_leaving_;
-  }
 
   /// @brief The services as the traffic threads are to see them.
   /// @param used Endpoints of this host's use; nothing: all.
@@ -63,6 +58,7 @@
   std::map<std::string, std::vector<endpoint>> endpoints_;  ///< By service.
   std::map<std::string, load_report> loads_;                ///< By address.
   std::map<std::string, time_point> said_leaving_;          ///< By address.
+  std::map<std::string, time_point> back_;  ///< When leaving was taken back.
   std::map<std::string, std::shared_ptr<const std::vector<std::uint64_t>>>
       prefixes_;
 };
--- a/src/slatestall/node/endpoint_directory_test.cc
+++ b/src/slatestall/node/endpoint_directory_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(endpoint_directory_test);
   CPPUNIT_TEST(TheEarliestWordOfLeavingCounts);
   CPPUNIT_TEST(ALaggingLoadReportDoesNotUndoLeaving);
+  CPPUNIT_TEST(ANoticeThatWasTakenBackDoesNotComeUpAgain);
   CPPUNIT_TEST(AnEmptyListDoesNotRemoveWhatAnswers);
   CPPUNIT_TEST(AServiceTakesEndpointsFromTheListByName);
   CPPUNIT_TEST(TheDirectoryForgetsWhatIsGone);
@@ -76,6 +77,17 @@
     CPPUNIT_ASSERT(!directory_.IsLeaving(kAddress));
   }
 
+  // An endpoint leaves and comes back at the same address, while hosts still
+  // pass on the notice of its leaving. It would be without work for as long.
+  void ANoticeThatWasTakenBackDoesNotComeUpAgain() {
+    directory_.MarkLeaving(kAddress, now_);
+    directory_.TakeLoad(kAddress, Load(now_ + seconds{40}, false));
+    CPPUNIT_ASSERT(!directory_.MarkLeaving(kAddress, now_ + seconds{1}));
+    CPPUNIT_ASSERT(!directory_.IsLeaving(kAddress));
+    CPPUNIT_ASSERT(directory_.MarkLeaving(kAddress, now_ + seconds{50}));
+    CPPUNIT_ASSERT(directory_.IsLeaving(kAddress));
+  }
+
   // The list service restarts and answers with an empty list. All endpoints
   // run and answer; dropping them would refuse every request.
   void AnEmptyListDoesNotRemoveWhatAnswers() {
--- a/src/slatestall/node/endpoint_subset.cc
+++ b/src/slatestall/node/endpoint_subset.cc
@@ -19,6 +19,7 @@
 std::vector<ranked_endpoint> Ranked(const std::vector<endpoint>& endpoints,
                                     const std::string& host) {
   std::vector<ranked_endpoint> ranked;
+  ranked.reserve(endpoints.size());
   for (const auto& where : endpoints) {
     ranked.push_back({StableHash(host + '\n' + where.address), &where});
   }
--- a/src/slatestall/node/endpoint_subset_test.cc
+++ b/src/slatestall/node/endpoint_subset_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<endpoint> Endpoints(int count) {
   std::vector<endpoint> endpoints;
+  endpoints.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     endpoints.push_back({"10.0.0." + std::to_string(i) + ":1",
                          "domain-" + std::to_string(i % 4)});
--- a/src/slatestall/node/fake_platform_log.h
+++ b/src/slatestall/node/fake_platform_log.h
@@ -22,8 +22,8 @@
   explicit fake_platform_log(asio::io_context& context) : context_(context) {}
 
   log_service Service() {
-    return {[this](const std::string&, std::string payload, auto done) {
-              Append(std::move(payload), std::move(done));
+    return {[this](const std::string&, const std::string& payload, auto done) {
+              Append(payload, std::move(done));
             },
             [this](const std::string&, log_offset from, milliseconds wait,
                    auto done) { Read(from, wait, std::move(done)); }};
@@ -45,7 +45,7 @@
     read_done done;
   };
 
-  void Append(std::string payload, append_done done) {
+  void Append(const std::string& payload, append_done done) {
     auto action = down_ ? fake_append::kLose : fake_append::kStore;
     if (!script_.empty()) {
       action = script_.front();
@@ -55,7 +55,7 @@
     if (action == fake_append::kRefuse) {
       result = {append_end::kRefused, 0, "status 429"};
     } else if (action != fake_append::kLose) {
-      records_.push_back(std::move(payload));
+      records_.push_back(payload);
       result.offset = records_.size() - 1;
     }
     if (action == fake_append::kStore) {
--- a/src/slatestall/node/order_service.cc
+++ b/src/slatestall/node/order_service.cc
@@ -138,11 +138,10 @@
 }
 
 void order_service::OnAnswer(const http_result& result) {
-  if (result.end != call_end::kComplete) {
-    ++counters_.failed;
-  } else if (result.status == 200) {
+  const int status = result.end == call_end::kComplete ? result.status : 0;
+  if (status == 200) {
     ++counters_.applied;
-  } else if (result.status == 409) {
+  } else if (status == 409) {
     ++counters_.fenced;
   } else {
     ++counters_.failed;
--- a/src/slatestall/node/peer_heads.cc
+++ b/src/slatestall/node/peer_heads.cc
@@ -54,7 +54,7 @@
     wire::config_head_requestT request;
     request.known_revision = known;
     wire::messageUnion body;
-    body.Set(std::move(request));
+    body.Set(wire::config_head_requestT{request});
     call(peer, std::move(body), timeout,
          [round, known](const peer_reply& reply) {
            Take(*round, reply, known);
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "slatestall/node/listen_address.h"
+#include "slatestall/report/prometheus_text.h"
 #include "slatestall/report/report_collector.h"
 #include "slatestall/report/report_json.h"
 #include "slatestall/serve/traffic_lane.h"
@@ -119,12 +120,16 @@
   return {};
 }
 
-std::string traffic_threads::Report() const {
+report_data traffic_threads::MergedReport() const {
   report_data total;
   for (const auto& lane : lanes_) {
     total.Merge(lane->report.Snapshot(now_()));
   }
-  return ReportToJson(total).dump();
+  return total;
+}
+
+std::string traffic_threads::Report() const {
+  return ReportToJson(MergedReport()).dump();
 }
 
 std::map<std::string, workspace_demand> traffic_threads::TakeDemand() {
@@ -133,14 +138,15 @@
 
 std::string traffic_threads::Metrics() const {
   std::string text = links_.control_metrics();
+  text += WritePrometheus(MergedReport());
   for (const auto& entry : kLaneEventNames) {
     std::uint64_t total = 0;
     for (const auto& lane : lanes_) {
       total += lane->lane->Counters().Value(entry.value);
     }
     const auto name = "slatestall_" + std::string(entry.name) + "_total";
-    text += "# TYPE " + name + " counter\n" + name + " " +
-            std::to_string(total) + "\n";
+    text.append("# TYPE ").append(name).append(" counter\n");
+    text.append(name).append(" ").append(std::to_string(total)).append("\n");
   }
   text +=
       "# TYPE slatestall_requests_in_hand gauge\n"
--- a/src/slatestall/node/traffic_threads.h
+++ b/src/slatestall/node/traffic_threads.h
@@ -12,6 +12,7 @@
 #include "slatestall/model/ids.h"
 #include "slatestall/node/demand_meter.h"
 #include "slatestall/policy/control_snapshot.h"
+#include "slatestall/report/report_data.h"
 #include "slatestall/serve/outcome_guard.h"
 
 namespace slatestall {
@@ -54,6 +55,7 @@
   struct lane_thread;
 
   std::string Metrics() const;
+  report_data MergedReport() const;
   std::unique_ptr<lane_thread> MakeLane(unsigned number, std::uint16_t port);
 
   const settings options_;
--- a/src/slatestall/serve/workspace_auth.cc
+++ b/src/slatestall/serve/workspace_auth.cc
@@ -26,11 +26,8 @@
 
 }  // namespace
 
-bool IsAuthorized(const workspace_config& workspace,
-                  const http_headers& headers) {
-  if (workspace.key_hashes.empty()) {
-    return true;
-  }
+bool HoldsKey(const std::vector<std::string>& key_hashes,
+              const http_headers& headers) {
   std::string_view credentials = FindHeader(headers, "Authorization");
   if (!credentials.starts_with(kBearer)) {
     return false;
@@ -38,12 +35,18 @@
   credentials.remove_prefix(kBearer.size());
   const std::string hash = Sha256Hex(credentials);
   bool matches = false;
-  for (const std::string& each : workspace.key_hashes) {
+  for (const std::string& each : key_hashes) {
     matches = EqualInConstantTime(hash, each) || matches;
   }
   return matches;
 }
 
+bool IsAuthorized(const workspace_config& workspace,
+                  const http_headers& headers) {
+  return workspace.key_hashes.empty() ||
+         HoldsKey(workspace.key_hashes, headers);
+}
+
 bool HasRoute(const workspace_config& workspace, const std::string& name) {
   return std::find(workspace.routes.begin(), workspace.routes.end(), name) !=
          workspace.routes.end();
