--- a/src/slatestall/node/host_network.cc
+++ b/src/slatestall/node/host_network.cc
@@ -1,15 +1,10 @@
 #include "slatestall/node/host_network.h"
 
-#include "slatestall/model/ids.h"
-
 namespace slatestall {
 namespace {
 
-gossip_service_options GossipOptions() {
-  gossip_service_options options;
-  options.exchange.seed = RandomBits();
-  return options;
-}
+/// Hosts that limits are divided by until the list has been seen.
+constexpr double kAssumedHosts = 8;
 
 }  // namespace
 
@@ -17,8 +12,8 @@
                            const member_digest& self, const now_function& now,
                            const std::function<void()>& on_change)
     : self_(self.host),
-      gossip_(context, peers, now, self, GossipOptions(), on_change),
-      shares_(context, peers, now, gossip_.View(), share_rules{}, on_change) {}
+      gossip_(context, peers, now, self, {}, on_change),
+      shares_(context, peers, now, gossip_.View(), {}, on_change) {}
 
 void host_network::Start() {
   gossip_.Start();
@@ -33,13 +28,14 @@
                         host.where.failure_domain, host.leaving});
     }
   }
+  list_seen_ = true;
   gossip_.UseList(listed);
 }
 
 void host_network::UseConfiguration(
-    const accepted_configuration_ptr& configuration) {
-  shares_.UseWorkspaces(configuration->content.workspaces);
-  gossip_.SetRevision(configuration->revision);
+    const accepted_configuration& configuration) {
+  shares_.UseWorkspaces(configuration.content.workspaces);
+  gossip_.SetRevision(configuration.revision);
 }
 
 void host_network::NoteLeaving(const std::string& address) {
@@ -61,9 +57,24 @@
   return notices;
 }
 
+// A host that starts while the list is down sees itself alone. Admitting all
+// of every limit, it would add as much again to what the others admit.
+std::map<std::string, workspace_share> host_network::Shares() const {
+  auto shares = shares_.Shares();
+  if (list_seen_ || Members().KnownHosts() > 1) {
+    return shares;
+  }
+  for (auto& [workspace, share] : shares) {
+    share.requests_per_second /= kAssumedHosts;
+    share.tokens_per_second /= kAssumedHosts;
+    share.concurrency /= kAssumedHosts;
+  }
+  return shares;
+}
+
 std::vector<peer_address> host_network::Peers() const {
   std::vector<peer_address> peers;
-  for (const auto& [name, member] : gossip_.View().Members()) {
+  for (const auto& [name, member] : Members().Members()) {
     const auto& told = member.digest.peer_address;
     const auto& address = told.empty() ? member.listed_address : told;
     if (name != self_ && member.state != member_state::kGone &&
--- a/src/slatestall/node/host_network.h
+++ b/src/slatestall/node/host_network.h
@@ -11,12 +11,13 @@
 #include "slatestall/peer/peer_node.h"
 #include "slatestall/peer/share_service.h"
 #include "slatestall/platform/host_list.h"
+#include "slatestall/policy/membership_view.h"
 
 namespace slatestall {
 
-/// @brief Joins what hosts tell each other to the control state: membership,
-/// leaving endpoints, the configuration head, and shares of workspace limits.
-/// Used from the control thread.
+/// @brief What hosts tell each other: membership, leaving endpoints, the
+/// configuration head, and shares of workspace limits. Used from the control
+/// thread.
 class host_network {
  public:
   /// @param peers Outlives this object.
@@ -28,7 +29,7 @@
   void Start();
 
   void UseHostList(const std::vector<listed_host>& hosts);
-  void UseConfiguration(const accepted_configuration_ptr& configuration);
+  void UseConfiguration(const accepted_configuration& configuration);
   void SetDraining() { gossip_.SetDraining(); }
   void SetDrained(const std::string& successor) {
     gossip_.SetDrained(successor);
@@ -41,9 +42,7 @@
   /// @brief Leaving endpoints that any host told of.
   std::vector<endpoint_observation> Notices() const;
   config_revision HeadHeardOf() const { return gossip_.Head(); }
-  std::map<std::string, workspace_share> Shares() const {
-    return shares_.Shares();
-  }
+  std::map<std::string, workspace_share> Shares() const;
   /// @brief Hosts that a status may be asked of, this one excluded.
   std::vector<peer_address> Peers() const;
 
@@ -51,6 +50,7 @@
   const std::string self_;
   gossip_service gossip_;
   share_service shares_;
+  bool list_seen_ = false;
 };
 
 }  // namespace slatestall
