A refusal of a key that could not be asked about does not say 'not run'

The 'no' was meant of this sending only. Ruled out: a new error kind, since the status and the advice (send the same key again) stay. Change: kinds given out before the key's authority has answered (claim-unavailable, draining, no-configuration, overloaded) say 'maybe' for a request with a key.

--- a/bench/claim_bench.cc
+++ b/bench/claim_bench.cc
@@ -130,6 +130,7 @@
   std::mt19937_64 random(20261202);
   std::exponential_distribution<double> gap(run.claims_per_second);
   std::vector<std::unique_ptr<simulated_writer>> writers;
+  writers.reserve(static_cast<std::size_t>(run.writers));
   for (int number = 0; number < run.writers; ++number) {
     writers.push_back(std::make_unique<simulated_writer>(run.flush, result));
   }
--- a/src/slatestall/policy/config_republication_test.cc
+++ b/src/slatestall/policy/config_republication_test.cc
@@ -48,6 +48,7 @@
       const auto count = *rc::gen::inRange(1, 15);
       const auto offset = *rc::gen::arbitrary<std::uint64_t>();
       std::vector<std::string> hosts;
+      hosts.reserve(static_cast<std::size_t>(count));
       for (int i = 0; i < count; ++i) {
         hosts.push_back("entry-" + std::to_string(i));
       }
--- a/src/slatestall/serve/call_scheduler.cc
+++ b/src/slatestall/serve/call_scheduler.cc
@@ -59,8 +59,8 @@
   return policy_.PlanRetry(request, now_());
 }
 
-void call_scheduler::UseSnapshot(control_snapshot_ptr snapshot) {
-  policy_.UseSnapshot(std::move(snapshot), now_());
+void call_scheduler::UseSnapshot(const control_snapshot_ptr& snapshot) {
+  policy_.UseSnapshot(snapshot, now_());
   WakeLater();
 }
 
--- a/src/slatestall/serve/call_scheduler.h
+++ b/src/slatestall/serve/call_scheduler.h
@@ -31,7 +31,7 @@
   void Withdraw(stage_ticket ticket);
   void Ended(const attempt_report& report);
   retry_decision PlanRetry(const stage_request& request);
-  void UseSnapshot(control_snapshot_ptr snapshot);
+  void UseSnapshot(const control_snapshot_ptr& snapshot);
 
   admission Admit(const admission_request& request);
   void Release(const request_end& end);
--- a/src/slatestall/serve/problem.cc
+++ b/src/slatestall/serve/problem.cc
@@ -34,6 +34,24 @@
           retry_after};
 }
 
+// A host that is killed leaves a sent letter behind; the caller resends its key
+// to a host that cannot ask the log. Told "not run", a program would take a new
+// key, and the letter would go out twice. These kinds are the ones given out
+// before the key's authority has answered; all others were decided by it.
+problem UndecidedProblem(problem failure) {
+  switch (failure.kind) {
+    case error_kind::kClaimUnavailable:
+    case error_kind::kDraining:
+    case error_kind::kNoConfiguration:
+    case error_kind::kOverloaded:
+      failure.may_have_run = ran::kMaybe;
+      break;
+    default:
+      break;
+  }
+  return failure;
+}
+
 int StatusOf(const problem& failure) {
   return AnswerFor(failure.kind).http_status;
 }
--- a/src/slatestall/serve/problem.h
+++ b/src/slatestall/serve/problem.h
@@ -29,6 +29,10 @@
 problem UnsentProblem(error_kind kind, std::string detail, std::string request,
                       std::optional<milliseconds> retry_after = {});
 
+/// @brief The same for a request with an Idempotency-Key of which nobody could
+/// tell whether an earlier sending ran: its refusal does not say "not run".
+problem UndecidedProblem(problem failure);
+
 int StatusOf(const problem& failure);
 std::string ProblemAsJson(const problem& failure);
 http_headers ProblemHeaders(const problem& failure);
--- a/src/slatestall/serve/request_flow.cc
+++ b/src/slatestall/serve/request_flow.cc
@@ -105,8 +105,9 @@
     case claim_verdict::kAnswered:
       return Replay(decision.outcome);
     case claim_verdict::kRefused:
-      return Fail(UnsentProblem(decision.refusal, std::move(decision.detail),
-                                spec_.id.text, Positive(decision.retry_after)));
+      return Fail(UndecidedProblem(
+          UnsentProblem(decision.refusal, std::move(decision.detail),
+                        spec_.id.text, Positive(decision.retry_after))));
   }
 }
 
--- a/src/slatestall/serve/request_front.cc
+++ b/src/slatestall/serve/request_front.cc
@@ -66,9 +66,11 @@
     Serve(RouteOf(request.method, request.path), request, responder);
   } catch (const request_error& error) {
     environment_.counters.Count(lane_event::kRefused);
-    SendProblem(*responder,
-                UnsentProblem(error.Kind(), error.what(), ids_.Next().text,
-                              error.RetryAfter()));
+    const auto failure = UnsentProblem(error.Kind(), error.what(),
+                                       ids_.Next().text, error.RetryAfter());
+    const bool has_key =
+        !FindHeader(request.headers, "Idempotency-Key").empty();
+    SendProblem(*responder, has_key ? UndecidedProblem(failure) : failure);
   }
 }
 
--- a/standins/endpoint/answer_text.cc
+++ b/standins/endpoint/answer_text.cc
@@ -27,7 +27,7 @@
     text.remove_prefix(start + kMarkerPrefix.size());
     const auto* const end =
         std::find_if_not(text.begin(), text.end(), IsMarkerCharacter);
-    const std::string marker(text.begin(), end);
+    std::string marker(text.begin(), end);
     text.remove_prefix(marker.size());
     if (!marker.empty()) {
       return marker;
