--- a/cmake/slatestall_package.cmake
+++ b/cmake/slatestall_package.cmake
@@ -48,5 +48,5 @@
     SLATESTALL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   add_test(NAME ${name}_test COMMAND ${name}_test)
   set_tests_properties(${name}_test PROPERTIES
-    TIMEOUT 240 ENVIRONMENT "RC_PARAMS=${SLATESTALL_RC_PARAMS}")
+    TIMEOUT 600 ENVIRONMENT "RC_PARAMS=${SLATESTALL_RC_PARAMS}")
 endfunction()
--- a/src/slatestall/serve/traffic_lane.cc
+++ b/src/slatestall/serve/traffic_lane.cc
@@ -76,7 +76,7 @@
     if (newest != snapshot_) {
       snapshot_ = newest;
       front_.UseSnapshot(newest);
-      scheduler_.UseSnapshot(std::move(newest));
+      scheduler_.UseSnapshot(newest);
     }
     snapshot_timer_.expires_after(options_.snapshot_interval);
     snapshot_timer_.async_wait(
