--- a/bench/control.py
+++ b/bench/control.py
@@ -31,7 +31,7 @@
     with Fleet() as fleet:
         fleet.add_endpoints("engines", [sites.ENGINE] * engines,
                             sites.ENGINE_OPTIONS)
-        fleet.add_endpoints("pools", sites.POOLS)
+        fleet.add_endpoints("pools", sites.POOLS + [sites.FAQ_FRONT, sites.BILLING])
         started = [fleet.start_host(f"entry-{i}") for i in range(hosts)]
         fleet.publish(pipeline_file(workspaces))
         fleet.wait_ready()
--- a/bench/path.py
+++ b/bench/path.py
@@ -57,6 +57,7 @@
         options = sites.ENGINE_OPTIONS + ["--slots", "16"]
         _, engines = fleet.add_endpoints("engines", [sites.ENGINE] * 4, options)
         _, pools = fleet.add_endpoints("pools", sites.POOLS + [sites.FAQ_FRONT] * 2, FAST)
+        fleet.add_endpoints("billing", [sites.BILLING])  # Hosts wait for it.
         host = fleet.start_host("entry-1", {"routing": routing})
         fleet.publish(sites.PIPELINE_FILE)
         fleet.wait_ready()
