One rendezvous hash for writers, successors and allocators

Cause: WriterOf wrote again what RendezvousHost does, and the choice of a draining host's successors called it with a made-up partition number. Change: WriterOf asks RendezvousHost by the name of the partition's stream; successors are ranked by the host's own name. Which host writes a partition differs from before, as between any two hash seeds; the rule (one host, little moves when hosts come and go) stays, and so do the tests. Hosts of the two builds would name different writers for a while, which the log's order makes harmless.

--- a/src/slatestall/node/outcome_control.cc
+++ b/src/slatestall/node/outcome_control.cc
@@ -5,8 +5,8 @@
 
 #include "slatestall/node/key_handover.h"
 #include "slatestall/node/outcome_answers.h"
-#include "slatestall/policy/claim_partition.h"
 #include "slatestall/policy/key_text.h"
+#include "slatestall/policy/membership_rendezvous.h"
 
 namespace slatestall {
 namespace {
@@ -53,11 +53,10 @@
 std::vector<std::string> SuccessorCandidates(std::vector<std::string> hosts,
                                              const std::string& self) {
   constexpr std::size_t kMaxCandidates = 3;
-  const auto seed = static_cast<std::uint32_t>(StableHash(self));
   std::erase(hosts, self);
   std::vector<std::string> candidates;
   while (!hosts.empty() && candidates.size() < kMaxCandidates) {
-    candidates.push_back(WriterOf(seed, hosts));
+    candidates.push_back(RendezvousHost(self, hosts));
     std::erase(hosts, candidates.back());
   }
   return candidates;
--- a/src/slatestall/policy/claim_partition.cc
+++ b/src/slatestall/policy/claim_partition.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "slatestall/policy/membership_rendezvous.h"
+
 namespace slatestall {
 
 std::uint32_t PartitionOf(const claim_key& key, std::uint32_t partitions) {
@@ -15,17 +17,7 @@
 
 std::string WriterOf(std::uint32_t partition,
                      const std::vector<std::string>& hosts) {
-  std::string best;
-  std::uint64_t best_score = 0;
-  for (const auto& host : hosts) {
-    const std::uint64_t score = StableHash(host, partition);
-    if (best.empty() || score > best_score ||
-        (score == best_score && host < best)) {
-      best = host;
-      best_score = score;
-    }
-  }
-  return best;
+  return RendezvousHost(ClaimStream(partition), hosts);
 }
 
 }  // namespace slatestall
