Each test process has a loopback address of its own

Cause: a run of serve_test leaves about 5,500 connections in TIME_WAIT on 127.0.0.1 (18,569 before a run, 24,100 after), for a minute each, out of 28,232 ephemeral ports. With 8 copies at once, http_test failed in 24 of 24 runs and serve_test in 17 of 24, most with "bind: Address already in use". A test that closes a port and expects a refusal there could also meet another process that had got the port since.

Ruled out: closing with a reset (it would change what the tests see of a close) and sharing fake endpoints between cases (state would leak over).

Change: servers, fake endpoints and raw peers of the tests listen at 127.64.0.0/10 plus the process id; ports are counted for each address.

--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -149,12 +149,12 @@
   }
 
   void RefusedConnectionProvesThatNothingWasSent() {
-    asio::ip::tcp::acceptor unused(context_,
-                                   {asio::ip::address_v4::loopback(), 0});
+    asio::ip::tcp::acceptor unused(
+        context_, {asio::ip::make_address(LoopbackOfThisProcess()), 0});
     const auto port = unused.local_endpoint().port();
     unused.close();
     const http_result result =
-        Run(context_, client_, Get("http://127.0.0.1:" + std::to_string(port)));
+        Run(context_, client_, Get("http://" + LoopbackAt(port)));
     CPPUNIT_ASSERT(result.end == call_end::kConnectFailed);
     CPPUNIT_ASSERT(!result.may_have_been_sent);
   }
@@ -165,7 +165,7 @@
   void UnansweredConnectProvesThatNothingWasSent() {
     asio::ip::tcp::acceptor acceptor(context_);
     acceptor.open(asio::ip::tcp::v4());
-    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    acceptor.bind({asio::ip::make_address(LoopbackOfThisProcess()), 0});
     acceptor.listen(0);
     std::vector<asio::ip::tcp::socket> filling;
     filling.reserve(4);
@@ -173,9 +173,8 @@
       filling.emplace_back(context_).async_connect(acceptor.local_endpoint(),
                                                    [](std::error_code) {});
     }
-    http_call call = Get(
-        "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) +
-        "/");
+    http_call call =
+        Get("http://" + LoopbackAt(acceptor.local_endpoint().port()) + "/");
     call.connect_timeout = milliseconds(100);
     const http_result result = Run(context_, client_, call);
     CPPUNIT_ASSERT(result.end == call_end::kConnectFailed);
--- a/src/slatestall/http/http_server_test.cc
+++ b/src/slatestall/http/http_server_test.cc
@@ -130,7 +130,7 @@
     kept_.responders.clear();
     RunUntil(context_, [&] { return streamed->Ended(); });
     CPPUNIT_ASSERT(!streamed->Has("0\r\n\r\n"));
-    http_server throwing(context_, {}, [](const auto&, const auto&) {
+    http_server throwing(context_, Local(), [](const auto&, const auto&) {
       throw std::runtime_error("handler");
     });
     const auto caller = raw_peer::Connect(context_, throwing.Port(), kGet);
@@ -145,7 +145,7 @@
     http_client client(context_);
     http_call call;
     call.method = "POST";
-    call.url = "http://127.0.0.1:" + std::to_string(server_->Port()) + "/";
+    call.url = "http://" + LoopbackAt(server_->Port()) + "/";
     call.body = std::string().append(16'000'000, 'b');
     for (int i = 0; i < 5; ++i) {
       const http_result result = Run(context_, client, call);
@@ -278,7 +278,7 @@
   }
 
   void HoldsBackConnectionsAboveTheLimit() {
-    http_server_options options;
+    http_server_options options = Local();
     options.max_connections = 2;
     Open(options);
     const auto first = Ask("");
@@ -305,7 +305,7 @@
   }
 
   void SharesItsPort() {
-    http_server_options options;
+    http_server_options options = Local();
     options.share_port = true;
     Open(options);
     options.port = server_->Port();
@@ -343,18 +343,24 @@
   }
 
   void ReportsAnAddressInUse() {
-    http_server_options options;
+    http_server_options options = Local();
     options.port = server_->Port();
     CPPUNIT_ASSERT_THROW(http_server(context_, options, nullptr),
                          std::system_error);
   }
 
-  void setUp() override { Open({}); }
+  void setUp() override { Open(Local()); }
 
  private:
   static constexpr std::size_t kMaxBody = 50'000;
   static constexpr std::size_t kMaxPending = 200'000;
 
+  static http_server_options Local() {
+    http_server_options options;
+    options.address = LoopbackOfThisProcess();
+    return options;
+  }
+
   void Open(http_server_options options) {
     options.max_body_bytes = kMaxBody;
     options.max_pending_bytes = kMaxPending;
@@ -367,7 +373,7 @@
   }
 
   void OpenWith(const std::function<void(http_server_options&)>& change) {
-    http_server_options options;
+    http_server_options options = Local();
     change(options);
     Open(options);
   }
--- a/src/slatestall/http/test_peers.h
+++ b/src/slatestall/http/test_peers.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "slatestall/http/http_client.h"
+#include "slatestall/model/test_loopback.h"
 
 namespace slatestall {
 
@@ -48,7 +49,7 @@
                                            std::string_view request,
                                            bool read = true) {
     asio::ip::tcp::socket socket(context);
-    socket.connect({asio::ip::address_v4::loopback(), port});
+    socket.connect({asio::ip::make_address(LoopbackOfThisProcess()), port});
     auto peer = std::make_shared<raw_peer>(std::move(socket));
     peer->Send(request);
     if (read) {
@@ -107,14 +108,14 @@
   using request_hook = std::function<void(raw_peer&, int number)>;
 
   fake_endpoint(asio::io_context& context, request_hook on_request)
-      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+      : acceptor_(context,
+                  {asio::ip::make_address(LoopbackOfThisProcess()), 0}),
         on_request_(std::move(on_request)) {
     Accept();
   }
 
   std::string Url() const {
-    return "http://127.0.0.1:" +
-           std::to_string(acceptor_.local_endpoint().port()) + "/";
+    return "http://" + LoopbackAt(acceptor_.local_endpoint().port()) + "/";
   }
   int Requests() const { return requests_; }
   const std::vector<std::shared_ptr<raw_peer>>& Peers() const { return peers_; }
--- a/src/slatestall/peer/gossip_service_test.cc
+++ b/src/slatestall/peer/gossip_service_test.cc
@@ -19,7 +19,7 @@
 struct whole_host {
   whole_host(asio::io_context& context, std::size_t number)
       : name("entry-" + std::to_string(number)),
-        peers(context, {name, 100 + number}, peer_node_options()) {
+        peers(context, {name, 100 + number}, LocalOptions()) {
     member_digest self;
     self.host = name;
     self.version = {1000, 100 + number, 0};
--- a/src/slatestall/peer/peer_node_test.cc
+++ b/src/slatestall/peer/peer_node_test.cc
@@ -12,7 +12,7 @@
 constexpr milliseconds kLong{15'000};
 
 peer_node_options ShortOptions() {
-  peer_node_options options;
+  peer_node_options options = LocalOptions();
   options.hello_timeout = milliseconds(400);
   options.stall_timeout = milliseconds(400);
   options.first_backoff = milliseconds(20);
@@ -327,8 +327,7 @@
     return peer;
   }
   std::uint16_t ClosedPort() {
-    asio::ip::tcp::acceptor taken(context_,
-                                  {asio::ip::address_v4::loopback(), 0});
+    asio::ip::tcp::acceptor taken(context_, LocalEndpoint(0));
     return taken.local_endpoint().port();
   }
 
--- a/src/slatestall/peer/peer_test_support.h
+++ b/src/slatestall/peer/peer_test_support.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "slatestall/model/test_loopback.h"
 #include "slatestall/peer/frame_codec.h"
 #include "slatestall/peer/frame_splitter.h"
 #include "slatestall/peer/peer_node.h"
@@ -26,8 +27,16 @@
   return done();
 }
 
-inline std::string AddressOf(std::uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
+inline std::string AddressOf(std::uint16_t port) { return LoopbackAt(port); }
+
+inline asio::ip::tcp::endpoint LocalEndpoint(std::uint16_t port) {
+  return {asio::ip::make_address(LoopbackOfThisProcess()), port};
+}
+
+inline peer_node_options LocalOptions() {
+  peer_node_options options;
+  options.listen_address = LoopbackOfThisProcess();
+  return options;
 }
 
 inline std::string HelloFrame(const std::string& host,
@@ -87,7 +96,7 @@
   static asio::ip::tcp::socket Connected(asio::io_context& context,
                                          std::uint16_t port) {
     asio::ip::tcp::socket socket(context);
-    socket.connect({asio::ip::address_v4::loopback(), port});
+    socket.connect(LocalEndpoint(port));
     return socket;
   }
 
@@ -111,8 +120,7 @@
 class raw_listener {
  public:
   explicit raw_listener(asio::io_context& context)
-      : context_(context),
-        acceptor_(context, {asio::ip::address_v4::loopback(), 0}) {}
+      : context_(context), acceptor_(context, LocalEndpoint(0)) {}
 
   std::string Address() const {
     return AddressOf(acceptor_.local_endpoint().port());
--- a/src/slatestall/serve/test_endpoint.h
+++ b/src/slatestall/serve/test_endpoint.h
@@ -12,6 +12,7 @@
 
 #include "slatestall/http/http_server.h"
 #include "slatestall/http/sse_parser.h"
+#include "slatestall/model/test_loopback.h"
 
 namespace slatestall {
 
@@ -30,21 +31,25 @@
 
   test_endpoint(asio::io_context& context, behaviour act)
       : act_(std::move(act)),
-        server_(context, {},
+        server_(context, Options(),
                 [this](const http_request& request,
                        const http_responder_ptr& answer) {
                   Serve(request, answer);
                 }) {}
 
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(server_.Port());
-  }
+  std::string Address() const { return LoopbackAt(server_.Port()); }
   void Act(behaviour act) { act_ = std::move(act); }
   const std::vector<seen_call>& Calls() const { return calls_; }
   std::size_t Connections() const { return server_.OpenConnections(); }
   std::size_t Closed() const { return closed_; }
 
  private:
+  static http_server_options Options() {
+    http_server_options options;
+    options.address = LoopbackOfThisProcess();
+    return options;
+  }
+
   void Serve(const http_request& request, const http_responder_ptr& answer) {
     answer->OnClosed([this] { ++closed_; });
     calls_.push_back({request.path,
--- a/src/slatestall/serve/test_lane.h
+++ b/src/slatestall/serve/test_lane.h
@@ -13,6 +13,7 @@
 #include "slatestall/http/http_client.h"
 #include "slatestall/http/sse_parser.h"
 #include "slatestall/model/sha256.h"
+#include "slatestall/model/test_loopback.h"
 #include "slatestall/report/report_collector.h"
 #include "slatestall/serve/test_endpoint.h"
 #include "slatestall/serve/test_guard.h"
@@ -73,6 +74,7 @@
       snapshot->services.emplace(name, view);
     }
     snapshots.Publish(snapshot);
+    options.server.address = LoopbackOfThisProcess();
     options.server.max_body_bytes = 4096;
     options.snapshot_interval = milliseconds(5);
     lane = std::make_unique<traffic_lane>(
@@ -135,7 +137,7 @@
     auto answer = std::make_shared<test_answer>();
     http_call call;
     call.method = method;
-    call.url = "http://127.0.0.1:" + std::to_string(lane->Port()) + path;
+    call.url = "http://" + LoopbackAt(lane->Port()) + path;
     call.headers = std::move(headers);
     call.body = std::move(body);
     if (FindHeader(call.headers, "Accept") == "text/event-stream") {
