--- a/src/slatestall/http/http_server_test.cc
+++ b/src/slatestall/http/http_server_test.cc
@@ -18,6 +18,8 @@
 struct keeping_handler {
   std::vector<http_request> requests;
   std::vector<http_responder_ptr> responders;
+  /// Runs before a time limit can end the request.
+  std::function<void(http_responder&)> on_request;
 };
 
 class http_server_test : public CppUnit::TestFixture {
@@ -101,9 +103,9 @@
       kept_.responders[1]->Write("nobody reads this");
       kept_.responders[1]->Finish();
       kept_.responders[1]->OnClosed(count);
+      RunUntil(context_, [&] { return server_->OpenConnections() == 0; });
       Settle(context_);
       CPPUNIT_ASSERT_EQUAL(1, closed);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->OpenConnections());
     }
   }
 
@@ -130,7 +132,7 @@
     kept_.responders.clear();
     RunUntil(context_, [&] { return streamed->Ended(); });
     CPPUNIT_ASSERT(!streamed->Has("0\r\n\r\n"));
-    http_server throwing(context_, {}, [](const auto&, const auto&) {
+    http_server throwing(context_, Local(), [](const auto&, const auto&) {
       throw std::runtime_error("handler");
     });
     const auto caller = raw_peer::Connect(context_, throwing.Port(), kGet);
@@ -145,7 +147,7 @@
     http_client client(context_);
     http_call call;
     call.method = "POST";
-    call.url = "http://127.0.0.1:" + std::to_string(server_->Port()) + "/";
+    call.url = "http://" + LoopbackAt(server_->Port()) + "/";
     call.body = std::string().append(16'000'000, 'b');
     for (int i = 0; i < 5; ++i) {
       const http_result result = Run(context_, client, call);
@@ -263,12 +265,14 @@
 
     OpenWith(
         [&](http_server_options& options) { options.answer_timeout = brief; });
-    const auto unanswered = Ask(kGet);
-    AwaitRequest(1);
     bool told = false;
-    kept_.responders[0]->OnClosed([&] { told = true; });
+    kept_.on_request = [&](http_responder& responder) {
+      responder.OnClosed([&] { told = true; });
+    };
+    const auto unanswered = Ask(kGet);
     RunUntil(context_, [&] { return told && unanswered->Ended(); });
 
+    kept_.on_request = nullptr;
     OpenWith(
         [&](http_server_options& options) { options.write_timeout = brief; });
     const auto slow_reader = Ask(kGet, false);
@@ -278,12 +282,13 @@
   }
 
   void HoldsBackConnectionsAboveTheLimit() {
-    http_server_options options;
+    http_server_options options = Local();
     options.max_connections = 2;
     Open(options);
     const auto first = Ask("");
     const auto second = Ask("");
     const auto third = Ask(kGet);
+    RunUntil(context_, [&] { return server_->OpenConnections() == 2; });
     Settle(context_);
     CPPUNIT_ASSERT(kept_.requests.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->OpenConnections());
@@ -305,7 +310,7 @@
   }
 
   void SharesItsPort() {
-    http_server_options options;
+    http_server_options options = Local();
     options.share_port = true;
     Open(options);
     options.port = server_->Port();
@@ -343,18 +348,24 @@
   }
 
   void ReportsAnAddressInUse() {
-    http_server_options options;
+    http_server_options options = Local();
     options.port = server_->Port();
     CPPUNIT_ASSERT_THROW(http_server(context_, options, nullptr),
                          std::system_error);
   }
 
-  void setUp() override { Open({}); }
+  void setUp() override { Open(Local()); }
 
  private:
   static constexpr std::size_t kMaxBody = 50'000;
   static constexpr std::size_t kMaxPending = 200'000;
 
+  static http_server_options Local() {
+    http_server_options options;
+    options.address = LoopbackOfThisProcess();
+    return options;
+  }
+
   void Open(http_server_options options) {
     options.max_body_bytes = kMaxBody;
     options.max_pending_bytes = kMaxPending;
@@ -362,12 +373,15 @@
         context_, options,
         [this](const http_request& request, http_responder_ptr responder) {
           kept_.requests.push_back(request);
+          if (kept_.on_request) {
+            kept_.on_request(*responder);
+          }
           kept_.responders.push_back(std::move(responder));
         });
   }
 
   void OpenWith(const std::function<void(http_server_options&)>& change) {
-    http_server_options options;
+    http_server_options options = Local();
     change(options);
     Open(options);
   }
