A retry after a refused connection takes no retry budget

Requests ended 'overloaded' seconds before their deadline with live engines beside.

Change: attempt_end::kUnreached tells a refused connection from a refusal. A retry after it is free, and eight such attempts may come besides four others.

The new test fails without the change.

--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -72,6 +72,8 @@
   std::vector<std::uint64_t> prefix_hashes;  ///< Shortest prefix first.
   std::vector<std::string> tried;  ///< Addresses not to use again; a hedge
                                    ///< names the one it hedges against.
+  std::size_t unreached = 0;       ///< How many of `tried` took no connection.
+  bool is_free_retry = false;      ///< The last of `tried` took no connection.
   bool is_retry = false;
   bool is_hedge = false;  ///< Never waits: `kDispatch` or `kRefuse`.
 };
@@ -98,10 +100,11 @@
 
 enum class attempt_end {
   kAnswered,
-  kRefusedByEndpoint,  ///< Proven not run: 429, 503 or not connected.
+  kRefusedByEndpoint,  ///< Proven not run by its answer: 429 or 503.
   kFailed,
   kTimedOut,
   kCancelled,
+  kUnreached,  ///< Proven not run: no connection was made.
 };
 
 /// @brief How one dispatched attempt ended.
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -89,6 +89,8 @@
   request.priority = live.pipeline->priority;
   request.deadline = live.deadline;
   request.tried = live.tried;
+  request.unreached = live.unreached;
+  request.is_free_retry = live.last_unreached;
   if (live.arrival->prefix != 0 &&
       Service(live).kind == service_kind::kEngine) {
     request.prefix_hashes = {live.arrival->prefix};
@@ -100,6 +102,8 @@
   live_request& live = live_.at(number);
   live.attempts.clear();
   live.tried.clear();
+  live.unreached = 0;
+  live.last_unreached = false;
   Submit(number, false, false, "");
 }
 
@@ -180,8 +184,7 @@
   }
   // No connection was made, which proves that nothing ran.
   around_.events.After(kConnectTimeout, [this, number, index, stage] {
-    Answered(number, stage, index,
-             {attempt_end::kRefusedByEndpoint, false, {}});
+    Answered(number, stage, index, {attempt_end::kUnreached, false, {}});
   });
 }
 
@@ -240,6 +243,8 @@
   } else {
     around_.tally.Wasted(StageName(*live), attempt_waste::kRetried, busy);
     live->tried.push_back(ended.address);
+    live->last_unreached = answer.end == attempt_end::kUnreached;
+    live->unreached += live->last_unreached ? 1 : 0;
     Retry(number, answer.end);
   }
   Pump();
@@ -287,8 +292,8 @@
   if (another_runs) {
     return;
   }
-  const bool safe =
-      end == attempt_end::kRefusedByEndpoint || Service(live).repeatable;
+  const bool safe = end == attempt_end::kRefusedByEndpoint ||
+                    end == attempt_end::kUnreached || Service(live).repeatable;
   const retry_decision decision =
       safe ? policy_.PlanRetry(RequestFor(live, last_ticket_ + 1),
                                around_.events.Now())
--- a/src/slatestall/policy/replay_lane.h
+++ b/src/slatestall/policy/replay_lane.h
@@ -55,6 +55,8 @@
     std::size_t stage = 0;
     std::vector<attempt> attempts;  ///< Of the current stage.
     std::vector<std::string> tried;
+    std::size_t unreached = 0;  ///< Of `tried`.
+    bool last_unreached = false;
     std::vector<duration> used;  ///< By stage.
     bool dispatched = false;
   };
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -10,6 +10,7 @@
 
 constexpr std::size_t kMostWaiting = 2048;  // Calls of one service.
 constexpr std::size_t kMostAttempts = 4;
+constexpr std::size_t kMostUnreached = 8;  // Besides these attempts.
 // Ten times the slowest usual gap between tokens, and short against deadlines.
 constexpr auto kStallTimeout = milliseconds(700);
 constexpr double kFirstBackoff = 0.01;  // Seconds; doubles, with jitter.
@@ -290,6 +291,7 @@
       }
       LearnUnfinished(endpoint, call, report, statistics);
       break;
+    case attempt_end::kUnreached:
     case attempt_end::kRefusedByEndpoint:
       if (!report.said_leaving) {
         health.Refused(now);
@@ -330,7 +332,9 @@
   retry_decision decision;
   const std::string& name = request.pipeline->stages.at(request.stage).service;
   service_traffic* service = state_.Service(name);
-  if (service == nullptr || request.tried.size() >= kMostAttempts) {
+  const std::size_t reached = request.tried.size() - request.unreached;
+  if (service == nullptr || reached >= kMostAttempts ||
+      request.unreached >= kMostUnreached) {
     decision.reason = "no attempt is left";
     return decision;
   }
@@ -350,7 +354,7 @@
     decision.reason = "the time left is too short";
   } else if (!AnotherEndpoint(call, "", now)) {
     decision.reason = "no other endpoint";
-  } else if (!call.statistics.retries.Take()) {
+  } else if (!request.is_free_retry && !call.statistics.retries.Take()) {
     decision.reason = "the retry budget is spent";
   } else {
     decision.retry = true;
--- a/src/slatestall/policy/traffic_policy_test.cc
+++ b/src/slatestall/policy/traffic_policy_test.cc
@@ -88,7 +88,7 @@
       case 4:
         return EndOne(step, attempt_end::kAnswered);
       case 5:
-        return EndOne(step, static_cast<attempt_end>(step.amount % 5));
+        return EndOne(step, static_cast<attempt_end>(step.amount % 6));
       case 6:
         now_ += milliseconds(step.amount % 400);
         return TakeReady();
@@ -238,6 +238,7 @@
   CPPUNIT_TEST(SameCallsGiveSameDecisions);
   CPPUNIT_TEST(EveryTicketIsDecidedOnce);
   CPPUNIT_TEST(RetriesStayWithinTheirBudget);
+  CPPUNIT_TEST(RefusedConnectionsTakeNoRetryBudget);
   CPPUNIT_TEST(HedgesNeverWaitAndStayWithinTheirBudget);
   CPPUNIT_TEST(NothingRunsWithoutAConfiguration);
   CPPUNIT_TEST_SUITE_END();
@@ -302,6 +303,32 @@
     }));
   }
 
+  // The caller sees "overloaded" with most of its time left and idle endpoints
+  // beside. Half of the endpoints are dead: each thread has to find out about
+  // each of them, and every refused connection took from a budget that is
+  // there to keep work from being repeated. Here the budget is spent by calls
+  // that ran, and then a connection is refused.
+  void RefusedConnectionsTakeNoRetryBudget() {
+    policy_test_world world(6, 4);
+    traffic_policy policy({.host_name = "entry-1", .retry_budget = 0});
+    const time_point now = TestStart();
+    policy.UseSnapshot(world.Publish(), now);
+    stage_request call = world.Call(1, "reply", 0, now, milliseconds(60000));
+    call.tried = {"pool-0"};
+    for (int i = 0; i < static_cast<int>(attempt_budget::kInitial); ++i) {
+      CPPUNIT_ASSERT(policy.PlanRetry(call, now).retry);
+    }
+    CPPUNIT_ASSERT(!policy.PlanRetry(call, now).retry);
+    call.unreached = 1;
+    call.is_free_retry = true;
+    CPPUNIT_ASSERT(policy.PlanRetry(call, now).retry);
+    call.tried = {"pool-0", "pool-1", "pool-2", "pool-3"};
+    call.unreached = 4;
+    CPPUNIT_ASSERT(policy.PlanRetry(call, now).retry);
+    call.unreached = 0;
+    CPPUNIT_ASSERT(!policy.PlanRetry(call, now).retry);
+  }
+
   void HedgesNeverWaitAndStayWithinTheirBudget() {
     policy_test_world world(4, 1);
     traffic_policy policy({.host_name = "entry-1", .hedge_budget = 0.05});
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -281,7 +281,7 @@
   if (result.end != call_end::kComplete) {
     refusal.may_have_run = result.may_have_been_sent;
     if (!result.may_have_been_sent) {
-      refusal.end = attempt_end::kRefusedByEndpoint;
+      refusal.end = attempt_end::kUnreached;
     } else if (result.end == call_end::kTimedOut) {
       refusal.end = attempt_end::kTimedOut;
     }
@@ -305,7 +305,8 @@
   // call alone; the one that began the stream has run.
   if (resumes_ > 0 || Tokens() > 0) {
     failure.may_have_run = true;
-    if (failure.end == attempt_end::kRefusedByEndpoint) {
+    if (failure.end == attempt_end::kRefusedByEndpoint ||
+        failure.end == attempt_end::kUnreached) {
       failure.end = attempt_end::kFailed;
     }
   }
--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -48,6 +48,8 @@
   request.deadline = spec_.deadline;
   request.prefix_hashes = prefix_hashes_;
   request.tried = tried_;
+  request.unreached = unreached_;
+  request.is_free_retry = last_unreached_;
   request.is_retry = why == ask::kRetry;
   request.is_hedge = why == ask::kHedge;
   return request;
@@ -228,6 +230,8 @@
 void stage_runner::OnFailed(const stage_attempt& attempt,
                             const attempt_result& result) {
   may_have_run_ = may_have_run_ || result.may_have_run;
+  last_unreached_ = result.end == attempt_end::kUnreached;
+  unreached_ += last_unreached_ ? 1 : 0;
   Note(attempt.Id().Text(), attempt.Address(), "failed", result.detail);
   environment_.log.Write({log_severity::kWarning, "attempt failed",
                           spec_.request.text, spec_.workspace, Stage().name,
--- a/src/slatestall/serve/stage_runner.h
+++ b/src/slatestall/serve/stage_runner.h
@@ -100,6 +100,8 @@
   time_point started_{};
   std::vector<attempt_ptr> attempts_;
   std::vector<std::string> tried_;
+  std::size_t unreached_ = 0;  ///< Of `tried_`: took no connection.
+  bool last_unreached_ = false;
   std::vector<std::uint64_t> prefix_hashes_;
   stage_ticket waiting_ = 0;  ///< 0: nothing waits.
   asio::steady_timer hedge_timer_;
