A stream that its engine lost goes on at another one that words it alike

Cause: once words had gone to the caller, a lost engine meant 'error': every reply that ran on a killed engine ended cut.

Change: where the service is repeatable, another engine makes the answer anew. token_stream::Repeat compares its bytes and tokens with those given; only what lies beyond goes out, with the next offset. Other words end the stream as before.

A property in token_stream_test cuts the second generation into arbitrary events.

--- a/src/slatestall/serve/engine_answer.cc
+++ b/src/slatestall/serve/engine_answer.cc
@@ -83,10 +83,10 @@
 }
 
 stream_verdict engine_answer::TakeFinish(std::uint64_t offset) {
-  if (offset > stream_.NextOffset()) {
+  if (offset > stream_.Generated()) {
     return stream_verdict::kGap;
   }
-  if (offset < stream_.NextOffset()) {
+  if (offset < stream_.Generated() || stream_.IsRepeating()) {
     return stream_verdict::kDiverged;
   }
   finished_ = true;
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -41,7 +41,12 @@
       resume_timer_(environment.context),
       stream_([this](std::uint64_t offset, std::string_view text) {
         OnText(offset, text);
-      }) {}
+      }) {
+  if (spec_.goes_on_after != nullptr) {
+    stream_.Repeat(spec_.goes_on_after->stream_);
+    spec_.goes_on_after.reset();
+  }
+}
 
 stage_attempt::~stage_attempt() { Cancel(); }
 
@@ -137,6 +142,10 @@
   }
   switch (answer_->Take(data)) {
     case stream_verdict::kGoesOn:
+      // Words that only repeat what the caller has are a first byte, too.
+      if (first_byte_ == duration{}) {
+        first_byte_ = Elapsed();
+      }
       return;
     case stream_verdict::kWhole:
       return FinishWholeLater();
@@ -149,6 +158,9 @@
     case stream_verdict::kGap:
       return DropStream(lane_event::kGapInStream, "tokens are missing");
     case stream_verdict::kDiverged:
+      if (stream_.IsRepeating()) {
+        return EndDiverged();
+      }
       return DropStream(lane_event::kMalformedAnswer,
                         "the stream repeats tokens with other text");
     case stream_verdict::kMalformed:
@@ -200,6 +212,22 @@
              });
 }
 
+// The engine made the answer anew in other words. Asked again, it or another
+// one would do no better, and the caller already has the first words.
+void stage_attempt::EndDiverged() {
+  hooks_.note("diverged", "the answer made anew has other words");
+  DropExchange();
+  asio::post(environment_.context, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self != nullptr && !self->ended_) {
+      attempt_result failure = self->Failure(
+          "the stream broke, and the answer made anew has other words");
+      failure.worth_retrying = false;
+      self->Finish(std::move(failure));
+    }
+  });
+}
+
 void stage_attempt::DropExchange() {
   if (exchange_live_) {
     exchange_live_ = false;
--- a/src/slatestall/serve/stage_attempt.h
+++ b/src/slatestall/serve/stage_attempt.h
@@ -19,6 +19,8 @@
 
 namespace slatestall {
 
+class stage_attempt;
+
 struct attempt_spec {
   stage_message message;    ///< What it points to outlives the attempt.
   stage_ticket ticket = 0;  ///< Of the decision to send it.
@@ -28,6 +30,9 @@
   /// Nothing: only the deadline ends it.
   std::optional<milliseconds> timeout;
   bool at_most_once = false;
+  /// An ended attempt whose text went to the caller: this one has to repeat it
+  /// before it goes on. Held only until the attempt is made.
+  std::shared_ptr<const stage_attempt> goes_on_after;
 };
 
 /// @brief How one attempt ended.
@@ -71,7 +76,7 @@
   stage_ticket Ticket() const { return spec_.ticket; }
   const std::string& Address() const { return spec_.address; }
   const attempt_id& Id() const { return spec_.id; }
-  std::uint64_t Tokens() const { return stream_.NextOffset(); }
+  std::uint64_t Tokens() const { return stream_.Generated(); }
   bool HasText() const { return !stream_.Text().empty(); }
   duration FirstByte() const { return first_byte_; }
   /// @brief Since `Start`; zero before.
@@ -87,6 +92,7 @@
   void OnEngineResult(const http_result& result);
   void CountLate() const;
   void DropExchange();
+  void EndDiverged();
   void DropStream(lane_event count, std::string_view what);
   void FinishWholeLater();
   void ResumeOrFail(attempt_result failure);
--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -134,6 +134,7 @@
                 attempts_begun_++};
   attempt.deadline = spec_.deadline;
   attempt.at_most_once = spec_.at_most_once;
+  attempt.goes_on_after = cut_;
   // A call that may not be sent again gains nothing from giving up early: its
   // outcome would only become unknown.
   if (!spec_.at_most_once) {
@@ -204,6 +205,9 @@
     return;
   }
   accounts_.Ended(*ended, result);
+  if (text_sent_) {
+    cut_ = ended;
+  }
   if (result.end == attempt_end::kAnswered) {
     return OnAnswered(*ended, std::move(result));
   }
@@ -249,10 +253,10 @@
 }
 
 void stage_runner::RetryOrFail(const attempt_result& result) {
-  // Once text went to the caller, or the call may not be repeated, only the
-  // same stream could go on; that was tried by the attempt itself.
-  const bool may_send_again =
-      !may_have_run_ || (!spec_.at_most_once && !text_sent_);
+  // Where the call may not be repeated, only the same stream could go on; that
+  // was tried by the attempt itself. Once text went to the caller, the next
+  // attempt has to repeat it first.
+  const bool may_send_again = !may_have_run_ || !spec_.at_most_once;
   if (!may_send_again || !result.worth_retrying) {
     return Fail(FailureOf(result));
   }
--- a/src/slatestall/serve/stage_runner.h
+++ b/src/slatestall/serve/stage_runner.h
@@ -99,6 +99,7 @@
   unsigned attempts_begun_ = 0;
   time_point started_{};
   std::vector<attempt_ptr> attempts_;
+  attempt_ptr cut_;  ///< Ended after text of it went to the caller.
   std::vector<std::string> tried_;
   std::size_t unreached_ = 0;  ///< Of `tried_`: took no connection.
   bool last_unreached_ = false;
--- a/src/slatestall/serve/token_stream.cc
+++ b/src/slatestall/serve/token_stream.cc
@@ -7,7 +7,19 @@
 
 token_stream::token_stream(sink on_text) : on_text_(std::move(on_text)) {}
 
+void token_stream::Repeat(const token_stream& given) {
+  text_ = given.text_;
+  boundaries_ = given.boundaries_;
+  next_ = given.next_;
+  if (next_ > 0) {
+    repeated_ = boundary{0, 0};
+  }
+}
+
 splice token_stream::Take(const token_event& event) {
+  if (repeated_) {
+    return TakeRepeated(event);
+  }
   if (event.offset > next_) {
     return splice::kGap;
   }
@@ -18,6 +30,32 @@
   return splice::kAppended;
 }
 
+// Another generation may be cut into other events, so its bytes are compared.
+// Where its words run past the known ones, its tokens must do so too.
+splice token_stream::TakeRepeated(const token_event& event) {
+  if (event.offset != repeated_->offset) {
+    return event.offset > repeated_->offset ? splice::kGap : splice::kDoubled;
+  }
+  const std::string_view known =
+      std::string_view(text_).substr(repeated_->bytes);
+  const std::string_view words = event.text;
+  const std::uint64_t end = event.offset + event.count;
+  const std::size_t shared = std::min(known.size(), words.size());
+  const bool same = known.substr(0, shared) == words.substr(0, shared);
+  if (!same || (end > next_) != (words.size() > known.size()) ||
+      (end == next_) != (words.size() == known.size())) {
+    return splice::kDiverged;
+  }
+  repeated_ = boundary{end, repeated_->bytes + shared};
+  if (end >= next_) {
+    repeated_.reset();
+  }
+  if (end > next_) {
+    Append(next_, end - next_, words.substr(shared));
+  }
+  return splice::kAppended;
+}
+
 splice token_stream::TakeOverlapping(const token_event& event) {
   const boundary* start = BoundaryAt(event.offset);
   const std::uint64_t end = event.offset + event.count;
--- a/src/slatestall/serve/token_stream.h
+++ b/src/slatestall/serve/token_stream.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,8 +37,18 @@
 
   splice Take(const token_event& event);
 
-  /// @brief Tokens taken so far.
+  /// @brief What comes next is a generation of its own, from its first token,
+  /// which has to repeat `given` word by word before it may go on.
+  void Repeat(const token_stream& given);
+  bool IsRepeating() const { return repeated_.has_value(); }
+
+  /// @brief Tokens of the text so far.
   std::uint64_t NextOffset() const { return next_; }
+  /// @brief Tokens that the generation heard last has given; fewer than those
+  /// of the text while it repeats.
+  std::uint64_t Generated() const {
+    return repeated_ ? repeated_->offset : next_;
+  }
   const std::string& Text() const { return text_; }
 
  private:
@@ -46,6 +57,7 @@
     std::size_t bytes;  ///< Bytes of text before `offset`.
   };
 
+  splice TakeRepeated(const token_event& event);
   splice TakeOverlapping(const token_event& event);
   void Append(std::uint64_t offset, std::uint64_t count, std::string_view text);
   const boundary* BoundaryAt(std::uint64_t offset) const;
@@ -54,6 +66,7 @@
   std::uint64_t next_ = 0;
   std::string text_;
   std::vector<boundary> boundaries_;  ///< Starts of the events taken.
+  std::optional<boundary> repeated_;  ///< How far a repetition has come.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/serve/token_stream_test.cc
+++ b/src/slatestall/serve/token_stream_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(AnyRepetitionGivesTheTextOnce);
   CPPUNIT_TEST(OtherTextForTheSameTokensIsRefused);
   CPPUNIT_TEST(GapIsRefused);
+  CPPUNIT_TEST(RepetitionGivesTheRestOnce);
+  CPPUNIT_TEST(RepetitionWithOtherWordsGivesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -66,6 +68,52 @@
     CPPUNIT_ASSERT(stream.Take({2, 1, " c"}) == splice::kGap);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, stream.NextOffset());
   }
+
+  void RepetitionGivesTheRestOnce() {
+    // The caller has some tokens of a stream whose engine is gone. Another one
+    // makes the answer anew, cut into other events; each token beyond those
+    // given comes once, and none before them again.
+    CPPUNIT_ASSERT(rc::check([] {
+      token_stream cut([](std::uint64_t, std::string_view) {});
+      const auto given = *rc::gen::inRange<std::uint64_t>(1, 20);
+      cut.Take(Tokens(0, given));
+      std::string more;
+      std::uint64_t next = given;
+      token_stream stream([&](std::uint64_t offset, std::string_view text) {
+        RC_ASSERT(offset == next);
+        more += text;
+      });
+      stream.Repeat(cut);
+      std::uint64_t at = 0;
+      while (at < 25) {
+        const auto end = at + *rc::gen::inRange<std::uint64_t>(1, 8);
+        RC_ASSERT(stream.IsRepeating() == (at < given));
+        RC_ASSERT(stream.Take(Tokens(at, end)) == splice::kAppended);
+        next = std::max(given, end);
+        at = end;
+      }
+      RC_ASSERT(GeneratedText(given) + more == GeneratedText(at));
+      RC_ASSERT(stream.Text() == GeneratedText(at));
+    }));
+  }
+
+  void RepetitionWithOtherWordsGivesNothing() {
+    token_stream cut([](std::uint64_t, std::string_view) {});
+    cut.Take({0, 2, " a b"});
+    bool gave = false;
+    token_stream stream(
+        [&gave](std::uint64_t, std::string_view) { gave = true; });
+    stream.Repeat(cut);
+    CPPUNIT_ASSERT(stream.Take({1, 1, " b"}) == splice::kGap);
+    CPPUNIT_ASSERT(stream.Take({0, 1, " x"}) == splice::kDiverged);
+    CPPUNIT_ASSERT(stream.Take({0, 3, " a x c"}) == splice::kDiverged);
+    CPPUNIT_ASSERT(stream.Take({0, 1, " a b c"}) == splice::kDiverged);
+    CPPUNIT_ASSERT(stream.Take({0, 2, " a"}) == splice::kDiverged);
+    CPPUNIT_ASSERT(!gave && stream.IsRepeating());
+    CPPUNIT_ASSERT(stream.Take({0, 1, " a"}) == splice::kAppended);
+    CPPUNIT_ASSERT(stream.Take({1, 1, " b"}) == splice::kAppended);
+    CPPUNIT_ASSERT(!gave && !stream.IsRepeating());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(token_stream_test);
