--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -48,6 +48,8 @@
   request.deadline = spec_.deadline;
   request.prefix_hashes = prefix_hashes_;
   request.tried = tried_;
+  request.unreached = unreached_;
+  request.is_free_retry = last_unreached_;
   request.is_retry = why == ask::kRetry;
   request.is_hedge = why == ask::kHedge;
   return request;
@@ -132,6 +134,7 @@
                 attempts_begun_++};
   attempt.deadline = spec_.deadline;
   attempt.at_most_once = spec_.at_most_once;
+  attempt.goes_on_after = cut_;
   // A call that may not be sent again gains nothing from giving up early: its
   // outcome would only become unknown.
   if (!spec_.at_most_once && EndsBeforeDeadline(decision.attempt_timeout)) {
@@ -209,6 +212,9 @@
     return;
   }
   accounts_.Ended(*ended, result);
+  if (text_sent_) {
+    cut_ = ended;
+  }
   if (result.end == attempt_end::kAnswered) {
     return OnAnswered(*ended, std::move(result));
   }
@@ -235,6 +241,8 @@
 void stage_runner::OnFailed(const stage_attempt& attempt,
                             const attempt_result& result) {
   may_have_run_ = may_have_run_ || result.may_have_run;
+  last_unreached_ = result.end == attempt_end::kUnreached;
+  unreached_ += last_unreached_ ? 1 : 0;
   Note(attempt.Id().Text(), attempt.Address(), "failed", result.detail);
   environment_.log.Write({log_severity::kWarning, "attempt failed",
                           spec_.request.text, spec_.workspace, Stage().name,
@@ -252,10 +260,10 @@
 }
 
 void stage_runner::RetryOrFail(const attempt_result& result) {
-  // Once text went to the caller, or the call may not be repeated, only the
-  // same stream could go on; that was tried by the attempt itself.
-  const bool may_send_again =
-      !may_have_run_ || (!spec_.at_most_once && !text_sent_);
+  // Where the call may not be repeated, only the same stream could go on; that
+  // was tried by the attempt itself. Once text went to the caller, the next
+  // attempt has to repeat it first.
+  const bool may_send_again = !may_have_run_ || !spec_.at_most_once;
   if (!may_send_again || !result.worth_retrying) {
     return Fail(FailureOf(result));
   }
@@ -263,7 +271,10 @@
       environment_.scheduler.PlanRetry(Request(ask::kRetry));
   if (!decision.retry) {
     Note("", "", "no retry", decision.reason);
-    return Fail(decision.too_late ? OutOfTime(result) : FailureOf(result));
+    request_failure failure =
+        decision.too_late ? OutOfTime(result) : FailureOf(result);
+    failure.detail += "; not tried again: " + decision.reason;
+    return Fail(std::move(failure));
   }
   Note("", "", "retry", decision.reason);
   if (decision.after <= milliseconds(0)) {
