Policy bench: each part off in turn, loads at saturation, and the aims

Cause: policy_compare showed four parts and no trace at a stated multiple of saturation, so no aim could be called met or missed.

--- a/examples/traces/make_traces.py
+++ b/examples/traces/make_traces.py
@@ -1,18 +1,21 @@
 #!/usr/bin/env python3
 """Writes the example traces: seven situations for each of two deployments.
 
-Usage: make_traces.py [DIRECTORY]
+Usage: make_traces.py [--bench] [DIRECTORY]
+
+With --bench it writes the traces of the bench instead: loads at multiples of
+saturation, and one fault each against the same load without it.
 
 Equal seeds give equal files. The outcomes stated at the end of each trace come
 from OUTCOMES below; docs/design/replay.md describes the format.
 """
 
+import argparse
 import json
 import math
 import pathlib
 import random
 import re
-import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 LENGTH_MS = 30_000
@@ -44,6 +47,10 @@
         prompt = rng.lognormvariate(math.log(self.prompt_ms), 0.2)
         return round(prompt + tokens * self.step_ms), tokens
 
+    def mean_s(self):
+        prompt = self.prompt_ms * math.exp(0.2**2 / 2)
+        return (prompt + self.tokens * math.exp(0.35**2 / 2) * self.step_ms) / 1000
+
 
 FRONT = [Stage(6), Stage(12), Stage(18)]  # Encode, retrieve, rerank.
 
@@ -92,15 +99,22 @@
 
 PLAIN_STAGES = {"encoders": 5, "retrievers": 5, "rerankers": 5}
 PREFIXES_PER_WORKSPACE = 40
+SLOTS = 8
+BATCH_SLOWDOWN = 0.3
 
 
 class Trace:
-    def __init__(self, name, deployment, seed):
+    def __init__(self, name, deployment, seed, lift_limits=False, shared=False,
+                 prefixes=PREFIXES_PER_WORKSPACE, prefill_share=0.25):
+        """`shared`: all pipelines use one model that every engine holds."""
         self.name = name
         self.plan = DEPLOYMENTS[deployment]
+        self.shared = shared
+        self.prefixes = prefixes
+        self.prefill_share = prefill_share
         self.rng = random.Random(seed)
         self.lines = [{"type": "trace", "format": 1, "name": name, "seed": seed}]
-        self.add_configuration(deployment, lift_limits=name.startswith("overload"))
+        self.add_configuration(deployment, lift_limits or name.startswith("overload"))
         self.add_hosts()
         self.add_endpoints()
 
@@ -109,6 +123,9 @@
         if lift_limits:
             # The load must reach the queues, not end at the workspaces' limits.
             source = re.sub(r"\n    limits: \{.*\}", "", source)
+        if self.shared:
+            draft_model = next(iter(self.plan["engines"])).split("@")[0]
+            source = source.replace("model: chat-3b", f"model: {draft_model}")
         self.lines.append({"type": "configuration", "at_ms": 0, "revision": 1, "source": source})
 
     def add_hosts(self):
@@ -123,8 +140,9 @@
     def add_endpoints(self):
         engine_service = self.plan["engine_service"]
         self.lines.append({
-            "type": "endpoint_model", "service": engine_service, "slots": 8,
-            "batch_slowdown": 0.3, "prefill_share": 0.25, "cache_prefixes": 24,
+            "type": "endpoint_model", "service": engine_service, "slots": SLOTS,
+            "batch_slowdown": BATCH_SLOWDOWN, "prefill_share": self.prefill_share,
+            "cache_prefixes": 24,
             "report_every_ms": 500, "report_lag_ms": 300, "event_loss": 0.1})
         for service in PLAIN_STAGES:
             self.lines.append({
@@ -133,6 +151,8 @@
         number = 0
         self.engines = []
         for model, count in self.plan["engines"].items():
+            if self.shared:
+                model = next(iter(self.plan["engines"]))
             for _ in range(count):
                 self.engines.append(self.add_endpoint(engine_service, number, [model]))
                 number += 1
@@ -153,15 +173,42 @@
         self.lines.append({"type": "fault", "kind": kind, "from_ms": from_ms,
                            "until_ms": until_ms, **where})
 
-    def add_arrivals(self, factor=lambda pipeline, at_ms: 1.0):
+    def saturation_factors(self, times, grows):
+        """By pipeline: what to multiply its ordinary rate with so that each
+        model's engines are offered `times` what they can do with full batches
+        and cold caches. Only pipelines for which `grows` is true change.
+        """
+        models = list(self.plan["engines"])
+        chat_model = models[0] if self.shared else models[1]
+        factors = {}
+        for model in dict.fromkeys([models[0], chat_model]):
+            engines = sum(count for name, count in self.plan["engines"].items()
+                          if self.shared or name == model)
+            capacity = times * engines * SLOTS / (1 + BATCH_SLOWDOWN)
+            grown = 0
+            for name, (rate, generation) in self.plan["pipelines"].items():
+                is_chat = name == self.plan["chat"]
+                if (chat_model if is_chat else models[0]) != model:
+                    continue
+                factors[name] = 1.0
+                if grows(name):
+                    grown += rate * generation.mean_s()
+                    factors[name] = None
+                else:
+                    capacity -= rate * generation.mean_s()
+            for name in [name for name, factor in factors.items() if factor is None]:
+                factors[name] = capacity / grown
+        return factors
+
+    def add_arrivals(self, factor=lambda pipeline, at_ms: 1.0, length_ms=LENGTH_MS):
         """Poisson arrivals; `factor` multiplies a pipeline's ordinary rate."""
         arrivals = []
         for pipeline, (rate, generation) in self.plan["pipelines"].items():
             at = 0.0
-            most = 1.2 * max(factor(pipeline, t) for t in range(0, LENGTH_MS, 100))
+            most = 1.2 * max(factor(pipeline, t) for t in range(0, length_ms, 100))
             while True:
                 at += self.rng.expovariate(rate * most / 1000)
-                if at >= LENGTH_MS:
+                if at >= length_ms:
                     break
                 day = 1 + 0.2 * math.sin(at / 5_000)
                 if self.rng.random() * most < day * factor(pipeline, at):
@@ -174,7 +221,7 @@
         workspaces = list(self.plan["workspaces"])
         weights = list(self.plan["workspaces"].values())
         place = self.rng.choices(range(len(workspaces)), weights)[0]
-        popular = int(PREFIXES_PER_WORKSPACE * self.rng.random() ** 2)
+        popular = int(self.prefixes * self.rng.random() ** 2)
         pipeline_number = list(self.plan["pipelines"]).index(pipeline)
         work, tokens = generation.draw(self.rng)
         return {"arrival": round(at, 1), "host": self.rng.randrange(self.plan["hosts"]),
@@ -271,14 +318,66 @@
 }
 
 
+SATURATIONS = (0.75, 1, 1.5, 2)
+
+
+def bench_traces(deployment):
+    """The traces of the bench, each with its arrivals."""
+
+    def make(name, seed, **options):
+        return Trace(f"{name}-{deployment}", deployment, seed, **options)
+
+    plan = DEPLOYMENTS[deployment]
+    # What grows until the engines are full: drafts on the shoppers' engines,
+    # everything but shoppers on engines of its own, the same on shared ones.
+    families = {
+        "drafts": (True, lambda name: name == plan["drafts"]),
+        "apart": (False, lambda name: name != plan["chat"]),
+        "shared": (True, lambda name: name != plan["chat"]),
+    }
+    for kind, (shared, grows) in families.items():
+        for times in SATURATIONS:
+            trace = make(f"saturation-{kind}-{times}", 200, lift_limits=True, shared=shared)
+            factors = trace.saturation_factors(times, grows)
+            trace.add_arrivals(lambda pipeline, at, of=factors: of[pipeline])
+            yield trace
+    trace = make("burst-3", 201, lift_limits=True)
+    factors = trace.saturation_factors(3, lambda name: True)
+    trace.add_arrivals(
+        lambda pipeline, at: factors[pipeline] if within_event(at) else 1.0, 45_000)
+    yield trace
+    trace = make("fault-none", 202)
+    trace.add_arrivals()
+    yield trace
+    trace = make("fault-straggler", 202)
+    trace.add_fault("slow", 4_000, 26_000, factor=10, addresses=[trace.engines[-1]])
+    trace.add_arrivals()
+    yield trace
+    trace = make("fault-domain", 202)
+    trace.add_fault("silent", 8_000, 22_000, failure_domain=trace.plan["domains"][0])
+    trace.add_arrivals()
+    yield trace
+    trace = make("catalogue", 203, lift_limits=True, prefixes=12, prefill_share=0.5)
+    trace.add_arrivals(lambda pipeline, at: 1.5)
+    yield trace
+
+
 def main():
-    directory = pathlib.Path(sys.argv[1]) if len(sys.argv) > 1 else HERE
+    parser = argparse.ArgumentParser(description="Writes traces")
+    parser.add_argument("--bench", action="store_true")
+    parser.add_argument("directory", nargs="?", type=pathlib.Path, default=HERE)
+    options = parser.parse_args()
+    if options.bench:
+        for deployment in DEPLOYMENTS:
+            for trace in bench_traces(deployment):
+                trace.write(options.directory, ALWAYS)
+        return
     for number, (situation, fill) in enumerate(SITUATIONS.items()):
         for deployment in DEPLOYMENTS:
             name = f"{situation}-{deployment}"
             trace = Trace(name, deployment, seed=100 + number)
             fill(trace)
-            trace.write(directory, ALWAYS + OUTCOMES.get(name, []))
+            trace.write(options.directory, ALWAYS + OUTCOMES.get(name, []))
 
 
 if __name__ == "__main__":
--- a/include/slatestall/policy/replay.h
+++ b/include/slatestall/policy/replay.h
@@ -37,8 +37,15 @@
   double Waste() const { return late + retried + hedged + cancelled; }
 };
 
+/// @brief Requests that arrived within one second of the trace.
+struct replay_second {
+  std::uint64_t requests = 0;
+  std::uint64_t in_time = 0;
+};
+
 struct replay_result {
   std::map<std::string, replay_group> classes;
+  std::map<std::string, replay_group> pipelines;
   std::map<std::string, replay_group> workspaces;
   std::map<std::string, replay_cost> stages;  ///< "pipeline/stage".
   /// Requests not answered in time, by the reason of the last decision.
@@ -47,6 +54,8 @@
   std::uint64_t doubled = 0;  ///< Calls run twice that must not be.
   std::uint64_t retries = 0;
   std::uint64_t hedges = 0;
+  double prefill = 0;  ///< Endpoint seconds spent on prompts.
+  std::vector<replay_second> seconds;
   std::string decisions;  ///< Digest over every decision, in order.
 
   /// @brief All measures by the names that stated outcomes use.
@@ -75,4 +84,8 @@
 /// every failure, and nothing held back or refused early.
 traffic_policy_options NaivePolicy();
 
+/// @brief A plain balancer: the endpoint with the fewest calls of this thread
+/// in flight, retries within the budget, and nothing else.
+traffic_policy_options LeastInFlightPolicy();
+
 }  // namespace slatestall
--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -14,10 +14,15 @@
 
 /// @brief How an endpoint is chosen.
 /// @ingroup policy
-enum class routing_rule { kRoundRobin, kLeastWait };
+enum class routing_rule {
+  kRoundRobin,
+  kLeastInFlight,  ///< Fewest calls of this thread in flight.
+  kLeastWait,
+};
 
-inline constexpr name_table<routing_rule, 2> kRoutingRuleNames{{
+inline constexpr name_table<routing_rule, 3> kRoutingRuleNames{{
     {routing_rule::kRoundRobin, "round-robin"},
+    {routing_rule::kLeastInFlight, "least-in-flight"},
     {routing_rule::kLeastWait, "least-wait"},
 }};
 
@@ -30,6 +35,13 @@
   bool early_refusal = true;
   bool learned_timeouts = true;  ///< Else an attempt may take all time left.
   bool queueing = true;          ///< Hold calls back when endpoints are full.
+  bool ejection = true;          ///< Take failing and slow endpoints out.
+  bool domain_circuit = true;    ///< Close a failure domain that is lost.
+  bool domain_locality = true;   ///< Prefer endpoints of the own domain.
+  bool cache_affinity = true;    ///< Send a prompt where its prefix is cached.
+  bool class_reserves = true;    ///< Batch calls leave slots for interactive.
+  bool lending = true;           ///< Borrow slots that reports show idle.
+  bool slow_start = true;        ///< Raise work of returned endpoints slowly.
   double retry_budget = 0.1;     ///< Retries per first attempt.
   double hedge_budget = 0.05;    ///< Hedges per first attempt.
   double batch_floor = 0.2;  ///< Share of time that batch calls are assured.
--- a/src/slatestall/policy/class_usage.cc
+++ b/src/slatestall/policy/class_usage.cc
@@ -66,7 +66,7 @@
 // burst of shoppers would wait for drafts to end; so as many slots stay free
 // as interactive calls used at once lately.
 double class_usage::InteractiveReserve(double capacity, time_point now) const {
-  if (!WantedLately(priority_class::kInteractive, now)) {
+  if (!reserves_ || !WantedLately(priority_class::kInteractive, now)) {
     return 0;
   }
   const double in_use = InUse(priority_class::kInteractive);
--- a/src/slatestall/policy/class_usage.h
+++ b/src/slatestall/policy/class_usage.h
@@ -15,7 +15,9 @@
 class class_usage {
  public:
   /// @param batch_floor Share of the used time that batch calls are assured.
-  explicit class_usage(double batch_floor) : batch_floor_(batch_floor) {}
+  /// @param reserves Whether batch calls leave slots free for interactive ones.
+  explicit class_usage(double batch_floor, bool reserves = true)
+      : batch_floor_(batch_floor), reserves_(reserves) {}
 
   void Start(priority_class priority, time_point now);
   void Stop(priority_class priority, time_point now);
@@ -39,6 +41,7 @@
   double InteractiveReserve(double capacity, time_point now) const;
 
   double batch_floor_;
+  bool reserves_;
   time_point advanced_{};
   double interactive_peak_ = 0;  ///< Recent most calls in use, fading.
   std::array<std::uint32_t, kPriorityClasses> in_use_{};
--- a/src/slatestall/policy/endpoint_choice.cc
+++ b/src/slatestall/policy/endpoint_choice.cc
@@ -32,8 +32,11 @@
 
 }  // namespace
 
-endpoint_choice::endpoint_choice(routing_rule rule, std::string failure_domain)
-    : rule_(rule), failure_domain_(std::move(failure_domain)) {}
+endpoint_choice::endpoint_choice(routing_rule rule, std::string failure_domain,
+                                 bool slow_start)
+    : rule_(rule),
+      failure_domain_(std::move(failure_domain)),
+      slow_start_(slow_start) {}
 
 endpoint_state* endpoint_choice::Choose(
     const endpoint_set::candidates& candidates, const choice_request& request,
@@ -44,6 +47,9 @@
   if (rule_ == routing_rule::kRoundRobin) {
     return NextInTurn(candidates, request, circuit, now);
   }
+  if (rule_ == routing_rule::kLeastInFlight) {
+    return LeastInFlight(candidates, request, circuit, now);
+  }
   endpoint_state* chosen =
       candidates.size() <= kFewEndpoints
           ? BestOfAll(candidates, request, circuit, fitness::kGood, now)
@@ -90,6 +96,22 @@
   return nullptr;
 }
 
+// Equal counts go in turn, or a quiet thread would always use the first one.
+endpoint_state* endpoint_choice::LeastInFlight(
+    const endpoint_set::candidates& candidates, const choice_request& request,
+    const domain_circuit& circuit, time_point now) {
+  endpoint_state* least = nullptr;
+  const std::size_t first = turn_++;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    endpoint_state* state = candidates[(first + i) % candidates.size()];
+    if (Fitness(*state, request, circuit, now) != fitness::kUnusable &&
+        (least == nullptr || state->InFlight() < least->InFlight())) {
+      least = state;
+    }
+  }
+  return least;
+}
+
 endpoint_state* endpoint_choice::BestOfAll(
     const endpoint_set::candidates& candidates, const choice_request& request,
     const domain_circuit& circuit, fitness least, time_point now) const {
@@ -170,9 +192,11 @@
   const double queueing = per_slot > 1 ? (per_slot - 1) * mean : 0;
   double seconds = queueing + service * (1 + 0.5 * std::min(per_slot, 1.0));
   seconds *= state.Slowness(now);
-  seconds *= 1 + kColdFactor * (1 - state.Health().Ramp(now));
+  if (slow_start_) {
+    seconds *= 1 + kColdFactor * (1 - state.Health().Ramp(now));
+  }
   seconds -= request.prefix_time * CachedShare(state, request);
-  if (state.FailureDomain() != failure_domain_) {
+  if (!failure_domain_.empty() && state.FailureDomain() != failure_domain_) {
     seconds += kCrossDomainTime;
   }
   if (!request.adapter.empty() &&
--- a/src/slatestall/policy/endpoint_choice.h
+++ b/src/slatestall/policy/endpoint_choice.h
@@ -24,8 +24,10 @@
 /// @brief Chooses among endpoints by expected time to the answer.
 class endpoint_choice {
  public:
-  /// @param failure_domain Of this host.
-  endpoint_choice(routing_rule rule, std::string failure_domain);
+  /// @param failure_domain Of this host; empty: all are equally near.
+  /// @param slow_start Whether returned endpoints get work only gradually.
+  endpoint_choice(routing_rule rule, std::string failure_domain,
+                  bool slow_start = true);
 
   /// @brief The endpoint to use, or null where each one is leaving or tried.
   endpoint_state* Choose(const endpoint_set::candidates& candidates,
@@ -51,6 +53,9 @@
   endpoint_state* NextInTurn(const endpoint_set::candidates& candidates,
                              const choice_request& request,
                              const domain_circuit& circuit, time_point now);
+  endpoint_state* LeastInFlight(const endpoint_set::candidates& candidates,
+                                const choice_request& request,
+                                const domain_circuit& circuit, time_point now);
   endpoint_state* BestOfAll(const endpoint_set::candidates& candidates,
                             const choice_request& request,
                             const domain_circuit& circuit, fitness least,
@@ -70,6 +75,7 @@
 
   routing_rule rule_;
   std::string failure_domain_;
+  bool slow_start_;
   std::size_t turn_ = 0;
   prefix_memory memory_;
 };
--- a/src/slatestall/policy/modelled_endpoint.cc
+++ b/src/slatestall/policy/modelled_endpoint.cc
@@ -74,6 +74,7 @@
   double factor = 1 + model_.batch_slowdown * batch;
   const auto slow = faults_.find(fault_kind::kSlow);
   factor *= slow == faults_.end() ? 1 : slow->second;
+  prefill_ += FromSeconds(prefill * factor);
   state.first_byte = events_.Now() + FromSeconds(prefill * factor);
   events_.After(FromSeconds((prefill + rest) * factor),
                 [this, number] { Finish(number); });
--- a/src/slatestall/policy/modelled_endpoint.h
+++ b/src/slatestall/policy/modelled_endpoint.h
@@ -53,6 +53,8 @@
   duration Busy(call_number number) const;
   /// @brief Whether the call ever held a slot.
   bool Ran(call_number number) const;
+  /// @brief Time that calls spent on prompts no cache held.
+  duration Prefill() const { return prefill_; }
 
   void Begin(const trace_fault& fault);
   void End(const trace_fault& fault);
@@ -95,6 +97,7 @@
   std::map<call_number, call_state> calls_;
   std::map<int, std::deque<call_number>> waiting_;
   std::uint32_t running_ = 0;
+  duration prefill_{};
   std::map<fault_kind, double> faults_;
   std::deque<std::uint64_t> cache_;  ///< Most recently used last.
   std::vector<std::uint64_t> told_;
--- a/src/slatestall/policy/replay.cc
+++ b/src/slatestall/policy/replay.cc
@@ -8,6 +8,7 @@
 #include "slatestall/config/pipeline_file.h"
 #include "slatestall/model/ids.h"
 #include "slatestall/policy/replay_lane.h"
+#include "slatestall/policy/seconds.h"
 
 namespace slatestall {
 namespace {
@@ -50,7 +51,11 @@
     const duration last =
         trace_.arrivals.empty() ? duration{} : trace_.arrivals.back().at;
     events_.RunUntil(start_ + last + kAfterLastArrival);
-    return tally_.Result();
+    replay_result result = tally_.Result();
+    for (const auto& [address, endpoint] : endpoints_) {
+      result.prefill += Seconds(endpoint->Prefill());
+    }
+    return result;
   }
 
  private:
@@ -214,6 +219,15 @@
   options.queueing = false;
   options.learned_timeouts = false;
   options.retry_budget = kRetryEverything;
+  options.ejection = false;
+  options.domain_circuit = false;
+  return options;
+}
+
+traffic_policy_options LeastInFlightPolicy() {
+  traffic_policy_options options = NaivePolicy();
+  options.routing = routing_rule::kLeastInFlight;
+  options.retry_budget = traffic_policy_options().retry_budget;
   return options;
 }
 
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -49,7 +49,7 @@
   around_.tally.Decided(decision.admitted ? "admitted" : decision.reason);
   if (!decision.admitted) {
     around_.tally.Because(decision.reason);
-    around_.tally.Ended(pipeline.priority, arrival.workspace,
+    around_.tally.Ended(pipeline, arrival.workspace, arrival.at,
                         request_outcome::kRefused, {});
     return;
   }
@@ -374,8 +374,8 @@
   policy_.Release({live.arrival->workspace, live.pipeline, in_time,
                    in_time ? live.arrival->tokens : 0},
                   now);
-  around_.tally.Ended(live.pipeline->priority, live.arrival->workspace, outcome,
-                      now - live.arrived);
+  around_.tally.Ended(*live.pipeline, live.arrival->workspace, live.arrival->at,
+                      outcome, now - live.arrived);
 }
 
 void replay_lane::Pump() {
--- a/src/slatestall/policy/replay_report.cc
+++ b/src/slatestall/policy/replay_report.cc
@@ -102,6 +102,7 @@
 std::map<std::string, double> replay_result::Measures() const {
   std::map<std::string, double> measures;
   AddGroups(classes, "", measures);
+  AddGroups(pipelines, "pipeline.", measures);
   AddGroups(workspaces, "workspace.", measures);
   double used = 0;
   double waste = 0;
@@ -111,6 +112,7 @@
     measures["stage." + name + ".waste_s"] = cost.Waste();
   }
   measures["waste_share"] = used + waste > 0 ? waste / (used + waste) : 0;
+  measures["prefill_s"] = prefill;
   measures["lost"] = static_cast<double>(lost);
   measures["doubled"] = static_cast<double>(doubled);
   measures["retries"] = static_cast<double>(retries);
--- a/src/slatestall/policy/replay_tally.cc
+++ b/src/slatestall/policy/replay_tally.cc
@@ -18,14 +18,26 @@
 
 }  // namespace
 
-void replay_tally::Ended(priority_class priority, const std::string& workspace,
+void replay_tally::Ended(const pipeline_config& pipeline,
+                         const std::string& workspace, duration arrived,
                          request_outcome outcome, duration latency) {
   --open_;
-  const std::string name(NameIn(kPriorityClassNames, priority));
+  CountSecond(arrived, outcome);
+  const std::string name(NameIn(kPriorityClassNames, pipeline.priority));
+  Count(pipelines_[pipeline.name], outcome, latency);
   Count(classes_[name], outcome, latency);
   Count(workspaces_[workspace], outcome, latency);
 }
 
+void replay_tally::CountSecond(duration arrived, request_outcome outcome) {
+  const auto second = static_cast<std::size_t>(Seconds(arrived));
+  if (result_.seconds.size() <= second) {
+    result_.seconds.resize(second + 1);
+  }
+  ++result_.seconds[second].requests;
+  result_.seconds[second].in_time += outcome == request_outcome::kInTime;
+}
+
 void replay_tally::Count(group& group, request_outcome outcome,
                          duration latency) {
   replay_group& counts = group.counts;
@@ -89,6 +101,9 @@
   for (const auto& [name, group] : workspaces_) {
     result.workspaces[name] = Summary(group);
   }
+  for (const auto& [name, group] : pipelines_) {
+    result.pipelines[name] = Summary(group);
+  }
   result.lost = open_;
   result.decisions = StableHashText("", digest_);
   return result;
--- a/src/slatestall/policy/replay_tally.h
+++ b/src/slatestall/policy/replay_tally.h
@@ -17,8 +17,9 @@
 class replay_tally {
  public:
   void Arrived() { ++open_; }
-  void Ended(priority_class priority, const std::string& workspace,
-             request_outcome outcome, duration latency);
+  /// @param arrived From the start of the trace.
+  void Ended(const pipeline_config& pipeline, const std::string& workspace,
+             duration arrived, request_outcome outcome, duration latency);
   void Because(const std::string& reason) { ++result_.reasons[reason]; }
 
   /// @param stage "pipeline/stage".
@@ -39,6 +40,7 @@
     std::vector<double> latencies;  ///< Seconds, of those in time.
   };
 
+  void CountSecond(duration arrived, request_outcome outcome);
   static void Count(group& group, request_outcome outcome, duration latency);
   static replay_group Summary(group group);
 
@@ -46,6 +48,7 @@
   std::uint64_t digest_ = 0;
   std::map<std::string, group> classes_;
   std::map<std::string, group> workspaces_;
+  std::map<std::string, group> pipelines_;
   replay_result result_;
 };
 
--- a/src/slatestall/policy/service_capacity.cc
+++ b/src/slatestall/policy/service_capacity.cc
@@ -41,7 +41,8 @@
 
 service_capacity MeasureCapacity(const endpoint_set::subset& endpoints,
                                  const domain_circuit& circuit, double sharers,
-                                 double in_flight, time_point now) {
+                                 double in_flight, bool lending,
+                                 time_point now) {
   const slot_count count = CountSlots(endpoints.endpoints, circuit, now);
   // Fewer threads share the slots of a subset than those of all endpoints.
   const double used = static_cast<double>(endpoints.endpoints.size());
@@ -53,7 +54,7 @@
   // to a full pool, any margin would grow by itself at each refresh.
   const double idle = count.idle * scale / sharers * kIdleGain;
   const double borrowed =
-      idle > 0 ? std::min(count.slots, in_flight + idle) : 0;
+      lending && idle > 0 ? std::min(count.slots, in_flight + idle) : 0;
   return {std::max(share, borrowed),
           std::max(share * kInteractiveOvercommit, borrowed)};
 }
--- a/src/slatestall/policy/service_capacity.h
+++ b/src/slatestall/policy/service_capacity.h
@@ -17,8 +17,10 @@
 
 /// @param sharers Threads over all hosts among which the slots are divided.
 /// @param in_flight Calls of this thread that hold slots of these endpoints.
+/// @param lending Whether idle slots of others may be borrowed.
 service_capacity MeasureCapacity(const endpoint_set::subset& endpoints,
                                  const domain_circuit& circuit, double sharers,
-                                 double in_flight, time_point now);
+                                 double in_flight, bool lending,
+                                 time_point now);
 
 }  // namespace slatestall
--- a/src/slatestall/policy/service_traffic.cc
+++ b/src/slatestall/policy/service_traffic.cc
@@ -15,7 +15,9 @@
 service_traffic::service_traffic(const traffic_policy_options& options)
     : options_(options),
       endpoints_(options.host_name),
-      choice_(options.routing, options.failure_domain) {}
+      choice_(options.routing,
+              options.domain_locality ? options.failure_domain : "",
+              options.slow_start) {}
 
 void service_traffic::Update(const service_view& view, std::uint32_t live_hosts,
                              time_point now) {
@@ -48,7 +50,8 @@
 }
 
 void service_traffic::JudgeHealth(endpoint_state& state, time_point now) {
-  if (state.Health().Ejected(now) || !MayEjectOneMore(now)) {
+  if (!options_.ejection || state.Health().Ejected(now) ||
+      !MayEjectOneMore(now)) {
     return;
   }
   if (state.Health().ShouldEject()) {
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -19,6 +19,7 @@
 constexpr double kPrefillShare = 0.7;      // Of the time to the first byte.
 constexpr double kListRetryAfter = 1;      // Seconds, while a list is empty.
 constexpr double kShortRetryAfter = 0.25;  // Seconds.
+const std::vector<std::uint64_t> kNoPrefixes;
 
 stage_decision Refuse(const stage_request& request, error_kind kind,
                       double retry_after, std::string reason) {
@@ -157,7 +158,8 @@
 
 endpoint_state* stage_planner::Choose(call_context& call, time_point now) {
   choice_request choice;
-  choice.prefixes = &call.request.prefix_hashes;
+  choice.prefixes = state_.options.cache_affinity ? &call.request.prefix_hashes
+                                                  : &kNoPrefixes;
   choice.tried = &call.request.tried;
   choice.adapter = call.stage.adapter;
   choice.service_time = call.statistics.answer.Summary().median;
@@ -293,15 +295,21 @@
     case attempt_end::kRefusedByEndpoint:
       if (!report.said_leaving) {
         health.Refused(now);
-        state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(),
-                              now);
+        CountDomainFailure(endpoint, now);
       }
       return;
     case attempt_end::kFailed:
       break;
   }
   health.Failed(now);
-  state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+  CountDomainFailure(endpoint, now);
+}
+
+void stage_planner::CountDomainFailure(const endpoint_state& endpoint,
+                                       time_point now) {
+  if (state_.options.domain_circuit) {
+    state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+  }
 }
 
 // An attempt that was given up, often as the loser of a hedge, would have taken
--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -48,6 +48,7 @@
   void Learn(service_traffic& service, endpoint_state& endpoint,
              const call_in_flight& call, const attempt_report& report,
              time_point now);
+  void CountDomainFailure(const endpoint_state& endpoint, time_point now);
   static void LearnUnfinished(endpoint_state& endpoint,
                               const call_in_flight& call,
                               const attempt_report& report,
--- a/src/slatestall/policy/stage_pool.cc
+++ b/src/slatestall/policy/stage_pool.cc
@@ -10,14 +10,16 @@
 }  // namespace
 
 stage_pool::stage_pool(const traffic_policy_options& options)
-    : queueing_(options.queueing), usage_(options.batch_floor) {}
+    : queueing_(options.queueing),
+      lending_(options.lending),
+      usage_(options.batch_floor, options.class_reserves) {}
 
 void stage_pool::Refresh(const endpoint_set::subset& endpoints,
                          const domain_circuit& circuit, double sharers,
                          time_point now) {
   if (measured_ == time_point{} || now - measured_ >= kCapacityAge) {
-    capacity_ =
-        MeasureCapacity(endpoints, circuit, sharers, usage_.Total(), now);
+    capacity_ = MeasureCapacity(endpoints, circuit, sharers, usage_.Total(),
+                                lending_, now);
     measured_ = now;
   }
 }
--- a/src/slatestall/policy/stage_pool.h
+++ b/src/slatestall/policy/stage_pool.h
@@ -44,6 +44,7 @@
 
  private:
   bool queueing_;
+  bool lending_;
   double mean_time_ = 0;
   stage_queue queue_;
   class_usage usage_;
