Affinity weighs what a cached prompt is measured to save

Cause: the bonus of a prompt's home was a share of the median time to the first byte.

Change: the saving is the mean first byte of calls believed cold less that of calls believed warm (prompt_time), from calls that found room at once.

--- a/bench/policy_compare.cc
+++ b/bench/policy_compare.cc
@@ -30,6 +30,7 @@
   std::size_t burst_from = 0;   ///< Second of the trace.
   std::size_t burst_until = 0;  ///< 0: no burst.
   std::string csv;
+  std::string only;
 };
 
 double InTimeShare(const std::vector<replay_second>& seconds, std::size_t from,
@@ -156,6 +157,9 @@
   const slatestall::trace trace = slatestall::ReadTrace(in);
   std::cout << trace.name << "\n";
   for (const auto& one : slatestall::PolicyVariants(chosen.parts)) {
+    if (!chosen.only.empty() && one.name != chosen.only) {
+      continue;
+    }
     mean_measures means;
     for (std::uint64_t seed = 1; seed <= chosen.seeds; ++seed) {
       traffic_policy_options options = one.options;
@@ -187,6 +191,7 @@
   app.add_option("--burst-until", options.burst_until,
                  "Second it ends: print when goodput is back");
   app.add_option("--csv", options.csv, "Append all measures to this file");
+  app.add_option("--only", options.only, "Replay this variant alone");
   CLI11_PARSE(app, argc, argv);
   PrintHead(options);
   for (const std::string& path : options.paths) {
--- a/src/slatestall/policy/endpoint_choice.h
+++ b/src/slatestall/policy/endpoint_choice.h
@@ -35,6 +35,10 @@
                          const domain_circuit& circuit,
                          random_generator& random, time_point now);
 
+  /// @brief Share of the prompt that the endpoint is believed to hold.
+  double CachedShare(const endpoint_state& state,
+                     const choice_request& request) const;
+
   /// @brief Remembers where a prompt went.
   void Sent(const std::vector<std::uint64_t>& prefixes,
             const std::string& address);
@@ -70,8 +74,6 @@
                 time_point now, double bonus, draw_state& draw) const;
   double Score(const endpoint_state& state, const choice_request& request,
                time_point now) const;
-  double CachedShare(const endpoint_state& state,
-                     const choice_request& request) const;
 
   routing_rule rule_;
   std::string failure_domain_;
--- a/src/slatestall/policy/endpoint_state.h
+++ b/src/slatestall/policy/endpoint_state.h
@@ -21,6 +21,8 @@
   time_point sent{};
   double expected = 0;  ///< Seconds at normal speed; 0: not known.
   double overdue = 0;   ///< Seconds that 99 in 100 stay under; 0: not known.
+  double cached = 0;    ///< Share of the prompt believed cached there.
+  bool started_at_once = true;  ///< The endpoint was believed to have room.
 };
 
 /// @brief What this thread knows of one endpoint of one service.
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -127,7 +127,10 @@
 
 stage_decision stage_planner::Dispatch(call_context& call, time_point now) {
   const stage_request& request = call.request;
-  endpoint_state* endpoint = Choose(call, now);
+  const choice_request choice = ChoiceFor(call);
+  endpoint_state* endpoint = call.service.Choice().Choose(
+      call.service.Endpoints().For(call.model).endpoints, choice,
+      state_.circuit, state_.random, now);
   if (endpoint == nullptr) {
     return Refuse(request, error_kind::kNoEndpoint, kListRetryAfter,
                   "no endpoint of " + call.stage.service + " takes work");
@@ -137,7 +140,9 @@
   const double expected = answer.median * std::max(1.0, per_slot);
   endpoint->Start({request.ticket, request.pipeline->name, call.model,
                    request.stage, request.priority, now, expected,
-                   answer.worst});
+                   answer.worst,
+                   call.service.Choice().CachedShare(*endpoint, choice),
+                   per_slot <= 1});
   call.pool.Usage().Start(request.priority, now);
   call.service.Choice().Sent(request.prefix_hashes, endpoint->Address());
   stage_decision decision;
@@ -156,7 +161,7 @@
   return decision;
 }
 
-endpoint_state* stage_planner::Choose(call_context& call, time_point now) {
+choice_request stage_planner::ChoiceFor(const call_context& call) const {
   choice_request choice;
   choice.prefixes = state_.options.cache_affinity ? &call.request.prefix_hashes
                                                   : &kNoPrefixes;
@@ -164,11 +169,9 @@
   choice.adapter = call.stage.adapter;
   choice.service_time = call.statistics.answer.Summary().median;
   choice.mean_time = call.pool.MeanTime();
-  choice.prefix_time =
-      call.statistics.first_byte.Summary().median * kPrefillShare;
-  return call.service.Choice().Choose(
-      call.service.Endpoints().For(call.model).endpoints, choice,
-      state_.circuit, state_.random, now);
+  choice.prefix_time = call.statistics.prompt.Saved(
+      call.statistics.first_byte.Summary().median * kPrefillShare);
+  return choice;
 }
 
 void stage_planner::SetHedge(call_context& call, stage_decision& decision,
@@ -274,6 +277,9 @@
         statistics->answer.Add(report.total, now);
         if (report.first_byte > duration::zero()) {
           statistics->first_byte.Add(report.first_byte, now);
+          if (call.started_at_once) {
+            statistics->prompt.Add(Seconds(report.first_byte), call.cached);
+          }
         }
       }
       return;
--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -41,7 +41,7 @@
   stage_decision Dispatch(call_context& call, time_point now);
   void TakeReadyOf(service_traffic& service, stage_pool& pool, time_point now,
                    std::vector<stage_decision>& ready);
-  endpoint_state* Choose(call_context& call, time_point now);
+  choice_request ChoiceFor(const call_context& call) const;
   bool AnotherEndpoint(const call_context& call, const std::string& address,
                        time_point now);
   void SetHedge(call_context& call, stage_decision& decision, time_point now);
--- a/src/slatestall/policy/stage_statistics.cc
+++ b/src/slatestall/policy/stage_statistics.cc
@@ -92,6 +92,7 @@
                        stage.service,
                        {},
                        {},
+                       {},
                        attempt_budget(retry_share_),
                        attempt_budget(hedge_share_)});
   }
--- a/src/slatestall/policy/stage_statistics.h
+++ b/src/slatestall/policy/stage_statistics.h
@@ -7,6 +7,7 @@
 #include "slatestall/model/configuration.h"
 #include "slatestall/policy/attempt_budget.h"
 #include "slatestall/policy/latency_histogram.h"
+#include "slatestall/policy/prompt_time.h"
 
 namespace slatestall {
 
@@ -42,6 +43,7 @@
   std::string service;
   stage_latency answer;      ///< From dispatch to the whole answer.
   stage_latency first_byte;  ///< From dispatch to the first byte.
+  prompt_time prompt;
   attempt_budget retries;
   attempt_budget hedges;
 };
