Drafts start only where 95 in 100 would make the deadline

Cause: where calls wait, each is sent as late as its latest start, for the earliest deadline goes first.

Change: batch calls keep the 95th percentile for the stages left, interactive calls the 80th.

--- a/src/slatestall/policy/deadline_budget.cc
+++ b/src/slatestall/policy/deadline_budget.cc
@@ -16,8 +16,10 @@
 }  // namespace
 
 deadline_budget::deadline_budget(const pipeline_statistics& pipeline,
-                                 std::size_t stage, time_point deadline)
-    : likely_(pipeline.LikelyFrom(stage)),
+                                 std::size_t stage, time_point deadline,
+                                 priority_class priority)
+    : likely_(priority == priority_class::kBatch ? pipeline.HighFrom(stage)
+                                                 : pipeline.LikelyFrom(stage)),
       fast_(pipeline.FastFrom(stage)),
       later_(pipeline.MedianFrom(stage + 1)),
       deadline_(deadline) {}
--- a/src/slatestall/policy/deadline_budget.h
+++ b/src/slatestall/policy/deadline_budget.h
@@ -11,7 +11,7 @@
  public:
   /// @param stage The stage about to run; later ones must still fit.
   deadline_budget(const pipeline_statistics& pipeline, std::size_t stage,
-                  time_point deadline);
+                  time_point deadline, priority_class priority);
 
   /// @brief The last moment to start the stage that makes the deadline
   /// likely. Later, capacity that others wait for would be wasted.
--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -56,7 +56,8 @@
                                            time_point now) {
   const pipeline_config& pipeline = *request.pipeline;
   const pipeline_statistics& statistics = state_.Pipeline(pipeline.name);
-  const deadline_budget budget(statistics, 0, request.deadline);
+  const deadline_budget budget(statistics, 0, request.deadline,
+                               pipeline.priority);
   if (now > budget.LastChance()) {
     return Refuse(error_kind::kDeadlineUnreachable, kShortestRetryAfter,
                   "the stages usually take longer than the deadline");
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -51,7 +51,8 @@
           model,
           service.FreshPool(model, state_.circuit, now),
           statistics,
-          deadline_budget(pipeline, request.stage, request.deadline)};
+          deadline_budget(pipeline, request.stage, request.deadline,
+                          request.priority)};
 }
 
 stage_decision stage_planner::Plan(const stage_request& request,
@@ -139,8 +140,7 @@
   const double per_slot = (endpoint->Load(now) + 1) / endpoint->Slots();
   const double expected = answer.median * std::max(1.0, per_slot);
   endpoint->Start({request.ticket, request.pipeline->name, call.model,
-                   request.stage, request.priority, now, expected,
-                   answer.worst,
+                   request.stage, request.priority, now, expected, answer.worst,
                    call.service.Choice().CachedShare(*endpoint, choice),
                    per_slot <= 1});
   call.pool.Usage().Start(request.priority, now);
--- a/src/slatestall/policy/stage_statistics.cc
+++ b/src/slatestall/policy/stage_statistics.cc
@@ -68,6 +68,10 @@
   return SumFrom(first, &latency_summary::likely);
 }
 
+double pipeline_statistics::HighFrom(std::size_t first) const {
+  return SumFrom(first, &latency_summary::high);
+}
+
 bool pipeline_statistics::Matches(const pipeline_config& pipeline,
                                   std::size_t index) const {
   return stages_.size() == pipeline.stages.size() && index < stages_.size() &&
--- a/src/slatestall/policy/stage_statistics.h
+++ b/src/slatestall/policy/stage_statistics.h
@@ -67,6 +67,8 @@
   double MedianFrom(std::size_t first) const;
   /// @brief Seconds within which they are likely to be done.
   double LikelyFrom(std::size_t first) const;
+  /// @brief Seconds that they rarely exceed.
+  double HighFrom(std::size_t first) const;
 
  private:
   double SumFrom(std::size_t first, double latency_summary::*quantile) const;
