--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -20,6 +20,7 @@
 constexpr double kPrefillShare = 0.7;      // Of the time to the first byte.
 constexpr double kListRetryAfter = 1;      // Seconds, while a list is empty.
 constexpr double kShortRetryAfter = 0.25;  // Seconds.
+const std::vector<std::uint64_t> kNoPrefixes;
 
 stage_decision Refuse(const stage_request& request, error_kind kind,
                       double retry_after, std::string reason) {
@@ -51,7 +52,8 @@
           model,
           service.FreshPool(model, state_.circuit, now),
           statistics,
-          deadline_budget(pipeline, request.stage, request.deadline)};
+          deadline_budget(pipeline, request.stage, request.deadline,
+                          request.priority)};
 }
 
 stage_decision stage_planner::Plan(const stage_request& request,
@@ -127,7 +129,10 @@
 
 stage_decision stage_planner::Dispatch(call_context& call, time_point now) {
   const stage_request& request = call.request;
-  endpoint_state* endpoint = Choose(call, now);
+  const choice_request choice = ChoiceFor(call);
+  endpoint_state* endpoint = call.service.Choice().Choose(
+      call.service.Endpoints().For(call.model).endpoints, choice,
+      state_.circuit, state_.random, now);
   if (endpoint == nullptr) {
     return Refuse(request, error_kind::kNoEndpoint, kListRetryAfter,
                   "no endpoint of " + call.stage.service + " takes work");
@@ -136,8 +141,9 @@
   const double per_slot = (endpoint->Load(now) + 1) / endpoint->Slots();
   const double expected = answer.median * std::max(1.0, per_slot);
   endpoint->Start({request.ticket, request.pipeline->name, call.model,
-                   request.stage, request.priority, now, expected,
-                   answer.worst});
+                   request.stage, request.priority, now, expected, answer.worst,
+                   call.service.Choice().CachedShare(*endpoint, choice),
+                   per_slot <= 1});
   call.pool.Usage().Start(request.priority, now);
   call.service.Choice().Sent(request.prefix_hashes, endpoint->Address());
   stage_decision decision;
@@ -156,18 +162,17 @@
   return decision;
 }
 
-endpoint_state* stage_planner::Choose(call_context& call, time_point now) {
+choice_request stage_planner::ChoiceFor(const call_context& call) const {
   choice_request choice;
-  choice.prefixes = &call.request.prefix_hashes;
+  choice.prefixes = state_.options.cache_affinity ? &call.request.prefix_hashes
+                                                  : &kNoPrefixes;
   choice.tried = &call.request.tried;
   choice.adapter = call.stage.adapter;
   choice.service_time = call.statistics.answer.Summary().median;
   choice.mean_time = call.pool.MeanTime();
-  choice.prefix_time =
-      call.statistics.first_byte.Summary().median * kPrefillShare;
-  return call.service.Choice().Choose(
-      call.service.Endpoints().For(call.model).endpoints, choice,
-      state_.circuit, state_.random, now);
+  choice.prefix_time = call.statistics.prompt.Saved(
+      call.statistics.first_byte.Summary().median * kPrefillShare);
+  return choice;
 }
 
 void stage_planner::SetHedge(call_context& call, stage_decision& decision,
@@ -273,6 +278,9 @@
         statistics->answer.Add(report.total, now);
         if (report.first_byte > duration::zero()) {
           statistics->first_byte.Add(report.first_byte, now);
+          if (call.started_at_once) {
+            statistics->prompt.Add(Seconds(report.first_byte), call.cached);
+          }
         }
       }
       return;
@@ -295,15 +303,21 @@
     case attempt_end::kRefusedByEndpoint:
       if (!report.said_leaving) {
         health.Refused(now);
-        state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(),
-                              now);
+        CountDomainFailure(endpoint, now);
       }
       return;
     case attempt_end::kFailed:
       break;
   }
   health.Failed(now);
-  state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+  CountDomainFailure(endpoint, now);
+}
+
+void stage_planner::CountDomainFailure(const endpoint_state& endpoint,
+                                       time_point now) {
+  if (state_.options.domain_circuit) {
+    state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+  }
 }
 
 // An attempt that was given up, often as the loser of a hedge, would have taken
--- a/src/slatestall/policy/stage_statistics.h
+++ b/src/slatestall/policy/stage_statistics.h
@@ -7,6 +7,7 @@
 #include "slatestall/model/configuration.h"
 #include "slatestall/policy/attempt_budget.h"
 #include "slatestall/policy/latency_histogram.h"
+#include "slatestall/policy/prompt_time.h"
 
 namespace slatestall {
 
@@ -42,6 +43,7 @@
   std::string service;
   stage_latency answer;      ///< From dispatch to the whole answer.
   stage_latency first_byte;  ///< From dispatch to the first byte.
+  prompt_time prompt;
   attempt_budget retries;
   attempt_budget hedges;
 };
@@ -65,6 +67,8 @@
   double MedianFrom(std::size_t first) const;
   /// @brief Seconds within which they are likely to be done.
   double LikelyFrom(std::size_t first) const;
+  /// @brief Seconds that they rarely exceed.
+  double HighFrom(std::size_t first) const;
 
  private:
   double SumFrom(std::size_t first, double latency_summary::*quantile) const;
