A host records a trace that replay runs

Cause: the replay library had example traces only; what a live host decided could not be replayed. record_path was a setting that nothing read.

The reader rounds milliseconds (it cut off, so 1 in 16 random traces came back 1 ns off), sorts arrivals, and an arrival of a pipeline that is not in force is refused. The policy's request_outcome shared its name with the report's; it is replay_outcome now.

--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -35,6 +35,7 @@
   /// SHA-256 digests of operators' keys; empty: /v1/admin/ is open.
   std::vector<std::string> operator_key_hashes;
   std::string record_path;  ///< Trace to write; empty: none.
+  std::uint32_t record_max_bytes = 64U << 20U;
 };
 
 /// @brief Where settings come from, the later over the earlier.
--- a/include/slatestall/model/load_report.h
+++ b/include/slatestall/model/load_report.h
@@ -18,6 +18,8 @@
   std::vector<std::string> models;    ///< "name@version" loaded; engines only.
   std::vector<std::string> adapters;  ///< Engines only.
   time_point received{};              ///< When this host got it.
+
+  friend bool operator==(const load_report&, const load_report&) = default;
 };
 
 }  // namespace slatestall
--- a/programs/slatestalld/main.cc
+++ b/programs/slatestalld/main.cc
@@ -14,6 +14,9 @@
 
 constexpr int kBadSettings = 2;
 
+constexpr const char* kRecordField = "record_path";
+constexpr const char* kRecordFlag = "--record";  ///< Short for its setting.
+
 constexpr const char* kFooter =
     "Settings are taken from the file, then from variables named "
     "SLATESTALL_..., then from the flags; the later wins.\n"
@@ -35,8 +38,9 @@
   app.set_version_flag("--version", "slatestalld " SLATESTALL_VERSION);
   app.footer(kFooter);
   for (const auto& setting : SettingsFlags()) {
+    const bool is_record = setting.field == kRecordField;
     app.add_option_function<std::string>(
-           setting.flag,
+           is_record ? kRecordFlag + ("," + setting.flag) : setting.flag,
            [&line, field = setting.field](const std::string& value) {
              line.sources.flags[field] = value;
            },
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -120,7 +120,16 @@
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
-                   .meaning = "File to record a trace to; empty: none"}),
+                   .meaning = "File to record a trace to, for `slatestall "
+                              "replay`; overwritten; empty: none"}),
+      MemberField(&s::record_max_bytes,
+                  {.name = "record_max_bytes",
+                   .type = type::kWhole,
+                   .unit = "bytes",
+                   .minimum = 1 << 20,
+                   .maximum = 1 << 30,
+                   .meaning = "Largest size of the recorded trace; recording "
+                              "then stops and says so"}),
   };
   return kTable;
 }
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -10,6 +10,7 @@
 #include "slatestall/node/control_loop.h"
 #include "slatestall/node/drain_sequence.h"
 #include "slatestall/node/listen_address.h"
+#include "slatestall/node/trace_recorder.h"
 #include "slatestall/node/traffic_threads.h"
 
 namespace slatestall {
@@ -33,6 +34,9 @@
         control_(options_, self_, Now, snapshots_, ControlHooks()),
         signals_(context_, SIGTERM, SIGINT),
         drain_(context_, DrainHooks()) {
+    if (!options_.record_path.empty()) {
+      recorder_ = std::make_unique<trace_recorder>(options_, snapshots_, Now);
+    }
     traffic_ = std::make_unique<traffic_threads>(options_, self_, Now,
                                                  snapshots_, Links());
   }
@@ -93,7 +97,14 @@
     links.endpoint_leaves = [this](const std::string& address) {
       control_.EndpointLeaves(address);
     };
-    links.control_metrics = [this] { return control_.Metrics(); };
+    links.control_metrics = [this] {
+      return control_.Metrics() + (recorder_ ? recorder_->Metrics() : "");
+    };
+    if (recorder_) {
+      links.on_request_end = [this](const request_trace_ptr& request) {
+        recorder_->Note(request);
+      };
+    }
     links.guard = control_.Guard();
     return links;
   }
@@ -117,6 +128,7 @@
   const host_id self_;
   snapshot_cell snapshots_;
   asio::io_context context_{1};
+  std::unique_ptr<trace_recorder> recorder_;  ///< Null: nothing is recorded.
   /// Outlives the control thread's state, which may still hold calls that
   /// came from a traffic thread.
   std::unique_ptr<traffic_threads> traffic_;
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -164,6 +164,9 @@
   hooks.on_endpoint_leaving = links_.endpoint_leaves;
   hooks.on_request_end = [this](const request_trace_ptr& trace) {
     demand_.Note(*trace);
+    if (links_.on_request_end) {
+      links_.on_request_end(trace);
+    }
   };
   lane->lane = std::make_unique<traffic_lane>(
       lane->context, LaneOptions(options_, port), self_, number, snapshots_,
--- a/src/slatestall/node/traffic_threads.h
+++ b/src/slatestall/node/traffic_threads.h
@@ -14,6 +14,7 @@
 #include "slatestall/policy/control_snapshot.h"
 #include "slatestall/report/report_data.h"
 #include "slatestall/serve/outcome_guard.h"
+#include "slatestall/serve/request_trace.h"
 
 namespace slatestall {
 
@@ -22,6 +23,8 @@
   std::function<http_handler(asio::io_context& lane)> admin_handler;
   std::function<void(const std::string& address)> endpoint_leaves;
   std::function<std::string()> control_metrics;
+  /// Each request of this host when it has ended; empty: none.
+  std::function<void(const request_trace_ptr&)> on_request_end;
   outcome_guard guard;
 };
 
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -10,6 +10,7 @@
 constexpr auto kTick = milliseconds(5);
 constexpr auto kDeadlineMargin = milliseconds(10);
 const std::string kTooLate = "not whole at the deadline";
+const std::string kMisfit = "no such pipeline in force";
 const std::string kNotRepeatable = "the call may have run";
 
 std::string TextOf(const stage_decision& decision) {
@@ -40,7 +41,12 @@
 void replay_lane::Arrive(const trace_arrival& arrival) {
   const time_point now = around_.events.Now();
   const configuration& content = snapshot_->configuration->content;
-  const pipeline_config& pipeline = content.pipelines.at(arrival.pipeline);
+  const auto found = content.pipelines.find(arrival.pipeline);
+  if (found == content.pipelines.end() ||
+      arrival.work.size() < found->second.stages.size()) {
+    return Misfit(arrival);
+  }
+  const pipeline_config& pipeline = found->second;
   const milliseconds allowed =
       std::min(arrival.deadline.value_or(pipeline.deadline), pipeline.deadline);
   around_.tally.Arrived();
@@ -50,7 +56,7 @@
   if (!decision.admitted) {
     around_.tally.Because(decision.reason);
     around_.tally.Ended(pipeline.priority, arrival.workspace,
-                        request_outcome::kRefused, {});
+                        replay_outcome::kRefused, {});
     return;
   }
   const request_number number = ++last_request_;
@@ -65,6 +71,15 @@
   StartStage(number);
 }
 
+// In a recorded trace a configuration may come into force a moment after the
+// first arrival that was served under it.
+void replay_lane::Misfit(const trace_arrival& arrival) {
+  around_.tally.Arrived();
+  around_.tally.Because(kMisfit);
+  around_.tally.Ended(arrival.answer.value_or(trace_answer{}).priority,
+                      arrival.workspace, replay_outcome::kRefused, {});
+}
+
 replay_lane::live_request* replay_lane::Find(request_number number) {
   const auto found = live_.find(number);
   return found == live_.end() ? nullptr : &found->second;
@@ -138,10 +153,10 @@
   around_.tally.Because(decision.reason);
   const bool late = decision.refusal == error_kind::kDeadlineUnreachable ||
                     decision.refusal == error_kind::kOverloaded;
-  const request_outcome after_start =
-      late ? request_outcome::kLate : request_outcome::kFailed;
+  const replay_outcome after_start =
+      late ? replay_outcome::kLate : replay_outcome::kFailed;
   End(planned.request,
-      live.dispatched ? after_start : request_outcome::kRefused);
+      live.dispatched ? after_start : replay_outcome::kRefused);
 }
 
 void replay_lane::Send(request_number number, const stage_decision& decision) {
@@ -298,7 +313,7 @@
     // A timeout that the deadline has set ends just before it.
     const bool late = live.deadline - around_.events.Now() <= kDeadlineMargin;
     around_.tally.Because(late ? kTooLate : decision.reason);
-    End(number, late ? request_outcome::kLate : request_outcome::kFailed);
+    End(number, late ? replay_outcome::kLate : replay_outcome::kFailed);
     return;
   }
   around_.tally.Retried();
@@ -319,7 +334,7 @@
     StartStage(number);
     return;
   }
-  End(number, request_outcome::kInTime);
+  End(number, replay_outcome::kInTime);
 }
 
 void replay_lane::CheckDoubled(const live_request& live) {
@@ -339,17 +354,16 @@
   if (Find(number) != nullptr) {
     around_.tally.Because(kTooLate);
     const bool dispatched = live_.at(number).dispatched;
-    End(number,
-        dispatched ? request_outcome::kLate : request_outcome::kRefused);
+    End(number, dispatched ? replay_outcome::kLate : replay_outcome::kRefused);
     Pump();
   }
 }
 
-void replay_lane::End(request_number number, request_outcome outcome) {
+void replay_lane::End(request_number number, replay_outcome outcome) {
   live_request live = std::move(live_.at(number));
   live_.erase(number);
-  const bool in_time = outcome == request_outcome::kInTime;
-  const attempt_waste waste = outcome == request_outcome::kLate
+  const bool in_time = outcome == replay_outcome::kInTime;
+  const attempt_waste waste = outcome == replay_outcome::kLate
                                   ? attempt_waste::kLate
                                   : attempt_waste::kCancelled;
   CancelOpen(live, waste);
--- a/src/slatestall/policy/replay_lane.h
+++ b/src/slatestall/policy/replay_lane.h
@@ -64,6 +64,7 @@
     bool is_hedge = false;
   };
 
+  void Misfit(const trace_arrival& arrival);
   live_request* Find(request_number number);
   stage_request RequestFor(const live_request& live, stage_ticket ticket) const;
   std::string StageName(const live_request& live) const;
@@ -89,7 +90,7 @@
   void CancelOpen(live_request& live, attempt_waste waste);
   void StageDone(request_number number);
   void DeadlinePassed(request_number number);
-  void End(request_number number, request_outcome outcome);
+  void End(request_number number, replay_outcome outcome);
   void CheckDoubled(const live_request& live);
   void Pump();
   void Tick();
--- a/src/slatestall/policy/replay_report.cc
+++ b/src/slatestall/policy/replay_report.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "slatestall/policy/replay.h"
+#include "slatestall/policy/replay_tally.h"
 
 namespace slatestall {
 namespace {
@@ -57,6 +58,23 @@
   }
 }
 
+// What the host itself reported of the arrivals, beside what the replay made
+// of them.
+void PrintRecorded(const trace& trace, std::ostream& out) {
+  replay_tally tally;
+  for (const trace_arrival& arrival : trace.arrivals) {
+    if (arrival.answer) {
+      tally.Arrived();
+      tally.Ended(arrival.answer->priority, arrival.workspace,
+                  arrival.answer->outcome, arrival.answer->total);
+    }
+  }
+  const replay_result recorded = tally.Result();
+  if (!recorded.classes.empty()) {
+    PrintGroups("as recorded", recorded.classes, out);
+  }
+}
+
 std::string Compare(const trace_outcome& outcome, double value) {
   const std::string got = outcome.name + " is " + NumberText(value);
   if (outcome.at_least && value < *outcome.at_least) {
@@ -78,6 +96,7 @@
     const trace read = ReadTrace(in);
     const replay_result result = Replay(read, {});
     PrintReplay(read.name, result, out);
+    PrintRecorded(read, out);
     const std::string difference = FirstDifference(read, result);
     if (difference.empty()) {
       out << "  outcomes as stated\n\n";
--- a/src/slatestall/policy/replay_tally.cc
+++ b/src/slatestall/policy/replay_tally.cc
@@ -19,29 +19,29 @@
 }  // namespace
 
 void replay_tally::Ended(priority_class priority, const std::string& workspace,
-                         request_outcome outcome, duration latency) {
+                         replay_outcome outcome, duration latency) {
   --open_;
   const std::string name(NameIn(kPriorityClassNames, priority));
   Count(classes_[name], outcome, latency);
   Count(workspaces_[workspace], outcome, latency);
 }
 
-void replay_tally::Count(group& group, request_outcome outcome,
+void replay_tally::Count(group& group, replay_outcome outcome,
                          duration latency) {
   replay_group& counts = group.counts;
   ++counts.requests;
   switch (outcome) {
-    case request_outcome::kInTime:
+    case replay_outcome::kInTime:
       ++counts.in_time;
       group.latencies.push_back(Seconds(latency));
       return;
-    case request_outcome::kLate:
+    case replay_outcome::kLate:
       ++counts.late;
       return;
-    case request_outcome::kRefused:
+    case replay_outcome::kRefused:
       ++counts.refused;
       return;
-    case request_outcome::kFailed:
+    case replay_outcome::kFailed:
       ++counts.failed;
       return;
   }
--- a/src/slatestall/policy/replay_tally.h
+++ b/src/slatestall/policy/replay_tally.h
@@ -9,8 +9,6 @@
 
 namespace slatestall {
 
-enum class request_outcome { kInTime, kLate, kRefused, kFailed };
-
 enum class attempt_waste { kLate, kRetried, kHedged, kCancelled };
 
 /// @brief Collects what a replay reports.
@@ -18,7 +16,7 @@
  public:
   void Arrived() { ++open_; }
   void Ended(priority_class priority, const std::string& workspace,
-             request_outcome outcome, duration latency);
+             replay_outcome outcome, duration latency);
   void Because(const std::string& reason) { ++result_.reasons[reason]; }
 
   /// @param stage "pipeline/stage".
@@ -39,7 +37,7 @@
     std::vector<double> latencies;  ///< Seconds, of those in time.
   };
 
-  static void Count(group& group, request_outcome outcome, duration latency);
+  static void Count(group& group, replay_outcome outcome, duration latency);
   static replay_group Summary(group group);
 
   std::uint64_t open_ = 0;
--- a/src/slatestall/policy/trace.cc
+++ b/src/slatestall/policy/trace.cc
@@ -1,36 +1,43 @@
 #include "slatestall/policy/trace.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "slatestall/model/name_table.h"
+#include "slatestall/policy/trace_names.h"
 
 namespace slatestall {
 namespace {
 
 using json = nlohmann::json;
 
-constexpr int kFormat = 1;
-
-constexpr name_table<fault_kind, 7> kFaultNames{{
-    {fault_kind::kSlow, "slow"},
-    {fault_kind::kFail, "fail"},
-    {fault_kind::kBusy, "busy"},
-    {fault_kind::kSilent, "silent"},
-    {fault_kind::kPaused, "paused"},
-    {fault_kind::kRestart, "restart"},
-    {fault_kind::kLeaving, "leaving"},
-}};
-
+// Rounded, so that what a writer made of a duration is read back as it was.
 duration Span(const json& milliseconds_value) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::milli>(
-          milliseconds_value.get<double>()));
+  return std::chrono::round<duration>(std::chrono::duration<double, std::milli>(
+      milliseconds_value.get<double>()));
 }
 
 duration SpanOr(const json& line, const char* key, duration otherwise) {
   return line.contains(key) ? Span(line.at(key)) : otherwise;
 }
 
+template <typename Enum, std::size_t N>
+Enum Named(const name_table<Enum, N>& table, const std::string& name,
+           const std::string& what) {
+  const auto known = ValueIn(table, name);
+  if (!known) {
+    throw std::invalid_argument("unknown " + what + " \"" + name + "\"");
+  }
+  return *known;
+}
+
+trace_answer ReadAnswer(const json& line) {
+  trace_answer answer;
+  answer.outcome = Named(kTraceOutcomeNames, line.at("outcome"), "outcome");
+  answer.total = Span(line.at("total_ms"));
+  answer.priority = Named(kPriorityClassNames, line.at("class"), "class");
+  return answer;
+}
+
 trace_arrival ReadArrival(const json& line) {
   trace_arrival arrival;
   arrival.at = Span(line.at("arrival"));
@@ -45,6 +52,9 @@
     arrival.work.emplace_back(work.get<std::int64_t>());
   }
   arrival.tokens = line.value("tokens", std::uint64_t{0});
+  if (line.contains("answer")) {
+    arrival.answer = ReadAnswer(line.at("answer"));
+  }
   return arrival;
 }
 
@@ -76,12 +86,7 @@
   trace_fault fault;
   fault.from = Span(line.at("from_ms"));
   fault.until = Span(line.at("until_ms"));
-  const std::string kind = line.at("kind");
-  const auto known = ValueIn(kFaultNames, kind);
-  if (!known) {
-    throw std::invalid_argument("unknown fault \"" + kind + "\"");
-  }
-  fault.kind = *known;
+  fault.kind = Named(kFaultNames, line.at("kind"), "fault");
   fault.factor = line.value("factor", 1.0);
   fault.addresses = line.value("addresses", std::vector<std::string>{});
   fault.failure_domain = line.value("failure_domain", std::string());
@@ -119,7 +124,7 @@
 }
 
 void ReadHead(const json& line, trace& into) {
-  if (line.at("format") != kFormat) {
+  if (line.at("format") != kTraceFormat) {
     throw std::invalid_argument("unknown format of trace");
   }
   into.name = line.at("name");
@@ -184,6 +189,11 @@
     }
   }
   CheckWhole(result, number);
+  // A host writes an arrival when the request has ended.
+  std::stable_sort(result.arrivals.begin(), result.arrivals.end(),
+                   [](const trace_arrival& first, const trace_arrival& second) {
+                     return first.at < second.at;
+                   });
   return result;
 }
 
