--- a/programs/slatestall/commands/apply.cc
+++ b/programs/slatestall/commands/apply.cc
@@ -34,9 +34,9 @@
     // A file already in force needs no new revision: so `apply` can be run
     // again after an unknown outcome and does no harm. An asked host that is
     // behind proves nothing, for others may have gone on to another file.
-    const auto revision = RevisionOfSource();
-    if (revision && *revision >= NewestRevision(*before)) {
-      return WaitForAll(*revision);
+    const in_force current = InForce();
+    if (current.is_this_file && current.revision >= NewestRevision(*before)) {
+      return WaitForAll(current.revision);
     }
     base_ = request_.base.value_or(before->revision);
     return Publish();
@@ -66,14 +66,19 @@
     return SendOne(hooks_.send, call);
   }
 
-  // Revision in force on the asked host if it has exactly this text.
-  std::optional<config_revision> RevisionOfSource() const {
+  struct in_force {
+    config_revision revision = 0;  ///< 0: none, or the host did not say.
+    bool is_this_file = false;     ///< Exactly this text.
+  };
+
+  // What the asked host obeys.
+  in_force InForce() const {
     const admin_answer answer = Get("/v1/admin/config");
-    if (!answer.answered || answer.status != 200 ||
-        answer.body.value("source", "") != request_.source) {
-      return std::nullopt;
+    if (!answer.answered || answer.status != 200) {
+      return {};
     }
-    return answer.body.value("revision", config_revision{0});
+    return {answer.body.value("revision", config_revision{0}),
+            answer.body.value("source", "") == request_.source};
   }
 
   apply_result Publish() {
@@ -134,9 +139,12 @@
     const time_point end = hooks_.now() + request_.wait;
     while (hooks_.now() < end) {
       hooks_.progress("no clear answer (" + detail + "); reading back");
-      const auto revision = RevisionOfSource();
-      if (revision && *revision > base_) {
-        return WaitForAll(*revision);
+      const in_force current = InForce();
+      if (current.is_this_file && current.revision > base_) {
+        return WaitForAll(current.revision);
+      }
+      if (current.revision > base_) {
+        return Overtaken(detail, current.revision);
       }
       hooks_.sleep(kPollEvery);
     }
@@ -150,6 +158,20 @@
             "can never put it in force twice");
   }
 
+  // Another revision is in force since. Either it came first, and this file's
+  // record is refused for its base, or this file was in force before it; the
+  // text in force cannot tell which. Waiting longer would not either.
+  apply_result Overtaken(const std::string& detail,
+                         config_revision winner) const {
+    return Ended(apply_outcome::kUnknown, winner,
+                 detail + "; revision " + std::to_string(winner) +
+                     ", another file, is in force now. This file is not, and "
+                     "will not come into force by itself; whether it was for "
+                     "a moment is not known. Take the changes of revision " +
+                     std::to_string(winner) +
+                     " into your file and apply again");
+  }
+
   apply_result WaitForAll(config_revision revision) {
     const time_point end = hooks_.now() + request_.wait;
     std::vector<host_view> missing;
--- a/programs/slatestall/commands/apply_test.cc
+++ b/programs/slatestall/commands/apply_test.cc
@@ -121,6 +121,7 @@
   CPPUNIT_TEST(BaseOfTheOperatorIsSent);
   CPPUNIT_TEST(LostAnswerIsSettledByReadingBack);
   CPPUNIT_TEST(LostAnswerThatStaysUnknownIsNeverSentAgain);
+  CPPUNIT_TEST(LostAnswerBehindAnotherFileIsToldAtOnce);
   CPPUNIT_TEST(FileInForceIsNotPublishedAgain);
   CPPUNIT_TEST(HostThatIsBehindDoesNotProveThatAFileIsInForce);
   CPPUNIT_TEST(UnreachableHostKeepsItFromBeingInForce);
@@ -192,6 +193,25 @@
     CPPUNIT_ASSERT(result.detail.find("--base 4") != std::string::npos);
   }
 
+  // The answer is lost, and when the host reads the log again another
+  // operator's file is in force. This file can no longer come into force, so
+  // the operator need not wait, and is told what to do instead of "again".
+  void LostAnswerBehindAnotherFileIsToldAtOnce() {
+    fake_system system;
+    int sleeps = 0;
+    system.publish = [](fake_system&) { return fake_system::Lost(); };
+    system.later = [&sleeps](fake_system& self) {
+      ++sleeps;
+      self.first_revision = 6;
+    };
+    const apply_result result = system.Run();
+    CPPUNIT_ASSERT(result.outcome == apply_outcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(config_revision{6}, result.revision);
+    CPPUNIT_ASSERT_EQUAL(1, sleeps);
+    CPPUNIT_ASSERT_EQUAL(1, system.publications);
+    CPPUNIT_ASSERT(result.detail.find("--base") == std::string::npos);
+  }
+
   void FileInForceIsNotPublishedAgain() {
     fake_system system;
     system.source = kFile;
