--- a/src/slatestall/policy/replay_tally.cc
+++ b/src/slatestall/policy/replay_tally.cc
@@ -20,7 +20,7 @@
 
 void replay_tally::Ended(const pipeline_config& pipeline,
                          const std::string& workspace, duration arrived,
-                         request_outcome outcome, duration latency) {
+                         replay_outcome outcome, duration latency) {
   --open_;
   CountSecond(arrived, outcome);
   const std::string name(NameIn(kPriorityClassNames, pipeline.priority));
@@ -29,31 +29,31 @@
   Count(workspaces_[workspace], outcome, latency);
 }
 
-void replay_tally::CountSecond(duration arrived, request_outcome outcome) {
+void replay_tally::CountSecond(duration arrived, replay_outcome outcome) {
   const auto second = static_cast<std::size_t>(Seconds(arrived));
   if (result_.seconds.size() <= second) {
     result_.seconds.resize(second + 1);
   }
   ++result_.seconds[second].requests;
-  result_.seconds[second].in_time += outcome == request_outcome::kInTime;
+  result_.seconds[second].in_time += outcome == replay_outcome::kInTime;
 }
 
-void replay_tally::Count(group& group, request_outcome outcome,
+void replay_tally::Count(group& group, replay_outcome outcome,
                          duration latency) {
   replay_group& counts = group.counts;
   ++counts.requests;
   switch (outcome) {
-    case request_outcome::kInTime:
+    case replay_outcome::kInTime:
       ++counts.in_time;
       group.latencies.push_back(Seconds(latency));
       return;
-    case request_outcome::kLate:
+    case replay_outcome::kLate:
       ++counts.late;
       return;
-    case request_outcome::kRefused:
+    case replay_outcome::kRefused:
       ++counts.refused;
       return;
-    case request_outcome::kFailed:
+    case replay_outcome::kFailed:
       ++counts.failed;
       return;
   }
--- a/src/slatestall/policy/replay_tally.h
+++ b/src/slatestall/policy/replay_tally.h
@@ -9,8 +9,6 @@
 
 namespace slatestall {
 
-enum class request_outcome { kInTime, kLate, kRefused, kFailed };
-
 enum class attempt_waste { kLate, kRetried, kHedged, kCancelled };
 
 /// @brief Collects what a replay reports.
@@ -19,7 +17,7 @@
   void Arrived() { ++open_; }
   /// @param arrived From the start of the trace.
   void Ended(const pipeline_config& pipeline, const std::string& workspace,
-             duration arrived, request_outcome outcome, duration latency);
+             duration arrived, replay_outcome outcome, duration latency);
   void Because(const std::string& reason) { ++result_.reasons[reason]; }
 
   /// @param stage "pipeline/stage".
@@ -40,8 +38,8 @@
     std::vector<double> latencies;  ///< Seconds, of those in time.
   };
 
-  void CountSecond(duration arrived, request_outcome outcome);
-  static void Count(group& group, request_outcome outcome, duration latency);
+  void CountSecond(duration arrived, replay_outcome outcome);
+  static void Count(group& group, replay_outcome outcome, duration latency);
   static replay_group Summary(group group);
 
   std::uint64_t open_ = 0;
