--- a/bench/load/load_run.cc
+++ b/bench/load/load_run.cc
@@ -101,6 +101,10 @@
   if (is_whole && outcome.first_byte != duration{}) {
     state.first_byte_ms.push_back(InMs(outcome.first_byte));
   }
+  if (is_whole) {
+    state.gap_ms.insert(state.gap_ms.end(), outcome.gaps_ms.begin(),
+                        outcome.gaps_ms.end());
+  }
   if (outcomes_.is_open()) {
     const nlohmann::json line = {
         {"marker", marker},
@@ -139,6 +143,7 @@
                             {"tokens", state.tokens},
                             {"total_ms", Quantiles(state.total_ms)},
                             {"first_byte_ms", Quantiles(state.first_byte_ms)},
+                            {"gap_ms", Quantiles(state.gap_ms)},
                             {"details", state.details}};
   for (const auto& entry : kOutcomeNames) {
     const auto found = state.outcomes.find(entry.value);
--- a/bench/load/load_run.h
+++ b/bench/load/load_run.h
@@ -46,6 +46,7 @@
     std::map<std::string, std::uint64_t> details;
     std::vector<double> total_ms;
     std::vector<double> first_byte_ms;
+    std::vector<double> gap_ms;  ///< Between pieces of whole streams.
   };
 
   void ScheduleNext(flow_state& state);
--- a/bench/load/request_outcome.h
+++ b/bench/load/request_outcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "slatestall/model/name_table.h"
 #include "slatestall/model/time.h"
@@ -33,7 +34,8 @@
   outcome_kind kind = outcome_kind::kLost;
   std::string detail;
   duration total{};
-  duration first_byte{};  ///< Zero where none was seen.
+  duration first_byte{};       ///< Zero where none was seen.
+  std::vector<float> gaps_ms;  ///< Between pieces of a stream, as they came.
   unsigned tokens = 0;
   unsigned resends = 0;
 };
--- a/bench/load/request_run.cc
+++ b/bench/load/request_run.cc
@@ -173,9 +173,15 @@
   if (flow_.stream) {
     call.headers.push_back({"Accept", "text/event-stream"});
     call.on_data = [self = shared_from_this(), copy](std::string_view piece) {
+      const duration now = self->Elapsed();
       if (copy->first_byte == duration{}) {
-        copy->first_byte = self->Elapsed();
+        copy->first_byte = now;
+      } else {
+        copy->gaps_ms.push_back(
+            std::chrono::duration<float, std::milli>(now - copy->last_piece)
+                .count());
       }
+      copy->last_piece = now;
       copy->check->Feed(piece);
     };
   }
@@ -244,6 +250,7 @@
     outcome_.detail = detail;
     outcome_.total = Elapsed();
     outcome_.first_byte = copy->first_byte;
+    outcome_.gaps_ms = std::move(copy->gaps_ms);
     outcome_.tokens = copy->check ? copy->check->Tokens() : 0;
   }
   if (--open_copies_ == 0) {
--- a/bench/load/request_run.h
+++ b/bench/load/request_run.h
@@ -38,6 +38,8 @@
     unsigned sendings = 0;
     std::unique_ptr<answer_check> check;
     duration first_byte{};
+    duration last_piece{};
+    std::vector<float> gaps_ms;
   };
   using copy_ptr = std::shared_ptr<copy_state>;
 
