--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -55,8 +55,8 @@
   around_.tally.Decided(decision.admitted ? "admitted" : decision.reason);
   if (!decision.admitted) {
     around_.tally.Because(decision.reason);
-    around_.tally.Ended(pipeline, arrival.workspace, arrival.at,
-                        replay_outcome::kRefused, {});
+    around_.tally.Ended(arrival, pipeline.priority, replay_outcome::kRefused,
+                        {});
     return;
   }
   const request_number number = ++last_request_;
@@ -76,8 +76,8 @@
 void replay_lane::Misfit(const trace_arrival& arrival) {
   around_.tally.Arrived();
   around_.tally.Because(kMisfit);
-  around_.tally.Ended(arrival.answer.value_or(trace_answer{}).priority,
-                      arrival.workspace, replay_outcome::kRefused, {});
+  around_.tally.Ended(arrival, arrival.answer.value_or(trace_answer{}).priority,
+                      replay_outcome::kRefused, {});
 }
 
 replay_lane::live_request* replay_lane::Find(request_number number) {
@@ -393,8 +393,8 @@
   policy_.Release({live.arrival->workspace, live.pipeline, in_time,
                    in_time ? live.arrival->tokens : 0},
                   now);
-  around_.tally.Ended(*live.pipeline, live.arrival->workspace, live.arrival->at,
-                      outcome, now - live.arrived);
+  around_.tally.Ended(*live.arrival, live.pipeline->priority, outcome,
+                      now - live.arrived);
 }
 
 void replay_lane::Pump() {
--- a/src/slatestall/policy/replay_report.cc
+++ b/src/slatestall/policy/replay_report.cc
@@ -65,8 +65,8 @@
   for (const trace_arrival& arrival : trace.arrivals) {
     if (arrival.answer) {
       tally.Arrived();
-      tally.Ended(arrival.answer->priority, arrival.workspace,
-                  arrival.answer->outcome, arrival.answer->total);
+      tally.Ended(arrival, arrival.answer->priority, arrival.answer->outcome,
+                  arrival.answer->total);
     }
   }
   const replay_result recorded = tally.Result();
--- a/src/slatestall/policy/replay_tally.cc
+++ b/src/slatestall/policy/replay_tally.cc
@@ -18,15 +18,14 @@
 
 }  // namespace
 
-void replay_tally::Ended(const pipeline_config& pipeline,
-                         const std::string& workspace, duration arrived,
+void replay_tally::Ended(const trace_arrival& arrival, priority_class priority,
                          replay_outcome outcome, duration latency) {
   --open_;
-  CountSecond(arrived, outcome);
-  const std::string name(NameIn(kPriorityClassNames, pipeline.priority));
-  Count(pipelines_[pipeline.name], outcome, latency);
+  CountSecond(arrival.at, outcome);
+  const std::string name(NameIn(kPriorityClassNames, priority));
+  Count(pipelines_[arrival.pipeline], outcome, latency);
   Count(classes_[name], outcome, latency);
-  Count(workspaces_[workspace], outcome, latency);
+  Count(workspaces_[arrival.workspace], outcome, latency);
 }
 
 void replay_tally::CountSecond(duration arrived, replay_outcome outcome) {
--- a/src/slatestall/policy/replay_tally.h
+++ b/src/slatestall/policy/replay_tally.h
@@ -15,9 +15,8 @@
 class replay_tally {
  public:
   void Arrived() { ++open_; }
-  /// @param arrived From the start of the trace.
-  void Ended(const pipeline_config& pipeline, const std::string& workspace,
-             duration arrived, replay_outcome outcome, duration latency);
+  void Ended(const trace_arrival& arrival, priority_class priority,
+             replay_outcome outcome, duration latency);
   void Because(const std::string& reason) { ++result_.reasons[reason]; }
 
   /// @param stage "pipeline/stage".
