serve: the hedge test learns by a clock of its own

Cause: HedgeAnswersForAStraggler failed in 4 of 40 runs with 12 copies at once (a 502 instead of the hedge's stream). Engines of the test answer in 0.3 ms, so two answers held up by a pause of the machine are ten times the usual; the policy then ejects that engine as an outlier for two seconds, no other engine is left, and no hedge can be sent. Traced: hedge_after unset, no other endpoint, in all five failures looked at.

Ruled out: hedge budget, spare room and latest start (all allowed it).

Change: the lane of this test measures by a clock that goes on a millisecond with each reading, so that what it learns is the same on any machine, and its attempts are bounded by the deadline alone, so that a pause cannot end the straggler before its hedge. What is asserted is unchanged.

--- a/src/slatestall/serve/stage_failure_test.cc
+++ b/src/slatestall/serve/stage_failure_test.cc
@@ -217,9 +217,14 @@
     // The caller sees one engine's whole answer. The engine asked first goes
     // silent, the hedge's first token settles it, and the silent one's
     // connection is closed before it can add a word.
+    time_point now = std::chrono::steady_clock::now();
     test_lane t;
     // A pause of the test's machine may cost hedges before the straggler's.
     t.options.policy.hedge_budget = 1;
+    // Nor may it be learned: two answers held up for a few milliseconds would
+    // make an outlier of an engine that takes one, and leave none to hedge to.
+    t.options.policy.learned_timeouts = false;
+    t.clock = [&now] { return now += milliseconds(1); };
     t.Start();
     for (int i = 0; i < kLearning; ++i) {
       t.Await(t.Run("draft"));
--- a/src/slatestall/serve/test_lane.h
+++ b/src/slatestall/serve/test_lane.h
@@ -77,9 +77,9 @@
     options.server.address = LoopbackOfThisProcess();
     options.server.max_body_bytes = 4096;
     options.snapshot_interval = milliseconds(5);
-    lane = std::make_unique<traffic_lane>(
-        context, options, host_id{"entry-1", 7}, 0, snapshots, guard.Hooks(),
-        [] { return std::chrono::steady_clock::now(); }, report, hooks);
+    lane = std::make_unique<traffic_lane>(context, options,
+                                          host_id{"entry-1", 7}, 0, snapshots,
+                                          guard.Hooks(), clock, report, hooks);
   }
 
   void Configure() {
@@ -212,6 +212,8 @@
   configuration content;
   traffic_lane_options options;
   traffic_lane_hooks hooks;
+  /// What the lane measures by; its timers run by the machine's clock.
+  std::function<time_point()> clock = std::chrono::steady_clock::now;
   snapshot_cell snapshots;
   test_guard guard;
   report_collector report;
