A billed call is resumed six times before it is unknown

Cause: an engine that lost the answer and then the answer to the one resuming call made the outcome unknown, though it still had the stream.

Change: up to six resumes (10 to 320 ms apart) where the call may not be repeated; three where the engine takes no connection; none after 410.

The new test fails without the change.

--- a/src/slatestall/serve/keyed_request_test.cc
+++ b/src/slatestall/serve/keyed_request_test.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+
 #include "slatestall/serve/test_lane.h"
 
 namespace slatestall {
@@ -21,6 +23,7 @@
   CPPUNIT_TEST(LetterWithoutAnAnswerIsUnknown);
   CPPUNIT_TEST(FailureAfterTheLetterSaysThatItRan);
   CPPUNIT_TEST(CutBilledStreamIsResumedNotRunAgain);
+  CPPUNIT_TEST(BilledAnswerLostAgainAndAgainIsFetched);
   CPPUNIT_TEST(LostBilledStreamIsUnknown);
   CPPUNIT_TEST(ClosedCallerLeavesASentRequestRunning);
   CPPUNIT_TEST(ClosedCallerFreesAnUnsentRequest);
@@ -173,6 +176,32 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, t.Count(lane_event::kResume));
   }
 
+  void BilledAnswerLostAgainAndAgainIsFetched() {
+    // The caller gets its draft, billed once. The engine runs it and drops the
+    // connection before the first token, and again at three resuming calls:
+    // giving up there would only make a known outcome unknown.
+    test_lane t;
+    const auto drops_left = std::make_shared<int>(4);
+    t.BothEngines(
+        [drops_left](const seen_call& call, const http_responder_ptr& answer) {
+          if (*drops_left > 0) {
+            --*drops_left;
+            return answer->Abort();
+          }
+          Engine(4)(call, answer);
+        });
+    t.Start();
+    const auto answer = t.Run("billed", kKey);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(200, answer->result.status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, t.EngineCalls());
+    const auto& engine = t.engine_a.Calls().empty() ? t.engine_b : t.engine_a;
+    for (std::size_t i = 1; i < engine.Calls().size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(engine.Calls()[0].attempt,
+                           engine.Calls()[i].body.value("resume", ""));
+    }
+  }
+
   void LostBilledStreamIsUnknown() {
     // The engine's 410 proves that the resuming call ran nothing. It says
     // nothing of the call before it, so the caller must not be told "no".
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -9,10 +9,13 @@
 namespace {
 
 constexpr unsigned kMaxResumes = 3;
+// A call that may not be repeated has nowhere else to go: 0.6 s of pauses.
+constexpr unsigned kMaxResumesAtMostOnce = 6;
 constexpr milliseconds kFirstResumePause{10};
 constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
 
 constexpr int kBadRequest = 400;
+constexpr int kGone = 410;  // The engine no longer has the stream.
 constexpr int kPayloadTooLarge = 413;
 constexpr int kUnprocessable = 422;
 constexpr int kTooManyRequests = 429;
@@ -317,6 +320,7 @@
   }
   refusal.detail = "status " + std::to_string(result.status);
   refusal.worth_retrying = !IsAboutTheRequest(result.status);
+  refusal.stream_is_lost = result.status == kGone;
   if (!IsRefusal(result.status)) {
     return refusal;
   }
@@ -331,6 +335,7 @@
 void stage_attempt::ResumeOrFail(attempt_result failure) {
   // What a resuming call proves ("not run", "not connected") is true of that
   // call alone; the one that began the stream has run.
+  refused_connection_ = failure.end == attempt_end::kUnreached;
   if (resumes_ > 0 || Tokens() > 0) {
     failure.may_have_run = true;
     if (failure.end == attempt_end::kRefusedByEndpoint ||
@@ -345,12 +350,17 @@
 }
 
 bool stage_attempt::MayResume(const attempt_result& failure) const {
-  if (spec_.message.kind != service_kind::kEngine || resumes_ >= kMaxResumes ||
-      !failure.may_have_run || !failure.worth_retrying) {
+  if (spec_.message.kind != service_kind::kEngine || !failure.may_have_run ||
+      !failure.worth_retrying || failure.stream_is_lost) {
+    return false;
+  }
+  // An engine that takes no connection has ended, and its streams with it.
+  const bool patient = spec_.at_most_once && !refused_connection_;
+  if (resumes_ >= (patient ? kMaxResumesAtMostOnce : kMaxResumes)) {
     return false;
   }
   // Without a token a call that may be repeated is better off elsewhere.
-  return Tokens() > 0 || (spec_.at_most_once && resumes_ == 0);
+  return Tokens() > 0 || spec_.at_most_once;
 }
 
 void stage_attempt::ResumeLater() {
--- a/src/slatestall/serve/stage_attempt.h
+++ b/src/slatestall/serve/stage_attempt.h
@@ -42,6 +42,7 @@
   bool may_have_run = true;
   bool worth_retrying = true;  ///< Another endpoint may do better.
   bool said_leaving = false;
+  bool stream_is_lost = false;  ///< Cannot be resumed any more.
   std::string detail;
   stage_output output;  ///< Of `kAnswered`.
 };
@@ -118,6 +119,7 @@
   http_client::call_number call_ = 0;
   attempt_id call_id_;
   unsigned resumes_ = 0;
+  bool refused_connection_ = false;  ///< By the last call.
   token_stream stream_;
   std::unique_ptr<engine_answer> answer_;
   std::unique_ptr<sse_parser> parser_;
