First calls are hedged by their deadline

Cause: a hedge and a timeout both need the usual time of the stage, which a thread knows after five answers. Its first calls to a hanging engine or encoder waited for nearly the whole deadline: 'not tried again: the time left is too short'.

Change: while the time is not known, the hedge goes after a quarter of the time left. Budget, spare room and repeatability bound it as before.

The new test fails without it.

--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -17,6 +17,9 @@
 // Some way beyond the 95th percentile: at that percentile itself one call in
 // twenty is hedged on the best of days, and its endpoint time is wasted.
 constexpr double kHedgeFactor = 1.5;
+// Of the time left, before the usual time is known. The first calls after a
+// start would otherwise wait for a hanging endpoint until their deadline.
+constexpr double kUnknownHedgeShare = 0.25;
 constexpr double kPrefillShare = 0.7;      // Of the time to the first byte.
 constexpr double kListRetryAfter = 1;      // Seconds, while a list is empty.
 constexpr double kShortRetryAfter = 0.25;  // Seconds.
@@ -180,9 +183,10 @@
   const latency_summary& first = call.statistics.first_byte.Summary();
   const latency_summary& answer = call.statistics.answer.Summary();
   const double high = first.known ? first.high : answer.high;
-  if (high > 0) {
-    decision.hedge_after = ToMilliseconds(high * kHedgeFactor);
-  }
+  const double usual =
+      high > 0 ? high * kHedgeFactor
+               : Seconds(call.request.deadline - now) * kUnknownHedgeShare;
+  decision.hedge_after = ToMilliseconds(usual);
 }
 
 bool stage_planner::AnotherEndpoint(const call_context& call,
--- a/src/slatestall/policy/traffic_policy_test.cc
+++ b/src/slatestall/policy/traffic_policy_test.cc
@@ -240,6 +240,7 @@
   CPPUNIT_TEST(RetriesStayWithinTheirBudget);
   CPPUNIT_TEST(RefusedConnectionsTakeNoRetryBudget);
   CPPUNIT_TEST(HedgesNeverWaitAndStayWithinTheirBudget);
+  CPPUNIT_TEST(FirstCallsAreHedgedByTheirDeadline);
   CPPUNIT_TEST(NothingRunsWithoutAConfiguration);
   CPPUNIT_TEST_SUITE_END();
 
@@ -364,6 +365,25 @@
     CPPUNIT_ASSERT(hedges <= attempt_budget::kInitial + kCalls * 0.05);
   }
 
+  // The caller sees its whole deadline pass while other endpoints are idle: the
+  // first calls of a thread went to a hanging endpoint, and nothing was known
+  // yet of how long an answer takes, so neither a hedge nor a timeout was set.
+  void FirstCallsAreHedgedByTheirDeadline() {
+    policy_test_world world(4);
+    traffic_policy policy({.host_name = "entry-1"});
+    const time_point now = TestStart();
+    policy.UseSnapshot(world.Publish(), now);
+    const stage_request first =
+        world.Call(1, "reply", 0, now, milliseconds(2000));
+    const stage_decision sent = policy.Plan(first, now);
+    CPPUNIT_ASSERT(sent.hedge_after.has_value());
+    CPPUNIT_ASSERT(*sent.hedge_after >= milliseconds(400));
+    CPPUNIT_ASSERT(*sent.hedge_after <= milliseconds(600));
+    const stage_request letter =
+        world.Call(2, "reply", 1, now, milliseconds(2000));
+    CPPUNIT_ASSERT(!policy.Plan(letter, now).hedge_after.has_value());
+  }
+
   void NothingRunsWithoutAConfiguration() {
     traffic_policy policy({.host_name = "entry-1"});
     policy_test_world world(1);
