A watched endpoint is asked each second, though it answers

Cause: answers carry counts, not whether their endpoint leaves, and they put off the polls of watched endpoints too, for up to 10 s. An endpoint that leaves and still answers would get new work all that while if the host list lags: the bound is 3 s. Found in reading the poll schedule.

Change: polls of a watched endpoint are not put off. Two hosts watch an endpoint, so at 390 hosts and 1,300 engines that is 6.7 polls a second a host, as was already worked out for a quiet fleet.

Test: AWatchedEndpointIsAskedThoughItAnswers, 20 polls in 20 s; before: 2. The test of polls that are put off now asks it of an endpoint not watched, for which it still holds.

--- a/src/slatestall/node/poll_schedule.cc
+++ b/src/slatestall/node/poll_schedule.cc
@@ -92,7 +92,10 @@
     return target.first;
   }
   const auto interval = IntervalOf(target, now);
-  if (target.reason.ordered) {
+  // Answers do not say that their endpoint leaves. Put off by them, the word of
+  // an endpoint that is called all the time, and goes on answering, would come
+  // ten seconds late, and all that while it would be given new work.
+  if (target.reason.ordered || target.reason.watched) {
     return target.polled + interval;
   }
   const auto put_off = std::max(kLongestPutOff, kIntervalsPutOff * interval);
