A stalled stream is resumed, then made anew elsewhere

Cause: the policy decided a stall timeout for every engine call and nobody kept it. A paused engine held a caller's stream until its deadline, since the stream's own timeout is lifted with its first words.

Change: stage_attempt watches the pause between events. A timeout that ends with the deadline is left out: with hedges for first calls it turned 'deadline-exceeded' into 'stage-failed' a millisecond early, which DeadlineAnswersAtOnceAndCancels found.

The new test fails without it.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -137,6 +137,12 @@
     site.list_state(site.lone, "gone")
 
 
+def pause_engine(site):
+    site.lone_engine.send(signal.SIGSTOP)
+    time.sleep(FAULT_FOR_S)
+    site.lone_engine.send(signal.SIGCONT)
+
+
 def endpoint_fault(mode, **more):
     """One engine, one encoder and one biller go wrong in this way."""
     def act(site):
@@ -182,6 +188,7 @@
     ("host stopped gracefully", stop_host, {}),
     ("all hosts replaced, one by one", replace_hosts, {"seconds": 8}),
     ("two engines killed", kill_engine, {}),
+    ("two engines paused", pause_engine, {}),
     ("endpoints act, then drop", endpoint_fault("drop_after", probability=0.5), {}),
     ("endpoints drop before acting", endpoint_fault("drop_before", probability=0.5), {}),
     ("crossed answers", endpoint_fault("cross", probability=0.5), {}),
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -8,10 +8,6 @@
 namespace slatestall {
 namespace {
 
-constexpr unsigned kMaxResumes = 3;
-// A call that may not be repeated has nowhere else to go: 0.6 s of pauses.
-constexpr unsigned kMaxResumesAtMostOnce = 6;
-constexpr milliseconds kFirstResumePause{10};
 constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
 
 constexpr int kBadRequest = 400;
@@ -42,6 +38,7 @@
       spec_(std::move(spec)),
       timeout_(environment.context),
       resume_timer_(environment.context),
+      stall_timer_(environment.context),
       stream_([this](std::uint64_t offset, std::string_view text) {
         OnText(offset, text);
       }) {
@@ -84,6 +81,7 @@
   DropExchange();
   timeout_.cancel();
   resume_timer_.cancel();
+  stall_timer_.cancel();
 }
 
 void stage_attempt::LiftTimeout() { timeout_.cancel(); }
@@ -149,6 +147,7 @@
       if (first_byte_ == duration{}) {
         first_byte_ = Elapsed();
       }
+      WatchForStall();
       return;
     case stream_verdict::kWhole:
       return FinishWholeLater();
@@ -215,22 +214,6 @@
              });
 }
 
-// The engine made the answer anew in other words. Asked again, it or another
-// one would do no better, and the caller already has the first words.
-void stage_attempt::EndDiverged() {
-  hooks_.note("diverged", "the answer made anew has other words");
-  DropExchange();
-  asio::post(environment_.context, [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (self != nullptr && !self->ended_) {
-      attempt_result failure = self->Failure(
-          "the stream broke, and the answer made anew has other words");
-      failure.worth_retrying = false;
-      self->Finish(std::move(failure));
-    }
-  });
-}
-
 void stage_attempt::DropExchange() {
   if (exchange_live_) {
     exchange_live_ = false;
@@ -332,52 +315,6 @@
   return refusal;
 }
 
-void stage_attempt::ResumeOrFail(attempt_result failure) {
-  // What a resuming call proves ("not run", "not connected") is true of that
-  // call alone; the one that began the stream has run.
-  refused_connection_ = failure.end == attempt_end::kUnreached;
-  if (resumes_ > 0 || Tokens() > 0) {
-    failure.may_have_run = true;
-    if (failure.end == attempt_end::kRefusedByEndpoint ||
-        failure.end == attempt_end::kUnreached) {
-      failure.end = attempt_end::kFailed;
-    }
-  }
-  if (MayResume(failure)) {
-    return ResumeLater();
-  }
-  Finish(std::move(failure));
-}
-
-bool stage_attempt::MayResume(const attempt_result& failure) const {
-  if (spec_.message.kind != service_kind::kEngine || !failure.may_have_run ||
-      !failure.worth_retrying || failure.stream_is_lost) {
-    return false;
-  }
-  // An engine that takes no connection has ended, and its streams with it.
-  const bool patient = spec_.at_most_once && !refused_connection_;
-  if (resumes_ >= (patient ? kMaxResumesAtMostOnce : kMaxResumes)) {
-    return false;
-  }
-  // Without a token a call that may be repeated is better off elsewhere.
-  return Tokens() > 0 || spec_.at_most_once;
-}
-
-void stage_attempt::ResumeLater() {
-  environment_.counters.Count(lane_event::kResume);
-  hooks_.note("resume", std::to_string(Tokens()));
-  resume_timer_.expires_after(kFirstResumePause * (1U << resumes_));
-  ++resumes_;
-  resume_timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (error || self == nullptr || self->ended_) {
-      return;
-    }
-    self->call_id_ = self->hooks_.next_id();
-    self->StartExchange(resume_point{self->spec_.id, self->Tokens()});
-  });
-}
-
 void stage_attempt::Finish(attempt_result result) {
   if (ended_) {
     return;
@@ -385,6 +322,7 @@
   ended_ = true;
   timeout_.cancel();
   resume_timer_.cancel();
+  stall_timer_.cancel();
   hooks_.on_done(std::move(result));
 }
 
--- a/src/slatestall/serve/stage_attempt.h
+++ b/src/slatestall/serve/stage_attempt.h
@@ -29,6 +29,8 @@
   time_point deadline{};
   /// Nothing: only the deadline ends it.
   std::optional<milliseconds> timeout;
+  /// Longest pause inside a stream; nothing: any.
+  std::optional<milliseconds> stall_timeout;
   bool at_most_once = false;
   /// An ended attempt whose text went to the caller: this one has to repeat it
   /// before it goes on. Held only until the attempt is made.
@@ -86,6 +88,8 @@
  private:
   void StartExchange(const std::optional<resume_point>& resume);
   void StartTimeout();
+  void WatchForStall();
+  void CheckStall();
   void OnData(std::uint64_t exchange, std::string_view data);
   void OnEvent(const std::string& data);
   void OnText(std::uint64_t offset, std::string_view text);
@@ -113,6 +117,10 @@
   duration first_byte_{};
   asio::steady_timer timeout_;
   asio::steady_timer resume_timer_;
+  asio::steady_timer stall_timer_;
+  bool stall_watched_ = false;
+  time_point last_event_{};  ///< Or the start of a resuming call.
+  unsigned stalls_ = 0;
   std::uint64_t exchange_ = 0;  ///< Number of the live call; callbacks of
                                 ///< earlier ones are late.
   bool exchange_live_ = false;
--- a/src/slatestall/serve/stage_failure_test.cc
+++ b/src/slatestall/serve/stage_failure_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(CutStreamIsResumedAtItsOffset);
   CPPUNIT_TEST(LostStreamGoesOnAtAnotherEngine);
   CPPUNIT_TEST(LostStreamEndsWhereAnotherEngineHasOtherWords);
+  CPPUNIT_TEST(SilentStreamIsResumedAndThenMadeAnewElsewhere);
   CPPUNIT_TEST(WholeAnswerIsMadeAnewElsewhere);
   CPPUNIT_TEST(StreamWithoutItsEndIsNotWhole);
   CPPUNIT_TEST(RefusedCallGoesElsewhere);
@@ -181,6 +182,32 @@
     CPPUNIT_ASSERT(!t.engine_a.Calls().empty() && !t.engine_b.Calls().empty());
   }
 
+  void SilentStreamIsResumedAndThenMadeAnewElsewhere() {
+    // The caller sees one unbroken answer well before its deadline. The engine
+    // falls silent after two tokens, its connections stay open, and the call
+    // that resumes the stream gets no answer either.
+    test_lane t;
+    const auto asked = std::make_shared<bool>(false);
+    t.BothEngines(
+        [&t, asked](const seen_call& call, const http_responder_ptr& answer) {
+          if (call.body.contains("resume")) {
+            t.held.push_back(answer);
+          } else if (std::exchange(*asked, true)) {
+            Engine(5)(call, answer);
+          } else {
+            StreamTokens(call, *answer, 0, 2);
+            t.held.push_back(answer);
+          }
+        });
+    t.Start();
+    const auto answer = t.Run("draft", kAsStream);
+    t.Await(answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->Last());
+    CPPUNIT_ASSERT_EQUAL(GeneratedText(5), answer->streamed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, t.EngineCalls());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, t.Count(lane_event::kResume));
+  }
+
   void WholeAnswerIsMadeAnewElsewhere() {
     // The caller asked for a whole answer, so none of the lost one went out:
     // it sees the other engine's answer, of which every word is that engine's.
--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -8,6 +8,8 @@
 namespace slatestall {
 namespace {
 
+constexpr milliseconds kDeadlineMargin{2};
+
 attempt_use UseOfFailed(const attempt_result& result) {
   return result.end == attempt_end::kTimedOut ? attempt_use::kLate
                                               : attempt_use::kRetried;
@@ -135,9 +137,14 @@
   attempt.deadline = spec_.deadline;
   attempt.at_most_once = spec_.at_most_once;
   attempt.goes_on_after = cut_;
+  attempt.stall_timeout = decision.stall_timeout;
   // A call that may not be sent again gains nothing from giving up early: its
   // outcome would only become unknown.
-  if (!spec_.at_most_once) {
+  // Nor does one whose time ends with the deadline: it would be called a failed
+  // stage, a millisecond before the answer that the time is over.
+  const duration left = spec_.deadline - environment_.now();
+  if (!spec_.at_most_once &&
+      decision.attempt_timeout + kDeadlineMargin < left) {
     attempt.timeout = Positive(decision.attempt_timeout);
   }
   return attempt;
