--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -135,6 +135,7 @@
   attempt.deadline = spec_.deadline;
   attempt.at_most_once = spec_.at_most_once;
   attempt.goes_on_after = cut_;
+  attempt.stall_timeout = decision.stall_timeout;
   // A call that may not be sent again gains nothing from giving up early: its
   // outcome would only become unknown.
   if (!spec_.at_most_once && EndsBeforeDeadline(decision.attempt_timeout)) {
