Operators' address of their own; explain asks every host; apply knows its own record

Cause: /v1/admin/ was open at the callers' port only; explain asked just the host named in the id and said 'not found' where that one was down; an apply run again after 'unknown' could be told that 'revision 3 won' where revision 3 was the same file (seen live: its host read the first record only after it was asked). Ruled out: keys alone for the first, since the page of a stray port scan should be empty. Change: operator_listen serves the interface on the control thread, listen then answers 404; FindRequest asks all hosts that status names and tells who was not asked and why; a refusal behind the same text is in force. A path of the prefix's length is no longer taken for the prefix. Conclusion: as wanted; there is no TLS, and /metrics stays at listen.

--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -16,7 +16,8 @@
 struct settings {
   std::string host_name;  ///< Unique among the hosts.
   std::string failure_domain;
-  std::string listen = "127.0.0.1:8080";       ///< Callers and operators.
+  std::string listen = "127.0.0.1:8080";       ///< Callers.
+  std::string operator_listen;                 ///< Operators; empty: `listen`.
   std::string peer_listen = "127.0.0.1:8081";  ///< Other hosts.
   std::string log_url;  ///< Platform's log, "http://IP:port".
   std::string host_list_url;
--- a/include/slatestall/node/control_loop.h
+++ b/include/slatestall/node/control_loop.h
@@ -28,7 +28,8 @@
   std::function<std::string()> report;
   /// What the workspaces would use of their limits here.
   std::function<std::map<std::string, workspace_demand>()> demand;
-  /// "IP:port" where this host takes callers and operators.
+  /// "IP:port" where this host takes callers, and operators where they have
+  /// no address of their own.
   std::function<std::string()> http_address;
 };
 
@@ -38,7 +39,8 @@
 class control_loop {
  public:
   /// @param snapshots Outlives the loop.
-  /// @throws std::system_error where the peer address cannot be bound.
+  /// @throws std::system_error where the peer or operators' address cannot be
+  /// bound.
   control_loop(const settings& options, const host_id& self, now_function now,
                snapshot_cell& snapshots, control_hooks hooks);
   /// @brief Stops the thread.
@@ -52,8 +54,11 @@
   void Stop();
 
   std::uint16_t PeerPort() const;
+  /// @brief 0 where operators have no address of their own.
+  std::uint16_t OperatorPort() const;
 
-  /// @brief Serves /v1/admin/ for the traffic thread that runs `lane`.
+  /// @brief Serves /v1/admin/ for the traffic thread that runs `lane`; empty
+  /// where operators have an address of their own.
   http_handler AdminHandler(asio::io_context& lane);
   outcome_guard Guard();
   /// @brief An endpoint said that it leaves.
--- a/include/slatestall/node/entry_host.h
+++ b/include/slatestall/node/entry_host.h
@@ -21,6 +21,8 @@
 
   std::uint16_t Port() const;
   std::uint16_t PeerPort() const;
+  /// @brief 0 where operators have no address of their own.
+  std::uint16_t OperatorPort() const;
 
   /// @brief Serves until it has drained after SIGTERM, SIGINT, `Drain` or the
   /// operators' call.
--- a/programs/slatestall/commands/apply.cc
+++ b/programs/slatestall/commands/apply.cc
@@ -123,7 +123,13 @@
     return Settle(DetailOf(answer));
   }
 
-  apply_result Refused(config_revision winner) const {
+  // The winner may be this very file: an earlier apply ended as unknown, and
+  // its record came to light only while this one was under way.
+  apply_result Refused(config_revision winner) {
+    const in_force current = InForce();
+    if (current.is_this_file && current.revision >= winner) {
+      return WaitForAll(current.revision);
+    }
     return Ended(apply_outcome::kRefused, winner,
                  "this file was made from revision " + std::to_string(base_) +
                      ", but revision " + std::to_string(winner) +
--- a/programs/slatestall/commands/apply_test.cc
+++ b/programs/slatestall/commands/apply_test.cc
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(LostAnswerIsSettledByReadingBack);
   CPPUNIT_TEST(LostAnswerThatStaysUnknownIsNeverSentAgain);
   CPPUNIT_TEST(LostAnswerBehindAnotherFileIsToldAtOnce);
+  CPPUNIT_TEST(RefusedBehindItsOwnFirstPublicationIsInForce);
   CPPUNIT_TEST(FileInForceIsNotPublishedAgain);
   CPPUNIT_TEST(HostThatIsBehindDoesNotProveThatAFileIsInForce);
   CPPUNIT_TEST(UnreachableHostKeepsItFromBeingInForce);
@@ -212,6 +213,21 @@
     CPPUNIT_ASSERT(result.detail.find("--base") == std::string::npos);
   }
 
+  // An apply ended as unknown, and the operator runs it again as told. Its host
+  // reads the first record only after it was asked to publish, so the second
+  // is refused in favour of the first: the same file, which is in force.
+  void RefusedBehindItsOwnFirstPublicationIsInForce() {
+    fake_system system;
+    system.publish = [](fake_system& self) {
+      self.Accept(5);
+      self.second_revision = 5;
+      return fake_system::Whole(409, {{"outcome", "refused"}, {"revision", 5}});
+    };
+    const apply_result result = system.Run(4);
+    CPPUNIT_ASSERT(result.outcome == apply_outcome::kInForce);
+    CPPUNIT_ASSERT_EQUAL(config_revision{5}, result.revision);
+  }
+
   void FileInForceIsNotPublishedAgain() {
     fake_system system;
     system.source = kFile;
--- a/programs/slatestall/queries/explain_query.cc
+++ b/programs/slatestall/queries/explain_query.cc
@@ -3,8 +3,8 @@
 #include "slatestall/console.h"
 #include "slatestall/format_number.h"
 #include "slatestall/host_option.h"
+#include "slatestall/request_search.h"
 #include "slatestall/subcommands.h"
-#include "slatestall/system_view.h"
 
 namespace slatestall {
 namespace {
@@ -17,36 +17,6 @@
   bool json = false;
 };
 
-constexpr int kNotFound = 404;
-
-admin_answer Ask(const std::string& host, const std::string& request) {
-  admin_call call;
-  call.host = host;
-  call.path = "/v1/admin/explain/" + request;
-  return SendOverHttp({call}).front();
-}
-
-// A trace is kept by the host that served the request, and its name begins the
-// request id: where the asked host knows the address, that one is asked.
-admin_answer AskItsHost(const explain_options& options) {
-  admin_answer answer = Ask(options.host, options.request);
-  if (!answer.answered || answer.status != kNotFound) {
-    return answer;
-  }
-  std::string detail;
-  const auto view = AskSystem(SendOverHttp, options.host, detail);
-  if (!view) {
-    return answer;
-  }
-  for (const host_view& host : view->hosts) {
-    if (options.request.rfind(host.name + ".", 0) == 0 &&
-        host.name != view->asked_host && !host.http_address.empty()) {
-      return Ask("http://" + host.http_address, options.request);
-    }
-  }
-  return answer;
-}
-
 std::string Milliseconds(const json& value) {
   return FormatNumber(value.is_number() ? value.get<double>() : 0.0, 1);
 }
@@ -74,17 +44,21 @@
 }
 
 exit_code RunExplain(const explain_options& options) {
-  const admin_answer answer = AskItsHost(options);
-  if (!answer.answered || answer.status != 200) {
-    PrintError(options.request + ": " + DetailOf(answer));
-    return answer.answered ? exit_code::kNegative : exit_code::kUnreachable;
+  const request_search search =
+      FindRequest(SendOverHttp, options.host, options.request);
+  if (!search.trace) {
+    for (const std::string& line : DescribeMiss(search, options.request)) {
+      PrintError(line);
+    }
+    return search.not_asked.empty() ? exit_code::kNegative
+                                    : exit_code::kUnreachable;
   }
   if (options.json) {
-    PrintJson(answer.body);
+    PrintJson(*search.trace);
     return exit_code::kOk;
   }
-  Print(Headline(answer.body));
-  Print(DecisionTable(answer.body.value("decisions", json::array())));
+  Print(Headline(*search.trace));
+  Print(DecisionTable(search.trace->value("decisions", json::array())));
   return exit_code::kOk;
 }
 
--- a/programs/slatestall/system_view.cc
+++ b/programs/slatestall/system_view.cc
@@ -8,10 +8,24 @@
 
 using nlohmann::json;
 
+bool IsAnyAddress(const std::string& address) {
+  return address.rfind("0.0.0.0:", 0) == 0 || address.rfind("[::]:", 0) == 0;
+}
+
+// A host that listens on all its addresses says so; the others reach it at the
+// one of its peer address, and so can an operator.
+std::string ReachableAddress(const std::string& http, const std::string& peer) {
+  if (!IsAnyAddress(http) || peer.empty() || IsAnyAddress(peer)) {
+    return IsAnyAddress(http) ? "" : http;
+  }
+  return peer.substr(0, peer.rfind(':')) + http.substr(http.rfind(':'));
+}
+
 host_view HostFrom(const json& host) {
   host_view view;
   view.name = host.at("name").get<std::string>();
-  view.http_address = host.value("http_address", "");
+  view.http_address = ReachableAddress(host.value("http_address", ""),
+                                       host.value("peer_address", ""));
   view.revision = host.at("revision").get<config_revision>();
   view.since = milliseconds(host.at("since_ms").get<std::int64_t>());
   view.draining = host.at("draining").get<bool>();
--- a/programs/slatestall/system_view.h
+++ b/programs/slatestall/system_view.h
@@ -14,7 +14,7 @@
 /// @brief One host as the asked host sees it.
 struct host_view {
   std::string name;
-  std::string http_address;  ///< "IP:port"; empty where not told.
+  std::string http_address;  ///< Of operators, "IP:port"; empty: not known.
   config_revision revision = 0;
   milliseconds since{0};
   bool draining = false;
--- a/programs/slatestalld/main.cc
+++ b/programs/slatestalld/main.cc
@@ -74,7 +74,11 @@
   ConfigureLog(loaded.content.log_level);
   entry_host host(loaded.content);
   std::cout << "slatestalld " << loaded.content.host_name << " port "
-            << host.Port() << " peer-port " << host.PeerPort() << std::endl;
+            << host.Port() << " peer-port " << host.PeerPort();
+  if (host.OperatorPort() != 0) {
+    std::cout << " operator-port " << host.OperatorPort();
+  }
+  std::cout << std::endl;
   host.Run();
   return 0;
 }
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -34,8 +34,13 @@
       MemberField(&s::listen,
                   {.name = "listen",
                    .type = type::kAddress,
-                   .meaning = "Where callers and operators connect; port 0 "
-                              "takes any free one"}),
+                   .meaning = "Where callers connect; port 0 takes any free "
+                              "one"}),
+      MemberField(&s::operator_listen,
+                  {.name = "operator_listen",
+                   .type = type::kAddress,
+                   .meaning = "Where operators connect, then not at `listen`; "
+                              "port 0 takes any free one; empty: at `listen`"}),
       MemberField(&s::peer_listen,
                   {.name = "peer_listen",
                    .type = type::kAddress,
@@ -115,8 +120,8 @@
                   {.name = "operator_key_hashes",
                    .type = type::kDigests,
                    .meaning = "Digests of the operators' keys; without any, "
-                              "whoever reaches `listen` may publish and "
-                              "drain. In the file only"}),
+                              "whoever reaches the operators' address may "
+                              "publish and drain. In the file only"}),
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
--- a/src/slatestall/node/admin_api.cc
+++ b/src/slatestall/node/admin_api.cc
@@ -174,9 +174,12 @@
 
 void HandleAdmin(const admin_actions& actions, const http_request& request,
                  const admin_reply& reply) {
+  if (request.path.rfind(kPrefix, 0) != 0) {
+    reply(Problem(error_kind::kNotFound, "no such path: " + request.path));
+    return;
+  }
   const std::string call =
-      request.method + " " +
-      request.path.substr(std::min(kPrefix.size(), request.path.size()));
+      request.method + " " + request.path.substr(kPrefix.size());
   if (call == "GET status") {
     actions.status(
         [reply](const system_status& status) { reply(StatusAnswer(status)); });
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "slatestall/node/control_core.h"
+#include "slatestall/node/listen_address.h"
+#include "slatestall/node/operator_server.h"
 
 namespace slatestall {
 namespace {
@@ -24,7 +26,15 @@
        snapshot_cell& snapshots, control_hooks hooks)
       : work_(asio::make_work_guard(context_)),
         core_(context_, options, self, std::move(now), snapshots,
-              std::move(hooks)) {}
+              WithOperatorAddress(options, std::move(hooks))) {
+    if (!options.operator_listen.empty()) {
+      operators_ = std::make_unique<operator_server>(
+          context_, options.operator_listen,
+          [this](const http_request& request, const admin_reply& reply) {
+            core_.HandleAdminCall(request, reply);
+          });
+    }
+  }
 
   void Start() {
     asio::post(context_, [this] { core_.Start(); });
@@ -41,10 +51,27 @@
 
   asio::io_context& Context() { return context_; }
   control_core& Core() { return core_; }
+  std::uint16_t OperatorPort() const {
+    return operators_ ? operators_->Port() : 0;
+  }
 
  private:
+  /// Other hosts are told where operators find this one.
+  control_hooks WithOperatorAddress(const settings& options,
+                                    control_hooks hooks) {
+    if (!options.operator_listen.empty()) {
+      hooks.http_address = [this, listen = options.operator_listen] {
+        return ParseListenAddress(listen).address + ":" +
+               std::to_string(OperatorPort());
+      };
+    }
+    return hooks;
+  }
+
   asio::io_context context_{1};
   asio::executor_work_guard<asio::io_context::executor_type> work_;
+  /// Outlives the core, which may hold calls that are not answered yet.
+  std::unique_ptr<operator_server> operators_;
   control_core core_;
   std::thread thread_;
 };
@@ -65,9 +92,16 @@
   return impl_->Core().PeerPort();
 }
 
+std::uint16_t control_loop::OperatorPort() const {
+  return impl_->OperatorPort();
+}
+
 // The call arrives on a traffic thread, is handled on the control thread and
 // answered on the traffic thread, to which its responder belongs.
 http_handler control_loop::AdminHandler(asio::io_context& lane) {
+  if (impl_->OperatorPort() != 0) {
+    return {};
+  }
   return [weak = std::weak_ptr(impl_), &lane](
              const http_request& request, const http_responder_ptr& responder) {
     const auto impl = weak.lock();
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -48,6 +48,7 @@
 
   std::uint16_t Port() const { return traffic_->Port(); }
   std::uint16_t PeerPort() const { return control_.PeerPort(); }
+  std::uint16_t OperatorPort() const { return control_.OperatorPort(); }
 
   void Run() {
     signals_.async_wait([this](const asio::error_code& error, int) {
@@ -143,6 +144,7 @@
 
 std::uint16_t entry_host::Port() const { return impl_->Port(); }
 std::uint16_t entry_host::PeerPort() const { return impl_->PeerPort(); }
+std::uint16_t entry_host::OperatorPort() const { return impl_->OperatorPort(); }
 void entry_host::Run() { impl_->Run(); }
 void entry_host::Drain() { impl_->Drain(); }
 
