--- a/programs/slatestall/request_search.cc
+++ b/programs/slatestall/request_search.cc
@@ -58,11 +58,14 @@
       if (host.Gone()) {
         search_.not_asked.push_back(host.name +
                                     ": gone after a drain, its traces with it");
+      } else if (!host.reachable) {
+        search_.not_asked.push_back(host.name +
+                                    ": does not answer the asked host");
       } else if (host.http_address.empty()) {
         search_.not_asked.push_back(
             host.name +
-            ": its address for operators is not known; give it "
-            "by --host");
+            ": its address for operators is not known; ask it itself by "
+            "--host");
       } else {
         calls.push_back(CallOf("http://" + host.http_address, request_));
         names.push_back(host.name);
