--- a/src/slatestall/serve/stage_attempt.h
+++ b/src/slatestall/serve/stage_attempt.h
@@ -31,6 +31,8 @@
   std::optional<milliseconds> timeout;
   /// Longest pause inside a stream; nothing: any.
   std::optional<milliseconds> stall_timeout;
+  /// Engines: ends it where no text has come by then.
+  std::optional<milliseconds> first_byte_timeout;
   bool at_most_once = false;
   /// An ended attempt whose text went to the caller: this one has to repeat it
   /// before it goes on. Held only until the attempt is made.
@@ -90,6 +92,8 @@
   void StartTimeout();
   void WatchForStall();
   void CheckStall();
+  void StartFirstByteTimeout();
+  void TimeOut(const char* detail);
   void OnData(std::uint64_t exchange, std::string_view data);
   void OnEvent(const std::string& data);
   void OnText(std::uint64_t offset, std::string_view text);
@@ -116,6 +120,7 @@
   time_point started_{};
   duration first_byte_{};
   asio::steady_timer timeout_;
+  asio::steady_timer first_byte_timeout_;
   asio::steady_timer resume_timer_;
   asio::steady_timer stall_timer_;
   bool stall_watched_ = false;
