--- a/src/slatestall/config/settings_fuzz.cc
+++ b/src/slatestall/config/settings_fuzz.cc
@@ -11,9 +11,9 @@
 
 // A file in memory: a real one would make the search many times slower.
 const std::string& FuzzedFile() {
-  static const std::string path =
+  static const std::string kPath =
       "/proc/self/fd/" + std::to_string(memfd_create("settings", 0));
-  return path;
+  return kPath;
 }
 
 }  // namespace
