The number of claim partitions is agreed through the log

Cause: a host with another claim_partitions looked for used keys in streams where they are free, so a caller's key could run again; nothing noticed it.

Ruled out: a field of the published configuration (two revisions are in force at once for seconds, and a stream cannot be divided anew meanwhile); a field in each claim record (a host whose streams are its own alone never reads one).

Change: stream claim-layout, policy/claim_layout and node/claim_layout_log. The first mark that counts decides; a host with another number refuses callers' keys with both numbers in the detail and an error in its log, and other hosts ask the next one. Nothing is claimed before the number is known, so a host that starts while the log is down refuses callers' keys until it is back, as before.

Tests: a property over reads, appends, lost and late marks (no two numbers agree at once); the loser of a race after the winner's expiry; four hosts of which one comes back with 7 instead of 4 (without the check its keys ran again); hosts that start while the log is down.

--- a/include/slatestall/node/outcome_service.h
+++ b/include/slatestall/node/outcome_service.h
@@ -21,7 +21,7 @@
 /// @brief Bounds and intervals of `outcome_service`.
 /// @ingroup node
 struct outcome_options {
-  std::uint32_t claim_partitions = 8;  ///< Equal on all hosts.
+  std::uint32_t claim_partitions = 8;  ///< As the log says, or none.
   milliseconds flush_interval{50};     ///< Between two appends of a partition.
   std::size_t max_batch_bytes = std::size_t{64} << 10U;  ///< Of one append.
   std::size_t max_key_bytes = 256;
--- a/src/slatestall/node/claim_log.cc
+++ b/src/slatestall/node/claim_log.cc
@@ -53,6 +53,8 @@
                      claim_writer_options options, now_function now,
                      wall_clock_function wall_clock)
     : log_(std::move(log)),
+      layout_(std::make_shared<claim_layout_log>(log_, partitions,
+                                                 options.retention, now)),
       partition_count_(std::max(partitions, 1U)),
       options_(options),
       now_(std::move(now)),
@@ -68,17 +70,25 @@
 }
 
 bool claim_log::IsReady(const claim_key& key) {
-  return Use(PartitionOf(key, partition_count_)).writer.IsReady();
+  return layout_->Agrees() &&
+         Use(PartitionOf(key, partition_count_)).writer.IsReady();
 }
 
 void claim_log::Follow(std::uint32_t number) { Use(number); }
 
 void claim_log::Tend(std::uint32_t number) {
+  if (number == 0) {
+    layout_->Tend();
+  }
   Use(number).writer.Carry(wall_clock_());
 }
 
 void claim_log::Claim(const claim_attempt& attempt, milliseconds wait,
                       answer_function done) {
+  if (const std::string conflict = layout_->Conflict(); !conflict.empty()) {
+    done(RefusedClaim(error_kind::kClaimUnavailable, conflict));
+    return;
+  }
   const std::uint32_t number = PartitionOf(attempt.key, partition_count_);
   partition& at = Use(number);
   if (!at.writer.Submit(attempt, now_() + wait)) {
@@ -92,6 +102,10 @@
 
 void claim_log::Find(const claim_attempt& attempt, milliseconds wait,
                      answer_function done) {
+  if (const std::string conflict = layout_->Conflict(); !conflict.empty()) {
+    done(RefusedClaim(error_kind::kClaimUnavailable, conflict));
+    return;
+  }
   const std::uint32_t number = PartitionOf(attempt.key, partition_count_);
   partition& at = Use(number);
   if (at.lookups.size() >= options_.max_pending) {
@@ -136,6 +150,7 @@
 }
 
 void claim_log::Tick() {
+  layout_->Tick();
   const time_point unused_since = now_() - kDropUnusedAfter;
   std::erase_if(partitions_, [&](const auto& item) {
     const partition& at = *item.second;
@@ -152,8 +167,14 @@
   }
 }
 
+// With another number of partitions a key has another stream. Nothing is read
+// or written there before the number is agreed: read, the wrong stream would
+// say that a used key is free.
 void claim_log::Pump(const partition_ptr& at) {
   Reply(at);
+  if (!layout_->Agrees()) {
+    return;
+  }
   PumpAppend(at);
   PumpRead(at);
 }
@@ -302,6 +323,7 @@
 
 claim_log_counters claim_log::Counters() const {
   claim_log_counters counters = counters_;
+  counters.partitions_in_log = layout_->InLog();
   for (const auto& [number, at] : partitions_) {
     counters.keys_not_carried += at->writer.NotCarried();
   }
--- a/src/slatestall/node/claim_log.h
+++ b/src/slatestall/node/claim_log.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "slatestall/model/time.h"
+#include "slatestall/node/claim_layout_log.h"
 #include "slatestall/platform/log_service.h"
 #include "slatestall/policy/claim_writer.h"
 
@@ -19,6 +20,7 @@
   std::uint64_t claims_appended = 0;
   std::uint64_t records_not_understood = 0;
   std::uint64_t keys_not_carried = 0;
+  std::uint32_t partitions_in_log = 0;  ///< 0: not known yet.
 };
 
 /// @brief Drives one `claim_writer` for each partition that this host is asked
@@ -54,6 +56,8 @@
   /// of its first claim and keeps its keys from expiring. Call every second.
   void Tend(std::uint32_t partition);
   void Tick();
+  /// @brief What keeps this host from claiming for good; else empty.
+  std::string Conflict() const { return layout_->Conflict(); }
 
   claim_log_counters Counters() const;
   std::size_t IndexedKeys() const;
@@ -96,6 +100,7 @@
             const claim_answer& answer, std::vector<answer_function> askers);
 
   log_service log_;
+  std::shared_ptr<claim_layout_log> layout_;
   std::uint32_t partition_count_;
   claim_writer_options options_;
   now_function now_;
--- a/src/slatestall/node/outcome_router.cc
+++ b/src/slatestall/node/outcome_router.cc
@@ -187,6 +187,13 @@
 
 void outcome_router::Ask(const claim_attempt& attempt, milliseconds wait,
                          const answer_function& done) {
+  // Others could decide about the key; but a host with a wrong setting is to be
+  // seen, not to be carried by the rest.
+  if (const std::string conflict = log_->Conflict();
+      !conflict.empty() && !LooksMinted(attempt.key.key)) {
+    done(RefusedClaim(error_kind::kClaimUnavailable, conflict));
+    return;
+  }
   const route to = RouteOf(attempt.key);
   switch (to.at) {
     case place::kHome:
--- a/src/slatestall/node/outcome_test_world.h
+++ b/src/slatestall/node/outcome_test_world.h
@@ -49,6 +49,8 @@
 
   virtual_time& Time() { return time_; }
   fault_rates& Faults() { return faults_; }
+  /// Of hosts started from now on.
+  outcome_options& Options() { return options_; }
   std::mt19937_64& Random() { return random_; }
   bool Chance(double rate) {
     return std::uniform_real_distribution<>(0, 1)(random_) < rate;
--- a/src/slatestall/serve/token_stream.cc
+++ b/src/slatestall/serve/token_stream.cc
@@ -36,8 +36,8 @@
   if (event.offset != repeated_->offset) {
     return event.offset > repeated_->offset ? splice::kGap : splice::kDoubled;
   }
-  const std::string_view known =
-      std::string_view(text_).substr(repeated_->bytes);
+  const std::string_view whole = text_;
+  const std::string_view known = whole.substr(repeated_->bytes);
   const std::string_view words = event.text;
   const std::uint64_t end = event.offset + event.count;
   const std::size_t shared = std::min(known.size(), words.size());
