Events of tokens are read without a JSON document, written without one

Cause: each token was parsed into a document and dumped from another, its bytes went through the event parser one by one, and every event of a read became a write of its own.

Change: a scanner takes the one common shape of an event (id, offset, count and text, each once, plain numbers, valid UTF-8); all else goes to the full parser, and what was scanned passes the same checks of identity, offset and text. The server-sent event parser works by lines. Events are written straight from the held text. Tokens that came in one read go on as one piece, with no waiting.

--- a/include/slatestall/http/sse_parser.h
+++ b/include/slatestall/http/sse_parser.h
@@ -19,7 +19,7 @@
 /// that the stream breaks off in is never reported.
 class sse_parser {
  public:
-  using event_hook = std::function<void(sse_event)>;
+  using event_hook = std::function<void(const sse_event&)>;
 
   /// @param max_event_bytes bounds what is held of one event, its lines
   /// included.
@@ -30,8 +30,9 @@
   bool Feed(std::string_view piece);
 
  private:
-  void TakeCharacter(char c);
-  void TakeLine();
+  /// @brief How many bytes may still be held of the event under way.
+  std::size_t Room() const;
+  void TakeLine(std::string_view line);
   void TakeField(std::string_view name, std::string_view value);
   void Dispatch();
 
--- a/src/slatestall/http/sse_parser.cc
+++ b/src/slatestall/http/sse_parser.cc
@@ -1,5 +1,6 @@
 #include "slatestall/http/sse_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace slatestall {
@@ -8,42 +9,52 @@
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 constexpr std::string_view kDataPrefix = "data: ";
 
+/// Where the first line of `text` ends, or the size where it goes on.
+std::size_t LineEnd(std::string_view text) {
+  const std::size_t feed = std::min(text.find('\n'), text.size());
+  return std::min(text.substr(0, feed).find('\r'), feed);
+}
+
 }  // namespace
 
 sse_parser::sse_parser(std::size_t max_event_bytes, event_hook on_event)
     : max_event_bytes_(max_event_bytes), on_event_(std::move(on_event)) {}
 
 bool sse_parser::Feed(std::string_view piece) {
-  for (const char c : piece) {
-    if (too_large_) {
+  while (!piece.empty() && !too_large_) {
+    if (std::exchange(after_carriage_return_, false) && piece[0] == '\n') {
+      piece.remove_prefix(1);
+      continue;
+    }
+    const std::size_t end = LineEnd(piece);
+    if (end > Room()) {
+      too_large_ = true;
       break;
     }
-    TakeCharacter(c);
+    if (end == piece.size()) {
+      line_.append(piece);
+      break;
+    }
+    if (line_.empty()) {
+      TakeLine(piece.substr(0, end));
+    } else {
+      line_.append(piece.substr(0, end));
+      TakeLine(line_);
+      line_.clear();
+    }
+    after_carriage_return_ = piece[end] == '\r';
+    piece.remove_prefix(end + 1);
   }
   return !too_large_;
 }
 
-void sse_parser::TakeCharacter(char c) {
-  const bool second_of_pair = c == '\n' && after_carriage_return_;
-  after_carriage_return_ = c == '\r';
-  if (second_of_pair) {
-    return;
-  }
-  if (c == '\r' || c == '\n') {
-    TakeLine();
-    line_.clear();
-    return;
-  }
-  if (line_.size() + event_.data.size() + event_.type.size() >=
-      max_event_bytes_) {
-    too_large_ = true;
-    return;
-  }
-  line_.push_back(c);
+std::size_t sse_parser::Room() const {
+  const std::size_t held =
+      line_.size() + event_.data.size() + event_.type.size();
+  return max_event_bytes_ - std::min(held, max_event_bytes_);
 }
 
-void sse_parser::TakeLine() {
-  std::string_view line = line_;
+void sse_parser::TakeLine(std::string_view line) {
   if (std::exchange(first_line_, false) && line.starts_with(kByteOrderMark)) {
     line.remove_prefix(kByteOrderMark.size());
   }
@@ -79,10 +90,11 @@
 }
 
 void sse_parser::Dispatch() {
-  sse_event event = std::exchange(event_, {});
   if (std::exchange(has_data_, false)) {
-    on_event_(std::move(event));
+    on_event_(event_);
   }
+  event_.type.clear();
+  event_.data.clear();
 }
 
 std::string SseEvent(std::string_view data) {
--- a/src/slatestall/serve/answer_writer.cc
+++ b/src/slatestall/serve/answer_writer.cc
@@ -5,11 +5,14 @@
 
 #include "slatestall/http/sse_parser.h"
 #include "slatestall/serve/json_read.h"
+#include "slatestall/serve/json_text.h"
 
 namespace slatestall {
 namespace {
 
 constexpr milliseconds kPollInterval{10};
+/// Of an event beside its text, and some escapes.
+constexpr std::size_t kTextEventBytes = 64;
 
 }  // namespace
 
@@ -58,7 +61,17 @@
   if (held_.empty()) {
     return;
   }
-  WriteEvent("", DumpJson({{"offset", held_offset_}, {"text", held_}}));
+  std::string event;
+  event.reserve(held_.size() + kTextEventBytes);
+  event += "data: {\"offset\":";
+  event += std::to_string(held_offset_);
+  event += ",\"text\":";
+  if (AppendJsonString(event, held_)) {
+    event += "}\n\n";
+    responder_->Write(std::move(event));
+  } else {
+    WriteEvent("", DumpJson({{"offset", held_offset_}, {"text", held_}}));
+  }
   held_.clear();
 }
 
--- a/src/slatestall/serve/engine_answer.cc
+++ b/src/slatestall/serve/engine_answer.cc
@@ -43,6 +43,23 @@
   if (data == kDone) {
     return TakeDone();
   }
+  if (auto scanned = ScanTokenEvent(data)) {
+    return TakeScanned(std::move(*scanned));
+  }
+  return TakeParsed(data);
+}
+
+stream_verdict engine_answer::TakeScanned(scanned_event event) {
+  if (event.id != id_) {
+    return stream_verdict::kCrossed;
+  }
+  if (event.offset > kMaxOffset || event.count > kMaxOffset) {
+    return stream_verdict::kMalformed;
+  }
+  return TakeTokens({event.offset, event.count, std::move(event.text)});
+}
+
+stream_verdict engine_answer::TakeParsed(std::string_view data) {
   const nlohmann::json event = ParseJson(data);
   if (!event.is_object()) {
     return stream_verdict::kMalformed;
--- a/src/slatestall/serve/engine_answer.h
+++ b/src/slatestall/serve/engine_answer.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "slatestall/serve/pipeline_data.h"
+#include "slatestall/serve/token_event_scan.h"
 #include "slatestall/serve/token_stream.h"
 
 namespace slatestall {
@@ -35,6 +36,8 @@
   const call_usage& Usage() const { return usage_; }
 
  private:
+  stream_verdict TakeScanned(scanned_event event);
+  stream_verdict TakeParsed(std::string_view data);
   stream_verdict TakeDone();
   stream_verdict TakeTokens(const token_event& event);
   stream_verdict TakeFinish(std::uint64_t offset);
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -126,7 +126,9 @@
     CountLate();
     return;
   }
-  if (!parser_->Feed(data) && exchange_live_) {
+  const bool fed = parser_->Feed(data);
+  PassOnText();
+  if (!fed && exchange_live_) {
     DropStream(lane_event::kMalformedAnswer, "an event is too large");
   }
 }
@@ -161,7 +163,21 @@
   if (first_byte_ == duration{}) {
     first_byte_ = Elapsed();
   }
-  hooks_.on_text(offset, text);
+  if (unpassed_text_.empty()) {
+    unpassed_offset_ = offset;
+  }
+  unpassed_text_ += text;
+}
+
+// Tokens that came in one read go on as one piece. A host that falls behind
+// finds more in each read, and would otherwise spend a write on each token
+// just when it has no time for them.
+void stage_attempt::PassOnText() {
+  if (unpassed_text_.empty()) {
+    return;
+  }
+  const std::string text = std::exchange(unpassed_text_, {});
+  hooks_.on_text(unpassed_offset_, text);
 }
 
 // From the event loop: what follows a whole answer starts the next call,
--- a/src/slatestall/serve/stage_attempt.h
+++ b/src/slatestall/serve/stage_attempt.h
@@ -83,6 +83,7 @@
   void OnData(std::uint64_t exchange, std::string_view data);
   void OnEvent(const std::string& data);
   void OnText(std::uint64_t offset, std::string_view text);
+  void PassOnText();
   void OnResult(std::uint64_t exchange, http_result result);
   void OnEngineResult(const http_result& result);
   void CountLate() const;
@@ -113,6 +114,8 @@
   attempt_id call_id_;
   unsigned resumes_ = 0;
   token_stream stream_;
+  std::uint64_t unpassed_offset_ = 0;
+  std::string unpassed_text_;  ///< Of the read under way.
   std::unique_ptr<engine_answer> answer_;
   std::unique_ptr<sse_parser> parser_;
 };
