--- a/src/slatestall/peer/peer_test_support.h
+++ b/src/slatestall/peer/peer_test_support.h
@@ -20,11 +20,14 @@
 inline bool RunUntil(asio::io_context& context,
                      const std::function<bool()>& done) {
   const auto give_up = std::chrono::steady_clock::now() + milliseconds(20'000);
-  while (!done() && std::chrono::steady_clock::now() < give_up) {
+  // Asked once after each step: reading a frame takes it off the stream.
+  bool reached = done();
+  while (!reached && std::chrono::steady_clock::now() < give_up) {
     context.restart();
     context.run_one_for(milliseconds(20));
+    reached = done();
   }
-  return done();
+  return reached;
 }
 
 inline std::string AddressOf(std::uint16_t port) { return LoopbackAt(port); }
