Pieces of a stream go to the socket at once, past RESTinio

Cause: each piece cost a chunk list, a write group, a queue entry, an asynchronous write and a turn of the event loop for its completion.

Change: once the head of a chunked answer is written and nothing of the answer is with RESTinio, a piece is framed and written in one sendmsg. What the socket does not take of a piece follows when it is writable; the end of the answer waits for it, also where the handler has let go of the answer. A piece of which the socket took nothing goes through RESTinio as before, as do head and end. The bound on pending bytes and the write time limit are as they were.

Why bytes cannot land inside another answer: RESTinio takes the answers of one connection in order; the head written means that earlier answers are out, and of later ones it writes nothing before this one's end.

Test: a caller that does not read, an answer ended and let go with half a piece written, then every byte in order and the next answer after it; it fails where the end does not wait.

--- a/src/slatestall/http/connection_responder.cc
+++ b/src/slatestall/http/connection_responder.cc
@@ -70,7 +70,13 @@
   }
   phase_ = phase::kStreaming;
   if (!connection_closed_) {
-    output_->Start(MakeHead(status, headers));
+    output_->Start(MakeHead(status, headers),
+                   [weak = weak_from_this()](const std::error_code& error) {
+                     const auto self = weak.lock();
+                     if (self && !error) {
+                       self->head_written_ = true;
+                     }
+                   });
   }
 }
 
@@ -105,8 +111,53 @@
 }
 
 void connection_responder::Flush() {
-  const std::size_t bytes = waiting_.size();
-  output_->Write(std::exchange(waiting_, {}), Written(bytes));
+  std::string piece = std::exchange(waiting_, {});
+  if (SendAtOnce(piece)) {
+    return;
+  }
+  const std::size_t bytes = piece.size();
+  output_->Write(std::move(piece), Written(bytes));
+}
+
+// RESTinio has nothing to write when the head and every piece that it was
+// given have been written: it takes the answers of a connection in order, so
+// this one is the current one, and of later ones it writes nothing before this
+// one's end. Bytes put on the socket here cannot land inside another answer.
+bool connection_responder::SendAtOnce(std::string_view piece) {
+  if (!head_written_ || in_flight_bytes_ != 0) {
+    return false;
+  }
+  auto rest = connection_->SendChunk(piece);
+  if (!rest) {
+    return false;
+  }
+  if (rest->empty()) {
+    return true;
+  }
+  in_flight_bytes_ = piece.size();
+  auto keeper = std::make_shared<std::shared_ptr<connection_responder>>();
+  rest_ = keeper;
+  connection_->SendRest(std::move(*rest), [weak = weak_from_this(), keeper,
+                                           bytes = piece.size()](bool written) {
+    const auto self = weak.lock();
+    if (self && written) {
+      self->OnRestSent(bytes);
+    }
+  });
+  return true;
+}
+
+void connection_responder::OnRestSent(std::size_t bytes) {
+  rest_.reset();
+  if (phase_ != phase::kDone) {
+    OnWritten(bytes);
+    return;
+  }
+  if (!connection_closed_) {
+    in_flight_bytes_ = 0;
+    const std::size_t last = waiting_.size();
+    output_->Finish(std::exchange(waiting_, {}), Written(last));
+  }
 }
 
 void connection_responder::OnWritten(std::size_t bytes) {
@@ -127,6 +178,11 @@
   if (connection_closed_) {
     return;
   }
+  if (const auto keeper = rest_.lock()) {
+    // The end follows the piece that is under way, see OnRestSent.
+    *keeper = shared_from_this();
+    return;
+  }
   const std::size_t bytes = waiting_.size();
   output_->Finish(std::exchange(waiting_, {}), Written(bytes));
 }
--- a/src/slatestall/http/connection_responder.h
+++ b/src/slatestall/http/connection_responder.h
@@ -25,7 +25,7 @@
 
   virtual ~answer_output() = default;
   virtual void Send(const answer_head& head, std::string body) = 0;
-  virtual void Start(const answer_head& head) = 0;
+  virtual void Start(const answer_head& head, written_hook written) = 0;
   virtual void Write(std::string chunk, written_hook written) = 0;
   virtual void Finish(std::string chunk, written_hook written) = 0;
 };
@@ -40,7 +40,9 @@
 /// bound on pending bytes, and its ties to the connection.
 ///
 /// Hands one piece of a stream to the connection at a time; what is written
-/// meanwhile goes out together as the next piece.
+/// meanwhile goes out together as the next piece. Once the head is written,
+/// pieces go to the socket at once, past RESTinio, which would spend several
+/// allocations and a turn of the event loop on each.
 class connection_responder final
     : public http_responder,
       public request_in_hand,
@@ -72,6 +74,9 @@
   answer_head MakeHead(int status, const http_headers& headers);
   answer_output::written_hook Written(std::size_t bytes);
   void Flush();
+  /// @returns false where the piece has to go through RESTinio.
+  bool SendAtOnce(std::string_view piece);
+  void OnRestSent(std::size_t bytes);
   void OnWritten(std::size_t bytes);
   /// @returns the hook, which often holds this responder and must not go
   /// before the caller is through with its members.
@@ -86,6 +91,10 @@
   std::function<void()> closed_hook_;
   std::string waiting_;
   std::size_t in_flight_bytes_ = 0;
+  bool head_written_ = false;
+  /// Of the rest of a piece that is under way to the socket; filled with this
+  /// responder when the answer ends before, since it must still write the end.
+  std::weak_ptr<std::shared_ptr<connection_responder>> rest_;
   phase phase_ = phase::kFresh;
   bool connection_closed_ = false;
   bool told_closed_ = false;
--- a/src/slatestall/http/http_server.cc
+++ b/src/slatestall/http/http_server.cc
@@ -132,9 +132,9 @@
     answer.set_body(std::move(body)).done();
   }
 
-  void Start(const answer_head& head) override {
+  void Start(const answer_head& head, written_hook written) override {
     stream_.emplace(Builder<restinio::chunked_output_t>(head));
-    stream_->flush();
+    stream_->flush(std::move(written));
   }
 
   void Write(std::string chunk, written_hook written) override {
--- a/src/slatestall/http/http_server_test.cc
+++ b/src/slatestall/http/http_server_test.cc
@@ -20,6 +20,18 @@
   std::vector<http_responder_ptr> responders;
 };
 
+/// The body of the first answer, which is chunked.
+std::string Unchunked(const std::string& answer) {
+  std::string body;
+  std::size_t at = answer.find("\r\n\r\n") + 4;
+  while (const auto bytes = std::stoul(answer.substr(at, 16), nullptr, 16)) {
+    at = answer.find("\r\n", at) + 2;
+    body += answer.substr(at, bytes);
+    at += bytes + 2;
+  }
+  return body;
+}
+
 class http_server_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(http_server_test);
   CPPUNIT_TEST(HandsOverTheRequest);
@@ -31,6 +43,7 @@
   CPPUNIT_TEST(RefusesWhatItCannotRead);
   CPPUNIT_TEST(TakesABodyOfTheFullSize);
   CPPUNIT_TEST(SlowReaderIsSeenAndBounded);
+  CPPUNIT_TEST(SlowReaderGetsEveryByteInOrder);
   CPPUNIT_TEST(DrainCutsNoRequest);
   CPPUNIT_TEST(ServesWhatWaitedInTheBacklogOfADrain);
   CPPUNIT_TEST(ClosesSlowAndIdleCallers);
@@ -210,6 +223,38 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, responder->PendingBytes());
   }
 
+  // The caller gets every byte of its answer in order, and the next answer
+  // after it.
+  // The caller does not read, the socket takes half a piece, and the handler
+  // writes on, ends the answer and lets go of it; then the caller reads. The
+  // rest of a piece that was begun past RESTinio must come before its end.
+  void SlowReaderGetsEveryByteInOrder() {
+    const auto caller = Ask(kGet, false);
+    AwaitRequest(1);
+    kept_.responders[0]->StartStream(200, {});
+    Settle(context_);
+    std::string sent;
+    const auto write = [&](const std::string& piece) {
+      sent += piece;
+      kept_.responders[0]->Write(piece);
+    };
+    for (int c = 0; kept_.responders[0]->PendingBytes() == 0; ++c) {
+      write(std::string(kMaxPending / 2, static_cast<char>('a' + c % 26)));
+    }
+    write("tail");
+    CPPUNIT_ASSERT(kept_.responders[0]->PendingBytes() > 4);
+    kept_.responders[0]->Finish();
+    kept_.responders.clear();
+    caller->Send(kGet);
+    Settle(context_);
+    caller->Read();
+    RunUntil(context_, [&] { return !kept_.responders.empty(); });
+    kept_.responders[0]->Send(200, {}, "next");
+    RunUntil(context_, [&] { return caller->Has("\r\n\r\nnext"); });
+    CPPUNIT_ASSERT(Unchunked(caller->Received()) == sent);
+    CPPUNIT_ASSERT(caller->Has("0\r\n\r\nHTTP/1.1 200"));
+  }
+
   // The caller with a request in hand gets its whole answer, which also says
   // that the connection ends; so does the one whose connection was idle.
   // The server stops accepting while one answer is half written.
--- a/src/slatestall/http/server_connection.cc
+++ b/src/slatestall/http/server_connection.cc
@@ -1,8 +1,12 @@
 #include "slatestall/http/server_connection.h"
 
 #include <sys/socket.h>
+#include <sys/uio.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
+#include <charconv>
 #include <utility>
 
 #include "slatestall/model/name_table.h"
@@ -32,6 +36,34 @@
          "Connection: close\r\nContent-Length: 0\r\n\r\n";
 }
 
+constexpr std::string_view kChunkEnd = "\r\n";
+
+/// The line before a chunk: its size in hexadecimal.
+class chunk_frame {
+ public:
+  explicit chunk_frame(std::size_t bytes) {
+    constexpr int kHexadecimal = 16;
+    char* const end = std::to_chars(text_.data(), text_.data() + kMaxDigits,
+                                    bytes, kHexadecimal)
+                          .ptr;
+    end[0] = '\r';
+    end[1] = '\n';
+    size_ = static_cast<std::size_t>(end - text_.data()) + kChunkEnd.size();
+  }
+
+  std::string_view Head() const { return {text_.data(), size_}; }
+
+ private:
+  static constexpr std::size_t kMaxDigits = 16;
+  std::array<char, kMaxDigits + kChunkEnd.size()> text_{};
+  std::size_t size_ = 0;
+};
+
+/// `sendmsg` reads what is given to it, though its type does not say so.
+iovec PartOf(std::string_view text) {
+  return {const_cast<char*>(text.data()), text.size()};  // NOLINT
+}
+
 time_point Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -119,6 +151,63 @@
          MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
+std::optional<std::string> server_connection::SendChunk(std::string_view data) {
+  if (socket_ == nullptr || closed_ || writing_) {
+    return std::nullopt;
+  }
+  const chunk_frame frame(data.size());
+  std::array<iovec, 3> parts{PartOf(frame.Head()), PartOf(data),
+                             PartOf(kChunkEnd)};
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  const ssize_t sent = ::sendmsg(socket_->native_handle(), &message,
+                                 MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (sent <= 0) {
+    return std::nullopt;
+  }
+  last_activity_ = Now();
+  const auto taken = static_cast<std::size_t>(sent);
+  if (taken == frame.Head().size() + data.size() + kChunkEnd.size()) {
+    return std::string();
+  }
+  std::string whole(frame.Head());
+  whole.append(data).append(kChunkEnd);
+  return whole.substr(taken);
+}
+
+void server_connection::SendRest(std::string rest,
+                                 std::function<void(bool written)> done) {
+  if (socket_ == nullptr || closed_) {
+    done(false);
+    return;
+  }
+  OnWriteStarted();
+  socket_->async_wait(
+      asio::ip::tcp::socket::wait_write,
+      [self = shared_from_this(), rest = std::move(rest),
+       done = std::move(done)](const std::error_code& error) mutable {
+        if (error || self->socket_ == nullptr || self->closed_) {
+          done(false);
+          return;
+        }
+        const ssize_t sent = ::send(self->socket_->native_handle(), rest.data(),
+                                    rest.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+          self->Close();
+          done(false);
+          return;
+        }
+        rest.erase(0, static_cast<std::size_t>(std::max<ssize_t>(sent, 0)));
+        if (!rest.empty()) {
+          self->SendRest(std::move(rest), std::move(done));
+          return;
+        }
+        self->OnWriteEnded();
+        done(true);
+      });
+}
+
 void server_connection::SendContinue() {
   if (socket_ != nullptr && in_hand_.empty() && !writing_) {
     SendNow(kContinue);
--- a/src/slatestall/http/server_connection.h
+++ b/src/slatestall/http/server_connection.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <system_error>
 #include <vector>
@@ -83,6 +84,16 @@
   void EndAfterLast() { end_announced_ = true; }
   bool EndAnnounced() const { return end_announced_; }
 
+  /// @brief Puts one chunk of an answer on the socket at once, past RESTinio.
+  /// Only while RESTinio has nothing to write: the caller's answer is the
+  /// current one, and all that was handed over of it has been written.
+  /// @returns what the socket did not take of the framed chunk; nothing where
+  /// it took no byte, so that the chunk may still go another way.
+  std::optional<std::string> SendChunk(std::string_view data);
+  /// @brief Writes the rest of a chunk as the socket takes it. `done` runs
+  /// once, or is dropped with the event loop.
+  void SendRest(std::string rest, std::function<void(bool written)> done);
+
   void Refuse(read_refusal refusal) { refusal_ = refusal; }
   /// @brief Tells the caller to go on sending its body.
   void SendContinue();
