Tokens are gathered over a read, not over a chunk

Cause: libcurl hands over each chunk of a chunked answer by itself.

Change: a call may ask to be told when all that one read brought was handed over (`on_read`, after libcurl has returned and before the completion); an attempt passes its text on then.

--- a/include/slatestall/http/http_client.h
+++ b/include/slatestall/http/http_client.h
@@ -46,6 +46,9 @@
   /// Takes body data as it arrives (status 2xx only); `body` of the result is
   /// then empty.
   std::function<void(std::string_view)> on_data;
+  /// Runs after `on_data` has had all that one read brought, outside libcurl,
+  /// which hands over each chunk of a chunked answer by itself.
+  std::function<void()> on_read;
 };
 
 struct http_result {
--- a/src/slatestall/http/client_call.cc
+++ b/src/slatestall/http/client_call.cc
@@ -37,10 +37,12 @@
 }  // namespace
 
 client_call::client_call(http_call call, http_client::completion done,
-                         curl_easy_handle easy, curl_event_loop& loop)
+                         curl_easy_handle easy, curl_event_loop& loop,
+                         std::function<void()> on_first_data)
     : call_(std::move(call)),
       done_(std::move(done)),
       loop_(loop),
+      on_first_data_(std::move(on_first_data)),
       easy_(std::move(easy)) {}
 
 bool client_call::Prepare() {
@@ -235,6 +237,9 @@
     result_.body.append(data);
     return true;
   }
+  if (call_.on_read && !std::exchange(has_untold_data_, true)) {
+    on_first_data_();
+  }
   try {
     call_.on_data(data);
   } catch (...) {
@@ -243,6 +248,13 @@
   return !forgotten_ && thrown_ == nullptr;
 }
 
+void client_call::TellRead() {
+  if (std::exchange(has_untold_data_, false) && !forgotten_ &&
+      thrown_ == nullptr) {
+    call_.on_read();
+  }
+}
+
 void client_call::Finish(CURLcode code) {
   long request_bytes = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_off_t body_bytes = 0;
--- a/src/slatestall/http/client_call.h
+++ b/src/slatestall/http/client_call.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,8 +31,10 @@
 /// its answer, and the verdict on how it ended.
 class client_call {
  public:
+  /// @param on_first_data runs with the first data after each `TellRead`.
   client_call(http_call call, http_client::completion done,
-              curl_easy_handle easy, curl_event_loop& loop);
+              curl_easy_handle easy, curl_event_loop& loop,
+              std::function<void()> on_first_data);
   client_call(const client_call&) = delete;
   client_call& operator=(const client_call&) = delete;
 
@@ -45,6 +48,9 @@
   void Forget();
   bool Forgotten() const { return forgotten_; }
 
+  /// @brief Tells the owner, where data came since the last time.
+  void TellRead();
+
   /// @brief Judges the transfer; to be called once, when libcurl is done.
   void Finish(CURLcode code);
   /// @brief Ends a call that `Prepare` turned down.
@@ -78,6 +84,8 @@
   http_call call_;
   http_client::completion done_;
   curl_event_loop& loop_;
+  std::function<void()> on_first_data_;
+  bool has_untold_data_ = false;
   curl_list header_list_;
   std::array<char, CURL_ERROR_SIZE> error_text_{};
   http_result result_;
--- a/src/slatestall/http/http_client.cc
+++ b/src/slatestall/http/http_client.cc
@@ -50,6 +50,7 @@
   void AddWaiting();
   void RemoveForgotten();
   void OnProgress();
+  void TellReads();
   void CollectEnded();
   void DeliverEnded();
   void Add(call_number number, const call_ptr& call);
@@ -62,6 +63,7 @@
   std::unordered_map<CURL*, call_number> attached_;
   std::deque<call_number> waiting_;
   std::deque<call_number> ended_;
+  std::deque<call_number> read_;  ///< Had data in the read under way.
   std::vector<call_ptr> forgotten_;
   std::vector<curl_easy_handle> idle_handles_;
   std::shared_ptr<impl> self_;
@@ -102,7 +104,8 @@
                                                   completion done) {
   const call_number number = ++last_number_;
   const auto started = std::make_shared<client_call>(
-      std::move(call), std::move(done), TakeHandle(), *loop_);
+      std::move(call), std::move(done), TakeHandle(), *loop_,
+      [this, number] { read_.push_back(number); });
   calls_.emplace(number, started);
   if (!started->Prepare()) {
     started->Refuse("the call has a method or header that cannot be sent");
@@ -176,10 +179,22 @@
     CloseAll();
     return;
   }
+  TellReads();
   CollectEnded();
   DeliverEnded();
 }
 
+void http_client::impl::TellReads() {
+  while (!shut_down_ && !read_.empty()) {
+    const auto found = calls_.find(read_.front());
+    read_.pop_front();
+    if (found != calls_.end()) {
+      const call_ptr call = found->second;
+      call->TellRead();
+    }
+  }
+}
+
 void http_client::impl::CollectEnded() {
   int left = 0;
   while (const CURLMsg* message = curl_multi_info_read(loop_->Multi(), &left)) {
--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -20,6 +20,7 @@
 class http_client_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(http_client_test);
   CPPUNIT_TEST(ReturnsAWholeAnswer);
+  CPPUNIT_TEST(TellsWhenAReadIsHandedOver);
   CPPUNIT_TEST(NeverTakesACutAnswerForWhole);
   CPPUNIT_TEST(PassesOverInterimAnswers);
   CPPUNIT_TEST(SendsAnAtMostOnceCallOnce);
@@ -248,6 +249,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client_.InFlight());
   }
 
+  // An owner that gathers what came together must hear of its end before the
+  // completion, or the last of it would be lost.
+  // Three chunks of an answer arrive at once, then the answer ends.
+  void TellsWhenAReadIsHandedOver() {
+    fake_endpoint endpoint(context_, [](raw_peer& peer, int) {
+      peer.Send(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n");
+    });
+    std::string heard;
+    http_call call = Get(endpoint.Url());
+    call.on_data = [&](std::string_view data) { heard += data; };
+    call.on_read = [&] { heard += "."; };
+    Run(context_, client_, call);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc."), heard);
+  }
+
   void StartsFromCompletionsAndData() {
     fake_endpoint endpoint(context_,
                            [](raw_peer& peer, int) { peer.Send(kWhole); });
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -111,6 +111,11 @@
         self->OnData(exchange, data);
       }
     };
+    call.on_read = [weak] {
+      if (const auto self = weak.lock(); self && !self->ended_) {
+        self->PassOnText();
+      }
+    };
   }
   exchange_live_ = true;
   call_ = environment_.client->Start(
@@ -126,9 +131,7 @@
     CountLate();
     return;
   }
-  const bool fed = parser_->Feed(data);
-  PassOnText();
-  if (!fed && exchange_live_) {
+  if (!parser_->Feed(data) && exchange_live_) {
     DropStream(lane_event::kMalformedAnswer, "an event is too large");
   }
 }
@@ -169,7 +172,9 @@
   unpassed_text_ += text;
 }
 
-// Tokens that came in one read go on as one piece. A host that falls behind
+// Tokens that came in one read go on as one piece, before anything else is done
+// about them: what ends or resumes a stream is put off to a later turn. A host
+// that falls behind
 // finds more in each read, and would otherwise spend a write on each token
 // just when it has no time for them.
 void stage_attempt::PassOnText() {
@@ -271,6 +276,7 @@
 }
 
 void stage_attempt::OnEngineResult(const http_result& result) {
+  PassOnText();
   exchange_live_ = false;
   if (!answer_->Whole()) {
     if (result.end == call_end::kComplete && IsSuccess(result.status)) {
