--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -229,6 +229,14 @@
   -d "{\"input\": \"$short_input\"}" -o "$folder/short"
 show "$folder/short"
 
+step "What became of it: slatestall explain, asked of entry-0"
+request="$(python3 -c 'import json, sys; print(json.load(open(sys.argv[1]))["request_id"])' "$folder/short")"
+"$bin/slatestall" explain "$request" --host "${hosts[0]}" ||
+  fail "no host explains $request"
+
+step "What it cost: slatestall report cost"
+"$bin/slatestall" report cost --host "${hosts[0]}" || fail "no cost"
+
 step "Graceful stop"
 stop_all || fail "a program did not stop cleanly"
 trap - EXIT
--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -68,7 +68,8 @@
   std::string help;
 };
 
-/// @brief A flag for every setting, for the program to offer.
+/// @brief A flag for every setting that is one value, for the program to
+/// offer.
 std::vector<settings_flag> SettingsFlags();
 
 /// @brief The variables of this process that begin with SLATESTALL_.
--- a/programs/slatestall/exit_code.h
+++ b/programs/slatestall/exit_code.h
@@ -21,4 +21,14 @@
     "  3  the outcome is unknown; the message says what to do\n"
     "  4  a host could not be reached\n";
 
+inline constexpr const char* kProgramHelp =
+    "Examples:\n"
+    "  slatestall check shop.yaml\n"
+    "  slatestall apply shop.yaml --host http://10.0.0.7:8080\n"
+    "  slatestall status --host http://10.0.0.7:8080\n"
+    "  slatestall report burn --host http://10.0.0.7:8080 --html burn.html\n"
+    "\n"
+    "An operator's key is taken from the variable SLATE_OPERATOR_KEY.\n"
+    "\n";
+
 }  // namespace slatestall
--- a/programs/slatestall/main.cc
+++ b/programs/slatestall/main.cc
@@ -1,5 +1,6 @@
 #include <CLI/CLI.hpp>
 #include <exception>
+#include <string>
 
 #include "slatestall/console.h"
 #include "slatestall/exit_code.h"
@@ -11,9 +12,9 @@
 int Run(int argc, char** argv) {
   exit_code result = exit_code::kOk;
   CLI::App app("Operates slatestall: publishes pipeline files and asks hosts.");
-  app.set_version_flag("--version", SLATESTALL_VERSION);
+  app.set_version_flag("--version", "slatestall " SLATESTALL_VERSION);
   app.require_subcommand(1);
-  app.footer(kExitCodeHelp);
+  app.footer(std::string(kProgramHelp) + kExitCodeHelp);
   app.fallthrough(false);
   AddCheck(app, result);
   AddApply(app, result);
--- a/programs/slatestall/queries/check_query.cc
+++ b/programs/slatestall/queries/check_query.cc
@@ -34,6 +34,9 @@
     Print(options.file + ": " + SummaryOf(parsed.content));
   } else {
     PrintProblems(parsed.problems);
+    const std::size_t count = parsed.problems.size();
+    PrintError(options.file + ": " + std::to_string(count) +
+               (count == 1 ? " problem" : " problems"));
   }
   return parsed.Ok() ? exit_code::kOk : exit_code::kBadInput;
 }
--- a/programs/slatestall/queries/explain_query.cc
+++ b/programs/slatestall/queries/explain_query.cc
@@ -80,7 +80,9 @@
 void AddExplain(CLI::App& app, exit_code& result) {
   auto options = std::make_shared<explain_options>();
   CLI::App* command = app.add_subcommand(
-      "explain", "Show every decision taken for a recent request, and why");
+      "explain",
+      "Show every decision taken for a recent request, and why; asks every "
+      "host for it");
   command
       ->add_option("REQUEST_ID", options->request, "X-Request-Id of the answer")
       ->required()
--- a/src/slatestall/config/settings.cc
+++ b/src/slatestall/config/settings.cc
@@ -155,6 +155,9 @@
 std::vector<settings_flag> SettingsFlags() {
   std::vector<settings_flag> flags;
   for (const field<settings>& row : SettingsFields()) {
+    if (row.spec.type == field_type::kDigests) {
+      continue;  // A list; in the file only.
+    }
     const std::string& name = row.spec.name;
     flags.push_back({name, FlagOf(name), VariableOf(name), row.spec.meaning});
   }
--- a/src/slatestall/policy/trace.cc
+++ b/src/slatestall/policy/trace.cc
@@ -164,6 +164,14 @@
   }
 }
 
+// Without the library's own name of the error, "[json.exception...] ".
+std::string Plain(const std::string& message) {
+  const std::size_t end = message.find("] ");
+  return message.rfind("[json.", 0) == 0 && end != std::string::npos
+             ? message.substr(end + 2)
+             : message;
+}
+
 void CheckWhole(const trace& read, std::size_t lines) {
   if (read.name.empty() || read.configurations.empty() ||
       read.host_lists.empty() || read.host_lists.front().hosts.empty()) {
@@ -184,8 +192,10 @@
     }
     try {
       ReadLine(json::parse(text), number, result);
+    } catch (const json::parse_error&) {
+      throw trace_error(number, "not a line of JSON");
     } catch (const std::exception& problem) {
-      throw trace_error(number, problem.what());
+      throw trace_error(number, Plain(problem.what()));
     }
   }
   CheckWhole(result, number);
