Burn picture: long names off the bars, labels readable on the budget line

Cause: a route of 64 characters ran some 110 px into its bars; the dashed line crossed the values of short bars; no background, no viewBox, nothing at all without requests. Ruled out: a wider label column, which shrinks the bars of all. Change: names cut in the picture (the table has them whole), a halo behind texts, a white ground, viewBox, a line of text where nothing is counted. Seen: 13 report tests pass. The layout was looked at in a drawing with texts as boxes; no SVG renderer is on the machine, so no true rendering was seen.

--- a/src/slatestall/report/burn_picture.cc
+++ b/src/slatestall/report/burn_picture.cc
@@ -13,6 +13,11 @@
 constexpr double kBarHeight = 10;
 constexpr double kGroupHeight = 4 * kBarHeight + 16;
 constexpr double kTop = 32;
+constexpr std::size_t kMaxLabel = 26;
+// Behind each text, for the line at burn rate 1 crosses some.
+constexpr const char* kHalo =
+    "<style>text{paint-order:stroke;stroke:#fff;stroke-width:3px}</style>\n"
+    "<rect width=\"100%\" height=\"100%\" fill=\"#fff\"/>\n";
 // At least this burn rate is on the scale, so that a quiet system does not
 // show its smallest miss as a full bar.
 constexpr double kLeastScale = 2;
@@ -53,6 +58,17 @@
          std::string(NameIn(kPriorityClassNames, row.key.priority)) + ")";
 }
 
+// A name has up to 64 characters, which would run into the bars; the table of
+// the page has it whole.
+std::string ShortTitleOf(const burn_row& row) {
+  burn_row shown = row;
+  if (shown.key.route.size() > kMaxLabel) {
+    shown.key.route.resize(kMaxLabel - 2);
+    shown.key.route += "..";
+  }
+  return TitleOf(shown);
+}
+
 double ScaleOf(const std::vector<burn_row>& rows) {
   double largest = kLeastScale;
   for (const burn_row& row : rows) {
@@ -74,7 +90,7 @@
 }
 
 std::string Group(const burn_row& row, double top, double scale) {
-  std::string text = Text(4, top + 2 * kBarHeight, TitleOf(row));
+  std::string text = Text(4, top + 2 * kBarHeight, ShortTitleOf(row));
   for (std::size_t i = 0; i < kBurnWindows; ++i) {
     const double y = top + static_cast<double>(i) * kBarHeight;
     const double width = row.burn[i] * scale;
@@ -121,12 +137,18 @@
 
 std::string BurnSvg(const std::vector<burn_row>& rows) {
   const double scale = ScaleOf(rows);
-  const double height = kTop + static_cast<double>(rows.size()) * kGroupHeight;
+  const std::size_t groups = std::max<std::size_t>(rows.size(), 1);
+  const double height = kTop + static_cast<double>(groups) * kGroupHeight;
+  const std::string size_x = Fixed(kLabelWidth + kPlotWidth + kValueWidth, 0);
+  const std::string size_y = Fixed(height, 0);
   std::string svg = "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" +
-                    Fixed(kLabelWidth + kPlotWidth + kValueWidth, 0) +
-                    "\" height=\"" + Fixed(height, 0) +
+                    size_x + "\" height=\"" + size_y + "\" viewBox=\"0 0 " +
+                    size_x + " " + size_y +
                     "\" font-family=\"sans-serif\" font-size=\"10\">\n" +
-                    BudgetLine(scale, height);
+                    kHalo + BudgetLine(scale, height);
+  if (rows.empty()) {
+    svg += Text(4, kTop + 2 * kBarHeight, "no requests counted yet");
+  }
   for (std::size_t i = 0; i < rows.size(); ++i) {
     svg += Group(rows[i], kTop + static_cast<double>(i) * kGroupHeight, scale);
   }
--- a/src/slatestall/report/report_data_test.cc
+++ b/src/slatestall/report/report_data_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(WasteIsKeptApart);
   CPPUNIT_TEST(PrometheusCountsAreCumulative);
   CPPUNIT_TEST(PictureEscapesNames);
+  CPPUNIT_TEST(PictureKeepsLongNamesOffTheBars);
   CPPUNIT_TEST(SnapshotsDuringRecordingLoseNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +231,17 @@
     CPPUNIT_ASSERT(BurnSvg(rows).find("5m 20.00") != std::string::npos);
   }
 
+  void PictureKeepsLongNamesOffTheBars() {
+    CPPUNIT_ASSERT(BurnSvg({}).find("no requests") != std::string::npos);
+    report_collector collector(kStart);
+    const std::string name(64, 'n');
+    collector.RecordRequest(Record(name, 5000));
+    const report_data report = collector.Snapshot(kStart);
+    const auto rows = BurnRows(report, 0.95);
+    CPPUNIT_ASSERT(BurnSvg(rows).find(name) == std::string::npos);
+    CPPUNIT_ASSERT(BurnHtml(rows, report).find(name) != std::string::npos);
+  }
+
   // A report is asked for while a traffic thread counts: the report may come
   // before or after a record, but no count may be lost or torn.
   void SnapshotsDuringRecordingLoseNothing() {
