Metrics of the control loop and of dropped log events; failed requests name their last attempt

Cause: event_log counted what it dropped and nobody could read it; nothing told whether the control thread keeps up; the log line of a failed request had no stage, endpoint or attempt. Change: loop_gauge (delay of the regular tick, late ticks, processor time of the thread) and three families in /metrics; Dropped may be read from any thread; request_flow logs the last attempt of a failure.

--- a/include/slatestall/serve/event_log.h
+++ b/include/slatestall/serve/event_log.h
@@ -40,7 +40,7 @@
   event_log& operator=(const event_log&) = delete;
 
   void Write(const log_event& event);
-  /// @brief Events dropped so far.
+  /// @brief Events dropped so far; from any thread.
   std::uint64_t Dropped() const;
 
  private:
--- a/include/slatestall/serve/traffic_lane.h
+++ b/include/slatestall/serve/traffic_lane.h
@@ -80,6 +80,8 @@
   std::size_t InHand() const;
   /// @brief Counts of this lane; may be read from any thread.
   const lane_counters& Counters() const;
+  /// @brief Log events dropped for their rate. From any thread.
+  std::uint64_t LogEventsDropped() const;
   /// @brief The last requests; may be asked from any thread.
   const explain_ring& Explain() const;
   /// @brief Calls in flight by endpoint address. From the lane's thread only.
--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -386,6 +386,8 @@
   tick_timer_.expires_after(kTick);
   tick_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
+      figures_.loop.Ticked(tick_timer_.expiry(),
+                           std::chrono::steady_clock::now());
       OnTick();
       ScheduleTick();
     }
--- a/src/slatestall/node/control_core.h
+++ b/src/slatestall/node/control_core.h
@@ -18,6 +18,7 @@
 #include "slatestall/node/endpoint_poller.h"
 #include "slatestall/node/host_network.h"
 #include "slatestall/node/host_reporter.h"
+#include "slatestall/node/loop_gauge.h"
 #include "slatestall/node/order_service.h"
 #include "slatestall/node/outcome_service.h"
 #include "slatestall/node/prefix_cache_index.h"
@@ -32,6 +33,7 @@
   std::atomic<std::uint64_t> snapshots{0};
   std::atomic<std::uint32_t> live_hosts{1};
   std::atomic<std::int64_t> longest_deadline_ms{6000};
+  loop_gauge loop;
 };
 
 /// @brief Everything the control thread owns; used from that thread only, but
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -153,7 +153,8 @@
   auto text = Metric("config_revision", "gauge", figures.revision) +
               Metric("log_reachable", "gauge", figures.log_reachable ? 1 : 0) +
               Metric("live_hosts", "gauge", figures.live_hosts) +
-              Metric("snapshots_total", "counter", figures.snapshots);
+              Metric("snapshots_total", "counter", figures.snapshots) +
+              figures.loop.Metrics("control");
   if (const auto* orders = impl_->Core().Orders()) {
     text += Metric("order_leases_held", "gauge", orders->leases_held) +
             Metric("orders_sent_total", "counter", orders->sent) +
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -148,6 +148,14 @@
     text.append("# TYPE ").append(name).append(" counter\n");
     text.append(name).append(" ").append(std::to_string(total)).append("\n");
   }
+  std::uint64_t dropped = 0;
+  for (const auto& lane : lanes_) {
+    dropped += lane->lane->LogEventsDropped();
+  }
+  text +=
+      "# TYPE slatestall_log_events_dropped_total counter\n"
+      "slatestall_log_events_dropped_total " +
+      std::to_string(dropped) + "\n";
   text +=
       "# TYPE slatestall_requests_in_hand gauge\n"
       "slatestall_requests_in_hand " +
--- a/src/slatestall/serve/event_log.cc
+++ b/src/slatestall/serve/event_log.cc
@@ -8,6 +8,7 @@
 #include <log4cxx/mdc.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <deque>
 #include <utility>
@@ -103,7 +104,7 @@
   log4cxx::LoggerPtr logger_;
   time_point second_began_{};
   std::array<std::uint64_t, kSeverities> written_{};
-  std::uint64_t dropped_ = 0;
+  std::atomic<std::uint64_t> dropped_{0};
 };
 
 event_log::event_log(now_function now, std::uint32_t max_per_second)
--- a/src/slatestall/serve/request_flow.cc
+++ b/src/slatestall/serve/request_flow.cc
@@ -322,14 +322,30 @@
   if (environment_.hooks.on_request_end) {
     environment_.hooks.on_request_end(trace_);
   }
-  environment_.log.Write({error ? log_severity::kWarning : log_severity::kInfo,
-                          error ? AnswerFor(*error).name : "answered",
-                          spec_.id.text,
-                          spec_.workspace,
-                          {},
-                          {},
-                          {},
-                          {}});
+  Log(error);
+}
+
+// A request that failed is logged with the attempt that was its last, so that
+// it can be found beside the endpoint's own log.
+void request_flow::Log(std::optional<error_kind> error) const {
+  log_event event;
+  event.message = "answered";
+  event.request = spec_.id.text;
+  event.workspace = spec_.workspace;
+  if (error) {
+    event.severity = log_severity::kWarning;
+    event.message = AnswerFor(*error).name;
+    for (const decision_note& note : trace_->notes) {
+      if (!note.attempt.empty()) {
+        event.stage = note.stage;
+        event.endpoint = note.endpoint;
+        event.attempt = note.attempt;
+      } else if (note.stage.empty()) {
+        event.detail = note.reason;
+      }
+    }
+  }
+  environment_.log.Write(event);
 }
 
 lane_event request_flow::CountOf(std::optional<error_kind> error,
--- a/src/slatestall/serve/request_flow.h
+++ b/src/slatestall/serve/request_flow.h
@@ -57,6 +57,7 @@
   problem ProblemOf(const request_failure& failure) const;
   void SettleKey(const stored_outcome& outcome, bool answered);
   void End(std::optional<error_kind> error, ran may_have_run);
+  void Log(std::optional<error_kind> error) const;
   void Record(std::optional<error_kind> error, ran may_have_run);
   void Note(decision_note note);
   void NoteRequest(std::string what, std::string reason);
--- a/src/slatestall/serve/traffic_lane.cc
+++ b/src/slatestall/serve/traffic_lane.cc
@@ -65,6 +65,7 @@
 
   std::size_t InHand() const { return front_.InHand(); }
   const lane_counters& Counters() const { return counters_; }
+  std::uint64_t LogEventsDropped() const { return log_.Dropped(); }
   const explain_ring& Explain() const { return explain_; }
   std::map<std::string, std::uint32_t> InFlight() const {
     return policy_.InFlight();
@@ -124,6 +125,9 @@
 const lane_counters& traffic_lane::Counters() const {
   return impl_->Counters();
 }
+std::uint64_t traffic_lane::LogEventsDropped() const {
+  return impl_->LogEventsDropped();
+}
 const explain_ring& traffic_lane::Explain() const { return impl_->Explain(); }
 std::map<std::string, std::uint32_t> traffic_lane::InFlight() const {
   return impl_->InFlight();
