--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the benches on loopback: bench/run.sh [path|faults|control|policy ...]; path and faults by default.
+# Runs the benches on loopback: bench/run.sh [path|faults|convergence|control|policy ...]; path and faults by default.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
 if [ "$#" -eq 0 ]; then set -- path faults; fi
@@ -11,7 +11,7 @@
     continue
   fi
   if [ ! -f "$name.py" ] || [ "$name" = fleet ] || [ "$name" = sites ]; then
-    echo "no bench called $name; there are path, faults, control and policy" >&2
+    echo "no bench called $name; there are path, faults, convergence, control and policy" >&2
     exit 2
   fi
   python3 "$name.py" || status=1
