Hosts that start in an outage, outages right after the append; peer_address

Tests for two cases that had none: a host started while the log is down obeys nothing alone, takes a peer's head and goes on once the log is back; the log takes a publication, loses the answer and goes down before it is read back. Both held at once, no code had to change. Log down before and after apply, retention running out and a pause longer than it had tests already.

Setting peer_address: what other hosts are told, where it differs from peer_listen; without it a host behind another address told its own.

--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -18,7 +18,8 @@
   std::string failure_domain;
   std::string listen = "127.0.0.1:8080";       ///< Callers and operators.
   std::string peer_listen = "127.0.0.1:8081";  ///< Other hosts.
-  std::string log_url;  ///< Platform's log, "http://IP:port".
+  std::string peer_address;  ///< As others reach it; empty: `peer_listen`.
+  std::string log_url;       ///< Platform's log, "http://IP:port".
   std::string host_list_url;
   std::string weight_store_url;  ///< Empty: none.
   std::uint32_t traffic_threads = 1;
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -41,6 +41,11 @@
                    .type = type::kAddress,
                    .meaning = "Where the other hosts connect; port 0 takes any "
                               "free one"}),
+      MemberField(&s::peer_address,
+                  {.name = "peer_address",
+                   .type = type::kAddress,
+                   .meaning = "Where the other hosts reach `peer_listen`, if "
+                              "that is another address; empty: the same"}),
       MemberField(&s::log_url, {.name = "log_url",
                                 .type = type::kUrl,
                                 .required = true,
--- a/src/slatestall/node/config_follower_test.cc
+++ b/src/slatestall/node/config_follower_test.cc
@@ -25,13 +25,15 @@
   CPPUNIT_TEST(OfTwoOperatorsOneWinsAndTheOtherIsTold);
   CPPUNIT_TEST(TheHeadIsRepublishedWhenItsAnchorExpired);
   CPPUNIT_TEST(AnOutageKeepsWhatIsInForce);
+  CPPUNIT_TEST(AnOutageRightAfterTheAppendEndsInForce);
+  CPPUNIT_TEST(AHostThatStartsInAnOutageObeysItsPeers);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context context_;
   std::unique_ptr<fake_platform_log> log_;
   std::vector<std::unique_ptr<config_follower>> followers_;
 
-  config_follower& Follow(milliseconds publish_timeout) {
+  config_follower& Start(milliseconds publish_timeout) {
     config_follower_options options;
     options.host = "entry-" + std::to_string(followers_.size());
     options.publish_timeout = publish_timeout;
@@ -47,6 +49,11 @@
         hooks));
     auto& follower = *followers_.back();
     follower.Start();
+    return follower;
+  }
+
+  config_follower& Follow(milliseconds publish_timeout) {
+    auto& follower = Start(publish_timeout);
     RunUntil([&] { return follower.History().Head().has_value(); });
     return follower;
   }
@@ -184,6 +191,52 @@
     RunUntil([&] { return follower.LogReachable(); });
     CPPUNIT_ASSERT(Publish(follower, 1, "c").end == publish_end::kAccepted);
   }
+
+  // The log takes the record, loses the answer and goes down before anybody
+  // reads it back. The operator is told "unknown", which is true, and the hosts
+  // keep the former revision; once the log is back all of them have the new
+  // one, and publishing the same again is refused, not done twice.
+  void AnOutageRightAfterTheAppendEndsInForce() {
+    auto& first = Follow(milliseconds{3000});
+    auto& second = Follow(milliseconds{3000});
+    Publish(first, 0, "a");
+    log_->Script({fake_append::kStoreAndLoseAnswer});
+    std::optional<publish_result> told;
+    first.Publish(1, "b", [&told](const publish_result& r) { told = r; });
+    log_->SetDown(true);
+    RunUntil([&told] { return told.has_value(); });
+    CPPUNIT_ASSERT(told->end == publish_end::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(config_revision{1}, second.History().ObeyedRevision());
+    log_->SetDown(false);
+    RunUntil([&] {
+      return first.History().ObeyedRevision() == 2 &&
+             second.History().ObeyedRevision() == 2;
+    });
+    CPPUNIT_ASSERT(Publish(second, 1, "b").end == publish_end::kRefused);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), first.History().Obeyed()->source);
+  }
+
+  // A host is started while the log is down. Alone it obeys nothing, and an
+  // operator is not told that a file is in force; a peer's head puts it in
+  // force at once; once the log is back it is at the same revision and goes on.
+  void AHostThatStartsInAnOutageObeysItsPeers() {
+    auto& running = Follow(milliseconds{300});
+    CPPUNIT_ASSERT(Publish(running, 0, "a").end == publish_end::kAccepted);
+    log_->SetDown(true);
+    auto& late = Start(milliseconds{300});
+    CPPUNIT_ASSERT(Publish(late, 0, "b").end != publish_end::kAccepted);
+    CPPUNIT_ASSERT(!late.LogReachable());
+    CPPUNIT_ASSERT_EQUAL(config_revision{0}, late.History().ObeyedRevision());
+    const auto head = running.History().Head();
+    late.TakePeerHead(head.value(), running.History().Obeyed()->source);
+    CPPUNIT_ASSERT_EQUAL(config_revision{1}, late.History().ObeyedRevision());
+    log_->SetDown(false);
+    RunUntil([&] { return late.LogReachable(); });
+    CPPUNIT_ASSERT_EQUAL(config_revision{1}, late.History().ObeyedRevision());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), late.History().Obeyed()->source);
+    CPPUNIT_ASSERT(Publish(running, 1, "c").end == publish_end::kAccepted);
+    RunUntil([&] { return late.History().ObeyedRevision() == 2; });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(config_follower_test);
--- a/src/slatestall/node/control_setup.cc
+++ b/src/slatestall/node/control_setup.cc
@@ -37,6 +37,9 @@
 }
 
 std::string PeerAddress(const settings& options, std::uint16_t port) {
+  if (!options.peer_address.empty()) {
+    return options.peer_address;
+  }
   return ParseListenAddress(options.peer_listen).address + ":" +
          std::to_string(port);
 }
