--- a/bench/faults.py
+++ b/bench/faults.py
@@ -30,6 +30,7 @@
 FAULT_FOR_S = 2.5
 HEALTH_CHECK_S = 1.0
 HOSTS = 5
+PARTED_FOR_S = 5
 LAG_MS = 300
 LONG_LAG_MS = 6000
 
@@ -177,6 +178,21 @@
     site.fleet.platform_faults({"outage": "none", "list_down": False})
 
 
+def part(both_ways):
+    """The first two hosts cannot reach the other three; nor, both ways, these
+    the first two."""
+    def act(site):
+        few, many = site.hosts[:2], site.hosts[2:]
+        for host in many:
+            host.relay.set_cut(each.name for each in few)
+        for host in few if both_ways else []:
+            host.relay.set_cut(each.name for each in many)
+        time.sleep(PARTED_FOR_S)
+        for host in site.hosts:
+            host.relay.set_cut([])
+    return act
+
+
 def nothing(_):
     pass
 
@@ -205,6 +221,8 @@
     ("host list down", platform_fault({"list_down": False}, list_down=True), {}),
     ("each key sent to two hosts at once", nothing, {"copies": 2}),
     ("the same, and a host killed", kill_host, {"copies": 2}),
+    ("hosts parted for 5 s", part(True), {"seconds": 9, "relays": True}),
+    ("the same, one way only", part(False), {"seconds": 9, "relays": True}),
     ("several at once", all_at_once, {}),
 ]
 
@@ -226,7 +244,7 @@
 
 
 def run_row(act, options):
-    with Fleet(list_lag_ms=LAG_MS) as fleet:
+    with Fleet(list_lag_ms=LAG_MS, relays=options.get("relays", False)) as fleet:
         site = Site(fleet)
         load = fleet.start_load(flows(options.get("copies", 1)),
                                 options.get("seconds", SECONDS))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,6 +9,8 @@
 import urllib.error
 import urllib.request
 
+from relay import Relay
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.path.join(ROOT, "build", "bin")
 DOMAINS = ["ikeja-a", "ikeja-b", "lekki-a", "lekki-b"]
@@ -89,7 +91,7 @@
 class Host(Program):
     """One slatestalld."""
 
-    def __init__(self, folder, name, domain, platform, options):
+    def __init__(self, folder, name, domain, platform, options, relay=None):
         settings = {
             "host_name": name,
             "failure_domain": domain,
@@ -100,6 +102,8 @@
             "drain_grace": "400ms",
             "log_level": "warn",
         }
+        if relay:
+            settings["peer_address"] = relay.address
         settings.update(options)
         path = os.path.join(folder, name + ".yaml")
         with open(path, "w") as file:
@@ -110,6 +114,10 @@
         self.url = f"http://{ADDRESS}:{words[3]}"
         self.peer = f"{ADDRESS}:{words[5]}"
         self.domain = domain
+        self.relay = relay
+        if relay:
+            relay.target = (ADDRESS, int(words[5]))
+            self.peer = relay.address
 
     def ready(self):
         """Serves, and knows endpoints of every service."""
@@ -125,7 +133,8 @@
 class Fleet:
     """Platform, endpoints and hosts of one trial."""
 
-    def __init__(self, list_lag_ms=200):
+    def __init__(self, list_lag_ms=200, relays=False):
+        self.relays = relays
         self.temporary = tempfile.TemporaryDirectory(prefix="slatestall-bench-")
         self.folder = self.temporary.name
         self.programs = []
@@ -177,7 +186,8 @@
 
     def start_host(self, name, options=None):
         domain = DOMAINS[len(self.hosts) % len(DOMAINS)]
-        host = Host(self.folder, name, domain, self.platform, options or {})
+        relay = Relay(ADDRESS) if self.relays else None
+        host = Host(self.folder, name, domain, self.platform, options or {}, relay)
         self.programs.append(host)
         self.hosts.append(host)
         self.list_host(host, "live")
@@ -251,6 +261,9 @@
             program.send(signal.SIGTERM)
         for program in reversed(self.programs):
             program.wait()
+        for host in self.hosts:
+            if host.relay:
+                host.relay.close()
         self.temporary.cleanup()
 
     def __enter__(self):
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -10,7 +10,7 @@
     ../build/bin/policy_compare --seeds 8 ../examples/traces/*.jsonl || status=1
     continue
   fi
-  if [ ! -f "$name.py" ] || [ "$name" = fleet ] || [ "$name" = sites ]; then
+  if [ ! -f "$name.py" ] || [ "$name" = fleet ] || [ "$name" = sites ] || [ "$name" = relay ]; then
     echo "no bench called $name; there are path, faults, convergence, control and policy" >&2
     exit 2
   fi
