One unknown outcome ejects an endpoint of a service that may not be repeated

Cause: an endpoint was left alone after three failures in a row, also where each failure is an unknown outcome for its caller. Half of the calls going wrong, that is rarely reached.

The new test fails without the change.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -240,7 +240,10 @@
     doubled = [o for o in keyed if started[o["marker"]] > 1]
     untrue = [o for o in outcomes if o["outcome"] == "refused"
               and (o["keyed"] or o["resends"] == 0) and started[o["marker"]] > 0]
-    return {"doubled": doubled, "crossed": crossed, "untrue": untrue}
+    ran = [o for o in outcomes if o["outcome"] == "unknown"
+           and started[o["marker"]] > 0]
+    return {"doubled": doubled, "crossed": crossed, "untrue": untrue,
+            "unknown_ran": ran}
 
 
 def run_row(act, options):
@@ -291,6 +294,9 @@
                     and o["outcome"] == outcome and o["detail"].startswith(detail))
         print(f"    {number} x {name} {outcome} (first at {first / 1000:.1f} s): "
               f"{detail}", file=sys.stderr)
+    if counts["unknown"]:
+        print(f"    of {counts['unknown']} unknown {len(found['unknown_ran'])} ran",
+              file=sys.stderr)
     for kind in ("doubled", "untrue"):
         for outcome in found[kind][:5]:
             print(f"    {kind}: {json.dumps(outcome)}", file=sys.stderr)
--- a/src/slatestall/policy/endpoint_health.cc
+++ b/src/slatestall/policy/endpoint_health.cc
@@ -53,8 +53,11 @@
   paused_until_ = now + FromSeconds(pause);
 }
 
-bool endpoint_health::ShouldEject() const {
-  return failures_in_a_row_ >= kFailuresInARow ||
+// A failed call that may not be repeated is an unknown outcome for its caller.
+// So the endpoint is left alone after the first one, for as long as another one
+// is there; a repeatable call costs no more than a retry.
+bool endpoint_health::ShouldEject(bool repeatable) const {
+  return failures_in_a_row_ >= (repeatable ? kFailuresInARow : 1) ||
          (attempts_ >= kFewestAttempts && failure_rate_ > kFailureShare);
 }
 
--- a/src/slatestall/policy/endpoint_health.h
+++ b/src/slatestall/policy/endpoint_health.h
@@ -21,7 +21,8 @@
   void StartSlowly(time_point now) { returned_ = now; }
 
   /// @brief Whether enough went wrong to take the endpoint out.
-  bool ShouldEject() const;
+  /// @param repeatable Whether a failed call can be made good elsewhere.
+  bool ShouldEject(bool repeatable) const;
   void Eject(time_point now);
 
   bool Ejected(time_point now) const { return now < ejected_until_; }
--- a/src/slatestall/policy/service_traffic.cc
+++ b/src/slatestall/policy/service_traffic.cc
@@ -51,7 +51,7 @@
   if (state.Health().Ejected(now) || !MayEjectOneMore(now)) {
     return;
   }
-  if (state.Health().ShouldEject()) {
+  if (state.Health().ShouldEject(repeatable_)) {
     state.Health().Eject(now);
   } else if (state.LearnedSlowness() > kOutlierSlowness) {
     state.EjectAsOutlier(now);
--- a/src/slatestall/policy/traffic_policy_test.cc
+++ b/src/slatestall/policy/traffic_policy_test.cc
@@ -240,6 +240,7 @@
   CPPUNIT_TEST(RetriesStayWithinTheirBudget);
   CPPUNIT_TEST(RefusedConnectionsTakeNoRetryBudget);
   CPPUNIT_TEST(HedgesNeverWaitAndStayWithinTheirBudget);
+  CPPUNIT_TEST(OneUnknownLetterEjectsItsEndpoint);
   CPPUNIT_TEST(FirstCallsAreHedgedByTheirDeadline);
   CPPUNIT_TEST(NothingRunsWithoutAConfiguration);
   CPPUNIT_TEST_SUITE_END();
@@ -365,6 +366,32 @@
     CPPUNIT_ASSERT(hedges <= attempt_budget::kInitial + kCalls * 0.05);
   }
 
+  // Callers are told "outcome unknown" again and again: an endpoint whose calls
+  // may not be repeated takes each one and drops the answer. Each such call is
+  // lost to its caller, so the second one must not go there while others work.
+  void OneUnknownLetterEjectsItsEndpoint() {
+    policy_test_world world(4);
+    traffic_policy policy({.host_name = "entry-1"});
+    time_point now = TestStart();
+    policy.UseSnapshot(world.Publish(), now);
+    std::string broken;
+    for (stage_ticket i = 1; i <= 40; ++i) {
+      now += milliseconds(20);
+      const stage_request letter =
+          world.Call(i, "reply", 1, now, milliseconds(2000));
+      const stage_decision sent = policy.Plan(letter, now);
+      CPPUNIT_ASSERT(sent.verdict == stage_verdict::kDispatch);
+      CPPUNIT_ASSERT(i == 1 || sent.address != broken);
+      const bool fails = i == 1;
+      broken = fails ? sent.address : broken;
+      policy.Ended(policy_test_world::End(
+                       letter, sent.address,
+                       fails ? attempt_end::kFailed : attempt_end::kAnswered,
+                       milliseconds(10)),
+                   now);
+    }
+  }
+
   // The caller sees its whole deadline pass while other endpoints are idle: the
   // first calls of a thread went to a hanging endpoint, and nothing was known
   // yet of how long an answer takes, so neither a hedge nor a timeout was set.
