Replay divides limits as hosts do; shares leave room for bursts

Cause: replays cut each limit into equal parts, so no trace showed what the shares of real hosts do.

--- a/src/slatestall/policy/replay.cc
+++ b/src/slatestall/policy/replay.cc
@@ -9,6 +9,7 @@
 #include "slatestall/model/ids.h"
 #include "slatestall/policy/replay_lane.h"
 #include "slatestall/policy/seconds.h"
+#include "slatestall/policy/share_exchange.h"
 
 namespace slatestall {
 namespace {
@@ -38,7 +39,8 @@
         around_{events_, tally_, trace.network,
                 [this](const std::string& address) {
                   return endpoints_.at(address).get();
-                }} {
+                }},
+        shares_(events_, trace.network.cross_domain) {
     MakeEndpoints();
   }
 
@@ -76,10 +78,10 @@
     for (const trace_configuration& published : trace_.configurations) {
       const auto accepted = Accept(published);
       events_.At(start_ + published.at,
-                 [this, accepted] { accepted_ = accepted; });
+                 [this, accepted] { UseConfiguration(accepted); });
     }
     for (const trace_host_list& list : trace_.host_lists) {
-      events_.At(start_ + list.at, [this, &list] { hosts_ = &list.hosts; });
+      events_.At(start_ + list.at, [this, &list] { UseHosts(list.hosts); });
     }
     std::set<std::string> recorded;
     for (const trace_load_report& report : trace_.load_reports) {
@@ -95,7 +97,24 @@
         endpoint->StartReports();
       }
     }
-    events_.At(start_, [this] { PublishSnapshot(); });
+    events_.At(start_, [this] {
+      shares_.Start();
+      PublishSnapshot();
+    });
+  }
+
+  void UseConfiguration(const accepted_configuration_ptr& accepted) {
+    accepted_ = accepted;
+    shares_.UseLimits(accepted->content.workspaces);
+  }
+
+  void UseHosts(const std::vector<trace_host>& hosts) {
+    hosts_ = &hosts;
+    std::vector<std::string> names;
+    for (const trace_host& host : hosts) {
+      names.push_back(host.name);
+    }
+    shares_.UseHosts(names);
   }
 
   void ScheduleFaults() {
@@ -118,10 +137,13 @@
   }
 
   void PublishSnapshot() {
-    snapshot_ = MakeSnapshot();
+    const std::shared_ptr<const control_snapshot> common = MakeSnapshot();
     for (const trace_host& host : *hosts_) {
+      auto own = std::make_shared<control_snapshot>(*common);
+      own->shares = shares_.Shares(host.name);
+      snapshots_[host.name] = own;
       for (const auto& lane : LanesOf(host)) {
-        lane->UseSnapshot(snapshot_);
+        lane->UseSnapshot(own);
       }
     }
     events_.After(kSnapshotInterval, [this] { PublishSnapshot(); });
@@ -140,13 +162,6 @@
         service->second.endpoints.push_back(ViewOf(*endpoint));
       }
     }
-    const double hosts = snapshot->live_hosts;
-    for (const auto& [name, workspace] : accepted_->content.workspaces) {
-      const workspace_limits& limits = workspace.limits;
-      snapshot->shares[name] = {limits.requests_per_second / hosts,
-                                limits.tokens_per_second / hosts,
-                                limits.concurrency / hosts};
-    }
     return snapshot;
   }
 
@@ -173,9 +188,13 @@
       options.failure_domain = host.failure_domain;
       options.lanes = host.lanes;
       options.seed = trace_.seed + options_.seed + lanes.size();
-      lanes.push_back(std::make_unique<replay_lane>(around_, options));
-      if (snapshot_ != nullptr) {
-        lanes.back()->UseSnapshot(snapshot_);
+      lanes.push_back(std::make_unique<replay_lane>(
+          around_, options, [this, name = host.name]() -> demand_estimate& {
+            return shares_.Demand(name);
+          }));
+      const auto told = snapshots_.find(host.name);
+      if (told != snapshots_.end()) {
+        lanes.back()->UseSnapshot(told->second);
       }
     }
     return lanes;
@@ -199,7 +218,8 @@
   std::map<std::string, load_report> recorded_;
   std::map<std::string, lane_list> lanes_;
   std::map<std::string, std::size_t> turns_;
-  control_snapshot_ptr snapshot_;
+  share_exchange shares_;
+  std::map<std::string, control_snapshot_ptr> snapshots_;  ///< By host.
 };
 
 }  // namespace
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -26,9 +26,11 @@
 }  // namespace
 
 replay_lane::replay_lane(replay_surroundings& surroundings,
-                         const traffic_policy_options& options)
+                         const traffic_policy_options& options,
+                         std::function<demand_estimate&()> demand)
     : around_(surroundings),
       failure_domain_(options.failure_domain),
+      demand_(std::move(demand)),
       policy_(options) {}
 
 void replay_lane::UseSnapshot(const control_snapshot_ptr& snapshot) {
@@ -49,6 +51,9 @@
   around_.tally.Decided(decision.admitted ? "admitted" : decision.reason);
   if (!decision.admitted) {
     around_.tally.Because(decision.reason);
+    if (decision.refusal == error_kind::kLimitExceeded) {
+      demand_().Refused(arrival.workspace);
+    }
     around_.tally.Ended(pipeline, arrival.workspace, arrival.at,
                         request_outcome::kRefused, {});
     return;
@@ -395,6 +400,9 @@
   policy_.Release({live.arrival->workspace, live.pipeline, in_time,
                    in_time ? live.arrival->tokens : 0},
                   now);
+  demand_().Ended(live.arrival->workspace,
+                  std::chrono::duration<double>(now - live.arrived).count(),
+                  in_time ? live.arrival->tokens : 0);
   around_.tally.Ended(*live.pipeline, live.arrival->workspace, live.arrival->at,
                       outcome, now - live.arrived);
 }
--- a/src/slatestall/policy/replay_lane.h
+++ b/src/slatestall/policy/replay_lane.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/policy/demand_estimate.h"
 #include "slatestall/policy/event_queue.h"
 #include "slatestall/policy/modelled_endpoint.h"
 #include "slatestall/policy/replay_tally.h"
@@ -27,8 +28,10 @@
 /// that a traffic thread of a host would make.
 class replay_lane {
  public:
+  /// @param demand Where this host counts what its workspaces ask for.
   replay_lane(replay_surroundings& surroundings,
-              const traffic_policy_options& options);
+              const traffic_policy_options& options,
+              std::function<demand_estimate&()> demand);
 
   void UseSnapshot(const control_snapshot_ptr& snapshot);
   void Arrive(const trace_arrival& arrival);
@@ -100,6 +103,7 @@
 
   replay_surroundings& around_;
   std::string failure_domain_;
+  std::function<demand_estimate&()> demand_;
   traffic_policy policy_;
   control_snapshot_ptr snapshot_;
   request_number last_request_ = 0;
--- a/src/slatestall/policy/share_allocator.cc
+++ b/src/slatestall/policy/share_allocator.cc
@@ -107,13 +107,21 @@
   };
   std::vector<claimant> claimants;
   double lent_to_others = 0;
+  double asked = 0;
   for (const auto& [name, other] : pool.leases) {
     claimants.push_back({above_floor(other), name == host});
+    asked += claimants.back().demand;
     if (name != host) {
       lent_to_others += other.lent.*wanted.lent;
     }
   }
-  const double part = FairPart(whole, std::move(claimants));
+  // What nobody asks for is lent as well, in equal parts over all hosts: a
+  // measured mean says nothing of the next burst, and a share close to it
+  // refused one request in eight of an ordinary day.
+  // Not while learning: what looks like slack may be lent by the former one.
+  const double slack =
+      learning ? 0 : std::max(0.0, whole - asked) / reachable_hosts_;
+  const double part = FairPart(whole, std::move(claimants)) + slack;
   // What runs elsewhere is never taken back before its holder has been told:
   // a newcomer waits until the others ask again and get less.
   const double free = std::max(0.0, whole - lent_to_others);
--- a/src/slatestall/policy/share_divider.cc
+++ b/src/slatestall/policy/share_divider.cc
@@ -4,6 +4,13 @@
 #include <cmath>
 
 namespace slatestall {
+namespace {
+
+// A host asks from this part of its floor on. Asking only at the floor itself,
+// a workspace of few requests was refused in each of its bursts.
+constexpr double kAskFrom = 0.2;
+
+}  // namespace
 
 share_divider::share_divider(share_rules rules) : rules_(rules) {}
 
@@ -33,13 +40,13 @@
   }
 }
 
-// A host whose demand fits its floor neither asks nor holds anything. That is
-// what keeps the traffic proportional to the workspaces that are busy on a
-// host and not to all of them.
+// A host whose demand fits well into its floor neither asks nor holds anything.
+// That is what keeps the traffic proportional to the workspaces that are busy
+// on a host and not to all of them.
 bool share_divider::WantsMore(const workspace_state& state) const {
   const auto above = [this](double limit, double demand) {
-    return limit > 0 &&
-           demand * rules_.headroom > rules_.floor_part * limit / known_hosts_;
+    return limit > 0 && demand * rules_.headroom >
+                            kAskFrom * rules_.floor_part * limit / known_hosts_;
   };
   return above(state.limits.requests_per_second,
                state.demand.requests_per_second) ||
