--- a/src/slatestall/policy/replay.cc
+++ b/src/slatestall/policy/replay.cc
@@ -111,6 +111,7 @@
   void UseHosts(const std::vector<trace_host>& hosts) {
     hosts_ = &hosts;
     std::vector<std::string> names;
+    names.reserve(hosts.size());
     for (const trace_host& host : hosts) {
       names.push_back(host.name);
     }
--- a/src/slatestall/policy/share_exchange.cc
+++ b/src/slatestall/policy/share_exchange.cc
@@ -101,8 +101,9 @@
 
 void share_exchange::Measure() {
   for (auto& [name, host] : hosts_) {
-    for (const auto& [workspace, demand] : host->demand.Take(events_.Now())) {
-      host->divider.UseDemand(workspace, demand);
+    auto measured = host->demand.Take(events_.Now());
+    for (const auto& [workspace, config] : workspaces_) {
+      host->divider.UseDemand(workspace, measured[workspace]);
     }
   }
 }
