Revisions ride on the words that hosts say anyway

Change: a host says its revision with its next other word, at the latest with the heartbeat after two minutes; the first one at once. The head leaves at once.

--- a/include/slatestall/peer/gossip_exchange.h
+++ b/include/slatestall/peer/gossip_exchange.h
@@ -28,10 +28,7 @@
   /// Urgent news leaves after this time, together with what else came.
   milliseconds urgent_delay{150};
   std::size_t urgent_fanout = 3;
-  int rumor_sends = 4;  ///< Less one for each time it is heard again.
-  /// A host says which revision it has at most once in this time for each host
-  /// of the fleet.
-  milliseconds revision_gap_per_host{750};
+  int rumor_sends = 4;         ///< Less one for each time it is heard again.
   std::size_t max_marks = 48;  ///< A message; digests and notices likewise.
   std::size_t max_digests = 8;
   std::size_t max_notices = 64;
@@ -58,7 +55,7 @@
   void NoteHead(config_revision revision, time_point now);
 
   /// @brief This host has the revision in force. The head is passed on at once,
-  /// and that this host has it later.
+  /// and that this host has it with its next other word.
   void UseRevision(config_revision revision, time_point now);
 
   /// @brief Hosts to exchange with now; empty before `DueAt`.
@@ -143,7 +140,6 @@
   member_digest announced_;
   config_revision head_ = 0;
   config_revision in_force_ = 0;  ///< Here; what is said of it lags.
-  time_point next_revision_{};
   time_point next_round_;
   time_point urgent_at_ = time_point::max();
   std::uint64_t rounds_ = 0;
--- a/src/slatestall/peer/gossip_exchange.cc
+++ b/src/slatestall/peer/gossip_exchange.cc
@@ -80,22 +80,15 @@
 }
 
 // A word of each of 390 hosts on each revision is 71 KB a host; at a change
-// every 36 s, more than all else that hosts tell each other. Nobody waits for
-// it: who must know asks the host. The moments are drawn, or all hosts would
-// speak at once.
+// every 36 s, as much as all else that hosts tell each other. Nobody waits for
+// it (who must know asks the host), and each host says something every two
+// minutes in any case.
 void gossip_exchange::SayRevision(time_point now) {
   const member_digest& own = view_.Self().digest;
-  if (in_force_ == 0 || in_force_ == own.revision) {
-    return;
-  }
   const bool speaks_anyway = own.version != announced_.version;
-  if (now < next_revision_ && !speaks_anyway) {
-    return;
+  if (in_force_ != 0 && (speaks_anyway || own.revision == 0)) {
+    view_.SetRevision(in_force_, now);
   }
-  view_.SetRevision(in_force_, now);
-  const auto gap = options_.revision_gap_per_host * view_.Members().size();
-  const auto range = static_cast<std::uint64_t>(gap.count()) + 1;
-  next_revision_ = now + gap / 2 + milliseconds(Random() % range);
 }
 
 void gossip_exchange::NoteOwnChanges(time_point now) {
