--- a/bench/run.sh
+++ b/bench/run.sh
@@ -11,7 +11,7 @@
     continue
   fi
   if [ ! -f "$name.py" ] || [ "$name" = fleet ] || [ "$name" = sites ]; then
-    echo "no bench called $name; there are path, faults, control and policy" >&2
+    echo "no bench called $name; there are path, faults, control, capacity and policy" >&2
     exit 2
   fi
   python3 "$name.py" || status=1
--- a/include/slatestall/http/http_client.h
+++ b/include/slatestall/http/http_client.h
@@ -66,6 +66,10 @@
 /// a completion; what one of these throws comes out of the event loop.
 class http_client {
  public:
+  /// Takes the bytes that an ended call sent and received, headers included,
+  /// those of TCP/IP not.
+  using traffic_meter = std::function<void(
+      const std::string& url, std::uint64_t sent, std::uint64_t received)>;
   using call_number = std::uint64_t;
   using completion = std::function<void(http_result)>;
 
@@ -84,6 +88,9 @@
 
   std::size_t InFlight() const;
 
+  /// @brief Has every call that ends counted; cancelled ones are not.
+  void SetMeter(traffic_meter meter);
+
  private:
   class impl;
   std::shared_ptr<impl> impl_;
--- a/src/slatestall/http/client_call.cc
+++ b/src/slatestall/http/client_call.cc
@@ -259,6 +259,15 @@
   }
 }
 
+void client_call::Measure(const http_client::traffic_meter& meter) const {
+  long request_bytes = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_off_t body_bytes = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo(easy_.get(), CURLINFO_SIZE_UPLOAD_T, &body_bytes);
+  meter(call_.url, static_cast<std::uint64_t>(request_bytes + body_bytes),
+        header_bytes_ + body_bytes_);
+}
+
 void client_call::Refuse(std::string reason) {
   result_.end = call_end::kConnectFailed;
   result_.detail = std::move(reason);
--- a/src/slatestall/http/client_call.h
+++ b/src/slatestall/http/client_call.h
@@ -47,6 +47,8 @@
 
   /// @brief Judges the transfer; to be called once, when libcurl is done.
   void Finish(CURLcode code);
+  /// @brief After `Finish`.
+  void Measure(const http_client::traffic_meter& meter) const;
   /// @brief Ends a call that `Prepare` turned down.
   void Refuse(std::string reason);
 
--- a/src/slatestall/http/http_client.cc
+++ b/src/slatestall/http/http_client.cc
@@ -40,6 +40,7 @@
   void Cancel(call_number number);
   void Shutdown();
   std::size_t InFlight() const { return calls_.size(); }
+  void SetMeter(traffic_meter meter) { meter_ = std::move(meter); }
 
  private:
   using call_ptr = std::shared_ptr<client_call>;
@@ -65,6 +66,7 @@
   std::vector<call_ptr> forgotten_;
   std::vector<curl_easy_handle> idle_handles_;
   std::shared_ptr<impl> self_;
+  traffic_meter meter_;
   call_number last_number_ = 0;
   bool shut_down_ = false;
 };
@@ -198,6 +200,9 @@
     const auto found = calls_.find(number);
     if (found != calls_.end()) {
       found->second->Finish(code);
+      if (meter_) {
+        found->second->Measure(meter_);
+      }
       ended_.push_back(number);
     }
   }
@@ -264,4 +269,8 @@
 
 std::size_t http_client::InFlight() const { return impl_->InFlight(); }
 
+void http_client::SetMeter(traffic_meter meter) {
+  impl_->SetMeter(std::move(meter));
+}
+
 }  // namespace slatestall
--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -20,7 +20,7 @@
 /// control traffic of a host must not, so a long list is fetched less often;
 /// what others see in it meanwhile comes by gossip.
 constexpr milliseconds kHostListInterval{1000};
-constexpr milliseconds kHostListIntervalPerLine{35};
+constexpr milliseconds kHostListIntervalPerLine{100};
 constexpr std::size_t kShortHostList = 50;
 constexpr milliseconds kDemandInterval{1000};
 /// Snapshots that carry only new load reports are at least this far apart.
@@ -51,6 +51,8 @@
       now_(std::move(now)),
       snapshots_(snapshots),
       hooks_(std::move(hooks)),
+      traffic_(options_.log_url, options_.host_list_url,
+               options_.weight_store_url),
       client_(context),
       fetch_hosts_(MakeHostListClient(client_, options_.host_list_url)),
       peers_(context, self_, PeerOptions(options_)),
@@ -74,6 +76,10 @@
       snapshot_timer_(context),
       farewell_timer_(context) {
   reporter_.SetPeerAddress(PeerAddress(options_, peers_.Port()));
+  client_.SetMeter([this](const std::string& url, std::uint64_t sent,
+                          std::uint64_t received) {
+    traffic_.CountCall(url, sent, received);
+  });
 }
 
 void control_core::Start() {
@@ -269,6 +275,7 @@
     return;
   }
   next_demand_ = now_() + kDemandInterval;
+  traffic_.UsePeers(peers_);
   // Endpoints that a host watched which is gone now have other watchers.
   if (chosen_by_ != network_.Members().LiveHosts()) {
     ChooseEndpoints();
--- a/src/slatestall/node/control_core.h
+++ b/src/slatestall/node/control_core.h
@@ -14,6 +14,7 @@
 #include "slatestall/node/admin_api.h"
 #include "slatestall/node/config_follower.h"
 #include "slatestall/node/control_loop.h"
+#include "slatestall/node/control_traffic.h"
 #include "slatestall/node/endpoint_directory.h"
 #include "slatestall/node/host_network.h"
 #include "slatestall/node/host_reporter.h"
@@ -54,6 +55,7 @@
 
   std::uint16_t PeerPort() const { return peers_.Port(); }
   const control_figures& Figures() const { return figures_; }
+  const control_traffic& Traffic() const { return traffic_; }
   /// @brief Null where this host gives no orders.
   const order_counters* Orders() const {
     return orders_ ? &orders_->Counters() : nullptr;
@@ -89,6 +91,7 @@
   snapshot_cell& snapshots_;
   const control_hooks hooks_;
   control_figures figures_;
+  control_traffic traffic_;
 
   http_client client_;
   fetch_host_list fetch_hosts_;
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -128,6 +128,7 @@
               Metric("log_reachable", "gauge", figures.log_reachable ? 1 : 0) +
               Metric("live_hosts", "gauge", figures.live_hosts) +
               Metric("snapshots_total", "counter", figures.snapshots);
+  text += impl_->Core().Traffic().Metrics();
   if (const auto* orders = impl_->Core().Orders()) {
     text += Metric("order_leases_held", "gauge", orders->leases_held) +
             Metric("orders_sent_total", "counter", orders->sent) +
