--- a/bench/run.sh
+++ b/bench/run.sh
@@ -2,7 +2,7 @@
 # Runs the benches on loopback: bench/run.sh [NAME ...]; path and faults by default.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
-benches=(path relay faults convergence control policy record operators)
+benches=(path relay faults convergence control capacity policy record operators)
 if [ "$#" -eq 0 ]; then set -- path faults; fi
 export PYTHONDONTWRITEBYTECODE=1
 status=0
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -163,6 +163,7 @@
               Metric("live_hosts", "gauge", figures.live_hosts) +
               Metric("snapshots_total", "counter", figures.snapshots) +
               figures.loop.Metrics("control");
+  text += impl_->Core().Traffic().Metrics();
   if (const auto* orders = impl_->Core().Orders()) {
     text += Metric("order_leases_held", "gauge", orders->leases_held) +
             Metric("orders_sent_total", "counter", orders->sent) +
