Configuration records are packed by zlib instead of a coder of our own

Cause: the packing of records was an own reference matcher and range coder; codecs come from libraries here.

Tests: as before, and a stream that stands for more than the bound.

--- a/src/slatestall/node/text_packing.h
+++ b/src/slatestall/node/text_packing.h
@@ -9,8 +9,8 @@
 /// Longest text that is packed or unpacked, in bytes.
 inline constexpr std::size_t kMaxPackedText = std::size_t{4} << 20U;
 
-/// @brief The text with its repetitions replaced by references, as base64 with
-/// a check sum. Empty where that is not shorter or the text is too long.
+/// @brief The text as a zlib stream in base64. Empty where that is not shorter
+/// or the text is too long.
 std::string PackText(std::string_view text);
 
 /// @brief The text that `PackText` was given; nothing where `packed` is not
--- a/src/slatestall/node/text_packing_test.cc
+++ b/src/slatestall/node/text_packing_test.cc
@@ -2,6 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
+#include <zlib.h>
+
+#include <vector>
+
+#include "slatestall/node/base64.h"
 
 namespace slatestall {
 namespace {
@@ -21,6 +26,7 @@
   CPPUNIT_TEST(AnyTextComesBackAsItWas);
   CPPUNIT_TEST(AlikeLinesTakeAFifth);
   CPPUNIT_TEST(WhatWasChangedOnTheWayIsNoText);
+  CPPUNIT_TEST(TooLongATextIsNone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -66,6 +72,26 @@
       CPPUNIT_ASSERT(!UnpackText(bad));
     }
   }
+
+  // A record of some kilobytes that stands for any amount of text would end
+  // every host that reads it, one after another, by its memory limit.
+  void TooLongATextIsNone() {
+    const std::string longest(kMaxPackedText, 'a');
+    CPPUNIT_ASSERT(UnpackText(PackText(longest)) == longest);
+    CPPUNIT_ASSERT(PackText(longest + 'a').empty());
+    CPPUNIT_ASSERT(!UnpackText(PackedBomb()));
+  }
+
+ private:
+  /// A zlib stream of five kilobytes that stands for five megabytes.
+  static std::string PackedBomb() {
+    const std::vector<Bytef> text(std::size_t{5} << 20U);
+    uLongf size = compressBound(text.size());
+    std::string bytes(size, '\0');
+    compress(reinterpret_cast<Bytef*>(bytes.data()), &size, text.data(),
+             text.size());
+    return Base64(std::string_view(bytes).substr(0, size));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(text_packing_test);
