--- a/src/slatestall/node/text_packing_test.cc
+++ b/src/slatestall/node/text_packing_test.cc
@@ -85,7 +85,7 @@
  private:
   /// A zlib stream of five kilobytes that stands for five megabytes.
   static std::string PackedBomb() {
-    const std::vector<Bytef> text(std::size_t{5} << 20U);
+    const std::vector<Bytef> text(kMaxPackedText + kMaxPackedText / 4);
     uLongf size = compressBound(text.size());
     std::string bytes(size, '\0');
     compress(reinterpret_cast<Bytef*>(bytes.data()), &size, text.data(),
