--- a/bench/policy.py
+++ b/bench/policy.py
@@ -2,10 +2,11 @@
 """Compares the policy with plain balancers on traces, each part left out in
 turn, and says which aims hold.
 
-Usage: policy.py [--seeds N] [--no-parts]
+Usage: policy.py [--seeds N] [--no-parts] [--no-processes]
 
 The traces of examples/traces and those that make_traces.py --bench writes are
-replayed; nothing is started but the replays, and equal seeds give equal tables.
+replayed; equal seeds give equal tables. At last the same load runs over real
+processes on loopback.
 """
 
 import argparse
@@ -16,6 +17,8 @@
 import sys
 import tempfile
 
+import policy_processes
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 COMPARE = os.path.join(ROOT, "build", "bin", "policy_compare")
 TRACES = os.path.join(ROOT, "examples", "traces")
@@ -120,6 +123,7 @@
     parser = argparse.ArgumentParser(description="Compares policies on traces")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--no-parts", action="store_true")
+    parser.add_argument("--no-processes", action="store_true")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         subprocess.run([sys.executable, os.path.join(TRACES, "make_traces.py"),
@@ -128,6 +132,8 @@
         paths += sorted(glob.glob(os.path.join(folder, "*.jsonl")))
         replay_all(paths, options, folder)
         Aims(read_measures(folder)).print()
+    if not options.no_processes:
+        policy_processes.main()
 
 
 if __name__ == "__main__":
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -88,11 +88,15 @@
            .maximum = 64,
            .meaning = "Streams of the log over which claims are spread; "
                       "the same on all hosts"}),
-      TextChoiceField(&s::routing,
-                      {.name = "routing",
-                       .choices = {"least-wait", "round-robin"},
-                       .meaning = "How an endpoint is chosen; `round-robin` is "
-                                  "for comparison"}),
+      TextChoiceField(
+          &s::routing,
+          {.name = "routing",
+           .choices = {"least-wait", "round-robin", "plain-round-robin",
+                       "plain-least-in-flight"},
+           .meaning = "How an endpoint is chosen; all but "
+                      "`least-wait` are for comparison, and "
+                      "`plain-` leaves out queueing, hedging, "
+                      "ejection and early refusal as well"}),
       MemberField(&s::log_retention,
                   {.name = "log_retention",
                    .type = type::kDuration,
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "slatestall/node/listen_address.h"
+#include "slatestall/policy/replay.h"
 #include "slatestall/report/prometheus_text.h"
 #include "slatestall/report/report_collector.h"
 #include "slatestall/report/report_json.h"
@@ -17,6 +18,22 @@
 namespace slatestall {
 namespace {
 
+traffic_policy_options PolicyFor(const std::string& routing) {
+  if (routing == "plain-round-robin") {
+    return NaivePolicy();
+  }
+  if (routing == "plain-least-in-flight") {
+    return LeastInFlightPolicy();
+  }
+  const auto rule = ValueIn(kRoutingRuleNames, routing);
+  if (!rule) {
+    throw std::invalid_argument("no such routing: " + routing);
+  }
+  traffic_policy_options policy;
+  policy.routing = *rule;
+  return policy;
+}
+
 traffic_lane_options LaneOptions(const settings& options, std::uint16_t port) {
   const auto listen = ParseListenAddress(options.listen);
   traffic_lane_options lane;
@@ -26,11 +43,7 @@
   lane.server.max_connections =
       std::max(1U, options.max_connections / options.traffic_threads);
   lane.server.share_port = options.traffic_threads > 1;
-  const auto routing = ValueIn(kRoutingRuleNames, options.routing);
-  if (!routing) {
-    throw std::invalid_argument("no such routing: " + options.routing);
-  }
-  lane.policy.routing = *routing;
+  lane.policy = PolicyFor(options.routing);
   lane.policy.failure_domain = options.failure_domain;
   lane.policy.seed = RandomBits();
   lane.policy.lanes = options.traffic_threads;
