--- a/src/slatestall/node/text_packing_test.cc
+++ b/src/slatestall/node/text_packing_test.cc
@@ -90,7 +90,8 @@
     std::string bytes(size, '\0');
     compress(reinterpret_cast<Bytef*>(bytes.data()), &size, text.data(),
              text.size());
-    return Base64(std::string_view(bytes).substr(0, size));
+    bytes.resize(size);
+    return Base64(bytes);
   }
 };
 
