peer: the test of a trickled frame can fail

The frame it sent was complete after 900 quick bytes and refused as malformed, which it took for the timeout. It now sends a byte each 5 ms, never the last, and requires the end before it has sent them all.

--- a/src/slatestall/peer/peer_overload_test.cc
+++ b/src/slatestall/peer/peer_overload_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <asio/steady_timer.hpp>
 #include <optional>
 
 #include "slatestall/peer/peer_test_support.h"
@@ -103,16 +104,32 @@
     node_.emplace(context_, host_id{"entry-1", 11}, options);
   }
 
-  /// Sends a frame of 900 bytes one at a time, which takes over 900 turns.
+  /// Sends part of a frame a byte at a time, for seconds where it may.
   bool LosesConnection(raw_peer& peer) {
-    peer.Write(FrameHeader(900));
-    return RunUntil(context_, [&] {
-      if (node_->Counters().connections_broken == 1) {
-        return true;
+    constexpr int kMostSent = 900;
+    constexpr milliseconds kPause{5};
+    peer.Write(FrameHeader(kMostSent + 1));
+    int sent = 0;
+    asio::steady_timer pause(context_);
+    const std::function<void()> trickle = [&] {
+      if (node_->Counters().connections_broken == 0 && sent < kMostSent) {
+        peer.Write("x");
+        ++sent;
+        pause.expires_after(kPause);
+        pause.async_wait([&](std::error_code error) {
+          if (!error) {
+            trickle();
+          }
+        });
       }
-      peer.Write("x");
-      return false;
-    });
+    };
+    trickle();
+    return RunUntil(context_,
+                    [&] {
+                      return node_->Counters().connections_broken == 1 ||
+                             sent == kMostSent;
+                    }) &&
+           sent < kMostSent;
   }
 
   asio::io_context context_;
