--- a/bench/faults.py
+++ b/bench/faults.py
@@ -30,6 +30,7 @@
 FAULT_FOR_S = 2.5
 HEALTH_CHECK_S = 1.0
 HOSTS = 5
+PARTED_FOR_S = 5
 LAG_MS = 300
 LONG_LAG_MS = 6000
 
@@ -137,6 +138,12 @@
     site.list_state(site.lone, "gone")
 
 
+def pause_engine(site):
+    site.lone_engine.send(signal.SIGSTOP)
+    time.sleep(FAULT_FOR_S)
+    site.lone_engine.send(signal.SIGCONT)
+
+
 def endpoint_fault(mode, **more):
     """One engine, one encoder and one biller go wrong in this way."""
     def act(site):
@@ -171,6 +178,21 @@
     site.fleet.platform_faults({"outage": "none", "list_down": False})
 
 
+def part(both_ways):
+    """The first two hosts cannot reach the other three; nor, both ways, these
+    the first two."""
+    def act(site):
+        few, many = site.hosts[:2], site.hosts[2:]
+        for host in many:
+            host.relay.set_cut(each.name for each in few)
+        for host in few if both_ways else []:
+            host.relay.set_cut(each.name for each in many)
+        time.sleep(PARTED_FOR_S)
+        for host in site.hosts:
+            host.relay.set_cut([])
+    return act
+
+
 def nothing(_):
     pass
 
@@ -182,6 +204,7 @@
     ("host stopped gracefully", stop_host, {}),
     ("all hosts replaced, one by one", replace_hosts, {"seconds": 8}),
     ("two engines killed", kill_engine, {}),
+    ("two engines paused", pause_engine, {}),
     ("endpoints act, then drop", endpoint_fault("drop_after", probability=0.5), {}),
     ("endpoints drop before acting", endpoint_fault("drop_before", probability=0.5), {}),
     ("crossed answers", endpoint_fault("cross", probability=0.5), {}),
@@ -198,6 +221,8 @@
     ("host list down", platform_fault({"list_down": False}, list_down=True), {}),
     ("each key sent to two hosts at once", nothing, {"copies": 2}),
     ("the same, and a host killed", kill_host, {"copies": 2}),
+    ("hosts parted for 5 s", part(True), {"seconds": 9, "relays": True}),
+    ("the same, one way only", part(False), {"seconds": 9, "relays": True}),
     ("several at once", all_at_once, {}),
 ]
 
@@ -215,11 +240,14 @@
     doubled = [o for o in keyed if started[o["marker"]] > 1]
     untrue = [o for o in outcomes if o["outcome"] == "refused"
               and (o["keyed"] or o["resends"] == 0) and started[o["marker"]] > 0]
-    return {"doubled": doubled, "crossed": crossed, "untrue": untrue}
+    ran = [o for o in outcomes if o["outcome"] == "unknown"
+           and started[o["marker"]] > 0]
+    return {"doubled": doubled, "crossed": crossed, "untrue": untrue,
+            "unknown_ran": ran}
 
 
 def run_row(act, options):
-    with Fleet(list_lag_ms=LAG_MS) as fleet:
+    with Fleet(list_lag_ms=LAG_MS, relays=options.get("relays", False)) as fleet:
         site = Site(fleet)
         load = fleet.start_load(flows(options.get("copies", 1)),
                                 options.get("seconds", SECONDS))
@@ -259,13 +287,16 @@
 
 def explain(outcomes, found, counts, problems):
     """What the caller was told, most frequent first, to standard error."""
-    told = collections.Counter((o["flow"], o["outcome"], o["detail"][:110])
+    told = collections.Counter((o["flow"], o["outcome"], o["detail"][:240])
                                for o in outcomes if o["outcome"] != "full")
     for (name, outcome, detail), number in told.most_common(8):
         first = min(o["began_ms"] for o in outcomes if o["flow"] == name
                     and o["outcome"] == outcome and o["detail"].startswith(detail))
         print(f"    {number} x {name} {outcome} (first at {first / 1000:.1f} s): "
               f"{detail}", file=sys.stderr)
+    if counts["unknown"]:
+        print(f"    of {counts['unknown']} unknown {len(found['unknown_ran'])} ran",
+              file=sys.stderr)
     for kind in ("doubled", "untrue"):
         for outcome in found[kind][:5]:
             print(f"    {kind}: {json.dumps(outcome)}", file=sys.stderr)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,9 +9,14 @@
 import urllib.error
 import urllib.request
 
+from peer_relay import Relay
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.path.join(ROOT, "build", "bin")
 DOMAINS = ["ikeja-a", "ikeja-b", "lekki-a", "lekki-b"]
+# Of this run alone: connections that other runs closed a minute ago hold the
+# ports of their own address, and enough of them leave none to listen on.
+ADDRESS = f"127.{os.getpid() >> 16 & 63 | 64}.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}"
 START_TIMEOUT_S = 10
 STOP_TIMEOUT_S = 15
 
@@ -86,17 +91,19 @@
 class Host(Program):
     """One slatestalld."""
 
-    def __init__(self, folder, name, domain, platform, options):
+    def __init__(self, folder, name, domain, platform, options, relay=None):
         settings = {
             "host_name": name,
             "failure_domain": domain,
-            "listen": "127.0.0.1:0",
-            "peer_listen": "127.0.0.1:0",
+            "listen": f"{ADDRESS}:0",
+            "peer_listen": f"{ADDRESS}:0",
             "log_url": platform,
             "host_list_url": platform,
             "drain_grace": "400ms",
             "log_level": "warn",
         }
+        if relay:
+            settings["peer_address"] = relay.address
         settings.update(options)
         path = os.path.join(folder, name + ".yaml")
         with open(path, "w") as file:
@@ -104,9 +111,13 @@
                 file.write(f"{key}: {value}\n")
         super().__init__(folder, name, [f"{BIN}/slatestalld", "--settings", path])
         words = self.wait_for_line("slatestalld").split()
-        self.url = f"http://127.0.0.1:{words[3]}"
-        self.peer = f"127.0.0.1:{words[5]}"
+        self.url = f"http://{ADDRESS}:{words[3]}"
+        self.peer = f"{ADDRESS}:{words[5]}"
         self.domain = domain
+        self.relay = relay
+        if relay:
+            relay.target = (ADDRESS, int(words[5]))
+            self.peer = relay.address
 
     def ready(self):
         """Serves, and knows endpoints of every service."""
@@ -122,7 +133,8 @@
 class Fleet:
     """Platform, endpoints and hosts of one trial."""
 
-    def __init__(self, list_lag_ms=200):
+    def __init__(self, list_lag_ms=200, relays=False):
+        self.relays = relays
         self.temporary = tempfile.TemporaryDirectory(prefix="slatestall-bench-")
         self.folder = self.temporary.name
         self.programs = []
@@ -130,7 +142,8 @@
         self.endpoints = []
         self.ledgers = []
         self.platform_program = self.run("platform", [
-            f"{BIN}/standin_platform", "--list-lag-ms", str(list_lag_ms)])
+            f"{BIN}/standin_platform", "--listen", f"{ADDRESS}:0",
+            "--list-lag-ms", str(list_lag_ms)])
         line = self.platform_program.wait_for_line("platform")
         self.platform = "http://" + line.split()[1]
         self.balancer_path = os.path.join(self.folder, "balancer")
@@ -145,7 +158,7 @@
         (kind, service). Returns the process and its endpoints."""
         ledger = os.path.join(self.folder, name + ".ledger")
         self.ledgers.append(ledger)
-        spec = ",".join(f"{kind}:127.0.0.1:0:{DOMAINS[i % len(DOMAINS)]}"
+        spec = ",".join(f"{kind}:{ADDRESS}:0:{DOMAINS[i % len(DOMAINS)]}"
                         for i, (kind, _) in enumerate(kinds))
         program = self.run(name, [f"{BIN}/standin_endpoint", "--spec", spec,
                                   "--ledger-file", ledger, *options])
@@ -173,7 +186,8 @@
 
     def start_host(self, name, options=None):
         domain = DOMAINS[len(self.hosts) % len(DOMAINS)]
-        host = Host(self.folder, name, domain, self.platform, options or {})
+        relay = Relay(ADDRESS) if self.relays else None
+        host = Host(self.folder, name, domain, self.platform, options or {}, relay)
         self.programs.append(host)
         self.hosts.append(host)
         self.list_host(host, "live")
@@ -247,6 +261,9 @@
             program.send(signal.SIGTERM)
         for program in reversed(self.programs):
             program.wait()
+        for host in self.hosts:
+            if host.relay:
+                host.relay.close()
         self.temporary.cleanup()
 
     def __enter__(self):
--- a/include/slatestall/config/settings.h
+++ b/include/slatestall/config/settings.h
@@ -16,9 +16,11 @@
 struct settings {
   std::string host_name;  ///< Unique among the hosts.
   std::string failure_domain;
-  std::string listen = "127.0.0.1:8080";       ///< Callers and operators.
+  std::string listen = "127.0.0.1:8080";       ///< Callers.
+  std::string operator_listen;                 ///< Operators; empty: `listen`.
   std::string peer_listen = "127.0.0.1:8081";  ///< Other hosts.
-  std::string log_url;  ///< Platform's log, "http://IP:port".
+  std::string peer_address;  ///< As others reach it; empty: `peer_listen`.
+  std::string log_url;       ///< Platform's log, "http://IP:port".
   std::string host_list_url;
   std::string weight_store_url;  ///< Empty: none.
   std::uint32_t traffic_threads = 1;
@@ -35,6 +37,7 @@
   /// SHA-256 digests of operators' keys; empty: /v1/admin/ is open.
   std::vector<std::string> operator_key_hashes;
   std::string record_path;  ///< Trace to write; empty: none.
+  std::uint32_t record_max_bytes = 64U << 20U;
 };
 
 /// @brief Where settings come from, the later over the earlier.
@@ -66,7 +69,8 @@
   std::string help;
 };
 
-/// @brief A flag for every setting, for the program to offer.
+/// @brief A flag for every setting that is one value, for the program to
+/// offer.
 std::vector<settings_flag> SettingsFlags();
 
 /// @brief The variables of this process that begin with SLATESTALL_.
--- a/include/slatestall/http/http_client.h
+++ b/include/slatestall/http/http_client.h
@@ -46,6 +46,9 @@
   /// Takes body data as it arrives (status 2xx only); `body` of the result is
   /// then empty.
   std::function<void(std::string_view)> on_data;
+  /// Runs after `on_data` has had all that one read brought, outside libcurl,
+  /// which hands over each chunk of a chunked answer by itself.
+  std::function<void()> on_read;
 };
 
 struct http_result {
@@ -66,6 +69,10 @@
 /// a completion; what one of these throws comes out of the event loop.
 class http_client {
  public:
+  /// Takes the bytes that an ended call sent and received, headers included,
+  /// those of TCP/IP not.
+  using traffic_meter = std::function<void(
+      const std::string& url, std::uint64_t sent, std::uint64_t received)>;
   using call_number = std::uint64_t;
   using completion = std::function<void(http_result)>;
 
@@ -84,6 +91,9 @@
 
   std::size_t InFlight() const;
 
+  /// @brief Has every call that ends counted; cancelled ones are not.
+  void SetMeter(traffic_meter meter);
+
  private:
   class impl;
   std::shared_ptr<impl> impl_;
--- a/include/slatestall/peer/gossip_exchange.h
+++ b/include/slatestall/peer/gossip_exchange.h
@@ -54,6 +54,10 @@
   /// @brief Takes a configuration head heard of in any way.
   void NoteHead(config_revision revision, time_point now);
 
+  /// @brief This host has the revision in force. The head is passed on at once,
+  /// and that this host has it with its next other word.
+  void UseRevision(config_revision revision, time_point now);
+
   /// @brief Hosts to exchange with now; empty before `DueAt`.
   std::vector<std::string> TakeTargets(time_point now);
   wire::gossipT MakeRequest(time_point now);
@@ -84,6 +88,7 @@
 
   // Merging.
   void NoteOwnChanges(time_point now);
+  void SayRevision(time_point now);
   void TakeDigests(const wire::gossipT& message, time_point now,
                    std::vector<std::string>* stale);
   void TakeMarks(const wire::gossipT& message, time_point now,
@@ -134,6 +139,7 @@
   std::size_t names_known_ = 0;
   member_digest announced_;
   config_revision head_ = 0;
+  config_revision in_force_ = 0;  ///< Here; what is said of it lags.
   time_point next_round_;
   time_point urgent_at_ = time_point::max();
   std::uint64_t rounds_ = 0;
--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -14,10 +14,15 @@
 
 /// @brief How an endpoint is chosen.
 /// @ingroup policy
-enum class routing_rule { kRoundRobin, kLeastWait };
+enum class routing_rule {
+  kRoundRobin,
+  kLeastInFlight,  ///< Fewest calls of this thread in flight.
+  kLeastWait,
+};
 
-inline constexpr name_table<routing_rule, 2> kRoutingRuleNames{{
+inline constexpr name_table<routing_rule, 3> kRoutingRuleNames{{
     {routing_rule::kRoundRobin, "round-robin"},
+    {routing_rule::kLeastInFlight, "least-in-flight"},
     {routing_rule::kLeastWait, "least-wait"},
 }};
 
@@ -30,6 +35,13 @@
   bool early_refusal = true;
   bool learned_timeouts = true;  ///< Else an attempt may take all time left.
   bool queueing = true;          ///< Hold calls back when endpoints are full.
+  bool ejection = true;          ///< Take failing and slow endpoints out.
+  bool domain_circuit = true;    ///< Close a failure domain that is lost.
+  bool domain_locality = true;   ///< Prefer endpoints of the own domain.
+  bool cache_affinity = true;    ///< Send a prompt where its prefix is cached.
+  bool class_reserves = true;    ///< Batch calls leave slots for interactive.
+  bool lending = true;           ///< Borrow slots that reports show idle.
+  bool slow_start = true;        ///< Raise work of returned endpoints slowly.
   double retry_budget = 0.1;     ///< Retries per first attempt.
   double hedge_budget = 0.05;    ///< Hedges per first attempt.
   double batch_floor = 0.2;  ///< Share of time that batch calls are assured.
@@ -72,6 +84,8 @@
   std::vector<std::uint64_t> prefix_hashes;  ///< Shortest prefix first.
   std::vector<std::string> tried;  ///< Addresses not to use again; a hedge
                                    ///< names the one it hedges against.
+  std::size_t unreached = 0;       ///< How many of `tried` took no connection.
+  bool is_free_retry = false;      ///< The last of `tried` took no connection.
   bool is_retry = false;
   bool is_hedge = false;  ///< Never waits: `kDispatch` or `kRefuse`.
 };
@@ -90,6 +104,9 @@
   /// `kDispatch`, engines only: the longest pause inside a stream. A longer
   /// one is a failed attempt, for an engine that is gone says nothing more.
   std::optional<milliseconds> stall_timeout;
+  /// `kDispatch`, engines only: give the attempt up where no first byte has
+  /// come by then, for the rest would not be done by the deadline.
+  std::optional<milliseconds> first_byte_timeout;
   int engine_priority = 0;                       ///< Lower runs first.
   error_kind refusal = error_kind::kNoEndpoint;  ///< `kRefuse`.
   milliseconds retry_after{0};                   ///< `kRefuse`.
@@ -98,10 +115,11 @@
 
 enum class attempt_end {
   kAnswered,
-  kRefusedByEndpoint,  ///< Proven not run: 429, 503 or not connected.
+  kRefusedByEndpoint,  ///< Proven not run by its answer: 429 or 503.
   kFailed,
   kTimedOut,
   kCancelled,
+  kUnreached,  ///< Proven not run: no connection was made.
 };
 
 /// @brief How one dispatched attempt ended.
@@ -122,6 +140,7 @@
   bool retry = false;
   milliseconds after{0};
   std::string reason;
+  bool too_late = false;  ///< Refused for want of time.
 };
 
 /// @brief Every decision about traffic on one thread: admission, queueing,
--- a/include/slatestall/serve/traffic_lane.h
+++ b/include/slatestall/serve/traffic_lane.h
@@ -11,6 +11,7 @@
 #include "slatestall/http/http_server.h"
 #include "slatestall/model/ids.h"
 #include "slatestall/model/time.h"
+#include "slatestall/model/told_load.h"
 #include "slatestall/policy/control_snapshot.h"
 #include "slatestall/policy/traffic_policy.h"
 #include "slatestall/serve/explain_ring.h"
@@ -46,6 +47,9 @@
   std::function<void(const request_trace_ptr&)> on_request_end;
   /// An endpoint's own answer said that it is leaving.
   std::function<void(const std::string& address)> on_endpoint_leaving;
+  /// An endpoint told its load with an answer.
+  std::function<void(const std::string& address, const told_load& load)>
+      on_endpoint_told;
 };
 
 /// @brief One traffic thread: callers' front, policy and pipeline runs on one
@@ -80,6 +84,8 @@
   std::size_t InHand() const;
   /// @brief Counts of this lane; may be read from any thread.
   const lane_counters& Counters() const;
+  /// @brief Log events dropped for their rate. From any thread.
+  std::uint64_t LogEventsDropped() const;
   /// @brief The last requests; may be asked from any thread.
   const explain_ring& Explain() const;
   /// @brief Calls in flight by endpoint address. From the lane's thread only.
--- a/src/slatestall/config/settings_fields.cc
+++ b/src/slatestall/config/settings_fields.cc
@@ -34,13 +34,23 @@
       MemberField(&s::listen,
                   {.name = "listen",
                    .type = type::kAddress,
-                   .meaning = "Where callers and operators connect; port 0 "
-                              "takes any free one"}),
+                   .meaning = "Where callers connect; port 0 takes any free "
+                              "one"}),
+      MemberField(&s::operator_listen,
+                  {.name = "operator_listen",
+                   .type = type::kAddress,
+                   .meaning = "Where operators connect, then not at `listen`; "
+                              "port 0 takes any free one; empty: at `listen`"}),
       MemberField(&s::peer_listen,
                   {.name = "peer_listen",
                    .type = type::kAddress,
                    .meaning = "Where the other hosts connect; port 0 takes any "
                               "free one"}),
+      MemberField(&s::peer_address,
+                  {.name = "peer_address",
+                   .type = type::kAddress,
+                   .meaning = "Where the other hosts reach `peer_listen`, if "
+                              "that is another address; empty: the same"}),
       MemberField(&s::log_url, {.name = "log_url",
                                 .type = type::kUrl,
                                 .required = true,
@@ -88,11 +98,15 @@
            .maximum = 64,
            .meaning = "Streams of the log over which claims are spread; "
                       "the same on all hosts"}),
-      TextChoiceField(&s::routing,
-                      {.name = "routing",
-                       .choices = {"least-wait", "round-robin"},
-                       .meaning = "How an endpoint is chosen; `round-robin` is "
-                                  "for comparison"}),
+      TextChoiceField(
+          &s::routing,
+          {.name = "routing",
+           .choices = {"least-wait", "round-robin", "plain-round-robin",
+                       "plain-least-in-flight"},
+           .meaning = "How an endpoint is chosen; all but "
+                      "`least-wait` are for comparison, and "
+                      "`plain-` leaves out queueing, hedging, "
+                      "ejection and early refusal as well"}),
       MemberField(&s::log_retention,
                   {.name = "log_retention",
                    .type = type::kDuration,
@@ -115,12 +129,21 @@
                   {.name = "operator_key_hashes",
                    .type = type::kDigests,
                    .meaning = "Digests of the operators' keys; without any, "
-                              "whoever reaches `listen` may publish and "
-                              "drain. In the file only"}),
+                              "whoever reaches the operators' address may "
+                              "publish and drain. In the file only"}),
       MemberField(&s::record_path,
                   {.name = "record_path",
                    .type = type::kText,
-                   .meaning = "File to record a trace to; empty: none"}),
+                   .meaning = "File to record a trace to, for `slatestall "
+                              "replay`; overwritten; empty: none"}),
+      MemberField(&s::record_max_bytes,
+                  {.name = "record_max_bytes",
+                   .type = type::kWhole,
+                   .unit = "bytes",
+                   .minimum = 1 << 20,
+                   .maximum = 1 << 30,
+                   .meaning = "Largest size of the recorded trace; recording "
+                              "then stops and says so"}),
   };
   return kTable;
 }
--- a/src/slatestall/node/control_core.h
+++ b/src/slatestall/node/control_core.h
@@ -14,13 +14,15 @@
 #include "slatestall/node/admin_api.h"
 #include "slatestall/node/config_follower.h"
 #include "slatestall/node/control_loop.h"
+#include "slatestall/node/control_traffic.h"
 #include "slatestall/node/endpoint_directory.h"
-#include "slatestall/node/endpoint_poller.h"
 #include "slatestall/node/host_network.h"
 #include "slatestall/node/host_reporter.h"
+#include "slatestall/node/load_reports.h"
+#include "slatestall/node/loop_gauge.h"
 #include "slatestall/node/order_service.h"
 #include "slatestall/node/outcome_service.h"
-#include "slatestall/node/prefix_cache_index.h"
+#include "slatestall/node/told_loads.h"
 #include "slatestall/platform/host_list.h"
 
 namespace slatestall {
@@ -32,6 +34,7 @@
   std::atomic<std::uint64_t> snapshots{0};
   std::atomic<std::uint32_t> live_hosts{1};
   std::atomic<std::int64_t> longest_deadline_ms{6000};
+  loop_gauge loop;
 };
 
 /// @brief Everything the control thread owns; used from that thread only, but
@@ -45,12 +48,16 @@
   void Start();
   void HandleAdminCall(const http_request& request, const admin_reply& reply);
   void EndpointLeaves(const std::string& address);
+  /// @brief Answers tell loads into `Told`; called after the first of some.
+  void TakeToldSoon();
+  told_loads& Told() { return told_; }
   void BeginDrain();
   void HandOver(const std::function<void()>& done);
   outcome_guard Guard() { return outcomes_.Guard(); }
 
   std::uint16_t PeerPort() const { return peers_.Port(); }
   const control_figures& Figures() const { return figures_; }
+  const control_traffic& Traffic() const { return traffic_; }
   /// @brief Null where this host gives no orders.
   const order_counters* Orders() const {
     return orders_ ? &orders_->Counters() : nullptr;
@@ -69,8 +76,7 @@
   void OnConfiguration();
   void OnHostList(const std::vector<listed_host>& hosts);
   void OnNetwork();
-  void OnLoad(const std::string& address, const std::string& body);
-  void OnCacheEvents(const std::string& address, const std::string& body);
+  void OnEndpointLeaving(const std::string& address, bool leaving);
   void OnTick();
 
   void FetchHosts();
@@ -87,6 +93,7 @@
   snapshot_cell& snapshots_;
   const control_hooks hooks_;
   control_figures figures_;
+  control_traffic traffic_;
 
   http_client client_;
   fetch_host_list fetch_hosts_;
@@ -96,18 +103,19 @@
   outcome_service outcomes_;
   endpoint_directory directory_;
   host_reporter reporter_;
-  prefix_cache_index caches_;
-  endpoint_poller load_poller_;
-  endpoint_poller cache_poller_;           ///< Engines only.
+  load_reports loads_;
   std::unique_ptr<order_service> orders_;  ///< Null without a weight store.
+  told_loads told_;
+  asio::steady_timer told_timer_;
   asio::steady_timer tick_timer_;
   asio::steady_timer host_list_timer_;
   asio::steady_timer snapshot_timer_;
   asio::steady_timer farewell_timer_;
 
-  std::set<std::string> used_;  ///< Endpoints of this host's use.
+  std::vector<std::string> chosen_by_;  ///< Live hosts, as of the last choice.
   time_point next_heads_{};
   time_point next_demand_{};
+  std::vector<listed_host> listed_;
   bool host_list_seen_ = false;
   bool draining_ = false;
   bool publish_pending_ = false;
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -10,6 +10,7 @@
 #include "slatestall/node/control_loop.h"
 #include "slatestall/node/drain_sequence.h"
 #include "slatestall/node/listen_address.h"
+#include "slatestall/node/trace_recorder.h"
 #include "slatestall/node/traffic_threads.h"
 
 namespace slatestall {
@@ -33,6 +34,9 @@
         control_(options_, self_, Now, snapshots_, ControlHooks()),
         signals_(context_, SIGTERM, SIGINT),
         drain_(context_, DrainHooks()) {
+    if (!options_.record_path.empty()) {
+      recorder_ = std::make_unique<trace_recorder>(options_, snapshots_, Now);
+    }
     traffic_ = std::make_unique<traffic_threads>(options_, self_, Now,
                                                  snapshots_, Links());
   }
@@ -44,6 +48,7 @@
 
   std::uint16_t Port() const { return traffic_->Port(); }
   std::uint16_t PeerPort() const { return control_.PeerPort(); }
+  std::uint16_t OperatorPort() const { return control_.OperatorPort(); }
 
   void Run() {
     signals_.async_wait([this](const asio::error_code& error, int) {
@@ -93,7 +98,18 @@
     links.endpoint_leaves = [this](const std::string& address) {
       control_.EndpointLeaves(address);
     };
-    links.control_metrics = [this] { return control_.Metrics(); };
+    links.endpoint_told = [this](const std::string& address,
+                                 const told_load& load) {
+      control_.EndpointTold(address, load);
+    };
+    links.control_metrics = [this] {
+      return control_.Metrics() + (recorder_ ? recorder_->Metrics() : "");
+    };
+    if (recorder_) {
+      links.on_request_end = [this](const request_trace_ptr& request) {
+        recorder_->Note(request);
+      };
+    }
     links.guard = control_.Guard();
     return links;
   }
@@ -117,6 +133,7 @@
   const host_id self_;
   snapshot_cell snapshots_;
   asio::io_context context_{1};
+  std::unique_ptr<trace_recorder> recorder_;  ///< Null: nothing is recorded.
   /// Outlives the control thread's state, which may still hold calls that
   /// came from a traffic thread.
   std::unique_ptr<traffic_threads> traffic_;
@@ -131,6 +148,7 @@
 
 std::uint16_t entry_host::Port() const { return impl_->Port(); }
 std::uint16_t entry_host::PeerPort() const { return impl_->PeerPort(); }
+std::uint16_t entry_host::OperatorPort() const { return impl_->OperatorPort(); }
 void entry_host::Run() { impl_->Run(); }
 void entry_host::Drain() { impl_->Drain(); }
 
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "slatestall/node/listen_address.h"
+#include "slatestall/policy/replay.h"
 #include "slatestall/report/prometheus_text.h"
 #include "slatestall/report/report_collector.h"
 #include "slatestall/report/report_json.h"
@@ -17,6 +18,22 @@
 namespace slatestall {
 namespace {
 
+traffic_policy_options PolicyFor(const std::string& routing) {
+  if (routing == "plain-round-robin") {
+    return NaivePolicy();
+  }
+  if (routing == "plain-least-in-flight") {
+    return LeastInFlightPolicy();
+  }
+  const auto rule = ValueIn(kRoutingRuleNames, routing);
+  if (!rule) {
+    throw std::invalid_argument("no such routing: " + routing);
+  }
+  traffic_policy_options policy;
+  policy.routing = *rule;
+  return policy;
+}
+
 traffic_lane_options LaneOptions(const settings& options, std::uint16_t port) {
   const auto listen = ParseListenAddress(options.listen);
   traffic_lane_options lane;
@@ -26,11 +43,7 @@
   lane.server.max_connections =
       std::max(1U, options.max_connections / options.traffic_threads);
   lane.server.share_port = options.traffic_threads > 1;
-  const auto routing = ValueIn(kRoutingRuleNames, options.routing);
-  if (!routing) {
-    throw std::invalid_argument("no such routing: " + options.routing);
-  }
-  lane.policy.routing = *routing;
+  lane.policy = PolicyFor(options.routing);
   lane.policy.failure_domain = options.failure_domain;
   lane.policy.seed = RandomBits();
   lane.policy.lanes = options.traffic_threads;
@@ -148,6 +161,14 @@
     text.append("# TYPE ").append(name).append(" counter\n");
     text.append(name).append(" ").append(std::to_string(total)).append("\n");
   }
+  std::uint64_t dropped = 0;
+  for (const auto& lane : lanes_) {
+    dropped += lane->lane->LogEventsDropped();
+  }
+  text +=
+      "# TYPE slatestall_log_events_dropped_total counter\n"
+      "slatestall_log_events_dropped_total " +
+      std::to_string(dropped) + "\n";
   text +=
       "# TYPE slatestall_requests_in_hand gauge\n"
       "slatestall_requests_in_hand " +
@@ -162,8 +183,12 @@
   hooks.admin = links_.admin_handler(lane->context);
   hooks.metrics = [this] { return Metrics(); };
   hooks.on_endpoint_leaving = links_.endpoint_leaves;
+  hooks.on_endpoint_told = links_.endpoint_told;
   hooks.on_request_end = [this](const request_trace_ptr& trace) {
     demand_.Note(*trace);
+    if (links_.on_request_end) {
+      links_.on_request_end(trace);
+    }
   };
   lane->lane = std::make_unique<traffic_lane>(
       lane->context, LaneOptions(options_, port), self_, number, snapshots_,
--- a/src/slatestall/node/traffic_threads.h
+++ b/src/slatestall/node/traffic_threads.h
@@ -10,10 +10,12 @@
 #include "slatestall/config/settings.h"
 #include "slatestall/http/http_server.h"
 #include "slatestall/model/ids.h"
+#include "slatestall/model/told_load.h"
 #include "slatestall/node/demand_meter.h"
 #include "slatestall/policy/control_snapshot.h"
 #include "slatestall/report/report_data.h"
 #include "slatestall/serve/outcome_guard.h"
+#include "slatestall/serve/request_trace.h"
 
 namespace slatestall {
 
@@ -21,7 +23,11 @@
 struct traffic_links {
   std::function<http_handler(asio::io_context& lane)> admin_handler;
   std::function<void(const std::string& address)> endpoint_leaves;
+  std::function<void(const std::string& address, const told_load& load)>
+      endpoint_told;
   std::function<std::string()> control_metrics;
+  /// Each request of this host when it has ended; empty: none.
+  std::function<void(const request_trace_ptr&)> on_request_end;
   outcome_guard guard;
 };
 
--- a/src/slatestall/peer/gossip_exchange.cc
+++ b/src/slatestall/peer/gossip_exchange.cc
@@ -73,7 +73,26 @@
   }
 }
 
+void gossip_exchange::UseRevision(config_revision revision, time_point now) {
+  in_force_ = revision;
+  NoteHead(revision, now);
+  NoteOwnChanges(now);
+}
+
+// A word of each of 390 hosts on each revision is 71 KB a host; at a change
+// every 36 s, as much as all else that hosts tell each other. Nobody waits for
+// it (who must know asks the host), and each host says something every two
+// minutes in any case.
+void gossip_exchange::SayRevision(time_point now) {
+  const member_digest& own = view_.Self().digest;
+  const bool speaks_anyway = own.version != announced_.version;
+  if (in_force_ != 0 && (speaks_anyway || own.revision == 0)) {
+    view_.SetRevision(in_force_, now);
+  }
+}
+
 void gossip_exchange::NoteOwnChanges(time_point now) {
+  SayRevision(now);
   const member_digest& own = view_.Self().digest;
   if (own.version == announced_.version) {
     return;
--- a/src/slatestall/policy/deadline_budget.cc
+++ b/src/slatestall/policy/deadline_budget.cc
@@ -16,8 +16,10 @@
 }  // namespace
 
 deadline_budget::deadline_budget(const pipeline_statistics& pipeline,
-                                 std::size_t stage, time_point deadline)
-    : likely_(pipeline.LikelyFrom(stage)),
+                                 std::size_t stage, time_point deadline,
+                                 priority_class priority)
+    : likely_(priority == priority_class::kBatch ? pipeline.HighFrom(stage)
+                                                 : pipeline.LikelyFrom(stage)),
       fast_(pipeline.FastFrom(stage)),
       later_(pipeline.MedianFrom(stage + 1)),
       deadline_(deadline) {}
@@ -30,6 +32,11 @@
   return deadline_ - FromSeconds(fast_);
 }
 
+milliseconds deadline_budget::TimeLeft(time_point now) const {
+  return std::chrono::duration_cast<milliseconds>(deadline_ - now -
+                                                  FromSeconds(later_));
+}
+
 milliseconds deadline_budget::AttemptTimeout(const latency_summary& answer,
                                              bool bounded, bool others_wait,
                                              time_point now) const {
--- a/src/slatestall/policy/deadline_budget.h
+++ b/src/slatestall/policy/deadline_budget.h
@@ -11,7 +11,7 @@
  public:
   /// @param stage The stage about to run; later ones must still fit.
   deadline_budget(const pipeline_statistics& pipeline, std::size_t stage,
-                  time_point deadline);
+                  time_point deadline, priority_class priority);
 
   /// @brief The last moment to start the stage that makes the deadline
   /// likely. Later, capacity that others wait for would be wasted.
@@ -22,6 +22,9 @@
   /// that has passed would be remembered until it fades.
   time_point LastChance() const;
 
+  /// @brief Time for this stage alone.
+  milliseconds TimeLeft(time_point now) const;
+
   /// @brief Time for one attempt.
   /// @param bounded Another attempt may follow, so it gets no more than the
   /// time that nearly all answers need.
--- a/src/slatestall/policy/endpoint_choice.h
+++ b/src/slatestall/policy/endpoint_choice.h
@@ -24,8 +24,10 @@
 /// @brief Chooses among endpoints by expected time to the answer.
 class endpoint_choice {
  public:
-  /// @param failure_domain Of this host.
-  endpoint_choice(routing_rule rule, std::string failure_domain);
+  /// @param failure_domain Of this host; empty: all are equally near.
+  /// @param slow_start Whether returned endpoints get work only gradually.
+  endpoint_choice(routing_rule rule, std::string failure_domain,
+                  bool slow_start = true);
 
   /// @brief The endpoint to use, or null where each one is leaving or tried.
   endpoint_state* Choose(const endpoint_set::candidates& candidates,
@@ -33,6 +35,10 @@
                          const domain_circuit& circuit,
                          random_generator& random, time_point now);
 
+  /// @brief Share of the prompt that the endpoint is believed to hold.
+  double CachedShare(const endpoint_state& state,
+                     const choice_request& request) const;
+
   /// @brief Remembers where a prompt went.
   void Sent(const std::vector<std::uint64_t>& prefixes,
             const std::string& address);
@@ -51,6 +57,9 @@
   endpoint_state* NextInTurn(const endpoint_set::candidates& candidates,
                              const choice_request& request,
                              const domain_circuit& circuit, time_point now);
+  endpoint_state* LeastInFlight(const endpoint_set::candidates& candidates,
+                                const choice_request& request,
+                                const domain_circuit& circuit, time_point now);
   endpoint_state* BestOfAll(const endpoint_set::candidates& candidates,
                             const choice_request& request,
                             const domain_circuit& circuit, fitness least,
@@ -65,11 +74,10 @@
                 time_point now, double bonus, draw_state& draw) const;
   double Score(const endpoint_state& state, const choice_request& request,
                time_point now) const;
-  double CachedShare(const endpoint_state& state,
-                     const choice_request& request) const;
 
   routing_rule rule_;
   std::string failure_domain_;
+  bool slow_start_;
   std::size_t turn_ = 0;
   prefix_memory memory_;
 };
--- a/src/slatestall/policy/replay_lane.cc
+++ b/src/slatestall/policy/replay_lane.cc
@@ -10,6 +10,7 @@
 constexpr auto kTick = milliseconds(5);
 constexpr auto kDeadlineMargin = milliseconds(10);
 const std::string kTooLate = "not whole at the deadline";
+const std::string kMisfit = "no such pipeline in force";
 const std::string kNotRepeatable = "the call may have run";
 
 std::string TextOf(const stage_decision& decision) {
@@ -26,9 +27,11 @@
 }  // namespace
 
 replay_lane::replay_lane(replay_surroundings& surroundings,
-                         const traffic_policy_options& options)
+                         const traffic_policy_options& options,
+                         std::function<demand_estimate&()> demand)
     : around_(surroundings),
       failure_domain_(options.failure_domain),
+      demand_(std::move(demand)),
       policy_(options) {}
 
 void replay_lane::UseSnapshot(const control_snapshot_ptr& snapshot) {
@@ -40,7 +43,12 @@
 void replay_lane::Arrive(const trace_arrival& arrival) {
   const time_point now = around_.events.Now();
   const configuration& content = snapshot_->configuration->content;
-  const pipeline_config& pipeline = content.pipelines.at(arrival.pipeline);
+  const auto found = content.pipelines.find(arrival.pipeline);
+  if (found == content.pipelines.end() ||
+      arrival.work.size() < found->second.stages.size()) {
+    return Misfit(arrival);
+  }
+  const pipeline_config& pipeline = found->second;
   const milliseconds allowed =
       std::min(arrival.deadline.value_or(pipeline.deadline), pipeline.deadline);
   around_.tally.Arrived();
@@ -49,8 +57,11 @@
   around_.tally.Decided(decision.admitted ? "admitted" : decision.reason);
   if (!decision.admitted) {
     around_.tally.Because(decision.reason);
-    around_.tally.Ended(pipeline.priority, arrival.workspace,
-                        request_outcome::kRefused, {});
+    if (decision.refusal == error_kind::kLimitExceeded) {
+      demand_().Refused(arrival.workspace);
+    }
+    around_.tally.Ended(arrival, pipeline.priority, replay_outcome::kRefused,
+                        {});
     return;
   }
   const request_number number = ++last_request_;
@@ -65,6 +76,15 @@
   StartStage(number);
 }
 
+// In a recorded trace a configuration may come into force a moment after the
+// first arrival that was served under it.
+void replay_lane::Misfit(const trace_arrival& arrival) {
+  around_.tally.Arrived();
+  around_.tally.Because(kMisfit);
+  around_.tally.Ended(arrival, arrival.answer.value_or(trace_answer{}).priority,
+                      replay_outcome::kRefused, {});
+}
+
 replay_lane::live_request* replay_lane::Find(request_number number) {
   const auto found = live_.find(number);
   return found == live_.end() ? nullptr : &found->second;
@@ -89,6 +109,8 @@
   request.priority = live.pipeline->priority;
   request.deadline = live.deadline;
   request.tried = live.tried;
+  request.unreached = live.unreached;
+  request.is_free_retry = live.last_unreached;
   if (live.arrival->prefix != 0 &&
       Service(live).kind == service_kind::kEngine) {
     request.prefix_hashes = {live.arrival->prefix};
@@ -100,6 +122,8 @@
   live_request& live = live_.at(number);
   live.attempts.clear();
   live.tried.clear();
+  live.unreached = 0;
+  live.last_unreached = false;
   Submit(number, false, false, "");
 }
 
@@ -138,10 +162,10 @@
   around_.tally.Because(decision.reason);
   const bool late = decision.refusal == error_kind::kDeadlineUnreachable ||
                     decision.refusal == error_kind::kOverloaded;
-  const request_outcome after_start =
-      late ? request_outcome::kLate : request_outcome::kFailed;
+  const replay_outcome after_start =
+      late ? replay_outcome::kLate : replay_outcome::kFailed;
   End(planned.request,
-      live.dispatched ? after_start : request_outcome::kRefused);
+      live.dispatched ? after_start : replay_outcome::kRefused);
 }
 
 void replay_lane::Send(request_number number, const stage_decision& decision) {
@@ -166,6 +190,7 @@
     Answered(number, stage, index, {attempt_end::kTimedOut, false, {}});
   });
   ScheduleHedge(number, index, decision);
+  ScheduleGiveUp(number, index, decision);
 }
 
 void replay_lane::Connect(request_number number, std::size_t index,
@@ -180,8 +205,7 @@
   }
   // No connection was made, which proves that nothing ran.
   around_.events.After(kConnectTimeout, [this, number, index, stage] {
-    Answered(number, stage, index,
-             {attempt_end::kRefusedByEndpoint, false, {}});
+    Answered(number, stage, index, {attempt_end::kUnreached, false, {}});
   });
 }
 
@@ -223,6 +247,26 @@
   });
 }
 
+void replay_lane::ScheduleGiveUp(request_number number, std::size_t index,
+                                 const stage_decision& decision) {
+  if (!decision.first_byte_timeout) {
+    return;
+  }
+  const std::size_t stage = live_.at(number).stage;
+  around_.events.After(
+      *decision.first_byte_timeout, [this, number, index, stage] {
+        const live_request* live = Find(number);
+        if (live == nullptr || live->stage != stage ||
+            !live->attempts[index].open) {
+          return;
+        }
+        const attempt& waits = live->attempts[index];
+        if (!waits.endpoint->AnswerHasBegun(waits.call)) {
+          Answered(number, stage, index, {attempt_end::kTimedOut, false, {}});
+        }
+      });
+}
+
 void replay_lane::Answered(request_number number, std::size_t stage,
                            std::size_t index, const modelled_answer& answer) {
   live_request* live = Find(number);
@@ -240,6 +284,8 @@
   } else {
     around_.tally.Wasted(StageName(*live), attempt_waste::kRetried, busy);
     live->tried.push_back(ended.address);
+    live->last_unreached = answer.end == attempt_end::kUnreached;
+    live->unreached += live->last_unreached ? 1 : 0;
     Retry(number, answer.end);
   }
   Pump();
@@ -287,8 +333,8 @@
   if (another_runs) {
     return;
   }
-  const bool safe =
-      end == attempt_end::kRefusedByEndpoint || Service(live).repeatable;
+  const bool safe = end == attempt_end::kRefusedByEndpoint ||
+                    end == attempt_end::kUnreached || Service(live).repeatable;
   const retry_decision decision =
       safe ? policy_.PlanRetry(RequestFor(live, last_ticket_ + 1),
                                around_.events.Now())
@@ -298,7 +344,7 @@
     // A timeout that the deadline has set ends just before it.
     const bool late = live.deadline - around_.events.Now() <= kDeadlineMargin;
     around_.tally.Because(late ? kTooLate : decision.reason);
-    End(number, late ? request_outcome::kLate : request_outcome::kFailed);
+    End(number, late ? replay_outcome::kLate : replay_outcome::kFailed);
     return;
   }
   around_.tally.Retried();
@@ -319,7 +365,7 @@
     StartStage(number);
     return;
   }
-  End(number, request_outcome::kInTime);
+  End(number, replay_outcome::kInTime);
 }
 
 void replay_lane::CheckDoubled(const live_request& live) {
@@ -339,17 +385,16 @@
   if (Find(number) != nullptr) {
     around_.tally.Because(kTooLate);
     const bool dispatched = live_.at(number).dispatched;
-    End(number,
-        dispatched ? request_outcome::kLate : request_outcome::kRefused);
+    End(number, dispatched ? replay_outcome::kLate : replay_outcome::kRefused);
     Pump();
   }
 }
 
-void replay_lane::End(request_number number, request_outcome outcome) {
+void replay_lane::End(request_number number, replay_outcome outcome) {
   live_request live = std::move(live_.at(number));
   live_.erase(number);
-  const bool in_time = outcome == request_outcome::kInTime;
-  const attempt_waste waste = outcome == request_outcome::kLate
+  const bool in_time = outcome == replay_outcome::kInTime;
+  const attempt_waste waste = outcome == replay_outcome::kLate
                                   ? attempt_waste::kLate
                                   : attempt_waste::kCancelled;
   CancelOpen(live, waste);
@@ -374,7 +419,10 @@
   policy_.Release({live.arrival->workspace, live.pipeline, in_time,
                    in_time ? live.arrival->tokens : 0},
                   now);
-  around_.tally.Ended(live.pipeline->priority, live.arrival->workspace, outcome,
+  demand_().Ended(live.arrival->workspace,
+                  std::chrono::duration<double>(now - live.arrived).count(),
+                  in_time ? live.arrival->tokens : 0);
+  around_.tally.Ended(*live.arrival, live.pipeline->priority, outcome,
                       now - live.arrived);
 }
 
--- a/src/slatestall/policy/replay_lane.h
+++ b/src/slatestall/policy/replay_lane.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/policy/demand_estimate.h"
 #include "slatestall/policy/event_queue.h"
 #include "slatestall/policy/modelled_endpoint.h"
 #include "slatestall/policy/replay_tally.h"
@@ -27,8 +28,10 @@
 /// that a traffic thread of a host would make.
 class replay_lane {
  public:
+  /// @param demand Where this host counts what its workspaces ask for.
   replay_lane(replay_surroundings& surroundings,
-              const traffic_policy_options& options);
+              const traffic_policy_options& options,
+              std::function<demand_estimate&()> demand);
 
   void UseSnapshot(const control_snapshot_ptr& snapshot);
   void Arrive(const trace_arrival& arrival);
@@ -55,6 +58,8 @@
     std::size_t stage = 0;
     std::vector<attempt> attempts;  ///< Of the current stage.
     std::vector<std::string> tried;
+    std::size_t unreached = 0;  ///< Of `tried`.
+    bool last_unreached = false;
     std::vector<duration> used;  ///< By stage.
     bool dispatched = false;
   };
@@ -64,6 +69,7 @@
     bool is_hedge = false;
   };
 
+  void Misfit(const trace_arrival& arrival);
   live_request* Find(request_number number);
   stage_request RequestFor(const live_request& live, stage_ticket ticket) const;
   std::string StageName(const live_request& live) const;
@@ -81,6 +87,8 @@
   void ScheduleHedge(request_number number, std::size_t index,
                      const stage_decision& decision);
 
+  void ScheduleGiveUp(request_number number, std::size_t index,
+                      const stage_decision& decision);
   void Answered(request_number number, std::size_t stage, std::size_t index,
                 const modelled_answer& answer);
   void Retry(request_number number, attempt_end end);
@@ -89,7 +97,7 @@
   void CancelOpen(live_request& live, attempt_waste waste);
   void StageDone(request_number number);
   void DeadlinePassed(request_number number);
-  void End(request_number number, request_outcome outcome);
+  void End(request_number number, replay_outcome outcome);
   void CheckDoubled(const live_request& live);
   void Pump();
   void Tick();
@@ -98,6 +106,7 @@
 
   replay_surroundings& around_;
   std::string failure_domain_;
+  std::function<demand_estimate&()> demand_;
   traffic_policy policy_;
   control_snapshot_ptr snapshot_;
   request_number last_request_ = 0;
--- a/src/slatestall/policy/replay_tally.cc
+++ b/src/slatestall/policy/replay_tally.cc
@@ -18,30 +18,41 @@
 
 }  // namespace
 
-void replay_tally::Ended(priority_class priority, const std::string& workspace,
-                         request_outcome outcome, duration latency) {
+void replay_tally::Ended(const trace_arrival& arrival, priority_class priority,
+                         replay_outcome outcome, duration latency) {
   --open_;
+  CountSecond(arrival.at, outcome);
   const std::string name(NameIn(kPriorityClassNames, priority));
+  Count(pipelines_[arrival.pipeline], outcome, latency);
   Count(classes_[name], outcome, latency);
-  Count(workspaces_[workspace], outcome, latency);
+  Count(workspaces_[arrival.workspace], outcome, latency);
 }
 
-void replay_tally::Count(group& group, request_outcome outcome,
+void replay_tally::CountSecond(duration arrived, replay_outcome outcome) {
+  const auto second = static_cast<std::size_t>(Seconds(arrived));
+  if (result_.seconds.size() <= second) {
+    result_.seconds.resize(second + 1);
+  }
+  ++result_.seconds[second].requests;
+  result_.seconds[second].in_time += outcome == replay_outcome::kInTime;
+}
+
+void replay_tally::Count(group& group, replay_outcome outcome,
                          duration latency) {
   replay_group& counts = group.counts;
   ++counts.requests;
   switch (outcome) {
-    case request_outcome::kInTime:
+    case replay_outcome::kInTime:
       ++counts.in_time;
       group.latencies.push_back(Seconds(latency));
       return;
-    case request_outcome::kLate:
+    case replay_outcome::kLate:
       ++counts.late;
       return;
-    case request_outcome::kRefused:
+    case replay_outcome::kRefused:
       ++counts.refused;
       return;
-    case request_outcome::kFailed:
+    case replay_outcome::kFailed:
       ++counts.failed;
       return;
   }
@@ -89,6 +100,9 @@
   for (const auto& [name, group] : workspaces_) {
     result.workspaces[name] = Summary(group);
   }
+  for (const auto& [name, group] : pipelines_) {
+    result.pipelines[name] = Summary(group);
+  }
   result.lost = open_;
   result.decisions = StableHashText("", digest_);
   return result;
--- a/src/slatestall/policy/replay_tally.h
+++ b/src/slatestall/policy/replay_tally.h
@@ -9,16 +9,14 @@
 
 namespace slatestall {
 
-enum class request_outcome { kInTime, kLate, kRefused, kFailed };
-
 enum class attempt_waste { kLate, kRetried, kHedged, kCancelled };
 
 /// @brief Collects what a replay reports.
 class replay_tally {
  public:
   void Arrived() { ++open_; }
-  void Ended(priority_class priority, const std::string& workspace,
-             request_outcome outcome, duration latency);
+  void Ended(const trace_arrival& arrival, priority_class priority,
+             replay_outcome outcome, duration latency);
   void Because(const std::string& reason) { ++result_.reasons[reason]; }
 
   /// @param stage "pipeline/stage".
@@ -39,13 +37,15 @@
     std::vector<double> latencies;  ///< Seconds, of those in time.
   };
 
-  static void Count(group& group, request_outcome outcome, duration latency);
+  void CountSecond(duration arrived, replay_outcome outcome);
+  static void Count(group& group, replay_outcome outcome, duration latency);
   static replay_group Summary(group group);
 
   std::uint64_t open_ = 0;
   std::uint64_t digest_ = 0;
   std::map<std::string, group> classes_;
   std::map<std::string, group> workspaces_;
+  std::map<std::string, group> pipelines_;
   replay_result result_;
 };
 
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -10,15 +10,20 @@
 
 constexpr std::size_t kMostWaiting = 2048;  // Calls of one service.
 constexpr std::size_t kMostAttempts = 4;
+constexpr std::size_t kMostUnreached = 8;  // Besides these attempts.
 // Ten times the slowest usual gap between tokens, and short against deadlines.
 constexpr auto kStallTimeout = milliseconds(700);
 constexpr double kFirstBackoff = 0.01;  // Seconds; doubles, with jitter.
 // Some way beyond the 95th percentile: at that percentile itself one call in
 // twenty is hedged on the best of days, and its endpoint time is wasted.
 constexpr double kHedgeFactor = 1.5;
+// Of the time left, before the usual time is known. The first calls after a
+// start would otherwise wait for a hanging endpoint until their deadline.
+constexpr double kUnknownHedgeShare = 0.25;
 constexpr double kPrefillShare = 0.7;      // Of the time to the first byte.
 constexpr double kListRetryAfter = 1;      // Seconds, while a list is empty.
 constexpr double kShortRetryAfter = 0.25;  // Seconds.
+const std::vector<std::uint64_t> kNoPrefixes;
 
 stage_decision Refuse(const stage_request& request, error_kind kind,
                       double retry_after, std::string reason) {
@@ -50,7 +55,8 @@
           model,
           service.FreshPool(model, state_.circuit, now),
           statistics,
-          deadline_budget(pipeline, request.stage, request.deadline)};
+          deadline_budget(pipeline, request.stage, request.deadline,
+                          request.priority)};
 }
 
 stage_decision stage_planner::Plan(const stage_request& request,
@@ -126,7 +132,10 @@
 
 stage_decision stage_planner::Dispatch(call_context& call, time_point now) {
   const stage_request& request = call.request;
-  endpoint_state* endpoint = Choose(call, now);
+  const choice_request choice = ChoiceFor(call);
+  endpoint_state* endpoint = call.service.Choice().Choose(
+      call.service.Endpoints().For(call.model).endpoints, choice,
+      state_.circuit, state_.random, now);
   if (endpoint == nullptr) {
     return Refuse(request, error_kind::kNoEndpoint, kListRetryAfter,
                   "no endpoint of " + call.stage.service + " takes work");
@@ -135,8 +144,9 @@
   const double per_slot = (endpoint->Load(now) + 1) / endpoint->Slots();
   const double expected = answer.median * std::max(1.0, per_slot);
   endpoint->Start({request.ticket, request.pipeline->name, call.model,
-                   request.stage, request.priority, now, expected,
-                   answer.worst});
+                   request.stage, request.priority, now, expected, answer.worst,
+                   call.service.Choice().CachedShare(*endpoint, choice),
+                   per_slot <= 1});
   call.pool.Usage().Start(request.priority, now);
   call.service.Choice().Sent(request.prefix_hashes, endpoint->Address());
   stage_decision decision;
@@ -150,23 +160,23 @@
   decision.engine_priority = EnginePriority(request.priority);
   if (call.service.Kind() == service_kind::kEngine) {
     decision.stall_timeout = kStallTimeout;
+    SetFirstByteTimeout(call, decision, now);
   }
   SetHedge(call, decision, now);
   return decision;
 }
 
-endpoint_state* stage_planner::Choose(call_context& call, time_point now) {
+choice_request stage_planner::ChoiceFor(const call_context& call) const {
   choice_request choice;
-  choice.prefixes = &call.request.prefix_hashes;
+  choice.prefixes = state_.options.cache_affinity ? &call.request.prefix_hashes
+                                                  : &kNoPrefixes;
   choice.tried = &call.request.tried;
   choice.adapter = call.stage.adapter;
   choice.service_time = call.statistics.answer.Summary().median;
   choice.mean_time = call.pool.MeanTime();
-  choice.prefix_time =
-      call.statistics.first_byte.Summary().median * kPrefillShare;
-  return call.service.Choice().Choose(
-      call.service.Endpoints().For(call.model).endpoints, choice,
-      state_.circuit, state_.random, now);
+  choice.prefix_time = call.statistics.prompt.Saved(
+      call.statistics.first_byte.Summary().median * kPrefillShare);
+  return choice;
 }
 
 void stage_planner::SetHedge(call_context& call, stage_decision& decision,
@@ -179,9 +189,27 @@
   const latency_summary& first = call.statistics.first_byte.Summary();
   const latency_summary& answer = call.statistics.answer.Summary();
   const double high = first.known ? first.high : answer.high;
-  if (high > 0) {
-    decision.hedge_after = ToMilliseconds(high * kHedgeFactor);
+  const double usual =
+      high > 0 ? high * kHedgeFactor
+               : Seconds(call.request.deadline - now) * kUnknownHedgeShare;
+  decision.hedge_after = ToMilliseconds(usual);
+}
+
+// An engine runs what waits in its own queue whether it can still be done in
+// time or not: drafts that waited behind shoppers there ran for seconds, were
+// cut off at their deadline and were most of the waste of an overload. The host
+// knows that none has begun, by the first byte, and takes the call back.
+void stage_planner::SetFirstByteTimeout(const call_context& call,
+                                        stage_decision& decision,
+                                        time_point now) const {
+  const latency_summary& rest = call.statistics.rest.Summary();
+  if (!state_.options.early_refusal || !call.service.Repeatable() ||
+      !rest.known) {
+    return;
   }
+  const milliseconds left =
+      call.budget.TimeLeft(now) - ToMilliseconds(rest.high);
+  decision.first_byte_timeout = std::max(milliseconds(1), left);
 }
 
 bool stage_planner::AnotherEndpoint(const call_context& call,
@@ -272,6 +300,10 @@
         statistics->answer.Add(report.total, now);
         if (report.first_byte > duration::zero()) {
           statistics->first_byte.Add(report.first_byte, now);
+          statistics->rest.Add(report.total - report.first_byte, now);
+          if (call.started_at_once) {
+            statistics->prompt.Add(Seconds(report.first_byte), call.cached);
+          }
         }
       }
       return;
@@ -282,7 +314,9 @@
       // The answer would have taken at least this long. Were only answers
       // counted, an overload would look fast: the slow ones never count.
       if (statistics != nullptr) {
-        statistics->answer.Add(report.total, now);
+        const bool begun = report.first_byte > duration::zero();
+        const double rest = begun ? 0 : statistics->rest.Summary().median;
+        statistics->answer.Add(report.total + FromSeconds(rest), now);
       }
       // A short timeout near a deadline says nothing about the endpoint.
       if (!overdue) {
@@ -290,18 +324,25 @@
       }
       LearnUnfinished(endpoint, call, report, statistics);
       break;
+    case attempt_end::kUnreached:
     case attempt_end::kRefusedByEndpoint:
       if (!report.said_leaving) {
         health.Refused(now);
-        state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(),
-                              now);
+        CountDomainFailure(endpoint, now);
       }
       return;
     case attempt_end::kFailed:
       break;
   }
   health.Failed(now);
-  state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+  CountDomainFailure(endpoint, now);
+}
+
+void stage_planner::CountDomainFailure(const endpoint_state& endpoint,
+                                       time_point now) {
+  if (state_.options.domain_circuit) {
+    state_.circuit.Failed(endpoint.FailureDomain(), endpoint.Address(), now);
+  }
 }
 
 // An attempt that was given up, often as the loser of a hedge, would have taken
@@ -330,7 +371,9 @@
   retry_decision decision;
   const std::string& name = request.pipeline->stages.at(request.stage).service;
   service_traffic* service = state_.Service(name);
-  if (service == nullptr || request.tried.size() >= kMostAttempts) {
+  const std::size_t reached = request.tried.size() - request.unreached;
+  if (service == nullptr || reached >= kMostAttempts ||
+      request.unreached >= kMostUnreached) {
     decision.reason = "no attempt is left";
     return decision;
   }
@@ -347,10 +390,11 @@
                                 : call.budget.LatestStart();
   if (now + FromSeconds(backoff) > latest ||
       request.deadline <= now + FromSeconds(backoff)) {
+    decision.too_late = true;
     decision.reason = "the time left is too short";
   } else if (!AnotherEndpoint(call, "", now)) {
     decision.reason = "no other endpoint";
-  } else if (!call.statistics.retries.Take()) {
+  } else if (!request.is_free_retry && !call.statistics.retries.Take()) {
     decision.reason = "the retry budget is spent";
   } else {
     decision.retry = true;
--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -41,13 +41,16 @@
   stage_decision Dispatch(call_context& call, time_point now);
   void TakeReadyOf(service_traffic& service, stage_pool& pool, time_point now,
                    std::vector<stage_decision>& ready);
-  endpoint_state* Choose(call_context& call, time_point now);
+  choice_request ChoiceFor(const call_context& call) const;
   bool AnotherEndpoint(const call_context& call, const std::string& address,
                        time_point now);
   void SetHedge(call_context& call, stage_decision& decision, time_point now);
+  void SetFirstByteTimeout(const call_context& call, stage_decision& decision,
+                           time_point now) const;
   void Learn(service_traffic& service, endpoint_state& endpoint,
              const call_in_flight& call, const attempt_report& report,
              time_point now);
+  void CountDomainFailure(const endpoint_state& endpoint, time_point now);
   static void LearnUnfinished(endpoint_state& endpoint,
                               const call_in_flight& call,
                               const attempt_report& report,
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -5,14 +5,15 @@
 #include <chrono>
 #include <utility>
 
+#include "slatestall/serve/load_header.h"
+
 namespace slatestall {
 namespace {
 
-constexpr unsigned kMaxResumes = 3;
-constexpr milliseconds kFirstResumePause{10};
 constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
 
 constexpr int kBadRequest = 400;
+constexpr int kGone = 410;  // The engine no longer has the stream.
 constexpr int kPayloadTooLarge = 413;
 constexpr int kUnprocessable = 422;
 constexpr int kTooManyRequests = 429;
@@ -38,10 +39,17 @@
     : environment_(environment),
       spec_(std::move(spec)),
       timeout_(environment.context),
+      first_byte_timeout_(environment.context),
       resume_timer_(environment.context),
+      stall_timer_(environment.context),
       stream_([this](std::uint64_t offset, std::string_view text) {
         OnText(offset, text);
-      }) {}
+      }) {
+  if (spec_.goes_on_after != nullptr) {
+    stream_.Repeat(spec_.goes_on_after->stream_);
+    spec_.goes_on_after.reset();
+  }
+}
 
 stage_attempt::~stage_attempt() { Cancel(); }
 
@@ -51,6 +59,7 @@
   call_id_ = spec_.id;
   environment_.counters.Count(lane_event::kAttempt);
   StartTimeout();
+  StartFirstByteTimeout();
   StartExchange(std::nullopt);
 }
 
@@ -61,21 +70,40 @@
   timeout_.expires_after(*spec_.timeout);
   timeout_.async_wait([weak = weak_from_this()](asio::error_code error) {
     const auto self = weak.lock();
-    if (error || self == nullptr || self->ended_) {
-      return;
+    if (!error && self != nullptr && !self->ended_) {
+      self->TimeOut("no answer within its timeout");
     }
-    self->DropExchange();
-    attempt_result result = self->Failure("no answer within its timeout");
-    result.end = attempt_end::kTimedOut;
-    self->Finish(std::move(result));
   });
 }
 
+void stage_attempt::StartFirstByteTimeout() {
+  if (!spec_.first_byte_timeout) {
+    return;
+  }
+  first_byte_timeout_.expires_after(*spec_.first_byte_timeout);
+  first_byte_timeout_.async_wait(
+      [weak = weak_from_this()](asio::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && !self->ended_ && !self->HasText()) {
+          self->TimeOut("not begun when the rest would no longer be in time");
+        }
+      });
+}
+
+void stage_attempt::TimeOut(const char* detail) {
+  DropExchange();
+  attempt_result result = Failure(detail);
+  result.end = attempt_end::kTimedOut;
+  Finish(std::move(result));
+}
+
 void stage_attempt::Cancel() {
   ended_ = true;
   DropExchange();
   timeout_.cancel();
+  first_byte_timeout_.cancel();
   resume_timer_.cancel();
+  stall_timer_.cancel();
 }
 
 void stage_attempt::LiftTimeout() { timeout_.cancel(); }
@@ -95,8 +123,13 @@
   http_call call =
       BuildStageCall(spec_.message, spec_.address, call_id_, resume);
   call.at_most_once = spec_.at_most_once;
-  call.accept = [id = call_id_](const http_headers& headers) {
-    return EchoesAttempt(headers, id).value_or(true);
+  call.accept = [&environment = environment_, address = spec_.address,
+                 id = call_id_](const http_headers& headers) {
+    if (!EchoesAttempt(headers, id).value_or(true)) {
+      return false;
+    }
+    TellLoad(environment, address, headers);
+    return true;
   };
   call.max_answer_bytes = environment_.options.max_stage_answer_bytes;
   const std::uint64_t exchange = ++exchange_;
@@ -111,6 +144,11 @@
         self->OnData(exchange, data);
       }
     };
+    call.on_read = [weak] {
+      if (const auto self = weak.lock(); self && !self->ended_) {
+        self->PassOnText();
+      }
+    };
   }
   exchange_live_ = true;
   call_ = environment_.client->Start(
@@ -137,6 +175,11 @@
   }
   switch (answer_->Take(data)) {
     case stream_verdict::kGoesOn:
+      // Words that only repeat what the caller has are a first byte, too.
+      if (first_byte_ == duration{}) {
+        first_byte_ = Elapsed();
+      }
+      WatchForStall();
       return;
     case stream_verdict::kWhole:
       return FinishWholeLater();
@@ -149,6 +192,9 @@
     case stream_verdict::kGap:
       return DropStream(lane_event::kGapInStream, "tokens are missing");
     case stream_verdict::kDiverged:
+      if (stream_.IsRepeating()) {
+        return EndDiverged();
+      }
       return DropStream(lane_event::kMalformedAnswer,
                         "the stream repeats tokens with other text");
     case stream_verdict::kMalformed:
@@ -161,7 +207,23 @@
   if (first_byte_ == duration{}) {
     first_byte_ = Elapsed();
   }
-  hooks_.on_text(offset, text);
+  if (unpassed_text_.empty()) {
+    unpassed_offset_ = offset;
+  }
+  unpassed_text_ += text;
+}
+
+// Tokens that came in one read go on as one piece, before anything else is done
+// about them: what ends or resumes a stream is put off to a later turn. A host
+// that falls behind
+// finds more in each read, and would otherwise spend a write on each token
+// just when it has no time for them.
+void stage_attempt::PassOnText() {
+  if (unpassed_text_.empty()) {
+    return;
+  }
+  const std::string text = std::exchange(unpassed_text_, {});
+  hooks_.on_text(unpassed_offset_, text);
 }
 
 // From the event loop: what follows a whole answer starts the next call,
@@ -255,6 +317,7 @@
 }
 
 void stage_attempt::OnEngineResult(const http_result& result) {
+  PassOnText();
   exchange_live_ = false;
   if (!answer_->Whole()) {
     if (result.end == call_end::kComplete && IsSuccess(result.status)) {
@@ -281,7 +344,7 @@
   if (result.end != call_end::kComplete) {
     refusal.may_have_run = result.may_have_been_sent;
     if (!result.may_have_been_sent) {
-      refusal.end = attempt_end::kRefusedByEndpoint;
+      refusal.end = attempt_end::kUnreached;
     } else if (result.end == call_end::kTimedOut) {
       refusal.end = attempt_end::kTimedOut;
     }
@@ -289,6 +352,7 @@
   }
   refusal.detail = "status " + std::to_string(result.status);
   refusal.worth_retrying = !IsAboutTheRequest(result.status);
+  refusal.stream_is_lost = result.status == kGone;
   if (!IsRefusal(result.status)) {
     return refusal;
   }
@@ -300,45 +364,6 @@
   return refusal;
 }
 
-void stage_attempt::ResumeOrFail(attempt_result failure) {
-  // What a resuming call proves ("not run", "not connected") is true of that
-  // call alone; the one that began the stream has run.
-  if (resumes_ > 0 || Tokens() > 0) {
-    failure.may_have_run = true;
-    if (failure.end == attempt_end::kRefusedByEndpoint) {
-      failure.end = attempt_end::kFailed;
-    }
-  }
-  if (MayResume(failure)) {
-    return ResumeLater();
-  }
-  Finish(std::move(failure));
-}
-
-bool stage_attempt::MayResume(const attempt_result& failure) const {
-  if (spec_.message.kind != service_kind::kEngine || resumes_ >= kMaxResumes ||
-      !failure.may_have_run || !failure.worth_retrying) {
-    return false;
-  }
-  // Without a token a call that may be repeated is better off elsewhere.
-  return Tokens() > 0 || (spec_.at_most_once && resumes_ == 0);
-}
-
-void stage_attempt::ResumeLater() {
-  environment_.counters.Count(lane_event::kResume);
-  hooks_.note("resume", std::to_string(Tokens()));
-  resume_timer_.expires_after(kFirstResumePause * (1U << resumes_));
-  ++resumes_;
-  resume_timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (error || self == nullptr || self->ended_) {
-      return;
-    }
-    self->call_id_ = self->hooks_.next_id();
-    self->StartExchange(resume_point{self->spec_.id, self->Tokens()});
-  });
-}
-
 void stage_attempt::Finish(attempt_result result) {
   if (ended_) {
     return;
@@ -346,6 +371,7 @@
   ended_ = true;
   timeout_.cancel();
   resume_timer_.cancel();
+  stall_timer_.cancel();
   hooks_.on_done(std::move(result));
 }
 
--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -48,6 +48,8 @@
   request.deadline = spec_.deadline;
   request.prefix_hashes = prefix_hashes_;
   request.tried = tried_;
+  request.unreached = unreached_;
+  request.is_free_retry = last_unreached_;
   request.is_retry = why == ask::kRetry;
   request.is_hedge = why == ask::kHedge;
   return request;
@@ -132,14 +134,24 @@
                 attempts_begun_++};
   attempt.deadline = spec_.deadline;
   attempt.at_most_once = spec_.at_most_once;
+  attempt.goes_on_after = cut_;
+  attempt.stall_timeout = decision.stall_timeout;
   // A call that may not be sent again gains nothing from giving up early: its
   // outcome would only become unknown.
-  if (!spec_.at_most_once) {
+  if (!spec_.at_most_once && EndsBeforeDeadline(decision.attempt_timeout)) {
     attempt.timeout = Positive(decision.attempt_timeout);
+    attempt.first_byte_timeout = decision.first_byte_timeout;
   }
   return attempt;
 }
 
+// An attempt that was given all the time left has no timer of its own. Rounded
+// down to milliseconds it would fire just before the request's, and the caller
+// whose deadline passed would read that a stage had failed.
+bool stage_runner::EndsBeforeDeadline(milliseconds timeout) const {
+  return environment_.now() + timeout + milliseconds(1) < spec_.deadline;
+}
+
 attempt_hooks stage_runner::Hooks(stage_attempt* attempt) {
   const auto weak = weak_from_this();
   attempt_hooks hooks;
@@ -202,6 +214,9 @@
     return;
   }
   accounts_.Ended(*ended, result);
+  if (text_sent_) {
+    cut_ = ended;
+  }
   if (result.end == attempt_end::kAnswered) {
     return OnAnswered(*ended, std::move(result));
   }
@@ -228,6 +243,8 @@
 void stage_runner::OnFailed(const stage_attempt& attempt,
                             const attempt_result& result) {
   may_have_run_ = may_have_run_ || result.may_have_run;
+  last_unreached_ = result.end == attempt_end::kUnreached;
+  unreached_ += last_unreached_ ? 1 : 0;
   Note(attempt.Id().Text(), attempt.Address(), "failed", result.detail);
   environment_.log.Write({log_severity::kWarning, "attempt failed",
                           spec_.request.text, spec_.workspace, Stage().name,
@@ -245,10 +262,10 @@
 }
 
 void stage_runner::RetryOrFail(const attempt_result& result) {
-  // Once text went to the caller, or the call may not be repeated, only the
-  // same stream could go on; that was tried by the attempt itself.
-  const bool may_send_again =
-      !may_have_run_ || (!spec_.at_most_once && !text_sent_);
+  // Where the call may not be repeated, only the same stream could go on; that
+  // was tried by the attempt itself. Once text went to the caller, the next
+  // attempt has to repeat it first.
+  const bool may_send_again = !may_have_run_ || !spec_.at_most_once;
   if (!may_send_again || !result.worth_retrying) {
     return Fail(FailureOf(result));
   }
@@ -256,7 +273,10 @@
       environment_.scheduler.PlanRetry(Request(ask::kRetry));
   if (!decision.retry) {
     Note("", "", "no retry", decision.reason);
-    return Fail(FailureOf(result));
+    request_failure failure =
+        decision.too_late ? OutOfTime(result) : FailureOf(result);
+    failure.detail += "; not tried again: " + decision.reason;
+    return Fail(std::move(failure));
   }
   Note("", "", "retry", decision.reason);
   if (decision.after <= milliseconds(0)) {
@@ -282,6 +302,17 @@
   return {error_kind::kStageFailed, detail, {}};
 }
 
+// The time ran out in this stage, though the stages after it are why: what was
+// left would not have been enough for them.
+request_failure stage_runner::OutOfTime(const attempt_result& result) const {
+  request_failure failure = FailureOf(result);
+  if (failure.kind == error_kind::kStageFailed &&
+      result.end == attempt_end::kTimedOut) {
+    failure.kind = error_kind::kDeadlineExceeded;
+  }
+  return failure;
+}
+
 void stage_runner::Fail(request_failure failure) {
   if (ended_) {
     return;
