--- a/cmake/slatestall_package.cmake
+++ b/cmake/slatestall_package.cmake
@@ -55,9 +55,16 @@
   add_executable(${name}_test ${ARG_SOURCES} "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
   target_include_directories(${name}_test PRIVATE "${PROJECT_SOURCE_DIR}/src")
   target_link_libraries(${name}_test PRIVATE ${ARG_USES} PkgConfig::cppunit rapidcheck)
-  # Tests that read pages, examples and traces of the repository.
-  target_compile_definitions(${name}_test PRIVATE
-    SLATESTALL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  # Some tests read pages, examples and traces of the repository. Only they are
+  # told where it is: compilers' caches share no object whose command line names
+  # the checkout's folder.
+  foreach(source ${ARG_SOURCES})
+    file(STRINGS "${source}" told REGEX "SLATESTALL_SOURCE_DIR" LIMIT_COUNT 1)
+    if(told)
+      set_source_files_properties("${source}" PROPERTIES COMPILE_DEFINITIONS
+        "SLATESTALL_SOURCE_DIR=\"${PROJECT_SOURCE_DIR}\"")
+    endif()
+  endforeach()
   add_test(NAME ${name}_test COMMAND ${name}_test)
   set_tests_properties(${name}_test PROPERTIES
     TIMEOUT 600 ENVIRONMENT "RC_PARAMS=${SLATESTALL_RC_PARAMS}")
