One unknown billed draft ejects its engine, too

Cause: engines are repeatable, billed drafts are not; the judgement looked at the service alone.

Change: an attempt's report says that it could not be sent again.

--- a/include/slatestall/policy/traffic_policy.h
+++ b/include/slatestall/policy/traffic_policy.h
@@ -116,6 +116,7 @@
   std::size_t stage = 0;
   attempt_end end = attempt_end::kAnswered;
   bool said_leaving = false;  ///< The endpoint itself said that it leaves.
+  bool at_most_once = false;  ///< The call could not be sent again.
   duration first_byte{};      ///< Zero where none came, whatever the end.
   duration total{};
   std::uint64_t generated_tokens = 0;
--- a/src/slatestall/policy/endpoint_choice_test.cc
+++ b/src/slatestall/policy/endpoint_choice_test.cc
@@ -77,7 +77,7 @@
       for (endpoint_state* state : service.Endpoints().Listed()) {
         for (int i = 0; i < 5; ++i) {
           state->Health().Failed(now);
-          service.JudgeHealth(*state, now);
+          service.JudgeHealth(*state, false, now);
         }
       }
       std::size_t left = 0;
--- a/src/slatestall/policy/service_traffic.cc
+++ b/src/slatestall/policy/service_traffic.cc
@@ -47,11 +47,12 @@
   return pool;
 }
 
-void service_traffic::JudgeHealth(endpoint_state& state, time_point now) {
+void service_traffic::JudgeHealth(endpoint_state& state, bool at_most_once,
+                                  time_point now) {
   if (state.Health().Ejected(now) || !MayEjectOneMore(now)) {
     return;
   }
-  if (state.Health().ShouldEject(repeatable_)) {
+  if (state.Health().ShouldEject(repeatable_ && !at_most_once)) {
     state.Health().Eject(now);
   } else if (state.LearnedSlowness() > kOutlierSlowness) {
     state.EjectAsOutlier(now);
--- a/src/slatestall/policy/service_traffic.h
+++ b/src/slatestall/policy/service_traffic.h
@@ -38,7 +38,8 @@
   std::map<std::string, stage_pool>& Pools() { return pools_; }
 
   /// @brief Ejects `state` if it deserves that and enough others are left.
-  void JudgeHealth(endpoint_state& state, time_point now);
+  /// @param at_most_once Whether the call that ended could not be sent again.
+  void JudgeHealth(endpoint_state& state, bool at_most_once, time_point now);
 
  private:
   bool MayEjectOneMore(time_point now) const;
--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -256,7 +256,7 @@
     endpoint->SaidLeaving(now);
   }
   Learn(*service, *endpoint, call, report, now);
-  service->JudgeHealth(*endpoint, now);
+  service->JudgeHealth(*endpoint, report.at_most_once, now);
 }
 
 void stage_planner::Learn(service_traffic& service, endpoint_state& endpoint,
--- a/src/slatestall/serve/attempt_accounts.cc
+++ b/src/slatestall/serve/attempt_accounts.cc
@@ -22,6 +22,7 @@
   report.pipeline = spec_.pipeline->name;
   report.stage = spec_.stage;
   report.end = end;
+  report.at_most_once = spec_.at_most_once;
   return report;
 }
 
