Admission counts only the waiting work that goes before a request

Cause: a request was refused when all work that waits for its class filled its time. Lines go by earliest deadline, so a shopper with 3 s was refused for documents with 6 s that it would overtake.

Change: the queue sums its work by deadline, in tenths of a second, and admission takes what is earlier.

--- a/src/slatestall/policy/request_admission.cc
+++ b/src/slatestall/policy/request_admission.cc
@@ -67,7 +67,8 @@
     service_traffic* service = state_.Service(stage.service);
     if (service != nullptr) {
       const std::string& model = state_.ModelText(stage.model);
-      wait += service->Pool(model).ExpectedWait(pipeline.priority);
+      wait += service->Pool(model).ExpectedWait(pipeline.priority,
+                                                request.deadline);
     }
   }
   const double late = wait * kWaitMargin - Seconds(budget.LatestStart() - now);
--- a/src/slatestall/policy/stage_pool.cc
+++ b/src/slatestall/policy/stage_pool.cc
@@ -66,11 +66,12 @@
   return queue_.Size(priority) > 0 || !HasRoom(priority, now);
 }
 
-double stage_pool::ExpectedWait(priority_class priority) const {
+double stage_pool::ExpectedWait(priority_class priority,
+                                time_point deadline) const {
   if (!queueing_ || queue_.Empty()) {
     return 0;
   }
-  double ahead = queue_.Work(priority);
+  double ahead = queue_.WorkBefore(priority, deadline);
   if (priority == priority_class::kBatch) {
     ahead += queue_.Work(priority_class::kInteractive);
   }
--- a/src/slatestall/policy/stage_pool.h
+++ b/src/slatestall/policy/stage_pool.h
@@ -36,7 +36,7 @@
   bool MustWaitInLine(priority_class priority, time_point now);
 
   /// @brief Seconds that a new call of the class would wait here.
-  double ExpectedWait(priority_class priority) const;
+  double ExpectedWait(priority_class priority, time_point deadline) const;
 
   /// @brief Seconds that a call holds a slot, over all stages.
   double MeanTime() const { return mean_time_; }
--- a/src/slatestall/policy/stage_queue.cc
+++ b/src/slatestall/policy/stage_queue.cc
@@ -7,6 +7,13 @@
 
 constexpr double kLeastCost = 1e-3;
 constexpr double kLeastWeight = 1e-3;
+constexpr double kNoWork = 1e-9;
+
+std::int64_t TenthOf(time_point when) {
+  return std::chrono::duration_cast<milliseconds>(when.time_since_epoch())
+             .count() /
+         100;
+}
 
 }  // namespace
 
@@ -25,6 +32,7 @@
   line->second.calls.emplace(where, ticket);
   ++lines.size;
   lines.work += call.cost;
+  lines.work_by_deadline[TenthOf(call.request.deadline)] += call.cost;
   by_latest_start_.emplace(call.latest_start, ticket);
   calls_.emplace(ticket, entry{std::move(call), where});
 }
@@ -45,6 +53,19 @@
   return std::max(0.0, classes_[IndexOf(priority)].work);
 }
 
+double stage_queue::WorkBefore(priority_class priority,
+                               time_point deadline) const {
+  double work = 0;
+  for (const auto& [tenth, cost] :
+       classes_[IndexOf(priority)].work_by_deadline) {
+    if (tenth >= TenthOf(deadline)) {
+      break;
+    }
+    work += cost;
+  }
+  return work;
+}
+
 std::optional<queued_call> stage_queue::Pop(priority_class priority) {
   class_lines& lines = classes_[IndexOf(priority)];
   if (lines.size == 0) {
@@ -95,6 +116,12 @@
   lines.lines.at(call.request.workspace).calls.erase(found->second.where);
   --lines.size;
   lines.work = lines.size == 0 ? 0 : lines.work - call.cost;
+  const auto tenth =
+      lines.work_by_deadline.find(TenthOf(call.request.deadline));
+  if (tenth != lines.work_by_deadline.end() &&
+      (tenth->second -= call.cost) < kNoWork) {
+    lines.work_by_deadline.erase(tenth);
+  }
   by_latest_start_.erase({call.latest_start, ticket});
   calls_.erase(found);
   return call;
--- a/src/slatestall/policy/stage_queue.h
+++ b/src/slatestall/policy/stage_queue.h
@@ -37,6 +37,8 @@
   bool Empty() const { return calls_.empty(); }
   /// @brief Seconds of slot time that the waiting calls of the class need.
   double Work(priority_class priority) const;
+  /// @brief The same of those with an earlier deadline, to a tenth of a second.
+  double WorkBefore(priority_class priority, time_point deadline) const;
 
   /// @brief Takes out the next call of the class; nothing where none waits.
   std::optional<queued_call> Pop(priority_class priority);
@@ -55,6 +57,7 @@
     double turn = 0;  ///< Virtual time of the last call taken.
     std::size_t size = 0;
     double work = 0;
+    std::map<std::int64_t, double> work_by_deadline;  ///< Tenths of a second.
   };
   struct entry {
     queued_call call;
--- a/src/slatestall/policy/stage_queue_test.cc
+++ b/src/slatestall/policy/stage_queue_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(WorkspacesShareByWeightAndCost);
   CPPUNIT_TEST(OneWaitingCallAtATimeEarnsNoExtraTurns);
   CPPUNIT_TEST(EarliestDeadlineFirstWithinAWorkspace);
+  CPPUNIT_TEST(WorkAheadOfADeadline);
   CPPUNIT_TEST(OverdueCallsLeaveOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +82,25 @@
     CPPUNIT_ASSERT((order == std::vector<stage_ticket>{2, 3, 1}));
   }
 
+  // Shoppers are refused although they would be answered in time: long calls
+  // with far deadlines fill the queue, and a new call that goes before them was
+  // told to wait for all of them.
+  void WorkAheadOfADeadline() {
+    stage_queue queue;
+    const auto before = [&queue](int deadline_ms) {
+      return queue.WorkBefore(priority_class::kBatch,
+                              TestStart() + milliseconds(deadline_ms));
+    };
+    queue.Push(CallOf("ws-a", 1, milliseconds(500), 1, 2));
+    queue.Push(CallOf("ws-b", 2, milliseconds(500), 1, 3));
+    queue.Push(CallOf("ws-a", 3, milliseconds(2000), 1, 10));
+    CPPUNIT_ASSERT_EQUAL(0.0, before(400));
+    CPPUNIT_ASSERT_EQUAL(5.0, before(1000));
+    CPPUNIT_ASSERT_EQUAL(15.0, before(3000));
+    queue.Remove(2);
+    CPPUNIT_ASSERT_EQUAL(2.0, before(1000));
+  }
+
   void OverdueCallsLeaveOnce() {
     stage_queue queue;
     queue.Push(CallOf("ws-a", 1, milliseconds(10), 1, 1));
