--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,8 +17,9 @@
 SETTLE_S = 4
 MEASURE_S = 8
 CHANGES = 4
-PARTIES = ["peers", "endpoints", "log", "host_list"]
 BASE = {"hosts": 8, "engines": 64, "workspaces": 5}
+CALLERS = [f"shop-{i}" for i in range(BASE["workspaces"])]
+PARTIES = ["peers", "endpoints", "log", "host_list"]
 ROWS = [
     ("1 host", {"hosts": 1}),
     ("8 hosts", {}),
@@ -28,8 +29,9 @@
     ("128 engines", {"engines": 128}),
     ("360 workspaces", {"workspaces": 360}),
     ("16 streams/s", {"streams": 16}),
-    ("16 keyed/s, minted", {"streams": 16, "key": "minted"}),
-    ("16 keyed/s, callers'", {"streams": 16, "key": "own"}),
+    ("16 calls/s", {"calls": 16, "key": "none"}),
+    ("16 calls/s, minted keys", {"calls": 16, "key": "minted"}),
+    ("16 calls/s, callers' keys", {"calls": 16, "key": "own"}),
     ("360 workspaces, a change every 2 s", {"workspaces": 360, "changes": CHANGES}),
 ]
 SLOPES = [  # What a row has more of than another.
@@ -37,13 +39,18 @@
     ("engine", "8 hosts", "128 engines", 64),
     ("workspace", "8 hosts", "360 workspaces", 355),
     ("stream/s, whole fleet", "8 hosts", "16 streams/s", 16),
-    ("minted key/s, whole fleet", "16 streams/s", "16 keyed/s, minted", 16),
-    ("callers' key/s, whole fleet", "16 streams/s", "16 keyed/s, callers'", 16),
+    ("minted key/s, whole fleet", "16 calls/s", "16 calls/s, minted keys", 16),
+    ("callers' key/s, whole fleet", "16 calls/s", "16 calls/s, callers' keys", 16),
     ("change/s", "360 workspaces", "360 workspaces, a change every 2 s",
      CHANGES / MEASURE_S),
 ]
 
 
+def source_of(settings):
+    return pipeline_file(settings["workspaces"]).replace(
+        "routes: [chat-reply]", "routes: [chat-reply, faq-front, billing]")
+
+
 def control_figures(host):
     """Control messages and bytes of a host, by party."""
     _, text = http("GET", host.url + "/metrics")
@@ -61,18 +68,25 @@
     """Runs what the row asks for; returns once MEASURE_S have passed."""
     until = time.monotonic() + MEASURE_S
     load = None
+    flow = None
     if "streams" in settings:
-        load = fleet.start_load([{
-            "name": "chat", "target": "pipeline", "called": "chat-reply",
-            "per_second": settings["streams"], "max_tokens": 32, "stream": True,
-            "key": settings.get("key", "none"), "deadline_ms": 2500,
-            "workspaces": sites.WORKSPACES}], MEASURE_S)
+        flow = {"target": "pipeline", "called": "chat-reply", "stream": True,
+                "deadline_ms": 2500, "per_second": settings["streams"]}
+    elif "calls" in settings:  # A key counts where a call may not be repeated.
+        called = "faq-front" if settings["key"] == "none" else "billing"
+        flow = {"target": "service", "called": called,
+                "key": settings["key"], "per_second": settings["calls"]}
+    if flow is not None:
+        load = fleet.start_load([{"name": "load", "max_tokens": 32,
+                                  "workspaces": CALLERS, **flow}], MEASURE_S)
     for change in range(settings.get("changes", 0)):
-        fleet.publish(pipeline_file(settings["workspaces"]) + f"# change {change}\n")
+        fleet.publish(source_of(settings) + f"# change {change}\n")
         time.sleep(MEASURE_S / settings["changes"] - 0.1)
     time.sleep(max(0, until - time.monotonic()))
     if load is not None:
-        fleet.finish_load(load)
+        summary = fleet.finish_load(load)["load"]
+        if summary["full"] < summary["sent"]:
+            print(f"(whole: {summary['full']} of {summary['sent']})")
 
 
 def run_row(settings):
@@ -81,7 +95,7 @@
                             sites.ENGINE_OPTIONS)
         fleet.add_endpoints("pools", sites.POOLS + [sites.FAQ_FRONT, sites.BILLING])
         hosts = [fleet.start_host(f"entry-{i}") for i in range(settings["hosts"])]
-        fleet.publish(pipeline_file(settings["workspaces"]))
+        fleet.publish(source_of(settings))
         fleet.wait_ready()
         fleet.balance_over(hosts)
         time.sleep(SETTLE_S)
