A host polls at its busy pace only the services that it calls

Cause: with 16 calls a second to one plain service 8 hosts polled all 69 endpoints at the busy pace: 36.2 polls and 5,615 bytes a second a host.

Change: the pace is by service, and only endpoints of a service whose answers told a load within 10 s are polled at the busy one.

--- a/src/slatestall/node/load_reports.cc
+++ b/src/slatestall/node/load_reports.cc
@@ -34,6 +34,7 @@
   used_.clear();
   engines_.clear();
   std::size_t most_users = 0;
+  std::map<std::string, poll_reason> targets;
   for (const auto& [name, endpoints] : directory_.Services()) {
     auto chosen = SubsetOf(endpoints, scope.host, scope.failure_domain,
                            SubsetSize(endpoints.size(), scope.known_hosts));
@@ -42,14 +43,13 @@
         scope.known_hosts <= kMostHostsForCacheEvents) {
       engines_.insert(chosen.begin(), chosen.end());
     }
+    for (const auto& address : chosen) {
+      targets[address].service = name;
+    }
     used_.merge(chosen);
     most_users =
         std::max(most_users, UsersOf(endpoints.size(), scope.known_hosts));
   }
-  std::map<std::string, poll_reason> targets;
-  for (const auto& address : used_) {
-    targets[address];
-  }
   for (const auto& address :
        WatchedBy(scope.host, scope.live_hosts, AllEndpoints())) {
     targets[address].watched = true;
--- a/src/slatestall/node/poll_schedule.cc
+++ b/src/slatestall/node/poll_schedule.cc
@@ -13,7 +13,7 @@
 constexpr milliseconds kWatchInterval{1000};
 /// Orders count a report as known for 15 s; three polls may get lost.
 constexpr milliseconds kOrderInterval{4000};
-/// A host that called no endpoint for this long is quiet.
+/// A service of which no endpoint was called for this long is quiet.
 constexpr milliseconds kBusyFor{10'000};
 /// Answers tell counts only: models, adapters and cache hints come by polls,
 /// which answers put off to at most this, or this many intervals.
@@ -48,9 +48,9 @@
 }
 
 void poll_schedule::NoteTold(const std::string& address, time_point now) {
-  last_told_ = now;
   if (const auto found = targets_.find(address); found != targets_.end()) {
     found->second.told = now;
+    last_told_[found->second.reason.service] = now;
   }
 }
 
@@ -76,7 +76,9 @@
 
 milliseconds poll_schedule::IntervalOf(const target& target,
                                        time_point now) const {
-  const bool busy = last_told_ != time_point{} && now - last_told_ < kBusyFor;
+  const auto told = last_told_.find(target.reason.service);
+  const bool busy = !target.reason.service.empty() &&
+                    told != last_told_.end() && now - told->second < kBusyFor;
   auto interval = busy ? pace_.busy : pace_.quiet;
   if (target.reason.watched) {
     interval = std::min(interval, kWatchInterval);
--- a/src/slatestall/node/poll_schedule.h
+++ b/src/slatestall/node/poll_schedule.h
@@ -11,6 +11,7 @@
 
 /// @brief Why an endpoint is polled.
 struct poll_reason {
+  std::string service = {};  ///< Whose traffic needs it; empty: none.
   bool watched = false;  ///< On behalf of all hosts, for the word it leaves.
   bool ordered = false;  ///< This host gives it orders by its reports.
 };
@@ -18,7 +19,7 @@
 /// @brief Time between two polls of an endpoint that only this host's traffic
 /// needs.
 struct poll_pace {
-  milliseconds busy{250};  ///< While this host calls endpoints.
+  milliseconds busy{250};  ///< While this host calls endpoints of the service.
   milliseconds quiet{10'000};
 };
 
@@ -49,7 +50,7 @@
 
   std::map<std::string, target> targets_;
   poll_pace pace_;
-  time_point last_told_{};
+  std::map<std::string, time_point> last_told_;  ///< By service.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/node/poll_schedule_test.cc
+++ b/src/slatestall/node/poll_schedule_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <functional>
 
 #include "slatestall/node/endpoint_watch.h"
@@ -12,6 +13,8 @@
 using std::chrono::seconds;
 
 constexpr const char* kAddress = "127.0.0.1:9001";
+constexpr const char* kOther = "127.0.0.1:9002";
+constexpr const char* kService = "drafter";
 constexpr poll_pace kPace{milliseconds{2000}, milliseconds{20'000}};
 
 class poll_schedule_test : public CppUnit::TestFixture {
@@ -21,6 +24,7 @@
   CPPUNIT_TEST(AnswersPutPollsOffButNotForGood);
   CPPUNIT_TEST(OrdersAreGivenByReportsAlone);
   CPPUNIT_TEST(ACallMakesTheHostBusyAtOnce);
+  CPPUNIT_TEST(CallsOfAnotherServiceChangeNothing);
   CPPUNIT_TEST(EachEndpointHasTwoWatchers);
   CPPUNIT_TEST(AHostThatGoesHandsItsWatchOn);
   CPPUNIT_TEST_SUITE_END();
@@ -29,19 +33,22 @@
   poll_schedule schedule_;
 
   void Use(poll_reason reason) {
-    schedule_.SetTargets({{kAddress, reason}}, kPace, now_);
+    reason.service = kService;
+    schedule_.SetTargets({{kAddress, reason}, {kOther, {kService}}}, kPace,
+                         now_);
     now_ += seconds{1};
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, schedule_.TakeDue(now_).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, schedule_.TakeDue(now_).size());
   }
 
-  /// Polls in the next `time`, with `step` run each 100 ms.
+  /// Polls of `kAddress` in the next `time`, with `step` run each 100 ms.
   int PollsIn(
       seconds time, const std::function<void()>& step = [] {}) {
     int polls = 0;
     for (const auto end = now_ + time; now_ < end;) {
       now_ += milliseconds{100};
       step();
-      polls += static_cast<int>(schedule_.TakeDue(now_).size());
+      const auto due = schedule_.TakeDue(now_);
+      polls += static_cast<int>(std::count(due.begin(), due.end(), kAddress));
     }
     return polls;
   }
@@ -68,8 +75,8 @@
   // to be asked, or nobody learns what it holds and that it leaves.
   void AnEndpointNeverCalledIsPolled() {
     Use({});
-    const int polls = PollsIn(
-        seconds{20}, [this] { schedule_.NoteTold("127.0.0.1:9002", now_); });
+    const int polls =
+        PollsIn(seconds{20}, [this] { schedule_.NoteTold(kOther, now_); });
     CPPUNIT_ASSERT_EQUAL(10, polls);
   }
 
@@ -102,10 +109,21 @@
   void ACallMakesTheHostBusyAtOnce() {
     Use({});
     now_ += seconds{5};
-    schedule_.NoteTold("127.0.0.1:9002", now_);
+    CPPUNIT_ASSERT(*schedule_.NextDue(now_) > now_ + seconds{10});
+    schedule_.NoteTold(kOther, now_);
     CPPUNIT_ASSERT(*schedule_.NextDue(now_) <= now_);
   }
 
+  // A host that calls one service asks nothing more of the others.
+  void CallsOfAnotherServiceChangeNothing() {
+    schedule_.SetTargets({{kAddress, {kService}}, {kOther, {"billing"}}}, kPace,
+                         now_);
+    now_ += seconds{1};
+    schedule_.TakeDue(now_);
+    const auto told = [this] { schedule_.NoteTold(kOther, now_); };
+    CPPUNIT_ASSERT_EQUAL(1, PollsIn(seconds{20}, told));
+  }
+
   void EachEndpointHasTwoWatchers() {
     const auto hosts = Hosts(50);
     std::map<std::string, std::size_t> watchers;
