An attempt's timeout does not run out in the deadline's own millisecond

Seen: DeadlineAnswersAtOnceAndCancels fails at times (2 of 8 runs, 3 of 5 at worst): stage-failed instead of deadline-exceeded. Traced: "no answer within its timeout" 149.05 ms into a request of 150.

Cause: the timeout of a last stage is all the time left, cut to whole milliseconds, so it may run out up to one before the deadline; what comes first was decided by how quickly the stages before it passed.

Change: such a timeout is not set; the deadline tells the caller, as it already does for the limit of the transport. The test is as it was.

--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -54,8 +54,12 @@
   StartExchange(std::nullopt);
 }
 
+// A timeout is in whole milliseconds: one of all the time that is left runs out
+// up to one before the deadline, and the caller would be told that the stage
+// failed, where the request's time was over. That is left to the deadline.
 void stage_attempt::StartTimeout() {
-  if (!spec_.timeout) {
+  if (!spec_.timeout ||
+      started_ + *spec_.timeout + milliseconds(1) > spec_.deadline) {
     return;
   }
   timeout_.expires_after(*spec_.timeout);
