Connections in use do not count against those kept idle

Cause: libcurl's bound on its connections counts those in use. With more than 256 calls in hand (13,000 tokens a second at 20 ms a token) every call that ended closed a connection, after a search through all of them, and every call that began made one: the search was the hottest place in libcurl in a profile.

Change: the bound is 256 idle ones beside those in use.

Test: 300 calls held open, then three calls one after another share a connection; three connections without the change.

--- a/src/slatestall/http/http_client.cc
+++ b/src/slatestall/http/http_client.cc
@@ -55,6 +55,7 @@
   void DeliverEnded();
   void Add(call_number number, const call_ptr& call);
   void Remove(const call_ptr& call);
+  void BoundConnections();
   void CloseAll();
 
   asio::io_context& context_;
@@ -131,6 +132,17 @@
     return;
   }
   attached_.emplace(call->Easy(), number);
+  BoundConnections();
+}
+
+// libcurl counts connections in use against this bound as well. With the bound
+// alone, a host with more calls in hand than that closed a connection for each
+// call that ended, looking through all of them for the oldest, and made a new
+// one for each that began.
+void http_client::impl::BoundConnections() {
+  const std::size_t most = kMaxIdleConnections + attached_.size();
+  curl_multi_setopt(loop_->Multi(), CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(most));  // NOLINT: libcurl's type
 }
 
 void http_client::impl::AddWaiting() {
@@ -170,6 +182,7 @@
 void http_client::impl::Remove(const call_ptr& call) {
   if (attached_.erase(call->Easy()) != 0) {
     curl_multi_remove_handle(loop_->Multi(), call->Easy());
+    BoundConnections();
   }
 }
 
@@ -210,6 +223,7 @@
     const call_number number = attached->second;
     attached_.erase(attached);
     curl_multi_remove_handle(loop_->Multi(), easy);
+    BoundConnections();
     const auto found = calls_.find(number);
     if (found != calls_.end()) {
       found->second->Finish(code);
--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(http_client_test);
   CPPUNIT_TEST(ReturnsAWholeAnswer);
   CPPUNIT_TEST(TellsWhenAReadIsHandedOver);
+  CPPUNIT_TEST(ReusesConnectionsBesideManyCalls);
   CPPUNIT_TEST(NeverTakesACutAnswerForWhole);
   CPPUNIT_TEST(PassesOverInterimAnswers);
   CPPUNIT_TEST(SendsAnAtMostOnceCallOnce);
@@ -249,6 +250,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client_.InFlight());
   }
 
+  // Calls beside many long streams must not pay for a connection each.
+  // More calls are held open than idle connections are kept, then short ones
+  // follow each other: the bound on idle ones must not count those in use.
+  void ReusesConnectionsBesideManyCalls() {
+    constexpr int kHeld = 300;
+    fake_endpoint silent(context_, [](raw_peer&, int) {});
+    std::vector<http_client::call_number> held;
+    for (int i = 0; i < kHeld; ++i) {
+      held.push_back(client_.Start(Get(silent.Url()), MustNotRun()));
+    }
+    RunUntil(context_, [&] { return silent.Requests() == kHeld; });
+    fake_endpoint endpoint(context_,
+                           [](raw_peer& peer, int) { peer.Send(kWhole); });
+    for (int i = 0; i < 3; ++i) {
+      Run(context_, client_, Get(endpoint.Url()));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint.Peers().size());
+    for (const auto number : held) {
+      client_.Cancel(number);
+    }
+  }
+
   // An owner that gathers what came together must hear of its end before the
   // completion, or the last of it would be lost.
   // Three chunks of an answer arrive at once, then the answer ends.
