One check that an attempt's timer ends before the deadline

The runner's left out the timer for the first byte too, just where an attempt was given all the time left.

Change: the check of the attempt itself stays; the runner's goes.

--- a/src/slatestall/serve/stage_runner.cc
+++ b/src/slatestall/serve/stage_runner.cc
@@ -138,20 +138,13 @@
   attempt.stall_timeout = decision.stall_timeout;
   // A call that may not be sent again gains nothing from giving up early: its
   // outcome would only become unknown.
-  if (!spec_.at_most_once && EndsBeforeDeadline(decision.attempt_timeout)) {
+  if (!spec_.at_most_once) {
     attempt.timeout = Positive(decision.attempt_timeout);
     attempt.first_byte_timeout = decision.first_byte_timeout;
   }
   return attempt;
 }
 
-// An attempt that was given all the time left has no timer of its own. Rounded
-// down to milliseconds it would fire just before the request's, and the caller
-// whose deadline passed would read that a stage had failed.
-bool stage_runner::EndsBeforeDeadline(milliseconds timeout) const {
-  return environment_.now() + timeout + milliseconds(1) < spec_.deadline;
-}
-
 attempt_hooks stage_runner::Hooks(stage_attempt* attempt) {
   const auto weak = weak_from_this();
   attempt_hooks hooks;
--- a/src/slatestall/serve/stage_runner.h
+++ b/src/slatestall/serve/stage_runner.h
@@ -72,7 +72,6 @@
   void OnDecision(const stage_decision& decision, ask why);
   void Dispatch(const stage_decision& decision, ask why);
   attempt_spec Attempt(const stage_decision& decision);
-  bool EndsBeforeDeadline(milliseconds timeout) const;
   attempt_hooks Hooks(stage_attempt* attempt);
   void StartHedgeTimer(const stage_decision& decision);
   void OnText(stage_attempt* attempt, std::uint64_t offset,
