A retry may take an ejected endpoint where no other is left

Cause: a first call is given an ejected endpoint as the last resort, a retry was refused with 'no other endpoint'. With two engines, one of them ejected, a call that failed at the other ended as stage-failed (502) with 2.8 s of its deadline left; seen in a loop of serve_test on a busy machine.

Ruled out: the same for hedges, which are sent for speed alone.

Change: for a retry only leaving and tried endpoints do not count.

The new test fails without the change. Kept for small pools, such as those of a failure domain that is cut off.

--- a/src/slatestall/policy/stage_planner.cc
+++ b/src/slatestall/policy/stage_planner.cc
@@ -183,7 +183,7 @@
                              time_point now) {
   if (!state_.options.hedging || !call.service.Repeatable() ||
       !call.statistics.hedges.Covers() ||
-      !AnotherEndpoint(call, decision.address, now)) {
+      !AnotherEndpoint(call, decision.address, kept_out::kEjected, now)) {
     return;
   }
   const latency_summary& first = call.statistics.first_byte.Summary();
@@ -212,15 +212,20 @@
   decision.first_byte_timeout = std::max(milliseconds(1), left);
 }
 
+// A hedge is sent for speed and leaves ejected endpoints alone. A retry is the
+// request's last hope: refused while an ejected endpoint is left, which a first
+// call would be given, it would fail a request that has time.
 bool stage_planner::AnotherEndpoint(const call_context& call,
-                                    const std::string& address,
+                                    const std::string& address, kept_out which,
                                     time_point now) {
   const auto& tried = call.request.tried;
   const auto& candidates = call.service.Endpoints().For(call.model).endpoints;
   return std::any_of(
       candidates.begin(), candidates.end(), [&](const endpoint_state* state) {
-        return !state->Leaving() && !state->Health().Ejected(now) &&
-               state->Address() != address &&
+        const bool is_kept_out =
+            state->Leaving() ||
+            (which == kept_out::kEjected && state->Health().Ejected(now));
+        return !is_kept_out && state->Address() != address &&
                std::find(tried.begin(), tried.end(), state->Address()) ==
                    tried.end();
       });
@@ -392,7 +397,7 @@
       request.deadline <= now + FromSeconds(backoff)) {
     decision.too_late = true;
     decision.reason = "the time left is too short";
-  } else if (!AnotherEndpoint(call, "", now)) {
+  } else if (!AnotherEndpoint(call, "", kept_out::kLeavingOnly, now)) {
     decision.reason = "no other endpoint";
   } else if (!request.is_free_retry && !call.statistics.retries.Take()) {
     decision.reason = "the retry budget is spent";
--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -42,8 +42,11 @@
   void TakeReadyOf(service_traffic& service, stage_pool& pool, time_point now,
                    std::vector<stage_decision>& ready);
   choice_request ChoiceFor(const call_context& call) const;
-  bool AnotherEndpoint(const call_context& call, const std::string& address,
-                       time_point now);
+  /// Which endpoints do not count as another one.
+  enum class kept_out { kLeavingOnly, kEjected };
+  static bool AnotherEndpoint(const call_context& call,
+                              const std::string& address, kept_out which,
+                              time_point now);
   void SetHedge(call_context& call, stage_decision& decision, time_point now);
   void SetFirstByteTimeout(const call_context& call, stage_decision& decision,
                            time_point now) const;
--- a/src/slatestall/policy/traffic_failure_test.cc
+++ b/src/slatestall/policy/traffic_failure_test.cc
@@ -12,6 +12,7 @@
 class traffic_failure_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(traffic_failure_test);
   CPPUNIT_TEST(RefusedConnectionsTakeNoRetryBudget);
+  CPPUNIT_TEST(RetryTakesAnEjectedEndpointWhereNoOtherIsLeft);
   CPPUNIT_TEST(OneUnknownLetterEjectsItsEndpoint);
   CPPUNIT_TEST(OneUnknownDraftEjectsItsEngine);
   CPPUNIT_TEST(FirstCallsAreHedgedByTheirDeadline);
@@ -44,6 +45,38 @@
     CPPUNIT_ASSERT(!policy.PlanRetry(call, now).retry);
   }
 
+  // The caller is told that its stage failed, with most of its time left. One
+  // of two endpoints was ejected some moments ago, the other one fails the
+  // call. A first call would still try the ejected one, since half of the
+  // ejections are of endpoints that work again; a retry has to do the same.
+  void RetryTakesAnEjectedEndpointWhereNoOtherIsLeft() {
+    policy_test_world world(2);
+    traffic_policy policy({.host_name = "entry-1"});
+    const time_point now = TestStart();
+    policy.UseSnapshot(world.Publish(), now);
+    const auto call_of = [&](stage_ticket ticket) {
+      return world.Call(ticket, "reply", 0, now, milliseconds(60000));
+    };
+    // Failures eject the one endpoint that may be ejected of two.
+    for (stage_ticket ticket = 1; ticket <= 20; ++ticket) {
+      const stage_request call = call_of(ticket);
+      const stage_decision sent = policy.Plan(call, now);
+      policy.Ended(
+          policy_test_world::End(call, sent.address, attempt_end::kFailed,
+                                 milliseconds(10)),
+          now);
+    }
+    stage_request again = call_of(21);
+    const std::string failing = policy.Plan(again, now).address;
+    again.tried = {failing};
+    again.is_retry = true;
+    again.ticket = 22;
+    CPPUNIT_ASSERT(policy.PlanRetry(again, now).retry);
+    const stage_decision second = policy.Plan(again, now);
+    CPPUNIT_ASSERT(second.verdict == stage_verdict::kDispatch);
+    CPPUNIT_ASSERT(second.address != failing);
+  }
+
   // Callers are told "outcome unknown" again and again: an endpoint whose calls
   // may not be repeated takes each one and drops the answer. Each such call is
   // lost to its caller, so the second one must not go there while others work.
