--- a/src/slatestall/policy/stage_planner.h
+++ b/src/slatestall/policy/stage_planner.h
@@ -9,8 +9,7 @@
 
 namespace slatestall {
 
-/// @brief Decides when and where stage calls are sent, and what their ends
-/// teach about endpoints.
+/// @brief Decides when and where stage calls are sent.
 class stage_planner {
  public:
   explicit stage_planner(traffic_state& state) : state_(state) {}
@@ -18,7 +17,6 @@
   stage_decision Plan(const stage_request& request, time_point now);
   std::vector<stage_decision> TakeReady(time_point now);
   void Withdraw(stage_ticket ticket);
-  void Ended(const attempt_report& report, time_point now);
   retry_decision PlanRetry(const stage_request& request, time_point now);
   std::map<std::string, std::uint32_t> InFlight() const;
 
@@ -50,14 +48,6 @@
   void SetHedge(call_context& call, stage_decision& decision, time_point now);
   void SetFirstByteTimeout(const call_context& call, stage_decision& decision,
                            time_point now) const;
-  void Learn(service_traffic& service, endpoint_state& endpoint,
-             const call_in_flight& call, const attempt_report& report,
-             time_point now);
-  void CountDomainFailure(const endpoint_state& endpoint, time_point now);
-  static void LearnUnfinished(endpoint_state& endpoint,
-                              const call_in_flight& call,
-                              const attempt_report& report,
-                              const stage_statistics* statistics);
 
   traffic_state& state_;
 };
--- a/src/slatestall/policy/traffic_policy.cc
+++ b/src/slatestall/policy/traffic_policy.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "slatestall/policy/attempt_learner.h"
 #include "slatestall/policy/request_admission.h"
 #include "slatestall/policy/stage_planner.h"
 #include "slatestall/policy/traffic_state.h"
@@ -11,7 +12,10 @@
 class traffic_policy::impl {
  public:
   explicit impl(traffic_policy_options options)
-      : state_(std::move(options)), admission_(state_), planner_(state_) {}
+      : state_(std::move(options)),
+        admission_(state_),
+        planner_(state_),
+        learner_(state_) {}
 
   void UseSnapshot(const control_snapshot_ptr& snapshot, time_point now) {
     state_.Use(snapshot, now);
@@ -20,11 +24,13 @@
 
   request_admission& Admission() { return admission_; }
   stage_planner& Planner() { return planner_; }
+  attempt_learner& Learner() { return learner_; }
 
  private:
   traffic_state state_;
   request_admission admission_;
   stage_planner planner_;
+  attempt_learner learner_;
 };
 
 traffic_policy::traffic_policy(traffic_policy_options options)
@@ -59,7 +65,7 @@
 }
 
 void traffic_policy::Ended(const attempt_report& report, time_point now) {
-  impl_->Planner().Ended(report, now);
+  impl_->Learner().Ended(report, now);
 }
 
 retry_decision traffic_policy::PlanRetry(const stage_request& request,
