--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -258,6 +258,7 @@
     constexpr int kHeld = 300;
     fake_endpoint silent(context_, [](raw_peer&, int) {});
     std::vector<http_client::call_number> held;
+    held.reserve(kHeld);
     for (int i = 0; i < kHeld; ++i) {
       held.push_back(client_.Start(Get(silent.Url()), MustNotRun()));
     }
