Test of an outage right after an append: one order of events, always

Cause: the test took for granted that the second host had read the first revision, and that no read was waiting when the log took the record; a waiting one showed it, and the publication was accepted.

Change: the second host's revision is awaited; the fake log can go down with the append itself, before a waiting read is answered. No assertion changed.

--- a/src/slatestall/node/config_follower_test.cc
+++ b/src/slatestall/node/config_follower_test.cc
@@ -200,10 +200,10 @@
     auto& first = Follow(milliseconds{3000});
     auto& second = Follow(milliseconds{3000});
     Publish(first, 0, "a");
-    log_->Script({fake_append::kStoreAndLoseAnswer});
+    RunUntil([&] { return second.History().ObeyedRevision() == 1; });
+    log_->Script({fake_append::kStoreAndGoDown});
     std::optional<publish_result> told;
     first.Publish(1, "b", [&told](const publish_result& r) { told = r; });
-    log_->SetDown(true);
     RunUntil([&told] { return told.has_value(); });
     CPPUNIT_ASSERT(told->end == publish_end::kUnknown);
     CPPUNIT_ASSERT_EQUAL(config_revision{1}, second.History().ObeyedRevision());
--- a/src/slatestall/node/fake_platform_log.h
+++ b/src/slatestall/node/fake_platform_log.h
@@ -14,7 +14,13 @@
 namespace slatestall {
 
 /// What a fake log does with one append.
-enum class fake_append { kStore, kStoreAndLoseAnswer, kLose, kRefuse };
+enum class fake_append {
+  kStore,
+  kStoreAndLoseAnswer,
+  kStoreAndGoDown,  ///< Before any waiting read shows the record.
+  kLose,
+  kRefuse,
+};
 
 /// The platform's log for tests: one stream, faults on request.
 class fake_platform_log {
@@ -58,6 +64,7 @@
       records_.push_back(payload);
       result.offset = records_.size() - 1;
     }
+    down_ = down_ || action == fake_append::kStoreAndGoDown;
     if (action == fake_append::kStore) {
       result.end = append_end::kAppended;
     }
