Text events are framed where all events are

Cause: the fast way of writing held text framed its server-sent event by hand, beside WriteEvent and SseEvent, which do that for every other event.

Change: only the JSON is written by hand; WriteEvent frames it. The bytes sent are the same. It costs one more copy of an event of some 100 bytes; the cost of a token was not measured again. A comment that broke in its middle is whole.

--- a/src/slatestall/serve/answer_writer.cc
+++ b/src/slatestall/serve/answer_writer.cc
@@ -61,17 +61,17 @@
   if (held_.empty()) {
     return;
   }
-  std::string event;
-  event.reserve(held_.size() + kTextEventBytes);
-  event += "data: {\"offset\":";
-  event += std::to_string(held_offset_);
-  event += ",\"text\":";
-  if (AppendJsonString(event, held_)) {
-    event += "}\n\n";
-    responder_->Write(std::move(event));
+  std::string json;
+  json.reserve(held_.size() + kTextEventBytes);
+  json += "{\"offset\":";
+  json += std::to_string(held_offset_);
+  json += ",\"text\":";
+  if (AppendJsonString(json, held_)) {
+    json += '}';
   } else {
-    WriteEvent("", DumpJson({{"offset", held_offset_}, {"text", held_}}));
+    json = DumpJson({{"offset", held_offset_}, {"text", held_}});
   }
+  WriteEvent("", json);
   held_.clear();
 }
 
--- a/src/slatestall/serve/stage_attempt.cc
+++ b/src/slatestall/serve/stage_attempt.cc
@@ -219,9 +219,8 @@
 
 // Tokens that came in one read go on as one piece, before anything else is done
 // about them: what ends or resumes a stream is put off to a later turn. A host
-// that falls behind
-// finds more in each read, and would otherwise spend a write on each token
-// just when it has no time for them.
+// that falls behind finds more in each read, and would otherwise spend a write
+// on each token just when it has no time for them.
 void stage_attempt::PassOnText() {
   if (unpassed_text_.empty()) {
     return;
