--- a/cmake/slatestall_compile_options.cmake
+++ b/cmake/slatestall_compile_options.cmake
@@ -7,7 +7,13 @@
 
 set(SLATESTALL_SANITIZE "" CACHE STRING "Value for -fsanitize, or empty")
 
-add_compile_options(-Wall -Wextra -Wpedantic -Werror)
+add_compile_options(-Wall -Wextra -Wpedantic)
+# Errors in the presets of developers and CI only: another compiler's new
+# warning must not keep a user from building a release.
+option(SLATESTALL_WARNINGS_ARE_ERRORS "Fail the build on warnings" OFF)
+if(SLATESTALL_WARNINGS_ARE_ERRORS)
+  add_compile_options(-Werror)
+endif()
 # Asio picks its allocator by a macro of whatever standard header came before
 # it. Fixed here, or two sources would allocate and free in different ways.
 add_compile_definitions(ASIO_STANDALONE ASIO_HAS_STD_ALIGNED_ALLOC=1)
--- /dev/null
+++ b/include/slatestall/dispatch/endpoint_pick.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/endpoint_record.h"
+
+namespace slatestall {
+
+/// @brief What is asked of an endpoint, as far as it decides which one.
+/// @ingroup dispatch
+struct pick_request {
+  time_point now{};
+  /// Hash of the longest part of the prompt that other requests share; 0:
+  /// none. Such requests go to the same few endpoints, which keep it cached.
+  std::uint64_t shared_prompt = 0;
+  std::vector<std::string> tried;  ///< Incarnations not to use again.
+  std::string near;  ///< Failure domain where the inputs lie; may be empty.
+};
+
+/// @brief Chooses one endpoint for one call: the least expected wait, with a
+/// prompt's home endpoints preferred while they are not much busier.
+/// @returns null where none is left.
+endpoint_record_ptr PickEndpoint(const std::vector<endpoint_record_ptr>& all,
+                                 const pick_request& request);
+
+}  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "slatestall/dispatch/moving_average.h"
+#include "slatestall/model/time.h"
+#include "slatestall/model/told_load.h"
+
+namespace slatestall {
+
+/// @brief One incarnation of an endpoint as the platform lists it.
+/// @ingroup dispatch
+struct known_endpoint {
+  std::string id;  ///< New with each start of the endpoint.
+  std::string service;
+  asio::ip::tcp::endpoint address;
+  std::string failure_domain;
+  std::uint32_t slots = 1;
+  bool leaving = false;  ///< Takes no new work.
+
+  friend bool operator==(const known_endpoint&,
+                         const known_endpoint&) = default;
+};
+
+/// @brief How a call ended, as far as it says something of the endpoint.
+enum class call_lesson {
+  kAnswered,
+  kRefused,  ///< Not run, by its own word: full or not this incarnation.
+  kFailed,   ///< Broke off, spoiled its answer or answered with a failure.
+  kUnreachable,
+  kNothing,  ///< Cancelled, or the deadline ran out.
+};
+
+/// @brief What one host has seen of one endpoint.
+class endpoint_record {
+ public:
+  explicit endpoint_record(known_endpoint info) : info_(std::move(info)) {}
+
+  const known_endpoint& Info() const { return info_; }
+  void Update(known_endpoint info) { info_ = std::move(info); }
+
+  void NoteStart() { ++in_flight_; }
+  void NoteEnd(call_lesson lesson, time_point now);
+  /// @brief Load that an answer told; it counts this host's calls, too.
+  void NoteLoad(const told_load& load);
+  /// @param relative Time that an answer took against what was expected.
+  void NoteSlowness(double relative) { slowness_.Add(relative); }
+
+  std::uint32_t InFlight() const { return in_flight_; }
+  /// @brief Calls there now, other hosts' estimated from the last told load.
+  double Busy(time_point now) const;
+  /// @brief Calls of other hosts there now, estimated.
+  double OthersBusy(time_point now) const;
+  /// @brief 1 where it is as fast as expected.
+  double Slowness() const { return slowness_.Value(); }
+  double FailureShare() const { return failures_.Value(); }
+  /// @brief Left alone until then, after failures in a row.
+  time_point AvoidUntil() const { return avoid_until_; }
+  bool Avoided(time_point now) const { return now < avoid_until_; }
+  /// @brief Takes it out for good: another incarnation has its address.
+  void MarkGone() { gone_ = true; }
+  bool Usable() const { return !gone_ && !info_.leaving; }
+
+ private:
+  known_endpoint info_;
+  std::uint32_t in_flight_ = 0;
+  told_load told_;
+  std::uint32_t in_flight_when_told_ = 0;
+  unsigned failures_in_row_ = 0;
+  time_point avoid_until_{};
+  bool gone_ = false;
+  /// Five calls make two thirds of it: a slow or failing endpoint is known
+  /// after few calls, and forgiven after as many.
+  static constexpr double kLearningWeight = 0.2;
+  moving_average slowness_{kLearningWeight, 1.0};
+  moving_average failures_{kLearningWeight};
+};
+
+using endpoint_record_ptr = std::shared_ptr<endpoint_record>;
+
+}  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/endpoint_record.h"
+
+namespace slatestall {
+
+/// @brief All endpoints by service, with what was learned of each; a new list
+/// keeps what is known of the incarnations that stay.
+/// @ingroup dispatch
+class endpoint_roster {
+ public:
+  void Replace(const std::vector<known_endpoint>& listed);
+
+  /// @brief Endpoints of a service, leaving ones included.
+  const std::vector<endpoint_record_ptr>& Of(const std::string& service) const;
+  /// @returns null where the incarnation is not listed.
+  endpoint_record_ptr Find(const std::string& id) const;
+  std::size_t size() const { return by_id_.size(); }
+
+ private:
+  std::map<std::string, endpoint_record_ptr> by_id_;
+  std::map<std::string, std::vector<endpoint_record_ptr>> by_service_;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/gateway/endpoint_listing.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/endpoint_record.h"
+#include "slatestall/model/time.h"
+
+namespace slatestall {
+
+/// @brief The list of endpoints as a host has read it, through outages of the
+/// store. Pure state; the time comes in.
+///
+/// Entries lapse when an endpoint cannot write to the store, also for the
+/// store's own fault. Those that vanish during an outage are kept until a
+/// little after it: living endpoints are back by then.
+/// @ingroup gateway
+class endpoint_listing {
+ public:
+  /// @param return_time How long after an outage living endpoints may take to
+  /// be listed again.
+  explicit endpoint_listing(milliseconds return_time)
+      : return_time_(return_time) {}
+
+  /// @brief One changed entry.
+  void Put(const known_endpoint& endpoint);
+  /// @brief One deleted entry.
+  void Drop(const std::string& id, time_point now);
+  /// @brief The whole list was read anew.
+  void ReplaceAll(const std::vector<known_endpoint>& listed, time_point now);
+
+  /// @brief A read succeeded, or not.
+  void NoteRead(bool succeeded, time_point now);
+  /// @returns whether entries were dropped since their return time is over.
+  bool DropOverdue(time_point now);
+
+  std::vector<known_endpoint> Listed() const;
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct entry {
+    known_endpoint endpoint;
+    std::optional<time_point> missing_since;  ///< Vanished in an outage.
+  };
+
+  bool InOutage(time_point now) const;
+
+  milliseconds return_time_;
+  std::map<std::string, entry> entries_;
+  bool failing_ = false;
+  std::optional<time_point> outage_over_;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/gateway/gateway_options.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/repeat_allowance.h"
+#include "slatestall/model/time.h"
+
+namespace slatestall {
+
+/// @brief What one gateway host is told at its start.
+/// @ingroup gateway
+struct gateway_options {
+  std::string host_name;
+  std::string failure_domain;
+  std::string address;  ///< IP that it listens on.
+  std::uint16_t front_port = 0;
+  std::uint16_t status_port = 0;   ///< Readiness and metrics.
+  std::uint16_t peer_port = 0;     ///< Other hosts.
+  std::string store_address;       ///< "IP:port".
+  std::vector<std::string> seeds;  ///< "IP:port" of other hosts; may be stale.
+  std::size_t max_connections = 1024;
+  std::size_t memory_bytes = 0;
+  repeat_limits repeats;
+  /// No new work may reach an endpoint that long after it began to leave.
+  milliseconds leave_limit{2000};
+  /// A stop may take as long.
+  milliseconds stop_grace{8000};
+  /// How long the balancer sends requests to a host that is not ready.
+  milliseconds balancer_lag{3000};
+  std::string log_level = "info";
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/gateway/platform_link.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/endpoint_record.h"
+#include "slatestall/gateway/routing_table.h"
+#include "slatestall/model/time.h"
+
+namespace slatestall {
+
+/// @brief The newest value of one key of a compacted topic.
+/// @ingroup gateway
+struct keyed_record {
+  std::string key;
+  std::optional<std::string> value;  ///< Nothing: the key was deleted.
+};
+
+enum class store_outcome {
+  kDone,
+  kTooOld,    ///< Records from that offset on are no longer kept.
+  kRefused,   ///< The store said no; nothing was done.
+  kNoAnswer,  ///< Unknown whether anything was done.
+};
+
+struct keyed_read {
+  store_outcome outcome = store_outcome::kNoAnswer;
+  std::vector<keyed_record> records;
+  std::uint64_t next = 0;  ///< Offset to read from next.
+  std::string detail;
+};
+
+/// @brief A compacted topic of the platform's store. Completions run later, on
+/// the thread of the caller.
+struct keyed_topic {
+  /// The newest record of every key.
+  std::function<void(std::function<void(keyed_read)> done)> read_newest;
+  /// Records at and after an offset; waits for one as long as told.
+  std::function<void(std::uint64_t from, milliseconds wait,
+                     std::function<void(keyed_read)> done)>
+      read_from;
+};
+
+/// @brief Where a host learns what it serves and with what.
+struct platform_link {
+  keyed_topic configuration;
+  keyed_topic endpoints;
+  /// Decoders: null where the record is not for this system.
+  /// @throws std::exception where it cannot be read.
+  std::function<routing_table_ptr(const keyed_record&)> read_configuration;
+  std::function<std::optional<known_endpoint>(const keyed_record&)>
+      read_endpoint;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/relay/caller_listener.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "slatestall/model/time.h"
+#include "slatestall/relay/message_reader.h"
+
+namespace slatestall {
+
+/// @brief One request as it arrived, body included.
+/// @ingroup relay
+struct inbound_request {
+  message_head head;
+  std::string body;
+  time_point arrived{};  ///< When its last byte was read.
+};
+
+/// @brief The answer to one request. Dropped without one, it closes the
+/// connection. Calls after the answer ended, or the caller left, do nothing.
+class answer_channel {
+ public:
+  virtual ~answer_channel() = default;
+
+  /// @brief Sends a whole answer. Framing headers are added here.
+  virtual void Send(int status, const http_headers& headers,
+                    std::string body) = 0;
+  /// @brief Starts an answer whose length is not known.
+  virtual void Start(int status, const http_headers& headers) = 0;
+  virtual void Write(std::string bytes) = 0;
+  /// @brief Ends a started answer as whole.
+  virtual void Finish() = 0;
+  /// @brief Closes the connection, so that the answer is seen to be cut.
+  virtual void Abort() = 0;
+  /// @brief Sets what runs, once, when the caller leaves before the end.
+  virtual void OnCallerGone(std::function<void()> hook) = 0;
+};
+
+using answer_channel_ptr = std::shared_ptr<answer_channel>;
+using request_hook = std::function<void(inbound_request, answer_channel_ptr)>;
+
+/// @brief Bounds of callers' connections; may change while it listens.
+struct caller_limits {
+  message_limits message;
+  milliseconds head_timeout{10'000};  ///< From a request's first byte to last.
+  milliseconds idle_timeout{60'000};  ///< Between requests.
+};
+
+struct caller_listener_options {
+  std::string address;
+  std::uint16_t port = 0;  ///< 0: any free one.
+  /// Above it, connections wait in the listening socket's backlog.
+  std::size_t max_connections = 1024;
+  /// Answer bytes that a caller may leave unread before it is cut off.
+  std::size_t max_unread_bytes = std::size_t{1} << 20U;
+  now_function now;
+};
+
+/// @brief Takes callers' connections and hands on whole requests, one at a
+/// time for each connection; used from one thread only.
+class caller_listener {
+ public:
+  /// @throws std::system_error where the address cannot be bound.
+  caller_listener(asio::io_context& context,
+                  const caller_listener_options& options, request_hook hook);
+  ~caller_listener();
+  caller_listener(const caller_listener&) = delete;
+  caller_listener& operator=(const caller_listener&) = delete;
+
+  std::uint16_t Port() const;
+  void SetLimits(const caller_limits& limits);
+  /// @brief From now on each answer is the last of its connection.
+  void AnnounceClose();
+  /// @brief Takes no new connection, and closes those on which no request has
+  /// begun.
+  void StopAccepting();
+  std::size_t Connections() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace slatestall
--- a/programs/slatestalld/main.cc
+++ b/programs/slatestalld/main.cc
@@ -8,6 +8,7 @@
 #include "slatestall/config/settings.h"
 #include "slatestall/node/entry_host.h"
 #include "slatestall/serve/event_log.h"
+#include "slatestalld/gateway_command.h"
 
 namespace slatestall {
 namespace {
@@ -29,8 +30,21 @@
 struct command_line {
   settings_sources sources;
   bool check_only = false;
+  bool is_gateway = false;
 };
 
+void AddGateway(CLI::App& app, command_line& line) {
+  auto* gateway = app.add_subcommand(
+      "gateway",
+      "Serve on a platform whose store holds routes and endpoints");
+  gateway->add_option("--settings", line.sources.file,
+                      "Settings file (YAML); else that named by "
+                      "SLATESTALL_SETTINGS");
+  gateway->add_flag("--check", line.check_only,
+                    "Check the settings, say what is wrong and exit");
+  gateway->callback([&line] { line.is_gateway = true; });
+}
+
 void AddOptions(CLI::App& app, command_line& line) {
   app.add_option("--settings", line.sources.file, "Settings file (YAML)");
   app.add_flag("--check", line.check_only,
@@ -59,7 +73,11 @@
   command_line line;
   CLI::App app{"Entry host of slatestall: serves pipelines of model stages"};
   AddOptions(app, line);
+  AddGateway(app, line);
   CLI11_PARSE(app, argc, argv);
+  if (line.is_gateway) {
+    return RunGateway(line.sources.file, line.check_only);
+  }
 
   line.sources.environment = SettingsEnvironment();
   const auto loaded = LoadSettings(line.sources);
--- /dev/null
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -0,0 +1,63 @@
+#include "slatestall/dispatch/endpoint_record.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace slatestall {
+namespace {
+
+/// First pause after a failure; doubles with each failure in a row. Half a
+/// second is shorter than any restart of an endpoint, and at most a tenth of
+/// the deadlines that requests have.
+constexpr milliseconds kFirstPause{500};
+constexpr unsigned kMaxDoublings = 3;
+/// A told load says little after a second: requests take a few hundred
+/// milliseconds each.
+constexpr double kToldLoadLife = 1.0;  // seconds
+
+double SecondsBetween(time_point from, time_point to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+}  // namespace
+
+void endpoint_record::NoteEnd(call_lesson lesson, time_point now) {
+  in_flight_ -= in_flight_ > 0 ? 1 : 0;
+  switch (lesson) {
+    case call_lesson::kAnswered:
+      failures_in_row_ = 0;
+      failures_.Add(0);
+      break;
+    case call_lesson::kFailed:
+    case call_lesson::kUnreachable:
+      failures_.Add(1);
+      avoid_until_ =
+          now + kFirstPause * (1U << std::min(failures_in_row_, kMaxDoublings));
+      ++failures_in_row_;
+      break;
+    case call_lesson::kRefused:
+    case call_lesson::kNothing:
+      break;
+  }
+}
+
+void endpoint_record::NoteLoad(const told_load& load) {
+  told_ = load;
+  in_flight_when_told_ = in_flight_;
+}
+
+double endpoint_record::OthersBusy(time_point now) const {
+  if (told_.at == time_point{}) {
+    return 0;
+  }
+  const double told = static_cast<double>(told_.running) + told_.waiting;
+  const double others = std::max(0.0, told - in_flight_when_told_);
+  const double age = std::max(0.0, SecondsBetween(told_.at, now));
+  return others * std::exp(-age / kToldLoadLife);
+}
+
+double endpoint_record::Busy(time_point now) const {
+  return in_flight_ + OthersBusy(now);
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -0,0 +1,35 @@
+#include "slatestall/dispatch/endpoint_roster.h"
+
+#include <utility>
+
+namespace slatestall {
+
+void endpoint_roster::Replace(const std::vector<known_endpoint>& listed) {
+  std::map<std::string, endpoint_record_ptr> by_id;
+  by_service_.clear();
+  for (const auto& endpoint : listed) {
+    auto record = Find(endpoint.id);
+    if (record) {
+      record->Update(endpoint);
+    } else {
+      record = std::make_shared<endpoint_record>(endpoint);
+    }
+    by_service_[endpoint.service].push_back(record);
+    by_id[endpoint.id] = std::move(record);
+  }
+  by_id_ = std::move(by_id);
+}
+
+const std::vector<endpoint_record_ptr>& endpoint_roster::Of(
+    const std::string& service) const {
+  static const std::vector<endpoint_record_ptr> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+endpoint_record_ptr endpoint_roster::Find(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -0,0 +1,159 @@
+#include "slatestall/gateway/gateway_control.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+/// The store answers as soon as the configuration changes. A connection that
+/// has fallen silent shows only when the wait is over, so that it is short
+/// against the time in which a change must be in force.
+constexpr milliseconds kConfigurationWait{3000};
+constexpr milliseconds kConfigurationPause{20};
+/// Part of the time in which a leaving endpoint must get no more work: the
+/// rest is for the read itself and what is under way.
+constexpr double kEndpointPart = 0.45;
+/// Living endpoints are listed again within about two seconds of an outage.
+constexpr milliseconds kReturnTime{2200};
+
+follow_pace EndpointPace(const gateway_options& options) {
+  const double interval =
+      kEndpointPart * static_cast<double>(options.leave_limit.count());
+  return {milliseconds(0), milliseconds(static_cast<std::int64_t>(interval))};
+}
+
+}  // namespace
+
+gateway_control::gateway_control(asio::io_context& context,
+                                 const gateway_options& options,
+                                 platform_link link, decision_log& log,
+                                 now_function now, control_news news)
+    : link_(std::move(link)),
+      log_(log),
+      now_(std::move(now)),
+      news_(std::move(news)),
+      listing_(kReturnTime),
+      configuration_(
+          context, link_.configuration,
+          {kConfigurationWait, kConfigurationPause},
+          {[this](const auto& records) { TakeConfiguration(records); },
+           [this](const auto& records) { TakeConfiguration(records); },
+           [this](bool succeeded, const std::string& detail) {
+             OnRead("configuration", configuration_reachable_, succeeded,
+                    detail);
+           }}),
+      endpoints_(context, link_.endpoints, EndpointPace(options),
+                 {[this](const auto& records) { TakeAllEndpoints(records); },
+                  [this](const auto& records) { TakeEndpointChanges(records); },
+                  [this](bool succeeded, const std::string& detail) {
+                    OnRead("endpoints", endpoints_reachable_, succeeded,
+                           detail);
+                    listing_.NoteRead(succeeded, now_());
+                    if (succeeded && listing_.DropOverdue(now_())) {
+                      PublishEndpoints();
+                    }
+                  }}) {}
+
+void gateway_control::Start() {
+  configuration_.Start();
+  endpoints_.Start();
+}
+
+void gateway_control::OnRead(const char* what, bool& reachable, bool succeeded,
+                             const std::string& detail) {
+  if (succeeded == reachable) {
+    return;
+  }
+  reachable = succeeded;
+  log_.Write(succeeded ? "store_regained" : "store_lost",
+             {{"reads", what}, {"detail", detail}});
+}
+
+void gateway_control::TakeConfiguration(
+    const std::vector<keyed_record>& records) {
+  for (const auto& record : records) {
+    routing_table_ptr table;
+    try {
+      table = link_.read_configuration(record);
+    } catch (const std::exception& problem) {
+      log_.Write("configuration_unreadable",
+                 {{"detail", problem.what()}, {"in_force", version_}});
+      continue;
+    }
+    if (!table || table->version <= version_) {
+      continue;
+    }
+    version_ = table->version;
+    log_.Write("configuration_in_force", {{"version", version_},
+                                          {"routes", table->routes.size()},
+                                          {"keys", table->holders.size()}});
+    news_.on_configuration(std::move(table));
+  }
+}
+
+std::optional<known_endpoint> gateway_control::Decode(
+    const keyed_record& record) {
+  try {
+    return link_.read_endpoint(record);
+  } catch (const std::exception& problem) {
+    log_.Write("endpoint_unreadable",
+               {{"endpoint", record.key}, {"detail", problem.what()}});
+    return std::nullopt;
+  }
+}
+
+void gateway_control::TakeAllEndpoints(
+    const std::vector<keyed_record>& records) {
+  std::vector<known_endpoint> listed;
+  for (const auto& record : records) {
+    if (auto endpoint = Decode(record)) {
+      listed.push_back(std::move(*endpoint));
+    }
+  }
+  listing_.ReplaceAll(listed, now_());
+  PublishEndpoints();
+}
+
+void gateway_control::TakeEndpointChanges(
+    const std::vector<keyed_record>& records) {
+  for (const auto& record : records) {
+    if (!record.value) {
+      listing_.Drop(record.key, now_());
+    } else if (const auto endpoint = Decode(record)) {
+      listing_.Put(*endpoint);
+    }
+  }
+  PublishEndpoints();
+}
+
+void gateway_control::PublishEndpoints() {
+  auto listed = listing_.Listed();
+  if (has_published_ && listed == published_) {
+    return;
+  }
+  for (const auto& endpoint : listed) {
+    const auto before =
+        std::find_if(published_.begin(), published_.end(),
+                     [&](const auto& one) { return one.id == endpoint.id; });
+    if (before == published_.end() || before->leaving != endpoint.leaving) {
+      log_.Write(endpoint.leaving ? "endpoint_leaving" : "endpoint_listed",
+                 {{"endpoint", endpoint.id}, {"service", endpoint.service}});
+    }
+  }
+  for (const auto& endpoint : published_) {
+    const bool still =
+        std::any_of(listed.begin(), listed.end(),
+                    [&](const auto& one) { return one.id == endpoint.id; });
+    if (!still) {
+      log_.Write("endpoint_gone",
+                 {{"endpoint", endpoint.id}, {"service", endpoint.service}});
+    }
+  }
+  has_published_ = true;
+  published_ = listed;
+  news_.on_endpoints(std::move(listed));
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/gateway_control.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "slatestall/gateway/decision_log.h"
+#include "slatestall/gateway/endpoint_listing.h"
+#include "slatestall/gateway/gateway_options.h"
+#include "slatestall/gateway/platform_link.h"
+#include "slatestall/gateway/topic_follower.h"
+
+namespace slatestall {
+
+/// @brief What the control thread tells; called on it.
+/// @ingroup gateway
+struct control_news {
+  std::function<void(routing_table_ptr)> on_configuration;
+  std::function<void(std::vector<known_endpoint>)> on_endpoints;
+};
+
+/// @brief Follows the configuration and the list of endpoints.
+///
+/// A configuration never gives way to an older one. The whole of each
+/// configuration is taken or, where it cannot be read, none of it.
+class gateway_control {
+ public:
+  gateway_control(asio::io_context& context, const gateway_options& options,
+                  platform_link link, decision_log& log, now_function now,
+                  control_news news);
+
+  void Start();
+
+ private:
+  void TakeConfiguration(const std::vector<keyed_record>& records);
+  void TakeAllEndpoints(const std::vector<keyed_record>& records);
+  void TakeEndpointChanges(const std::vector<keyed_record>& records);
+  std::optional<known_endpoint> Decode(const keyed_record& record);
+  void PublishEndpoints();
+  void OnRead(const char* what, bool& reachable, bool succeeded,
+              const std::string& detail);
+
+  platform_link link_;
+  decision_log& log_;
+  now_function now_;
+  control_news news_;
+  endpoint_listing listing_;
+  std::vector<known_endpoint> published_;
+  bool has_published_ = false;
+  std::int64_t version_ = -1;
+  bool configuration_reachable_ = true;
+  bool endpoints_reachable_ = true;
+  topic_follower configuration_;
+  topic_follower endpoints_;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -0,0 +1,201 @@
+#include "slatestall/gateway/gateway_host.h"
+
+#include <algorithm>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <atomic>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "slatestall/gateway/gateway_control.h"
+#include "slatestall/gateway/gateway_traffic.h"
+#include "slatestall/http/http_server.h"
+#include "slatestall/relay/boot_time.h"
+#include "slatestall/serve/drain_sequence.h"
+
+namespace slatestall {
+namespace {
+
+/// Lines of one event in a second. Some thirty decisions a second are made on
+/// a busy host; the rest of a flood tells nothing new.
+constexpr std::uint32_t kMaxLinesPerSecond = 40;
+/// Left of the grace for the process to end in.
+constexpr milliseconds kStopSlack{300};
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+http_server_options StatusServer(const gateway_options& options) {
+  http_server_options made;
+  made.address = options.address;
+  made.port = options.status_port;
+  made.max_connections = 64;
+  made.max_body_bytes = std::size_t{64} << 10U;
+  return made;
+}
+
+}  // namespace
+
+class gateway_host::impl {
+ public:
+  impl(const gateway_options& options, gateway_adapter adapter)
+      : options_(options),
+        adapter_(std::move(adapter)),
+        log_(options.host_name, kMaxLinesPerSecond, BootTimeNow),
+        traffic_(traffic_context_, options_, adapter_.protocol, log_,
+                 BootTimeNow),
+        control_client_(control_context_),
+        control_(control_context_, options_,
+                 adapter_.link(control_client_, options_), log_, BootTimeNow,
+                 News()),
+        status_(control_context_, StatusServer(options_),
+                [this](const http_request& request,
+                       const http_responder_ptr& responder) {
+                  AnswerStatus(request, *responder);
+                }),
+        signals_(traffic_context_, SIGTERM, SIGINT),
+        reload_(traffic_context_, SIGHUP),
+        drain_(traffic_context_, DrainHooks()) {}
+
+  ~impl() { StopControl(); }
+
+  void Run() {
+    log_.Write("started", {{"front", traffic_.Port()},
+                           {"status", status_.Port()},
+                           {"store", options_.store_address}});
+    AwaitStop();
+    AwaitReload();
+    control_.Start();
+    control_thread_ = std::thread([this] { control_context_.run(); });
+    traffic_context_.run();
+    StopControl();
+    log_.Write("stopped", {{"in_hand", traffic_.InHand()}});
+  }
+
+  void Drain() {
+    asio::post(traffic_context_, [this] { BeginDrain(); });
+  }
+
+  std::uint16_t FrontPort() const { return traffic_.Port(); }
+  std::uint16_t StatusPort() const { return status_.Port(); }
+
+ private:
+  void AwaitStop() {
+    signals_.async_wait([this](const asio::error_code& error, int) {
+      if (!error) {
+        BeginDrain();
+      }
+    });
+  }
+
+  /// What the settings file holds is read at the start; a signal that it has
+  /// changed must not end the process, which is its default effect.
+  void AwaitReload() {
+    reload_.async_wait([this](const asio::error_code& error, int) {
+      if (!error) {
+        log_.Write("reload_ignored",
+                   {{"detail", "settings are read at the start"}});
+        AwaitReload();
+      }
+    });
+  }
+
+  control_news News() {
+    control_news news;
+    news.on_configuration = [this](routing_table_ptr table) {
+      asio::post(traffic_context_, [this, table = std::move(table)] {
+        traffic_.SetConfiguration(table);
+        configured_ = true;
+      });
+    };
+    news.on_endpoints = [this](std::vector<known_endpoint> listed) {
+      asio::post(traffic_context_, [this, listed = std::move(listed)] {
+        traffic_.SetEndpoints(listed);
+        listed_ = true;
+      });
+    };
+    return news;
+  }
+
+  void AnswerStatus(const http_request& request, http_responder& responder) {
+    if (request.path == adapter_.ready_path) {
+      const bool ready = configured_ && listed_ && !draining_;
+      responder.Send(ready ? kOk : kUnavailable, {}, "");
+    } else if (request.path == "/metrics") {
+      responder.Send(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                     traffic_.Metrics().Text());
+    } else {
+      responder.Send(kNotFound, {}, "");
+    }
+  }
+
+  void BeginDrain() {
+    drain_options options;
+    options.grace = options_.balancer_lag;
+    options.longest_request =
+        std::max(milliseconds(0),
+                 options_.stop_grace - options_.balancer_lag - kStopSlack * 3);
+    options.hand_over_timeout = milliseconds(0);
+    log_.Write("stopping", {{"in_hand", traffic_.InHand()}});
+    drain_.Begin(options);
+  }
+
+  drain_hooks DrainHooks() {
+    drain_hooks hooks;
+    hooks.announce = [this] {
+      draining_ = true;
+      traffic_.AnnounceClose();
+    };
+    hooks.stop_accepting = [this] { traffic_.StopAccepting(); };
+    hooks.in_hand = [this] { return traffic_.InHand(); };
+    hooks.hand_over = [](const std::function<void()>& done) { done(); };
+    hooks.finished = [this] {
+      // The last bytes of answers are still on their way to the callers.
+      last_bytes_.expires_after(kStopSlack);
+      last_bytes_.async_wait(
+          [this](const asio::error_code&) { traffic_context_.stop(); });
+    };
+    return hooks;
+  }
+
+  void StopControl() {
+    control_context_.stop();
+    if (control_thread_.joinable()) {
+      control_thread_.join();
+    }
+  }
+
+  const gateway_options options_;
+  gateway_adapter adapter_;
+  decision_log log_;
+  std::atomic<bool> configured_{false};
+  std::atomic<bool> listed_{false};
+  std::atomic<bool> draining_{false};
+  asio::io_context traffic_context_{1};
+  asio::io_context control_context_{1};
+  gateway_traffic traffic_;
+  http_client control_client_;
+  gateway_control control_;
+  http_server status_;
+  asio::signal_set signals_;
+  asio::signal_set reload_;
+  asio::steady_timer last_bytes_{traffic_context_};
+  drain_sequence drain_;
+  std::thread control_thread_;
+};
+
+gateway_host::gateway_host(const gateway_options& options,
+                           gateway_adapter adapter)
+    : impl_(std::make_unique<impl>(options, std::move(adapter))) {}
+gateway_host::~gateway_host() = default;
+
+void gateway_host::Run() { impl_->Run(); }
+void gateway_host::Drain() { impl_->Drain(); }
+std::uint16_t gateway_host::FrontPort() const { return impl_->FrontPort(); }
+std::uint16_t gateway_host::StatusPort() const { return impl_->StatusPort(); }
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -0,0 +1,201 @@
+#include "slatestall/gateway/gateway_settings.h"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "slatestall/config/field_table.h"
+#include "slatestall/config/problem_sink.h"
+#include "slatestall/config/yaml_tree.h"
+#include "slatestall/model/listen_address.h"
+
+namespace slatestall {
+namespace {
+
+using type = field_type;
+
+constexpr double kMaxSeconds = 3600;
+
+/// The file as it is written; turned into options once all of it is sound.
+struct written_settings {
+  std::string host_name;
+  std::string failure_domain;
+  std::string front;
+  std::string status;
+  std::string peer;
+  std::string store;
+  std::string seeds;
+  std::uint32_t max_connections = 1024;
+  std::uint32_t max_memory_mb = 0;
+  std::uint32_t leave_limit = 2000;
+  double stop_grace = 8;
+  double repeat_ratio = 0.2;
+  double repeat_window = 10;
+  double repeat_reserve = 0;
+};
+
+field_spec Seconds(std::string name, std::string meaning) {
+  return {.name = std::move(name),
+          .type = type::kNumber,
+          .unit = "seconds",
+          .minimum = 0.1,
+          .maximum = kMaxSeconds,
+          .meaning = std::move(meaning)};
+}
+
+field_spec Address(std::string name, bool required, std::string meaning) {
+  return {.name = std::move(name),
+          .type = type::kAddress,
+          .required = required,
+          .meaning = std::move(meaning)};
+}
+
+const field_table<written_settings>& Fields() {
+  using s = written_settings;
+  static const field_table<s> kTable{
+      MemberField(&s::host_name, {.name = "host_name",
+                                  .type = type::kText,
+                                  .required = true,
+                                  .meaning = "Unique among the hosts"}),
+      MemberField(&s::failure_domain,
+                  {.name = "failure_domain",
+                   .type = type::kText,
+                   .required = true,
+                   .meaning = "What this host fails together with"}),
+      MemberField(&s::front,
+                  Address("front_listen", true, "Where callers connect")),
+      MemberField(&s::status,
+                  Address("status_listen", true,
+                          "Readiness for the balancer, and metrics")),
+      MemberField(&s::peer, Address("peer_listen", false,
+                                    "Where the other hosts connect")),
+      MemberField(&s::store,
+                  Address("store_address", true, "The platform's store")),
+      MemberField(&s::seeds,
+                  {.name = "seeds",
+                   .type = type::kText,
+                   .meaning = "Addresses of some other hosts, joined by "
+                              "commas; they may be stale"}),
+      MemberField(&s::max_connections, {.name = "max_connections",
+                                        .type = type::kWhole,
+                                        .unit = "connections",
+                                        .minimum = 16,
+                                        .maximum = 100000,
+                                        .meaning = "Callers connected at "
+                                                   "once"}),
+      MemberField(&s::max_memory_mb, {.name = "max_memory_mb",
+                                      .type = type::kWhole,
+                                      .unit = "MB",
+                                      .minimum = 0,
+                                      .maximum = 1 << 20,
+                                      .meaning = "What the process may use; "
+                                                 "0: not known"}),
+      MemberField(&s::leave_limit,
+                  {.name = "leave_limit_ms",
+                   .type = type::kWhole,
+                   .unit = "milliseconds",
+                   .minimum = 100,
+                   .maximum = 3600000,
+                   .meaning = "No new work may reach an endpoint that long "
+                              "after it began to leave"}),
+      MemberField(&s::stop_grace,
+                  Seconds("stop_grace_seconds", "How long a stop may take")),
+      MemberField(&s::repeat_ratio, {.name = "repeat_ratio",
+                                     .type = type::kNumber,
+                                     .minimum = 0,
+                                     .maximum = 10,
+                                     .meaning = "Calls beyond the first of "
+                                                "each request, over all hosts, "
+                                                "per request"}),
+      MemberField(&s::repeat_window,
+                  Seconds("repeat_window_seconds",
+                          "Window in which repeats are counted")),
+      MemberField(&s::repeat_reserve,
+                  {.name = "repeat_reserve",
+                   .type = type::kNumber,
+                   .minimum = 0,
+                   .maximum = 1000000,
+                   .meaning = "Repeats on top in a window, over all hosts"}),
+  };
+  return kTable;
+}
+
+milliseconds FromSeconds(double seconds) {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
+std::vector<std::string> SplitAtCommas(const std::string& text) {
+  std::vector<std::string> items;
+  std::size_t from = 0;
+  while (from < text.size()) {
+    const auto comma = std::min(text.find(',', from), text.size());
+    if (comma > from) {
+      items.push_back(text.substr(from, comma - from));
+    }
+    from = comma + 1;
+  }
+  return items;
+}
+
+/// Hosts share the reserve without knowing how many they are: this part of it
+/// each keeps the sum under it up to as many hosts.
+constexpr double kReserveHosts = 25;
+
+gateway_options OptionsOf(const written_settings& written) {
+  gateway_options options;
+  options.host_name = written.host_name;
+  options.failure_domain = written.failure_domain;
+  const auto front = ParseListenAddress(written.front);
+  options.address = front.address;
+  options.front_port = front.port;
+  options.status_port = ParseListenAddress(written.status).port;
+  if (!written.peer.empty()) {
+    options.peer_port = ParseListenAddress(written.peer).port;
+  }
+  options.store_address = written.store;
+  options.seeds = SplitAtCommas(written.seeds);
+  options.max_connections = written.max_connections;
+  options.memory_bytes = std::size_t{written.max_memory_mb} << 20U;
+  options.leave_limit = milliseconds(written.leave_limit);
+  options.stop_grace = FromSeconds(written.stop_grace);
+  options.repeats.ratio = written.repeat_ratio;
+  options.repeats.window = FromSeconds(written.repeat_window);
+  options.repeats.reserve = written.repeat_reserve / kReserveHosts;
+  return options;
+}
+
+}  // namespace
+
+loaded_gateway_settings ReadGatewaySettings(const std::string& text,
+                                            const std::string& file) {
+  loaded_gateway_settings loaded;
+  const yaml_document document = ReadYaml(text, file);
+  problem_sink problems(file);
+  problems.Take(document.problems);
+  written_settings written;
+  if (document.root) {
+    const std::string top;
+    const field_spec spec{.name = "settings", .type = type::kObject};
+    problems.Remember(top, document.root->position);
+    ReadFields({*document.root, top, spec, problems}, Fields(), written);
+  }
+  loaded.problems = problems.Sorted();
+  if (loaded.problems.empty()) {
+    loaded.content = OptionsOf(written);
+  }
+  return loaded;
+}
+
+loaded_gateway_settings LoadGatewaySettings(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(stream), {}};
+  if (!stream.is_open() || stream.bad()) {
+    loaded_gateway_settings failed;
+    failed.problems.push_back({file, 0, 0, "", "cannot be read"});
+    return failed;
+  }
+  return ReadGatewaySettings(text, file);
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -0,0 +1,108 @@
+#include "slatestall/gateway/gateway_traffic.h"
+
+#include <utility>
+
+#include "slatestall/gateway/request_run.h"
+
+namespace slatestall {
+namespace {
+
+caller_listener_options ListenerOptions(const gateway_options& options,
+                                        now_function now) {
+  caller_listener_options made;
+  made.address = options.address;
+  made.port = options.front_port;
+  made.max_connections = options.max_connections;
+  made.now = std::move(now);
+  return made;
+}
+
+/// Counts a request as in hand until its answer is no longer held.
+class counted_channel : public answer_channel {
+ public:
+  counted_channel(answer_channel_ptr channel, std::size_t& count)
+      : channel_(std::move(channel)), count_(count) {
+    ++count_;
+  }
+  ~counted_channel() override { --count_; }
+  counted_channel(const counted_channel&) = delete;
+  counted_channel& operator=(const counted_channel&) = delete;
+
+  void Send(int status, const http_headers& headers,
+            std::string body) override {
+    channel_->Send(status, headers, std::move(body));
+  }
+  void Start(int status, const http_headers& headers) override {
+    channel_->Start(status, headers);
+  }
+  void Write(std::string bytes) override { channel_->Write(std::move(bytes)); }
+  void Finish() override { channel_->Finish(); }
+  void Abort() override { channel_->Abort(); }
+  void OnCallerGone(std::function<void()> hook) override {
+    channel_->OnCallerGone(std::move(hook));
+  }
+
+ private:
+  answer_channel_ptr channel_;
+  std::size_t& count_;
+};
+
+}  // namespace
+
+gateway_traffic::gateway_traffic(asio::io_context& context,
+                                 const gateway_options& options,
+                                 const endpoint_protocol& protocol,
+                                 decision_log& log, now_function now)
+    : environment_{context,
+                   options,
+                   protocol,
+                   log,
+                   now,
+                   {},
+                   repeat_allowance(options.repeats),
+                   {},
+                   nullptr},
+      client_(context),
+      home_(environment_, client_),
+      listener_(context, ListenerOptions(options, now),
+                [this](inbound_request request, answer_channel_ptr channel) {
+                  TakeRequest(std::move(request), std::move(channel));
+                }) {
+  stages_.submit = [this](const std::string& service, piece_group group,
+                          std::function<void(stage_outcome)> done) {
+    return home_.Submit(service, std::move(group), std::move(done));
+  };
+  stages_.cancel = [this](stage_number number) { home_.Cancel(number); };
+  stages_.free = [this](std::vector<std::string> handles) {
+    home_.Free(std::move(handles));
+  };
+  stages_.expected_wait = [this](const std::string& service, int rank) {
+    return home_.ExpectedWait(service, rank);
+  };
+}
+
+gateway_traffic::~gateway_traffic() = default;
+
+void gateway_traffic::SetConfiguration(routing_table_ptr table) {
+  environment_.table = std::move(table);
+  listener_.SetLimits(environment_.table->limits);
+  home_.Refresh();
+}
+
+void gateway_traffic::SetEndpoints(const std::vector<known_endpoint>& listed) {
+  environment_.roster.Replace(listed);
+  home_.Refresh();
+}
+
+void gateway_traffic::AnnounceClose() { listener_.AnnounceClose(); }
+void gateway_traffic::StopAccepting() { listener_.StopAccepting(); }
+
+void gateway_traffic::TakeRequest(inbound_request request,
+                                  answer_channel_ptr channel) {
+  std::make_shared<request_run>(
+      environment_, stages_, std::move(request),
+      std::make_shared<counted_channel>(std::move(channel), in_hand_))
+      ->Start();
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/stage_home.h"
+#include "slatestall/http/http_client.h"
+#include "slatestall/relay/caller_listener.h"
+
+namespace slatestall {
+
+/// @brief The traffic thread's part of a gateway host: callers' connections,
+/// the requests in hand, the stage calls.
+/// @ingroup gateway
+class gateway_traffic {
+ public:
+  gateway_traffic(asio::io_context& context, const gateway_options& options,
+                  const endpoint_protocol& protocol, decision_log& log,
+                  now_function now);
+  ~gateway_traffic();
+  gateway_traffic(const gateway_traffic&) = delete;
+  gateway_traffic& operator=(const gateway_traffic&) = delete;
+
+  // All on the traffic thread.
+  void SetConfiguration(routing_table_ptr table);
+  void SetEndpoints(const std::vector<known_endpoint>& listed);
+  void AnnounceClose();
+  void StopAccepting();
+  std::size_t InHand() const { return in_hand_; }
+
+  std::uint16_t Port() const { return listener_.Port(); }
+  const gateway_metrics& Metrics() const { return environment_.metrics; }
+
+ private:
+  void TakeRequest(inbound_request request, answer_channel_ptr channel);
+
+  gateway_environment environment_;
+  http_client client_;
+  stage_home home_;
+  stage_calls stages_;
+  std::size_t in_hand_ = 0;
+  caller_listener listener_;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/request_run.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/stage_calls.h"
+#include "slatestall/gateway/stage_graph.h"
+#include "slatestall/model/error_kind.h"
+#include "slatestall/relay/caller_listener.h"
+#include "slatestall/relay/endpoint_call.h"
+#include "slatestall/relay/event_splitter.h"
+
+namespace slatestall {
+
+/// @brief One caller's request from its arrival to its one final answer: its
+/// stages, the call to an endpoint, further attempts where these are allowed.
+/// @ingroup gateway
+class request_run : public std::enable_shared_from_this<request_run> {
+ public:
+  request_run(gateway_environment& environment, const stage_calls& stages,
+              inbound_request request, answer_channel_ptr channel);
+
+  void Start();
+
+ private:
+  /// How an attempt failed, as far as it decides what comes next.
+  enum class attempt_failure {
+    kNotSent,   ///< No connection: the endpoint has seen nothing.
+    kNotRun,    ///< The endpoint says so.
+    kMoved,     ///< Not run: another incarnation has the address.
+    kNoInputs,  ///< Not run: results of stages are gone.
+    kUnknown,   ///< It may have run, wholly or in part.
+    kOwnError,  ///< It ran and failed; its answer is whole.
+  };
+
+  /// A refusal, which goes to the caller as it stands.
+  struct refusal {
+    error_kind kind;
+    std::string detail;
+    milliseconds retry_after{0};
+  };
+
+  // Admission.
+  std::optional<refusal> Admit();
+  std::optional<refusal> FindRoute();
+  std::optional<refusal> FindWorkspace();
+  std::optional<refusal> CheckTime();
+  duration PathTime() const;
+  duration StageTime(std::size_t stage) const;
+  duration TimeAfter(std::size_t stage) const;
+  duration FirstEventTime() const;
+  milliseconds ReturnTime() const;
+  milliseconds TimeLeft() const;
+
+  // Stages.
+  void Advance();
+  void BeginStage(std::size_t stage);
+  void OnStage(std::size_t stage, stage_outcome outcome);
+  void RestartStages();
+
+  // Attempts.
+  void Dispatch();
+  std::optional<refusal> StillAllowed() const;
+  void Send(const endpoint_record_ptr& record);
+  void OnHead(message_head& head);
+  void OnBody(std::string bytes);
+  void OnEnd(call_outcome outcome);
+  void OnEvents(const std::vector<whole_event>& events);
+  void EndAttempt(call_lesson lesson);
+  void FailAttempt(attempt_failure failure, const std::string& detail);
+  bool MaySendAgain(attempt_failure failure) const;
+  void GiveUp(attempt_failure failure, const std::string& detail);
+  void ArmStallTimer(duration limit);
+  std::uint64_t SharedPrompt() const;
+  bool IsSuccess() const;
+
+  // The end.
+  void DeliverWhole();
+  void BeginStream();
+  void Refuse(const refusal& why);
+  void Abort(const std::string& why);
+  void OnCallerGone();
+  void OnDeadline();
+  void Finish(std::string_view outcome);
+  void FreeResults();
+
+  gateway_environment& environment_;
+  const stage_calls& stages_;
+  inbound_request request_;
+  answer_channel_ptr channel_;
+  request_facts facts_;
+  routing_table_ptr table_;  ///< Under which the request was admitted.
+  const route* route_ = nullptr;
+  std::string service_;
+  std::string workspace_;
+  int rank_ = 0;
+  time_point deadline_{};
+  time_point objective_{};
+  std::optional<stage_graph> graph_;
+  std::vector<std::pair<std::size_t, stage_number>> running_stages_;
+  unsigned stage_restarts_ = 0;
+  bool stages_begun_ = false;
+
+  std::shared_ptr<endpoint_call> call_;
+  endpoint_record_ptr record_;
+  dispatch_facts dispatch_;
+  std::vector<std::string> tried_;
+  unsigned sends_ = 0;
+  unsigned moves_ = 0;  ///< Attempts that reached no endpoint of the service.
+  bool may_have_run_ = false;
+  time_point sent_{};
+  message_head answer_;
+  std::string answer_body_;
+  std::optional<event_splitter> events_;
+  std::optional<std::uint64_t> last_event_;
+  bool stream_begun_ = false;
+  bool late_pause_ = false;
+  time_point last_event_at_{};
+
+  asio::steady_timer deadline_timer_;
+  asio::steady_timer stall_timer_;
+  bool finished_ = false;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/stage_home.cc
@@ -0,0 +1,546 @@
+#include "slatestall/gateway/stage_home.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+/// How often a piece is tried. A piece that failed at three endpoints fails
+/// for a reason of its own.
+constexpr unsigned kMaxTries = 4;
+/// An overdue call's pieces are made elsewhere as well. Calls of one kind
+/// differ by some tenths; twice the expected time and a bit is not chance.
+constexpr double kOverdueFactor = 2.0;
+constexpr milliseconds kOverdueSlack{150};
+/// A call is given up after as many times its expected time: slow endpoints
+/// work four to five times as long.
+constexpr double kGiveUpFactor = 6.0;
+constexpr milliseconds kShortestGiveUp{1500};
+constexpr milliseconds kConnectTimeout{300};
+/// An endpoint without room or with a full queue is left alone this long:
+/// results are fetched, and calls end, several times a second.
+constexpr milliseconds kFullPause{60};
+/// Slower than this against expectation, an endpoint is used only when the
+/// others cannot take what waits.
+constexpr double kSlowFactor = 2.0;
+/// How long an endpoint counts as slow without a new observation, so that one
+/// that has recovered is tried again.
+constexpr milliseconds kSlownessLife{2000};
+/// Results are freed together: a call for each would cost more than the room.
+constexpr milliseconds kFreeInterval{60};
+constexpr milliseconds kFreeTimeout{1000};
+constexpr std::size_t kMaxHandlesPerFree = 400;
+constexpr int kOk = 200;
+
+double Ratio(duration a, duration b) {
+  return static_cast<double>(a.count()) /
+         std::max(1.0, static_cast<double>(b.count()));
+}
+
+duration Scale(duration value, double factor) {
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+milliseconds WholeMilliseconds(duration value) {
+  return std::chrono::duration_cast<milliseconds>(value);
+}
+
+std::string UrlOf(const endpoint_record& record, const std::string& path) {
+  const auto& to = record.Info().address;
+  return "http://" + to.address().to_string() + ":" +
+         std::to_string(to.port()) + path;
+}
+
+}  // namespace
+
+struct stage_home::group_state {
+  stage_number number = 0;
+  std::string service;
+  piece_group_ptr group;
+  std::vector<std::string> handles;
+  std::vector<unsigned> tries;
+  std::size_t missing = 0;
+  std::function<void(stage_outcome)> done;
+};
+
+struct stage_home::call_state {
+  std::string service;
+  endpoint_record_ptr record;
+  std::vector<waiting_piece> pieces;
+  time_point sent{};
+  duration expected{0};
+  http_client::call_number number = 0;
+  asio::steady_timer overdue;
+  bool pieces_released = false;  ///< They wait for another call, too.
+
+  explicit call_state(asio::io_context& context) : overdue(context) {}
+};
+
+struct stage_home::service_state {
+  piece_queue queue;
+  std::map<std::string, unsigned> calls;          ///< By incarnation.
+  std::map<std::string, time_point> paused;       ///< Full until then.
+  std::map<std::string, time_point> slowness_at;  ///< Last observed.
+  std::shared_ptr<asio::steady_timer> wake;
+};
+
+stage_home::stage_home(gateway_environment& environment, http_client& client)
+    : environment_(environment),
+      client_(client),
+      free_timer_(environment.context) {}
+
+stage_home::~stage_home() = default;
+
+const batch_rule* stage_home::Rule(const std::string& service) const {
+  const auto& table = environment_.table;
+  const auto* rule = table ? table->Service(service) : nullptr;
+  return rule != nullptr && rule->batches ? &*rule->batches : nullptr;
+}
+
+stage_number stage_home::Submit(const std::string& service, piece_group group,
+                                std::function<void(stage_outcome)> done) {
+  const auto state = std::make_shared<group_state>();
+  state->number = next_number_++;
+  state->service = service;
+  state->group = std::make_shared<const piece_group>(std::move(group));
+  state->handles.resize(state->group->pieces);
+  state->tries.resize(state->group->pieces);
+  state->missing = state->group->pieces;
+  state->done = std::move(done);
+  groups_[state->group.get()] = state;
+  numbers_[state->number] = state->group.get();
+  services_[service].queue.Add(state->group);
+  PumpSoon(service, duration(0));
+  return state->number;
+}
+
+void stage_home::Cancel(stage_number number) {
+  const auto found = numbers_.find(number);
+  if (found == numbers_.end()) {
+    return;
+  }
+  const auto state = groups_.at(found->second);
+  state->done = nullptr;
+  Conclude(state, {});
+}
+
+void stage_home::Refresh() {
+  for (const auto& [service, state] : services_) {
+    PumpSoon(service, duration(0));
+  }
+}
+
+/// Pieces that arrive in one turn of the loop are to share a call, so the pump
+/// runs in the next turn.
+void stage_home::PumpSoon(const std::string& service, duration delay) {
+  auto& state = services_[service];
+  if (state.wake) {
+    if (delay > duration(0)) {
+      return;
+    }
+    state.wake->cancel();
+  }
+  const auto wake = std::make_shared<asio::steady_timer>(environment_.context);
+  state.wake = wake;
+  wake->expires_after(delay);
+  wake->async_wait([this, service, wake, alive = std::weak_ptr<int>(alive_)](
+                       const asio::error_code& error) {
+    if (alive.expired()) {
+      return;
+    }
+    auto& woken = services_[service];
+    if (woken.wake == wake) {
+      woken.wake = nullptr;
+      if (!error) {
+        Pump(service);
+      }
+    }
+  });
+}
+
+void stage_home::Pump(const std::string& service) {
+  auto& state = services_[service];
+  const batch_rule* rule = Rule(service);
+  while (rule != nullptr && state.queue.Pieces() > 0) {
+    const auto record = FreeEndpoint(state, service, *rule);
+    if (!record) {
+      break;
+    }
+    const duration shortest =
+        Scale(rule->call_time + rule->piece_time, record->Slowness());
+    auto batch =
+        state.queue.Take(environment_.now(), shortest, rule->most_pieces);
+    for (const auto& group : batch.expired) {
+      Fail(group.get(), stage_end::kTooLate);
+    }
+    // One made meanwhile by an overdue call needs no second making.
+    std::erase_if(batch.pieces, [this](const waiting_piece& piece) {
+      const auto found = groups_.find(piece.group.get());
+      return found == groups_.end() ||
+             !found->second->handles[piece.piece].empty();
+    });
+    if (!batch.pieces.empty()) {
+      SendBatch(service, *rule, record, std::move(batch));
+    }
+  }
+  if (state.queue.Pieces() > 0 && !state.wake) {
+    // Nobody may ever wake it: an endpoint that pauses ends no call here.
+    PumpSoon(service, kFullPause / 2);
+  }
+}
+
+endpoint_record_ptr stage_home::FreeEndpoint(const service_state& state,
+                                             const std::string& service,
+                                             const batch_rule& rule) const {
+  const time_point now = environment_.now();
+  endpoint_record_ptr best;
+  double best_cost = 0;
+  const bool others_suffice = state.queue.Pieces() < rule.most_pieces;
+  for (const auto& record : environment_.roster.Of(service)) {
+    const auto& id = record->Info().id;
+    const auto calls = state.calls.find(id);
+    const auto paused = state.paused.find(id);
+    const bool full = calls != state.calls.end() && calls->second >= rule.slots;
+    const bool pausing = paused != state.paused.end() && now < paused->second;
+    if (!record->Usable() || record->Avoided(now) || full || pausing) {
+      continue;
+    }
+    const auto seen = state.slowness_at.find(id);
+    const bool is_slow = record->Slowness() > kSlowFactor &&
+                         seen != state.slowness_at.end() &&
+                         now - seen->second < kSlownessLife;
+    if (is_slow && others_suffice) {
+      continue;
+    }
+    const double cost =
+        record->OthersBusy(now) + (is_slow ? record->Slowness() : 1.0);
+    if (!best || cost < best_cost) {
+      best = record;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void stage_home::SendBatch(const std::string& service, const batch_rule& rule,
+                           const endpoint_record_ptr& record,
+                           piece_batch batch) {
+  const auto call = std::make_shared<call_state>(environment_.context);
+  call->service = service;
+  call->record = record;
+  call->pieces = std::move(batch.pieces);
+  call->sent = environment_.now();
+  call->expected =
+      rule.call_time +
+      rule.piece_time * static_cast<duration::rep>(call->pieces.size());
+  record->NoteStart();
+  ++services_[service].calls[record->Info().id];
+  environment_.metrics.Count("stage_calls", service);
+  environment_.metrics.Count("stage_pieces", service, call->pieces.size());
+  for (const auto& piece : call->pieces) {
+    ++groups_.at(piece.group.get())->tries[piece.piece];
+  }
+
+  http_call request;
+  request.method = "POST";
+  request.url = UrlOf(*record, environment_.protocol.stage_path);
+  request.headers = environment_.protocol.stage_headers(record->Info().id);
+  request.body = environment_.protocol.write_pieces(call->pieces, call->sent);
+  request.connect_timeout = kConnectTimeout;
+  request.timeout = std::max(
+      kShortestGiveUp, WholeMilliseconds(Scale(call->expected, kGiveUpFactor)));
+  // A kept connection can bring a late answer to an earlier call: its results
+  // would be handed to other requests.
+  request.at_most_once = true;
+  call->number = client_.Start(std::move(request),
+                               [this, call, alive = std::weak_ptr<int>(alive_)](
+                                   const http_result& result) {
+                                 if (!alive.expired()) {
+                                   OnCallEnd(call, result);
+                                 }
+                               });
+  WatchCall(call, Scale(call->expected, kOverdueFactor) + kOverdueSlack);
+}
+
+void stage_home::WatchCall(const call_state_ptr& call, duration expected) {
+  call->overdue.expires_after(expected);
+  call->overdue.async_wait([this, call, alive = std::weak_ptr<int>(alive_)](
+                               const asio::error_code& error) {
+    if (!error && !alive.expired()) {
+      OnOverdue(call);
+    }
+  });
+}
+
+/// A stalled or very slow endpoint holds a whole batch. Its pieces are made
+/// again elsewhere, which the protocol allows, within the limit on repeats;
+/// whichever result comes first is used, the other is freed.
+void stage_home::OnOverdue(const call_state_ptr& call) {
+  call->record->NoteSlowness(kOverdueFactor * kSlowFactor);
+  services_[call->service].slowness_at[call->record->Info().id] =
+      environment_.now();
+  if (!environment_.repeats.Take(call->service, environment_.now())) {
+    return;
+  }
+  environment_.log.Write(
+      "stage_call_overdue",
+      {{"endpoint", call->record->Info().id},
+       {"service", call->service},
+       {"pieces", call->pieces.size()},
+       {"expected_ms", WholeMilliseconds(call->expected).count()}});
+  environment_.metrics.Count("stage_calls_overdue", call->service);
+  call->pieces_released = true;
+  for (const auto& piece : call->pieces) {
+    const auto found = groups_.find(piece.group.get());
+    if (found != groups_.end() && found->second->handles[piece.piece].empty()) {
+      TryAgain(call->service, piece);
+    }
+  }
+  PumpSoon(call->service, duration(0));
+}
+
+void stage_home::OnCallEnd(const call_state_ptr& call,
+                           const http_result& result) {
+  call->overdue.cancel();
+  auto& state = services_[call->service];
+  const auto calls = state.calls.find(call->record->Info().id);
+  if (calls != state.calls.end() && --calls->second == 0) {
+    state.calls.erase(calls);
+  }
+  const call_lesson lesson = TakeAnswer(call, result);
+  call->record->NoteEnd(lesson, environment_.now());
+  if (lesson != call_lesson::kAnswered) {
+    environment_.log.Write(
+        "stage_call_failed",
+        {{"endpoint", call->record->Info().id},
+         {"service", call->service},
+         {"pieces", call->pieces.size()},
+         {"status", result.status},
+         {"detail", result.detail},
+         {"ms", WholeMilliseconds(environment_.now() - call->sent).count()}});
+    environment_.metrics.Count("stage_calls_failed", call->service);
+  }
+  PumpSoon(call->service, duration(0));
+}
+
+call_lesson stage_home::TakeAnswer(const call_state_ptr& call,
+                                   const http_result& result) {
+  const time_point now = environment_.now();
+  call_lesson lesson = call_lesson::kFailed;
+  if (result.end == call_end::kConnectFailed) {
+    lesson = call_lesson::kUnreachable;
+  } else if (result.end == call_end::kComplete) {
+    const auto facts = environment_.protocol.read_stage_answer(
+        result.status, result.headers, now);
+    if (facts.load) {
+      call->record->NoteLoad(*facts.load);
+    }
+    if (facts.other_incarnation) {
+      call->record->MarkGone();
+      lesson = call_lesson::kRefused;
+    } else if (facts.not_run) {
+      services_[call->service].paused[call->record->Info().id] =
+          now + kFullPause;
+      lesson = call_lesson::kRefused;
+    } else if (result.status == kOk) {
+      const auto results = environment_.protocol.read_pieces(result.body);
+      if (results.size() == call->pieces.size()) {
+        call->record->NoteSlowness(Ratio(now - call->sent, call->expected));
+        services_[call->service].slowness_at[call->record->Info().id] = now;
+        environment_.metrics.Observe("stage_call", call->service,
+                                     now - call->sent);
+        TakeResults(call, results);
+        return call_lesson::kAnswered;
+      }
+    }
+  }
+  if (!call->pieces_released) {
+    for (const auto& piece : call->pieces) {
+      TryAgain(call->service, piece);
+    }
+  }
+  return lesson;
+}
+
+void stage_home::TakeResults(const call_state_ptr& call,
+                             const std::vector<piece_result>& results) {
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    TakeResult(call, call->pieces[i], results[i]);
+  }
+}
+
+void stage_home::TakeResult(const call_state_ptr& call,
+                            const waiting_piece& piece,
+                            const piece_result& result) {
+  const auto found = groups_.find(piece.group.get());
+  const bool wanted =
+      found != groups_.end() && found->second->handles[piece.piece].empty();
+  if (result.end == piece_end::kMade) {
+    if (!wanted) {
+      Free({result.handle});
+      return;
+    }
+    const auto state = found->second;
+    state->handles[piece.piece] = result.handle;
+    if (--state->missing == 0) {
+      auto handles = std::move(state->handles);
+      state->handles.clear();
+      Conclude(state, {stage_end::kMade, std::move(handles)});
+    }
+    return;
+  }
+  if (!wanted) {
+    return;
+  }
+  environment_.metrics.Count("stage_pieces_not_made", call->service);
+  switch (result.end) {
+    case piece_end::kTooLate:
+      Fail(piece.group.get(), stage_end::kTooLate);
+      break;
+    case piece_end::kInputsGone:
+      Fail(piece.group.get(), stage_end::kInputsGone);
+      break;
+    case piece_end::kNoRoom:
+      services_[call->service].paused[call->record->Info().id] =
+          environment_.now() + kFullPause;
+      // Want of room says nothing of the piece, and ends with time.
+      --found->second->tries[piece.piece];
+      TryAgain(call->service, piece);
+      break;
+    case piece_end::kMade:
+    case piece_end::kFailed:
+      if (!call->pieces_released) {
+        TryAgain(call->service, piece);
+      }
+      break;
+  }
+}
+
+void stage_home::TryAgain(const std::string& service,
+                          const waiting_piece& piece) {
+  const auto found = groups_.find(piece.group.get());
+  if (found == groups_.end()) {
+    return;
+  }
+  if (found->second->tries[piece.piece] >= kMaxTries) {
+    Fail(piece.group.get(), stage_end::kFailed);
+    return;
+  }
+  services_[service].queue.AddAgain(piece);
+}
+
+void stage_home::Fail(const piece_group* group, stage_end end) {
+  const auto found = groups_.find(group);
+  if (found != groups_.end()) {
+    Conclude(found->second, {end, {}});
+  }
+}
+
+void stage_home::Conclude(const group_state_ptr& state, stage_outcome outcome) {
+  services_[state->service].queue.Remove(state->group.get());
+  numbers_.erase(state->number);
+  groups_.erase(state->group.get());
+  std::vector<std::string> unused;
+  for (auto& handle : state->handles) {
+    if (!handle.empty()) {
+      unused.push_back(std::move(handle));
+    }
+  }
+  Free(std::move(unused));
+  if (state->done) {
+    asio::post(environment_.context,
+               [done = std::move(state->done), outcome = std::move(outcome)] {
+                 done(outcome);
+               });
+  }
+}
+
+void stage_home::Free(std::vector<std::string> handles) {
+  for (auto& handle : handles) {
+    auto keeper = environment_.protocol.keeper_of(handle);
+    if (!keeper.empty()) {
+      frees_[std::move(keeper)].push_back(std::move(handle));
+    }
+  }
+  if (frees_.empty() || free_planned_) {
+    return;
+  }
+  free_planned_ = true;
+  free_timer_.expires_after(kFreeInterval);
+  free_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
+                             const asio::error_code& error) {
+    if (!error && !alive.expired()) {
+      free_planned_ = false;
+      FlushFrees();
+    }
+  });
+}
+
+void stage_home::FlushFrees() {
+  auto frees = std::exchange(frees_, {});
+  if (!environment_.table) {
+    return;
+  }
+  for (const auto& [name, rule] : environment_.table->services) {
+    if (!rule.batches) {
+      continue;
+    }
+    for (const auto& record : environment_.roster.Of(name)) {
+      const auto& to = record->Info().address;
+      const auto found = frees.find(to.address().to_string() + ":" +
+                                    std::to_string(to.port()));
+      // A leaving endpoint takes its results with it; one whose address has
+      // gone to another incarnation never held them.
+      if (found == frees.end() || !record->Usable()) {
+        continue;
+      }
+      auto& handles = found->second;
+      handles.resize(std::min(handles.size(), kMaxHandlesPerFree));
+      http_call call;
+      call.method = "POST";
+      call.url = UrlOf(*record, environment_.protocol.free_path);
+      call.headers = environment_.protocol.stage_headers(record->Info().id);
+      call.body = environment_.protocol.write_free(handles);
+      call.connect_timeout = kConnectTimeout;
+      call.timeout = kFreeTimeout;
+      client_.Start(std::move(call), [this, service = name,
+                                      alive = std::weak_ptr<int>(alive_)](
+                                         const http_result& result) {
+        // Results that are not freed expire by themselves.
+        if (!alive.expired() && result.status != kOk) {
+          environment_.metrics.Count("stage_frees_failed", service);
+        }
+      });
+    }
+  }
+}
+
+duration stage_home::ExpectedWait(const std::string& service, int rank) const {
+  const batch_rule* rule = Rule(service);
+  const auto found = services_.find(service);
+  if (rule == nullptr || found == services_.end()) {
+    return duration(0);
+  }
+  std::size_t usable = 0;
+  const time_point now = environment_.now();
+  for (const auto& record : environment_.roster.Of(service)) {
+    usable += record->Usable() && !record->Avoided(now) ? 1 : 0;
+  }
+  if (usable == 0) {
+    return rule->call_time;
+  }
+  const duration full_call =
+      rule->call_time +
+      rule->piece_time * static_cast<duration::rep>(rule->most_pieces);
+  const double calls_ahead =
+      static_cast<double>(found->second.queue.PiecesAhead(rank)) /
+      (static_cast<double>(rule->most_pieces) * rule->slots *
+       static_cast<double>(usable));
+  return Scale(full_call, calls_ahead);
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/stage_home.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/piece_queue.h"
+#include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/stage_calls.h"
+#include "slatestall/http/http_client.h"
+
+namespace slatestall {
+
+/// @brief Makes pieces: puts those of many requests into calls to the
+/// endpoints of their service, and follows each until it is made or given up.
+///
+/// An endpoint has one call at a time from here. The next batch is formed when
+/// the last one ends, so that everything that came meanwhile shares it, and
+/// the most pressing pieces are chosen as late as possible.
+/// @ingroup gateway
+class stage_home {
+ public:
+  stage_home(gateway_environment& environment, http_client& client);
+  ~stage_home();
+  stage_home(const stage_home&) = delete;
+  stage_home& operator=(const stage_home&) = delete;
+
+  stage_number Submit(const std::string& service, piece_group group,
+                      std::function<void(stage_outcome)> done);
+  void Cancel(stage_number number);
+  void Free(std::vector<std::string> handles);
+  duration ExpectedWait(const std::string& service, int rank) const;
+  /// @brief Endpoints or the configuration changed.
+  void Refresh();
+
+ private:
+  struct group_state;
+  struct call_state;
+  struct service_state;
+  using group_state_ptr = std::shared_ptr<group_state>;
+  using call_state_ptr = std::shared_ptr<call_state>;
+
+  void Pump(const std::string& service);
+  endpoint_record_ptr FreeEndpoint(const service_state& state,
+                                   const std::string& service,
+                                   const batch_rule& rule) const;
+  void SendBatch(const std::string& service, const batch_rule& rule,
+                 const endpoint_record_ptr& record, piece_batch batch);
+  void WatchCall(const call_state_ptr& call, duration expected);
+  void OnOverdue(const call_state_ptr& call);
+  void OnCallEnd(const call_state_ptr& call, const http_result& result);
+  call_lesson TakeAnswer(const call_state_ptr& call, const http_result& result);
+  void TakeResults(const call_state_ptr& call,
+                   const std::vector<piece_result>& results);
+  void TakeResult(const call_state_ptr& call, const waiting_piece& piece,
+                  const piece_result& result);
+  void TryAgain(const std::string& service, const waiting_piece& piece);
+  void Fail(const piece_group* group, stage_end end);
+  void Conclude(const group_state_ptr& state, stage_outcome outcome);
+  void PumpSoon(const std::string& service, duration delay);
+  void FlushFrees();
+  const batch_rule* Rule(const std::string& service) const;
+
+  gateway_environment& environment_;
+  http_client& client_;
+  std::map<std::string, service_state> services_;
+  std::map<const piece_group*, group_state_ptr> groups_;
+  std::map<stage_number, const piece_group*> numbers_;
+  std::map<std::string, std::vector<std::string>> frees_;  ///< By keeper.
+  asio::steady_timer free_timer_;
+  bool free_planned_ = false;
+  stage_number next_number_ = 1;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -0,0 +1,107 @@
+#include "slatestall/gateway/topic_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "slatestall/model/ids.h"
+
+namespace slatestall {
+namespace {
+
+/// After a failed read; doubles up to the longest, with up to a half less, so
+/// that hosts do not come back to a struggling store all at once. The longest
+/// is well under the two seconds in which a change must be in force.
+constexpr milliseconds kFirstRetry{100};
+constexpr milliseconds kLongestRetry{600};
+constexpr unsigned kMaxDoublings = 3;
+
+milliseconds RetryDelay(unsigned failures) {
+  const auto doubled = std::min(
+      kFirstRetry * (1U << std::min(failures, kMaxDoublings)), kLongestRetry);
+  const auto half = doubled / 2;
+  return half + milliseconds(RandomBits() %
+                             static_cast<std::uint64_t>(half.count() + 1));
+}
+
+}  // namespace
+
+topic_follower::topic_follower(asio::io_context& context, keyed_topic topic,
+                               const follow_pace& pace, follow_hooks hooks)
+    : context_(context),
+      timer_(context),
+      topic_(std::move(topic)),
+      pace_(pace),
+      hooks_(std::move(hooks)) {}
+
+topic_follower::~topic_follower() = default;
+
+void topic_follower::Start() { ReadNewest(); }
+
+void topic_follower::ReadNewest() {
+  topic_.read_newest(
+      [this, alive = std::weak_ptr<int>(alive_)](const keyed_read& read) {
+        if (!alive.expired()) {
+          OnNewest(read);
+        }
+      });
+}
+
+void topic_follower::ReadNext() {
+  topic_.read_from(
+      next_, pace_.wait,
+      [this, alive = std::weak_ptr<int>(alive_)](const keyed_read& read) {
+        if (!alive.expired()) {
+          OnNext(read);
+        }
+      });
+}
+
+void topic_follower::OnNewest(const keyed_read& read) {
+  hooks_.on_read(read.outcome == store_outcome::kDone, read.detail);
+  if (read.outcome != store_outcome::kDone) {
+    Retry();
+    return;
+  }
+  failures_ = 0;
+  has_all_ = true;
+  next_ = read.next;
+  hooks_.on_all(read.records);
+  After(pace_.interval, &topic_follower::ReadNext);
+}
+
+void topic_follower::OnNext(const keyed_read& read) {
+  if (read.outcome == store_outcome::kTooOld) {
+    // What was deleted in between is told only by its absence.
+    hooks_.on_read(true, read.detail);
+    ReadNewest();
+    return;
+  }
+  hooks_.on_read(read.outcome == store_outcome::kDone, read.detail);
+  if (read.outcome != store_outcome::kDone) {
+    Retry();
+    return;
+  }
+  failures_ = 0;
+  next_ = read.next;
+  if (!read.records.empty()) {
+    hooks_.on_changes(read.records);
+  }
+  After(pace_.interval, &topic_follower::ReadNext);
+}
+
+void topic_follower::Retry() {
+  const auto delay = RetryDelay(failures_++);
+  After(delay,
+        has_all_ ? &topic_follower::ReadNext : &topic_follower::ReadNewest);
+}
+
+void topic_follower::After(milliseconds delay, void (topic_follower::*next)()) {
+  timer_.expires_after(delay);
+  timer_.async_wait([this, next](const asio::error_code& error) {
+    if (!error) {
+      (this->*next)();
+    }
+  });
+}
+
+}  // namespace slatestall
--- a/src/slatestall/node/base64.cc
+++ b/src/slatestall/http/base64.cc
@@ -1,4 +1,4 @@
-#include "slatestall/node/base64.h"
+#include "slatestall/http/base64.h"
 
 #include <cstdint>
 
--- a/src/slatestall/node/listen_address.cc
+++ b/src/slatestall/model/listen_address.cc
@@ -1,4 +1,4 @@
-#include "slatestall/node/listen_address.h"
+#include "slatestall/model/listen_address.h"
 
 #include <charconv>
 #include <stdexcept>
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "slatestall/node/control_core.h"
-#include "slatestall/node/listen_address.h"
+#include "slatestall/model/listen_address.h"
 #include "slatestall/node/operator_server.h"
 
 namespace slatestall {
--- a/src/slatestall/node/control_setup.cc
+++ b/src/slatestall/node/control_setup.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "slatestall/config/pipeline_file.h"
-#include "slatestall/node/listen_address.h"
+#include "slatestall/model/listen_address.h"
 #include "slatestall/peer/gossip_service.h"
 
 namespace slatestall {
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -8,8 +8,8 @@
 
 #include "slatestall/model/ids.h"
 #include "slatestall/node/control_loop.h"
-#include "slatestall/node/drain_sequence.h"
-#include "slatestall/node/listen_address.h"
+#include "slatestall/serve/drain_sequence.h"
+#include "slatestall/model/listen_address.h"
 #include "slatestall/node/trace_recorder.h"
 #include "slatestall/node/traffic_threads.h"
 
--- a/src/slatestall/node/operator_server.cc
+++ b/src/slatestall/node/operator_server.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "slatestall/node/listen_address.h"
+#include "slatestall/model/listen_address.h"
 
 namespace slatestall {
 namespace {
--- a/src/slatestall/node/text_packing.cc
+++ b/src/slatestall/node/text_packing.cc
@@ -4,7 +4,7 @@
 
 #include <array>
 
-#include "slatestall/node/base64.h"
+#include "slatestall/http/base64.h"
 
 namespace slatestall {
 namespace {
--- a/src/slatestall/node/text_packing_test.cc
+++ b/src/slatestall/node/text_packing_test.cc
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-#include "slatestall/node/base64.h"
+#include "slatestall/http/base64.h"
 
 namespace slatestall {
 namespace {
--- a/src/slatestall/node/traffic_threads.cc
+++ b/src/slatestall/node/traffic_threads.cc
@@ -8,7 +8,7 @@
 #include <thread>
 #include <utility>
 
-#include "slatestall/node/listen_address.h"
+#include "slatestall/model/listen_address.h"
 #include "slatestall/policy/replay.h"
 #include "slatestall/report/prometheus_text.h"
 #include "slatestall/report/report_collector.h"
--- /dev/null
+++ b/src/slatestall/relay/message_text.cc
@@ -0,0 +1,41 @@
+#include "slatestall/relay/message_text.h"
+
+#include "slatestall/http/status_phrase.h"
+
+namespace slatestall {
+namespace {
+
+void AppendFields(std::string& text, const http_headers& headers) {
+  for (const auto& header : headers) {
+    text += header.name;
+    text += ": ";
+    text += header.value;
+    text += "\r\n";
+  }
+  text += "\r\n";
+}
+
+}  // namespace
+
+std::string RequestHeadText(std::string_view method, std::string_view target,
+                            const http_headers& headers) {
+  std::string text;
+  text += method;
+  text += ' ';
+  text += target;
+  text += " HTTP/1.1\r\n";
+  AppendFields(text, headers);
+  return text;
+}
+
+std::string AnswerHeadText(int status, const http_headers& headers) {
+  std::string text = "HTTP/1.1 ";
+  text += std::to_string(status);
+  text += ' ';
+  text += StatusPhrase(status);
+  text += "\r\n";
+  AppendFields(text, headers);
+  return text;
+}
+
+}  // namespace slatestall
--- a/src/slatestall/node/drain_sequence_test.cc
+++ b/src/slatestall/serve/drain_sequence_test.cc
@@ -1,4 +1,4 @@
-#include "slatestall/node/drain_sequence.h"
+#include "slatestall/serve/drain_sequence.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
