A group of pieces outlives its entry; hosts spread over equal endpoints

Equal endpoints were tried in one order by all hosts, so that calls met full queues. Ruled out by a backtrace: the log, the parser.

--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "slatestall/model/ids.h"
+
 namespace slatestall {
 namespace {
 
@@ -199,6 +201,8 @@
   const time_point now = environment_.now();
   endpoint_record_ptr best;
   double best_cost = 0;
+  // Hosts that know equally little are not all to take the same one.
+  std::uint64_t best_draw = 0;
   const bool others_suffice = state.queue.Pieces() < rule.most_pieces;
   for (const auto& record : environment_.roster.Of(service)) {
     const auto& id = record->Info().id;
@@ -218,9 +222,13 @@
     }
     const double cost =
         record->OthersBusy(now) + (is_slow ? record->Slowness() : 1.0);
-    if (!best || cost < best_cost) {
+    const std::uint64_t draw =
+        StableHash(id, StableHash(environment_.options.host_name));
+    if (!best || cost < best_cost ||
+        (cost == best_cost && draw > best_draw)) {
       best = record;
       best_cost = cost;
+      best_draw = draw;
     }
   }
   return best;
@@ -440,7 +448,7 @@
   }
 }
 
-void stage_home::Conclude(const group_state_ptr& state, stage_outcome outcome) {
+void stage_home::Conclude(group_state_ptr state, stage_outcome outcome) {
   services_[state->service].queue.Remove(state->group.get());
   numbers_.erase(state->number);
   groups_.erase(state->group.get());
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -60,7 +60,7 @@
                   const piece_result& result);
   void TryAgain(const std::string& service, const waiting_piece& piece);
   void Fail(const piece_group* group, stage_end end);
-  void Conclude(const group_state_ptr& state, stage_outcome outcome);
+  void Conclude(group_state_ptr state, stage_outcome outcome);
   void PumpSoon(const std::string& service, duration delay);
   void FlushFrees();
   const batch_rule* Rule(const std::string& service) const;
