--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -26,6 +26,9 @@
                          const known_endpoint&) = default;
 };
 
+/// @brief "IP:port".
+std::string AddressText(const known_endpoint& endpoint);
+
 /// @brief How a call ended, as far as it says something of the endpoint.
 enum class call_lesson {
   kAnswered,
--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "slatestall/dispatch/endpoint_record.h"
@@ -19,11 +20,14 @@
   const std::vector<endpoint_record_ptr>& Of(const std::string& service) const;
   /// @returns null where the incarnation is not listed.
   endpoint_record_ptr Find(const std::string& id) const;
+  /// @brief The usable endpoint at "IP:port", or null.
+  endpoint_record_ptr FindAt(const std::string& address) const;
   std::size_t size() const { return by_id_.size(); }
 
  private:
   std::map<std::string, endpoint_record_ptr> by_id_;
   std::map<std::string, std::vector<endpoint_record_ptr>> by_service_;
+  std::unordered_map<std::string, endpoint_record_ptr> by_address_;
 };
 
 }  // namespace slatestall
--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <list>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +21,10 @@
   int rank = 0;                     ///< Of the request; 0 is most urgent.
   time_point useful_by{};        ///< Later results make the whole answer late.
   time_point worthless_after{};  ///< Later ones miss the whole deadline.
+  /// Failure domain where it saves bytes to make them: there lie the inputs,
+  /// or there is what takes the results. Empty: none.
+  std::string near;
+  std::uint64_t result_bytes = 0;  ///< Of one piece, approximate.
 };
 
 using piece_group_ptr = std::shared_ptr<const piece_group>;
@@ -31,7 +35,17 @@
   unsigned piece = 0;
 };
 
-/// @brief What one call is to carry.
+/// @brief What a call that could be made now may carry.
+struct batch_terms {
+  time_point now{};
+  duration call_time{0};  ///< How long it is expected to take.
+  unsigned most = 1;
+  std::string domain;      ///< Of the endpoint.
+  std::uint64_t room = 0;  ///< Bytes of results that it can take.
+  /// Whether a failure domain has an endpoint that could make pieces at all.
+  std::function<bool(const std::string& domain)> has_endpoint;
+};
+
 struct piece_batch {
   std::vector<waiting_piece> pieces;
   std::vector<piece_group_ptr> expired;  ///< Dropped: too late for any use.
@@ -44,23 +58,30 @@
 /// pressing first: those that can still make their request's objective by how
 /// little time they have, then those that are late anyhow. A late piece never
 /// delays one that can be in time, and fills calls that would go half empty.
+///
+/// A piece waits a little for an endpoint in the failure domain where it saves
+/// bytes, never so long that this makes it late.
 class piece_queue {
  public:
-  void Add(const piece_group_ptr& group);
+  void Add(const piece_group_ptr& group, time_point now);
   /// @brief Puts a single piece back that a call did not make.
   void AddAgain(const waiting_piece& piece);
   /// @brief Drops what waits of a group.
   void Remove(const piece_group* group);
 
-  /// @param call_time How long a call made now is expected to take.
-  piece_batch Take(time_point now, duration call_time, unsigned most);
+  piece_batch Take(const batch_terms& terms);
 
-  std::size_t Pieces() const { return pieces_.size(); }
-  /// @brief Pieces of requests that rank at least as urgent as this.
-  std::size_t PiecesAhead(int rank) const;
+  std::size_t Pieces() const { return entries_.size(); }
 
  private:
-  std::vector<waiting_piece> pieces_;
+  struct entry {
+    waiting_piece piece;
+    time_point anywhere_from{};  ///< From then on, the domain matters no more.
+  };
+
+  std::vector<piece_group_ptr> DropExpired(const batch_terms& terms);
+
+  std::vector<entry> entries_;
 };
 
 }  // namespace slatestall
--- /dev/null
+++ b/include/slatestall/dispatch/result_room.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "slatestall/model/time.h"
+
+namespace slatestall {
+
+/// @brief Room that results take up at their makers, as their home has seen
+/// them made and freed. Makers refuse pieces that they have no room for, and a
+/// refused piece costs a whole call.
+/// @ingroup dispatch
+class result_room {
+ public:
+  /// @param keep_time After which makers drop a result by themselves.
+  void NoteMade(const std::string& endpoint, const std::string& handle,
+                std::uint64_t bytes, time_point now, duration keep_time);
+  void NoteFreed(const std::string& handle);
+  /// @brief Bytes taken up at an endpoint.
+  std::uint64_t Used(const std::string& endpoint, time_point now);
+
+ private:
+  struct result {
+    std::string endpoint;
+    std::uint64_t bytes = 0;
+  };
+  struct expiry {
+    time_point at{};
+    std::string handle;
+  };
+
+  void Expire(time_point now);
+
+  std::unordered_map<std::string, result> results_;  ///< By handle.
+  std::map<std::string, std::uint64_t> used_;        ///< By endpoint.
+  std::deque<expiry> expiries_;
+};
+
+}  // namespace slatestall
--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -48,6 +48,11 @@
 struct platform_link {
   keyed_topic configuration;
   keyed_topic endpoints;
+  keyed_topic hosts;  ///< Of this system; written by themselves.
+  /// Sets the value of a key among `hosts`.
+  std::function<void(const std::string& key, const std::string& value,
+                     std::function<void(store_outcome)> done)>
+      announce;
   /// Decoders: null where the record is not for this system.
   /// @throws std::exception where it cannot be read.
   std::function<routing_table_ptr(const keyed_record&)> read_configuration;
--- a/include/slatestall/gateway/routing_table.h
+++ b/include/slatestall/gateway/routing_table.h
@@ -65,6 +65,8 @@
   std::uint32_t most_pieces = 1;  ///< Of one call.
   duration call_time{0};          ///< Of a call, whatever it carries.
   duration piece_time{0};         ///< On top, for each piece; approximate.
+  std::uint64_t room_bytes = 0;   ///< For results, at each endpoint.
+  duration keep_time{0};          ///< A result is dropped that long after it.
 };
 
 struct service_rule {
--- a/include/slatestall/peer/peer_node.h
+++ b/include/slatestall/peer/peer_node.h
@@ -99,6 +99,9 @@
   /// @brief Sends a request; `done` runs once, never from inside the call.
   void Call(const std::string& host, wire::messageUnion request,
             milliseconds timeout, std::function<void(peer_reply)> done);
+  /// @brief Closes the connection made to a host; its calls end as unknown. For
+  /// one that has fallen silent: the next use makes another connection.
+  void Drop(const std::string& host);
   /// @brief Sends without an answer; dropped where the peer is unreachable.
   void Notify(const std::string& host, wire::messageUnion notice);
 
--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -21,6 +21,8 @@
 /// is ordinary for some services; an endpoint that fails a third more than the
 /// others is worth four times the wait elsewhere.
 constexpr double kFailureWeight = 10.0;
+/// A fetch of inputs from another failure domain against half a call's wait.
+constexpr double kFarFactor = 1.5;
 /// Cost of a call that waits for nobody, in calls.
 constexpr double kOwnCall = 1.0;
 
@@ -133,7 +135,10 @@
   double Cost(const endpoint_record& record) const {
     const double slots = std::max(1U, record.Info().slots);
     const double busy = record.Busy(request_.now) / slots;
-    return (kOwnCall + busy) * record.Slowness() * FailureFactor(record);
+    const bool is_far =
+        !request_.near.empty() && request_.near != record.Info().failure_domain;
+    return (kOwnCall + busy) * record.Slowness() * FailureFactor(record) *
+           (is_far ? kFarFactor : 1.0);
   }
 
   /// Ties go by a hash of the moment, so that hosts that know equally little
--- a/src/slatestall/dispatch/endpoint_record.cc
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -21,6 +21,11 @@
 
 }  // namespace
 
+std::string AddressText(const known_endpoint& endpoint) {
+  return endpoint.address.address().to_string() + ":" +
+         std::to_string(endpoint.address.port());
+}
+
 void endpoint_record::NoteEnd(call_lesson lesson, time_point now) {
   in_flight_ -= in_flight_ > 0 ? 1 : 0;
   switch (lesson) {
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -7,6 +7,7 @@
 void endpoint_roster::Replace(const std::vector<known_endpoint>& listed) {
   std::map<std::string, endpoint_record_ptr> by_id;
   by_service_.clear();
+  by_address_.clear();
   for (const auto& endpoint : listed) {
     auto record = Find(endpoint.id);
     if (record) {
@@ -15,6 +16,9 @@
       record = std::make_shared<endpoint_record>(endpoint);
     }
     by_service_[endpoint.service].push_back(record);
+    if (record->Usable()) {
+      by_address_[AddressText(endpoint)] = record;
+    }
     by_id[endpoint.id] = std::move(record);
   }
   by_id_ = std::move(by_id);
@@ -27,6 +31,11 @@
   return found == by_service_.end() ? kNone : found->second;
 }
 
+endpoint_record_ptr endpoint_roster::FindAt(const std::string& address) const {
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
 endpoint_record_ptr endpoint_roster::Find(const std::string& id) const {
   const auto found = by_id_.find(id);
   return found == by_id_.end() ? nullptr : found->second;
--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -11,20 +11,25 @@
 /// to starve the other.
 constexpr milliseconds kRankStep{100};
 
+/// How long a piece waits for an endpoint near its bytes. Somewhat more than a
+/// call takes, after which each endpoint there has been free once.
+constexpr milliseconds kNearWait{250};
+/// Part of the spare time that may go into that wait.
+constexpr int kSparePart = 3;
+
 struct pressing_order {
-  time_point in_time_if_done_by;
+  time_point done_by;  ///< When a call made now ends.
 
-  bool Late(const waiting_piece& piece) const {
-    return piece.group->useful_by < in_time_if_done_by;
+  bool Late(const piece_group& group) const {
+    return group.useful_by < done_by;
   }
 
-  static time_point Due(const waiting_piece& piece, bool late) {
-    const auto& group = *piece.group;
+  static time_point Due(const piece_group& group, bool late) {
     return (late ? group.worthless_after : group.useful_by) +
            kRankStep * group.rank;
   }
 
-  bool operator()(const waiting_piece& a, const waiting_piece& b) const {
+  bool operator()(const piece_group& a, const piece_group& b) const {
     const bool a_late = Late(a);
     const bool b_late = Late(b);
     if (a_late != b_late) {
@@ -34,49 +39,78 @@
   }
 };
 
+duration NearWait(const piece_group& group, time_point now) {
+  if (group.near.empty()) {
+    return duration(0);
+  }
+  const duration spare = group.useful_by - now;
+  if (spare <= duration(0)) {
+    return kNearWait;  // Late already; a little more costs nothing.
+  }
+  return std::min<duration>(kNearWait, spare / kSparePart);
+}
+
 }  // namespace
 
-void piece_queue::Add(const piece_group_ptr& group) {
+void piece_queue::Add(const piece_group_ptr& group, time_point now) {
+  const time_point anywhere_from = now + NearWait(*group, now);
   for (unsigned piece = 0; piece < group->pieces; ++piece) {
-    pieces_.push_back({group, piece});
+    entries_.push_back({{group, piece}, anywhere_from});
   }
 }
 
 void piece_queue::AddAgain(const waiting_piece& piece) {
-  pieces_.push_back(piece);
+  entries_.push_back({piece, time_point{}});
 }
 
 void piece_queue::Remove(const piece_group* group) {
-  std::erase_if(pieces_, [&](const waiting_piece& piece) {
-    return piece.group.get() == group;
+  std::erase_if(entries_, [&](const entry& one) {
+    return one.piece.group.get() == group;
   });
 }
 
-piece_batch piece_queue::Take(time_point now, duration call_time,
-                              unsigned most) {
-  piece_batch batch;
-  const time_point done_by = now + call_time;
-  for (const auto& piece : pieces_) {
-    if (piece.group->worthless_after < done_by &&
-        (batch.expired.empty() || batch.expired.back() != piece.group)) {
-      batch.expired.push_back(piece.group);
+std::vector<piece_group_ptr> piece_queue::DropExpired(
+    const batch_terms& terms) {
+  std::vector<piece_group_ptr> expired;
+  for (const auto& one : entries_) {
+    const auto& group = one.piece.group;
+    if (group->worthless_after < terms.now + terms.call_time &&
+        std::find(expired.begin(), expired.end(), group) == expired.end()) {
+      expired.push_back(group);
     }
   }
-  for (const auto& group : batch.expired) {
+  for (const auto& group : expired) {
     Remove(group.get());
   }
-  std::stable_sort(pieces_.begin(), pieces_.end(), pressing_order{done_by});
-  const auto count = std::min<std::size_t>(most, pieces_.size());
-  const auto end = pieces_.begin() + static_cast<std::ptrdiff_t>(count);
-  batch.pieces.assign(pieces_.begin(), end);
-  pieces_.erase(pieces_.begin(), end);
-  return batch;
+  return expired;
 }
 
-std::size_t piece_queue::PiecesAhead(int rank) const {
-  return static_cast<std::size_t>(std::count_if(
-      pieces_.begin(), pieces_.end(),
-      [&](const auto& piece) { return piece.group->rank <= rank; }));
+piece_batch piece_queue::Take(const batch_terms& terms) {
+  piece_batch batch;
+  batch.expired = DropExpired(terms);
+  const pressing_order order{terms.now + terms.call_time};
+  std::stable_sort(entries_.begin(), entries_.end(),
+                   [&](const entry& a, const entry& b) {
+                     return order(*a.piece.group, *b.piece.group);
+                   });
+  std::uint64_t room = terms.room;
+  std::vector<entry> left;
+  left.reserve(entries_.size());
+  for (auto& one : entries_) {
+    const auto& group = *one.piece.group;
+    const bool fits_domain = group.near.empty() || group.near == terms.domain ||
+                             terms.now >= one.anywhere_from ||
+                             !terms.has_endpoint(group.near);
+    if (batch.pieces.size() < terms.most && fits_domain &&
+        group.result_bytes <= room) {
+      room -= group.result_bytes;
+      batch.pieces.push_back(std::move(one.piece));
+    } else {
+      left.push_back(std::move(one));
+    }
+  }
+  entries_ = std::move(left);
+  return batch;
 }
 
 }  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/dispatch/result_room.cc
@@ -0,0 +1,42 @@
+#include "slatestall/dispatch/result_room.h"
+
+#include <algorithm>
+
+namespace slatestall {
+
+void result_room::NoteMade(const std::string& endpoint,
+                           const std::string& handle, std::uint64_t bytes,
+                           time_point now, duration keep_time) {
+  Expire(now);
+  results_[handle] = {endpoint, bytes};
+  used_[endpoint] += bytes;
+  expiries_.push_back({now + keep_time, handle});
+}
+
+void result_room::NoteFreed(const std::string& handle) {
+  const auto found = results_.find(handle);
+  if (found == results_.end()) {
+    return;
+  }
+  auto& used = used_[found->second.endpoint];
+  used -= std::min(used, found->second.bytes);
+  if (used == 0) {
+    used_.erase(found->second.endpoint);
+  }
+  results_.erase(found);
+}
+
+std::uint64_t result_room::Used(const std::string& endpoint, time_point now) {
+  Expire(now);
+  const auto found = used_.find(endpoint);
+  return found == used_.end() ? 0 : found->second;
+}
+
+void result_room::Expire(time_point now) {
+  while (!expiries_.empty() && expiries_.front().at <= now) {
+    NoteFreed(expiries_.front().handle);
+    expiries_.pop_front();
+  }
+}
+
+}  // namespace slatestall
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -54,11 +54,16 @@
                     if (succeeded && listing_.DropOverdue(now_())) {
                       PublishEndpoints();
                     }
-                  }}) {}
+                  }}),
+      hosts_(context, options, link_, log_, now_,
+             [this](std::vector<peer_address> hosts) {
+               news_.on_hosts(std::move(hosts));
+             }) {}
 
 void gateway_control::Start() {
   configuration_.Start();
   endpoints_.Start();
+  hosts_.Start();
 }
 
 void gateway_control::OnRead(const char* what, bool& reachable, bool succeeded,
@@ -133,13 +138,25 @@
   if (has_published_ && listed == published_) {
     return;
   }
+  LogChanges(listed);
+  has_published_ = true;
+  published_ = listed;
+  news_.on_endpoints(std::move(listed));
+}
+
+/// One line for each reading of the list, however long it is.
+void gateway_control::LogChanges(const std::vector<known_endpoint>& listed) {
+  nlohmann::json fields = {{"listed", listed.size()}};
   for (const auto& endpoint : listed) {
     const auto before =
         std::find_if(published_.begin(), published_.end(),
                      [&](const auto& one) { return one.id == endpoint.id; });
-    if (before == published_.end() || before->leaving != endpoint.leaving) {
-      log_.Write(endpoint.leaving ? "endpoint_leaving" : "endpoint_listed",
-                 {{"endpoint", endpoint.id}, {"service", endpoint.service}});
+    if (before == published_.end()) {
+      fields["new"].push_back(endpoint.id);
+    }
+    const bool was_leaving = before != published_.end() && before->leaving;
+    if (endpoint.leaving && !was_leaving) {
+      fields["leaving"].push_back(endpoint.id);
     }
   }
   for (const auto& endpoint : published_) {
@@ -147,13 +164,10 @@
         std::any_of(listed.begin(), listed.end(),
                     [&](const auto& one) { return one.id == endpoint.id; });
     if (!still) {
-      log_.Write("endpoint_gone",
-                 {{"endpoint", endpoint.id}, {"service", endpoint.service}});
+      fields["gone"].push_back(endpoint.id);
     }
   }
-  has_published_ = true;
-  published_ = listed;
-  news_.on_endpoints(std::move(listed));
+  log_.Write("endpoints_changed", std::move(fields));
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -9,6 +9,7 @@
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/endpoint_listing.h"
 #include "slatestall/gateway/gateway_options.h"
+#include "slatestall/gateway/host_directory.h"
 #include "slatestall/gateway/platform_link.h"
 #include "slatestall/gateway/topic_follower.h"
 
@@ -19,6 +20,7 @@
 struct control_news {
   std::function<void(routing_table_ptr)> on_configuration;
   std::function<void(std::vector<known_endpoint>)> on_endpoints;
+  std::function<void(std::vector<peer_address>)> on_hosts;
 };
 
 /// @brief Follows the configuration and the list of endpoints.
@@ -39,6 +41,7 @@
   void TakeEndpointChanges(const std::vector<keyed_record>& records);
   std::optional<known_endpoint> Decode(const keyed_record& record);
   void PublishEndpoints();
+  void LogChanges(const std::vector<known_endpoint>& listed);
   void OnRead(const char* what, bool& reachable, bool succeeded,
               const std::string& detail);
 
@@ -54,6 +57,7 @@
   bool endpoints_reachable_ = true;
   topic_follower configuration_;
   topic_follower endpoints_;
+  host_directory hosts_;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -118,6 +118,11 @@
         listed_ = true;
       });
     };
+    news.on_hosts = [this](std::vector<peer_address> hosts) {
+      asio::post(traffic_context_, [this, hosts = std::move(hosts)] {
+        traffic_.SetHosts(hosts);
+      });
+    };
     return news;
   }
 
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "slatestall/gateway/request_run.h"
+#include "slatestall/model/ids.h"
 
 namespace slatestall {
 namespace {
@@ -17,6 +18,26 @@
   return made;
 }
 
+/// A connection that is not made within it is as good as none: hosts are a
+/// few milliseconds apart.
+constexpr milliseconds kPeerConnectTime{600};
+
+peer_node_options PeerOptions(const gateway_options& options) {
+  peer_node_options made;
+  made.listen_address = options.address;
+  made.listen_port = options.peer_port;
+  made.hello_timeout = kPeerConnectTime;
+  return made;
+}
+
+host_id NewIncarnation(const gateway_options& options) {
+  host_id host{options.host_name, 0};
+  while (host.incarnation == 0) {
+    host.incarnation = RandomBits();
+  }
+  return host;
+}
+
 /// Counts a request as in hand until its answer is no longer held.
 class counted_channel : public answer_channel {
  public:
@@ -64,37 +85,35 @@
                    nullptr},
       client_(context),
       home_(environment_, client_),
+      peers_(context, NewIncarnation(options), PeerOptions(options)),
+      router_(environment_, home_, peers_),
+      stages_(router_.Calls()),
       listener_(context, ListenerOptions(options, now),
                 [this](inbound_request request, answer_channel_ptr channel) {
                   TakeRequest(std::move(request), std::move(channel));
-                }) {
-  stages_.submit = [this](const std::string& service, piece_group group,
-                          std::function<void(stage_outcome)> done) {
-    return home_.Submit(service, std::move(group), std::move(done));
-  };
-  stages_.cancel = [this](stage_number number) { home_.Cancel(number); };
-  stages_.free = [this](std::vector<std::string> handles) {
-    home_.Free(std::move(handles));
-  };
-  stages_.expected_wait = [this](const std::string& service, int rank) {
-    return home_.ExpectedWait(service, rank);
-  };
-}
+                }) {}
 
 gateway_traffic::~gateway_traffic() = default;
 
 void gateway_traffic::SetConfiguration(routing_table_ptr table) {
   environment_.table = std::move(table);
   listener_.SetLimits(environment_.table->limits);
-  home_.Refresh();
+  router_.Refresh();
 }
 
 void gateway_traffic::SetEndpoints(const std::vector<known_endpoint>& listed) {
   environment_.roster.Replace(listed);
-  home_.Refresh();
+  router_.Refresh();
 }
 
-void gateway_traffic::AnnounceClose() { listener_.AnnounceClose(); }
+void gateway_traffic::SetHosts(std::vector<peer_address> hosts) {
+  router_.SetHosts(std::move(hosts));
+}
+
+void gateway_traffic::AnnounceClose() {
+  listener_.AnnounceClose();
+  router_.Drain();
+}
 void gateway_traffic::StopAccepting() { listener_.StopAccepting(); }
 
 void gateway_traffic::TakeRequest(inbound_request request,
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -7,7 +7,9 @@
 
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/stage_home.h"
+#include "slatestall/gateway/stage_router.h"
 #include "slatestall/http/http_client.h"
+#include "slatestall/peer/peer_node.h"
 #include "slatestall/relay/caller_listener.h"
 
 namespace slatestall {
@@ -27,6 +29,7 @@
   // All on the traffic thread.
   void SetConfiguration(routing_table_ptr table);
   void SetEndpoints(const std::vector<known_endpoint>& listed);
+  void SetHosts(std::vector<peer_address> hosts);
   void AnnounceClose();
   void StopAccepting();
   std::size_t InHand() const { return in_hand_; }
@@ -40,7 +43,9 @@
   gateway_environment environment_;
   http_client client_;
   stage_home home_;
-  stage_calls stages_;
+  peer_node peers_;
+  stage_router router_;
+  const stage_calls stages_;
   std::size_t in_hand_ = 0;
   caller_listener listener_;
 };
--- /dev/null
+++ b/src/slatestall/gateway/host_directory.cc
@@ -0,0 +1,104 @@
+#include "slatestall/gateway/host_directory.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+/// How often a host announces itself, and after what time without it is left
+/// out. Hosts that are gone are noticed by asking them; the list only has to
+/// lose them some day.
+constexpr milliseconds kAnnounceInterval{5000};
+constexpr milliseconds kAnnounceRetry{700};
+constexpr milliseconds kEntryLife{17'000};
+/// A new host takes part in the work of homes that much later at most, and
+/// serves its callers from the start.
+constexpr milliseconds kReadInterval{3000};
+
+}  // namespace
+
+host_directory::host_directory(asio::io_context& context,
+                               const gateway_options& options,
+                               const platform_link& link, decision_log& log,
+                               now_function now, hosts_hook on_hosts)
+    : options_(options),
+      announce_(link.announce),
+      log_(log),
+      now_(std::move(now)),
+      on_hosts_(std::move(on_hosts)),
+      timer_(context),
+      follower_(context, link.hosts, {milliseconds(0), kReadInterval},
+                {[this](const auto& records) { Take(records); },
+                 [this](const auto& records) { Take(records); },
+                 [this](bool succeeded, const std::string&) {
+                   if (succeeded) {
+                     last_read_ = now_();
+                     Publish();
+                   }
+                 }}) {}
+
+void host_directory::Start() { Announce(); }
+
+void host_directory::Announce() {
+  const nlohmann::json value = {
+      {"peer", options_.address + ":" + std::to_string(options_.peer_port)}};
+  announce_(options_.host_name, value.dump(),
+            [this, alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
+              if (alive.expired()) {
+                return;
+              }
+              const bool done = outcome == store_outcome::kDone;
+              if (last_read_ == time_point{}) {
+                // The first read follows the own entry, so that hosts that
+                // start together find each other with one read each.
+                last_read_ = now_();
+                follower_.Start();
+              }
+              timer_.expires_after(done ? kAnnounceInterval : kAnnounceRetry);
+              timer_.async_wait([this](const asio::error_code& error) {
+                if (!error) {
+                  Announce();
+                }
+              });
+            });
+}
+
+void host_directory::Take(const std::vector<keyed_record>& records) {
+  for (const auto& record : records) {
+    if (!record.value) {
+      entries_.erase(record.key);
+      continue;
+    }
+    const auto value = nlohmann::json::parse(*record.value, nullptr, false);
+    if (!value.is_object() || !value.contains("peer") ||
+        !value["peer"].is_string()) {
+      log_.Write("host_unreadable", {{"host", record.key}});
+      continue;
+    }
+    entries_[record.key] = {value["peer"].get<std::string>(), now_()};
+  }
+  Publish();
+}
+
+void host_directory::Publish() {
+  std::map<std::string, std::string> listed;
+  const time_point now = now_();
+  for (const auto& [name, entry] : entries_) {
+    if (now - entry.renewed < kEntryLife) {
+      listed[name] = entry.address;
+    }
+  }
+  if (listed == published_) {
+    return;
+  }
+  published_ = listed;
+  log_.Write("hosts_listed", {{"hosts", listed.size()}});
+  std::vector<peer_address> hosts;
+  for (const auto& [name, address] : listed) {
+    hosts.push_back({name, address});
+  }
+  on_hosts_(std::move(hosts));
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/host_directory.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "slatestall/gateway/decision_log.h"
+#include "slatestall/gateway/gateway_options.h"
+#include "slatestall/gateway/platform_link.h"
+#include "slatestall/gateway/topic_follower.h"
+#include "slatestall/peer/peer_node.h"
+
+namespace slatestall {
+
+/// @brief Other hosts of the system, as they announce themselves in the
+/// platform's store. Which of them live is found out by asking them.
+/// @ingroup gateway
+class host_directory {
+ public:
+  using hosts_hook = std::function<void(std::vector<peer_address>)>;
+
+  host_directory(asio::io_context& context, const gateway_options& options,
+                 const platform_link& link, decision_log& log, now_function now,
+                 hosts_hook on_hosts);
+
+  void Start();
+
+ private:
+  struct entry {
+    std::string address;
+    time_point renewed{};
+  };
+
+  void Announce();
+  void Take(const std::vector<keyed_record>& records);
+  void Publish();
+
+  const gateway_options& options_;
+  std::function<void(const std::string&, const std::string&,
+                     std::function<void(store_outcome)>)>
+      announce_;
+  decision_log& log_;
+  now_function now_;
+  hosts_hook on_hosts_;
+  std::map<std::string, entry> entries_;
+  std::map<std::string, std::string> published_;
+  time_point last_read_{};
+  asio::steady_timer timer_;
+  topic_follower follower_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace slatestall
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -1,6 +1,7 @@
 #include "slatestall/gateway/request_run.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -40,6 +41,10 @@
 /// A request of an ordinary day is logged in this share, by its id, so that
 /// all hosts choose the same ones.
 constexpr std::uint64_t kLoggedShare = 16;
+/// Bytes of results that are worth a place near them: a quarter of a megabyte
+/// costs as much between failure domains as one more connection to an endpoint
+/// costs four times over.
+constexpr std::uint64_t kManyBytes = std::uint64_t{256} << 10U;
 constexpr int kFirstFailure = 400;
 constexpr int kFirstServerFailure = 500;
 
@@ -270,7 +275,8 @@
   const duration rest = TimeAfter(stage);
   group.useful_by = objective_ - rest;
   group.worthless_after = deadline_ - rest;
-  stages_begun_ = true;
+  group.result_bytes = route_->stages[stage].result_bytes;
+  group.near = PlaceOf(stage, group);
   const auto number =
       stages_.submit(route_->stages[stage].service, std::move(group),
                      [self = shared_from_this(), stage](stage_outcome outcome) {
@@ -281,6 +287,61 @@
   running_stages_.emplace_back(stage, number);
 }
 
+/// Failure domain in which most of these results lie.
+std::string request_run::DomainOf(
+    const std::vector<std::string>& handles) const {
+  std::map<std::string, std::size_t> counts;
+  std::string most;
+  for (const auto& handle : handles) {
+    const auto record =
+        environment_.roster.FindAt(environment_.protocol.keeper_of(handle));
+    if (!record) {
+      continue;
+    }
+    const auto& domain = record->Info().failure_domain;
+    ++counts[domain];
+    if (most.empty() || counts[domain] > counts[most]) {
+      most = domain;
+    }
+  }
+  return most;
+}
+
+/// Bytes between failure domains are dear. Pieces that read much are best made
+/// where it lies; large results of a last stage where the engine is that keeps
+/// the request's prompt.
+std::string request_run::PlaceOf(std::size_t stage,
+                                 const piece_group& group) const {
+  std::uint64_t input_bytes = 0;
+  for (const auto earlier : graph_->After(stage)) {
+    input_bytes +=
+        route_->stages[earlier].result_bytes * graph_->Pieces(earlier);
+  }
+  if (!group.inputs.empty()) {
+    return input_bytes * group.pieces >= kManyBytes ? DomainOf(group.inputs)
+                                                    : std::string();
+  }
+  if (graph_->Height(stage) > 1 ||
+      group.result_bytes * group.pieces < kManyBytes) {
+    return {};
+  }
+  pick_request pick;
+  pick.now = environment_.now();
+  pick.shared_prompt = SharedPrompt();
+  const auto engine = PickEndpoint(environment_.roster.Of(service_), pick);
+  return engine ? engine->Info().failure_domain : std::string();
+}
+
+std::uint64_t request_run::FinalBytes() const {
+  std::uint64_t bytes = 0;
+  for (std::size_t i = 0; i < graph_->Size(); ++i) {
+    if (graph_->Height(i) == 1) {
+      bytes += route_->stages[i].result_bytes * graph_->Pieces(i);
+    }
+  }
+  return bytes;
+}
+
 void request_run::OnStage(std::size_t stage, stage_outcome outcome) {
   std::erase_if(running_stages_,
                 [&](const auto& running) { return running.first == stage; });
@@ -356,6 +417,9 @@
   pick.now = environment_.now();
   pick.shared_prompt = SharedPrompt();
   pick.tried = tried_;
+  if (FinalBytes() >= kManyBytes) {
+    pick.near = DomainOf(graph_->FinalInputs());
+  }
   const auto record = PickEndpoint(environment_.roster.Of(service_), pick);
   if (!record) {
     GiveUp(attempt_failure::kNotRun, "no endpoint of the service is left");
@@ -636,9 +700,8 @@
     DeliverWhole();
     return;
   }
-  // Work on pieces of a request that may run only once counts as a run.
-  const bool spent = may_have_run_ || (stages_begun_ && !route_->MayRepeat());
-  if (spent) {
+  // Pieces may be made any number of times: they are no run of the request.
+  if (may_have_run_) {
     Refuse({error_kind::kStageFailed, detail});
   } else {
     Refuse({error_kind::kNoEndpoint, detail, ReturnTime()});
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -59,6 +59,9 @@
   // Stages.
   void Advance();
   void BeginStage(std::size_t stage);
+  std::string PlaceOf(std::size_t stage, const piece_group& group) const;
+  std::string DomainOf(const std::vector<std::string>& handles) const;
+  std::uint64_t FinalBytes() const;
   void OnStage(std::size_t stage, stage_outcome outcome);
   void RestartStages();
 
@@ -103,7 +106,6 @@
   std::optional<stage_graph> graph_;
   std::vector<std::pair<std::size_t, stage_number>> running_stages_;
   unsigned stage_restarts_ = 0;
-  bool stages_begun_ = false;
 
   std::shared_ptr<endpoint_call> call_;
   endpoint_record_ptr record_;
--- a/src/slatestall/gateway/stage_calls.h
+++ b/src/slatestall/gateway/stage_calls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,6 +27,15 @@
 
 using stage_number = std::uint64_t;  ///< Names a submitted group; never 0.
 
+/// @brief The endpoints of a stage service that one host at a time forms the
+/// calls for: all of them, or those of one failure domain.
+struct stage_shard {
+  std::string service;
+  std::string domain;  ///< Empty: all of them.
+
+  friend auto operator<=>(const stage_shard&, const stage_shard&) = default;
+};
+
 /// @brief Has the pieces of requests made.
 struct stage_calls {
   /// `done` runs once, never from inside the call, unless cancelled.
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -25,6 +26,9 @@
 /// An endpoint without room or with a full queue is left alone this long:
 /// results are fetched, and calls end, several times a second.
 constexpr milliseconds kFullPause{60};
+/// While pieces wait and no call is under way that would end.
+constexpr milliseconds kLookAgain{20};
+constexpr std::uint64_t kDraws = 1024;
 /// Slower than this against expectation, an endpoint is used only when the
 /// others cannot take what waits.
 constexpr double kSlowFactor = 2.0;
@@ -52,16 +56,14 @@
 }
 
 std::string UrlOf(const endpoint_record& record, const std::string& path) {
-  const auto& to = record.Info().address;
-  return "http://" + to.address().to_string() + ":" +
-         std::to_string(to.port()) + path;
+  return "http://" + AddressText(record.Info()) + path;
 }
 
 }  // namespace
 
 struct stage_home::group_state {
   stage_number number = 0;
-  std::string service;
+  stage_shard shard;
   piece_group_ptr group;
   std::vector<std::string> handles;
   std::vector<unsigned> tries;
@@ -70,7 +72,7 @@
 };
 
 struct stage_home::call_state {
-  std::string service;
+  stage_shard shard;
   endpoint_record_ptr record;
   std::vector<waiting_piece> pieces;
   time_point sent{};
@@ -82,7 +84,7 @@
   explicit call_state(asio::io_context& context) : overdue(context) {}
 };
 
-struct stage_home::service_state {
+struct stage_home::shard_state {
   piece_queue queue;
   std::map<std::string, unsigned> calls;          ///< By incarnation.
   std::map<std::string, time_point> paused;       ///< Full until then.
@@ -93,6 +95,7 @@
 stage_home::stage_home(gateway_environment& environment, http_client& client)
     : environment_(environment),
       client_(client),
+      host_seed_(StableHash(environment.options.host_name)),
       free_timer_(environment.context) {}
 
 stage_home::~stage_home() = default;
@@ -103,11 +106,11 @@
   return rule != nullptr && rule->batches ? &*rule->batches : nullptr;
 }
 
-stage_number stage_home::Submit(const std::string& service, piece_group group,
+stage_number stage_home::Submit(const stage_shard& shard, piece_group group,
                                 std::function<void(stage_outcome)> done) {
   const auto state = std::make_shared<group_state>();
   state->number = next_number_++;
-  state->service = service;
+  state->shard = shard;
   state->group = std::make_shared<const piece_group>(std::move(group));
   state->handles.resize(state->group->pieces);
   state->tries.resize(state->group->pieces);
@@ -115,8 +118,9 @@
   state->done = std::move(done);
   groups_[state->group.get()] = state;
   numbers_[state->number] = state->group.get();
-  services_[service].queue.Add(state->group);
-  PumpSoon(service, duration(0));
+  environment_.repeats.NoteRequest(shard.service, environment_.now());
+  shards_[shard].queue.Add(state->group, environment_.now());
+  PumpSoon(shard, duration(0));
   return state->number;
 }
 
@@ -131,15 +135,15 @@
 }
 
 void stage_home::Refresh() {
-  for (const auto& [service, state] : services_) {
-    PumpSoon(service, duration(0));
+  for (const auto& [shard, state] : shards_) {
+    PumpSoon(shard, duration(0));
   }
 }
 
 /// Pieces that arrive in one turn of the loop are to share a call, so the pump
 /// runs in the next turn.
-void stage_home::PumpSoon(const std::string& service, duration delay) {
-  auto& state = services_[service];
+void stage_home::PumpSoon(const stage_shard& shard, duration delay) {
+  auto& state = shards_[shard];
   if (state.wake) {
     if (delay > duration(0)) {
       return;
@@ -149,96 +153,132 @@
   const auto wake = std::make_shared<asio::steady_timer>(environment_.context);
   state.wake = wake;
   wake->expires_after(delay);
-  wake->async_wait([this, service, wake, alive = std::weak_ptr<int>(alive_)](
+  wake->async_wait([this, shard, wake, alive = std::weak_ptr<int>(alive_)](
                        const asio::error_code& error) {
     if (alive.expired()) {
       return;
     }
-    auto& woken = services_[service];
+    auto& woken = shards_[shard];
     if (woken.wake == wake) {
       woken.wake = nullptr;
       if (!error) {
-        Pump(service);
+        Pump(shard);
       }
     }
   });
 }
 
-void stage_home::Pump(const std::string& service) {
-  auto& state = services_[service];
-  const batch_rule* rule = Rule(service);
-  while (rule != nullptr && state.queue.Pieces() > 0) {
-    const auto record = FreeEndpoint(state, service, *rule);
-    if (!record) {
-      break;
-    }
-    const duration shortest =
-        Scale(rule->call_time + rule->piece_time, record->Slowness());
-    auto batch =
-        state.queue.Take(environment_.now(), shortest, rule->most_pieces);
-    for (const auto& group : batch.expired) {
-      Fail(group.get(), stage_end::kTooLate);
-    }
-    // One made meanwhile by an overdue call needs no second making.
-    std::erase_if(batch.pieces, [this](const waiting_piece& piece) {
-      const auto found = groups_.find(piece.group.get());
-      return found == groups_.end() ||
-             !found->second->handles[piece.piece].empty();
-    });
-    if (!batch.pieces.empty()) {
-      SendBatch(service, *rule, record, std::move(batch));
+void stage_home::Pump(const stage_shard& shard) {
+  auto& state = shards_[shard];
+  const batch_rule* rule = Rule(shard.service);
+  bool sent = rule != nullptr;
+  while (sent && state.queue.Pieces() > 0) {
+    sent = false;
+    for (const auto& record : FreeEndpoints(state, shard, *rule)) {
+      if (state.queue.Pieces() == 0) {
+        break;
+      }
+      sent = PumpOnce(shard, *rule, record) || sent;
     }
   }
   if (state.queue.Pieces() > 0 && !state.wake) {
-    // Nobody may ever wake it: an endpoint that pauses ends no call here.
-    PumpSoon(service, kFullPause / 2);
+    // Pieces that wait for a place near their bytes, and endpoints that pause,
+    // end no call that would wake this.
+    PumpSoon(shard, kLookAgain);
+  }
+}
+
+bool stage_home::PumpOnce(const stage_shard& shard, const batch_rule& rule,
+                          const endpoint_record_ptr& record) {
+  auto& state = shards_[shard];
+  batch_terms terms;
+  terms.now = environment_.now();
+  terms.call_time = Scale(rule.call_time + rule.piece_time,
+                          IsSlow(state, *record) ? record->Slowness() : 1.0);
+  terms.most = rule.most_pieces;
+  terms.domain = record->Info().failure_domain;
+  terms.room = RoomAt(*record, rule);
+  terms.has_endpoint = [&](const std::string& domain) {
+    const auto& all = environment_.roster.Of(shard.service);
+    return std::any_of(all.begin(), all.end(), [&](const auto& one) {
+      return one->Info().failure_domain == domain && one->Usable() &&
+             !one->Avoided(terms.now) && !IsSlow(state, *one);
+    });
+  };
+  auto batch = state.queue.Take(terms);
+  for (const auto& group : batch.expired) {
+    Fail(group.get(), stage_end::kTooLate);
+  }
+  // One made meanwhile by an overdue call needs no second making.
+  std::erase_if(batch.pieces, [this](const waiting_piece& piece) {
+    const auto found = groups_.find(piece.group.get());
+    return found == groups_.end() ||
+           !found->second->handles[piece.piece].empty();
+  });
+  if (batch.pieces.empty()) {
+    return false;
+  }
+  SendBatch(shard, rule, record, std::move(batch));
+  return true;
+}
+
+bool stage_home::IsSlow(const shard_state& state,
+                        const endpoint_record& record) const {
+  const auto seen = state.slowness_at.find(record.Info().id);
+  return record.Slowness() > kSlowFactor && seen != state.slowness_at.end() &&
+         environment_.now() - seen->second < kSlownessLife;
+}
+
+std::uint64_t stage_home::RoomAt(const endpoint_record& record,
+                                 const batch_rule& rule) {
+  if (rule.room_bytes == 0) {
+    return std::numeric_limits<std::uint64_t>::max();
   }
+  const auto used = room_.Used(record.Info().id, environment_.now());
+  return rule.room_bytes - std::min(used, rule.room_bytes);
 }
 
-endpoint_record_ptr stage_home::FreeEndpoint(const service_state& state,
-                                             const std::string& service,
-                                             const batch_rule& rule) const {
+/// Those that can take a call now, the best first.
+std::vector<endpoint_record_ptr> stage_home::FreeEndpoints(
+    const shard_state& state, const stage_shard& shard,
+    const batch_rule& rule) const {
   const time_point now = environment_.now();
-  endpoint_record_ptr best;
-  double best_cost = 0;
-  // Hosts that know equally little are not all to take the same one.
-  std::uint64_t best_draw = 0;
   const bool others_suffice = state.queue.Pieces() < rule.most_pieces;
-  for (const auto& record : environment_.roster.Of(service)) {
+  std::vector<std::pair<double, endpoint_record_ptr>> ranked;
+  for (const auto& record : environment_.roster.Of(shard.service)) {
     const auto& id = record->Info().id;
     const auto calls = state.calls.find(id);
     const auto paused = state.paused.find(id);
+    const bool other_shard =
+        !shard.domain.empty() && shard.domain != record->Info().failure_domain;
     const bool full = calls != state.calls.end() && calls->second >= rule.slots;
     const bool pausing = paused != state.paused.end() && now < paused->second;
-    if (!record->Usable() || record->Avoided(now) || full || pausing) {
+    const bool is_slow = IsSlow(state, *record);
+    if (other_shard || !record->Usable() || record->Avoided(now) || full ||
+        pausing || (is_slow && others_suffice)) {
       continue;
     }
-    const auto seen = state.slowness_at.find(id);
-    const bool is_slow = record->Slowness() > kSlowFactor &&
-                         seen != state.slowness_at.end() &&
-                         now - seen->second < kSlownessLife;
-    if (is_slow && others_suffice) {
-      continue;
-    }
-    const double cost =
-        record->OthersBusy(now) + (is_slow ? record->Slowness() : 1.0);
-    const std::uint64_t draw =
-        StableHash(id, StableHash(environment_.options.host_name));
-    if (!best || cost < best_cost ||
-        (cost == best_cost && draw > best_draw)) {
-      best = record;
-      best_cost = cost;
-      best_draw = draw;
-    }
+    // Hosts that know equally little are not all to take the same one.
+    const double draw =
+        static_cast<double>(StableHash(id, host_seed_) % kDraws) / kDraws;
+    ranked.emplace_back(
+        record->OthersBusy(now) + (is_slow ? record->Slowness() : 1.0) + draw,
+        record);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<endpoint_record_ptr> records;
+  records.reserve(ranked.size());
+  for (auto& [cost, record] : ranked) {
+    records.push_back(std::move(record));
   }
-  return best;
+  return records;
 }
 
-void stage_home::SendBatch(const std::string& service, const batch_rule& rule,
+void stage_home::SendBatch(const stage_shard& shard, const batch_rule& rule,
                            const endpoint_record_ptr& record,
                            piece_batch batch) {
   const auto call = std::make_shared<call_state>(environment_.context);
-  call->service = service;
+  call->shard = shard;
   call->record = record;
   call->pieces = std::move(batch.pieces);
   call->sent = environment_.now();
@@ -246,9 +286,10 @@
       rule.call_time +
       rule.piece_time * static_cast<duration::rep>(call->pieces.size());
   record->NoteStart();
-  ++services_[service].calls[record->Info().id];
-  environment_.metrics.Count("stage_calls", service);
-  environment_.metrics.Count("stage_pieces", service, call->pieces.size());
+  ++shards_[shard].calls[record->Info().id];
+  environment_.metrics.Count("stage_calls", shard.service);
+  environment_.metrics.Count("stage_pieces", shard.service,
+                             call->pieces.size());
   for (const auto& piece : call->pieces) {
     ++groups_.at(piece.group.get())->tries[piece.piece];
   }
@@ -289,32 +330,32 @@
 /// whichever result comes first is used, the other is freed.
 void stage_home::OnOverdue(const call_state_ptr& call) {
   call->record->NoteSlowness(kOverdueFactor * kSlowFactor);
-  services_[call->service].slowness_at[call->record->Info().id] =
+  shards_[call->shard].slowness_at[call->record->Info().id] =
       environment_.now();
-  if (!environment_.repeats.Take(call->service, environment_.now())) {
+  if (!environment_.repeats.Take(call->shard.service, environment_.now())) {
     return;
   }
   environment_.log.Write(
       "stage_call_overdue",
       {{"endpoint", call->record->Info().id},
-       {"service", call->service},
+       {"service", call->shard.service},
        {"pieces", call->pieces.size()},
        {"expected_ms", WholeMilliseconds(call->expected).count()}});
-  environment_.metrics.Count("stage_calls_overdue", call->service);
+  environment_.metrics.Count("stage_calls_overdue", call->shard.service);
   call->pieces_released = true;
   for (const auto& piece : call->pieces) {
     const auto found = groups_.find(piece.group.get());
     if (found != groups_.end() && found->second->handles[piece.piece].empty()) {
-      TryAgain(call->service, piece);
+      TryAgain(call->shard, piece);
     }
   }
-  PumpSoon(call->service, duration(0));
+  PumpSoon(call->shard, duration(0));
 }
 
 void stage_home::OnCallEnd(const call_state_ptr& call,
                            const http_result& result) {
   call->overdue.cancel();
-  auto& state = services_[call->service];
+  auto& state = shards_[call->shard];
   const auto calls = state.calls.find(call->record->Info().id);
   if (calls != state.calls.end() && --calls->second == 0) {
     state.calls.erase(calls);
@@ -325,14 +366,14 @@
     environment_.log.Write(
         "stage_call_failed",
         {{"endpoint", call->record->Info().id},
-         {"service", call->service},
+         {"service", call->shard.service},
          {"pieces", call->pieces.size()},
          {"status", result.status},
          {"detail", result.detail},
          {"ms", WholeMilliseconds(environment_.now() - call->sent).count()}});
-    environment_.metrics.Count("stage_calls_failed", call->service);
+    environment_.metrics.Count("stage_calls_failed", call->shard.service);
   }
-  PumpSoon(call->service, duration(0));
+  PumpSoon(call->shard, duration(0));
 }
 
 call_lesson stage_home::TakeAnswer(const call_state_ptr& call,
@@ -351,15 +392,14 @@
       call->record->MarkGone();
       lesson = call_lesson::kRefused;
     } else if (facts.not_run) {
-      services_[call->service].paused[call->record->Info().id] =
-          now + kFullPause;
+      shards_[call->shard].paused[call->record->Info().id] = now + kFullPause;
       lesson = call_lesson::kRefused;
     } else if (result.status == kOk) {
       const auto results = environment_.protocol.read_pieces(result.body);
       if (results.size() == call->pieces.size()) {
         call->record->NoteSlowness(Ratio(now - call->sent, call->expected));
-        services_[call->service].slowness_at[call->record->Info().id] = now;
-        environment_.metrics.Observe("stage_call", call->service,
+        shards_[call->shard].slowness_at[call->record->Info().id] = now;
+        environment_.metrics.Observe("stage_call", call->shard.service,
                                      now - call->sent);
         TakeResults(call, results);
         return call_lesson::kAnswered;
@@ -368,7 +408,7 @@
   }
   if (!call->pieces_released) {
     for (const auto& piece : call->pieces) {
-      TryAgain(call->service, piece);
+      TryAgain(call->shard, piece);
     }
   }
   return lesson;
@@ -388,6 +428,10 @@
   const bool wanted =
       found != groups_.end() && found->second->handles[piece.piece].empty();
   if (result.end == piece_end::kMade) {
+    const batch_rule* rule = Rule(call->shard.service);
+    room_.NoteMade(call->record->Info().id, result.handle,
+                   piece.group->result_bytes, environment_.now(),
+                   rule == nullptr ? duration(0) : rule->keep_time);
     if (!wanted) {
       Free({result.handle});
       return;
@@ -404,7 +448,7 @@
   if (!wanted) {
     return;
   }
-  environment_.metrics.Count("stage_pieces_not_made", call->service);
+  environment_.metrics.Count("stage_pieces_not_made", call->shard.service);
   switch (result.end) {
     case piece_end::kTooLate:
       Fail(piece.group.get(), stage_end::kTooLate);
@@ -413,22 +457,22 @@
       Fail(piece.group.get(), stage_end::kInputsGone);
       break;
     case piece_end::kNoRoom:
-      services_[call->service].paused[call->record->Info().id] =
+      shards_[call->shard].paused[call->record->Info().id] =
           environment_.now() + kFullPause;
       // Want of room says nothing of the piece, and ends with time.
       --found->second->tries[piece.piece];
-      TryAgain(call->service, piece);
+      TryAgain(call->shard, piece);
       break;
     case piece_end::kMade:
     case piece_end::kFailed:
       if (!call->pieces_released) {
-        TryAgain(call->service, piece);
+        TryAgain(call->shard, piece);
       }
       break;
   }
 }
 
-void stage_home::TryAgain(const std::string& service,
+void stage_home::TryAgain(const stage_shard& shard,
                           const waiting_piece& piece) {
   const auto found = groups_.find(piece.group.get());
   if (found == groups_.end()) {
@@ -438,7 +482,7 @@
     Fail(piece.group.get(), stage_end::kFailed);
     return;
   }
-  services_[service].queue.AddAgain(piece);
+  shards_[shard].queue.AddAgain(piece);
 }
 
 void stage_home::Fail(const piece_group* group, stage_end end) {
@@ -449,7 +493,7 @@
 }
 
 void stage_home::Conclude(group_state_ptr state, stage_outcome outcome) {
-  services_[state->service].queue.Remove(state->group.get());
+  shards_[state->shard].queue.Remove(state->group.get());
   numbers_.erase(state->number);
   groups_.erase(state->group.get());
   std::vector<std::string> unused;
@@ -469,6 +513,7 @@
 
 void stage_home::Free(std::vector<std::string> handles) {
   for (auto& handle : handles) {
+    room_.NoteFreed(handle);
     auto keeper = environment_.protocol.keeper_of(handle);
     if (!keeper.empty()) {
       frees_[std::move(keeper)].push_back(std::move(handle));
@@ -490,65 +535,38 @@
 
 void stage_home::FlushFrees() {
   auto frees = std::exchange(frees_, {});
-  if (!environment_.table) {
-    return;
-  }
-  for (const auto& [name, rule] : environment_.table->services) {
-    if (!rule.batches) {
+  for (auto& [keeper, handles] : frees) {
+    const auto record = environment_.roster.FindAt(keeper);
+    // A leaving endpoint takes its results with it; one whose address has gone
+    // to another incarnation never held them.
+    if (!record || Rule(record->Info().service) == nullptr) {
       continue;
     }
-    for (const auto& record : environment_.roster.Of(name)) {
-      const auto& to = record->Info().address;
-      const auto found = frees.find(to.address().to_string() + ":" +
-                                    std::to_string(to.port()));
-      // A leaving endpoint takes its results with it; one whose address has
-      // gone to another incarnation never held them.
-      if (found == frees.end() || !record->Usable()) {
-        continue;
+    handles.resize(std::min(handles.size(), kMaxHandlesPerFree));
+    http_call call;
+    call.method = "POST";
+    call.url = UrlOf(*record, environment_.protocol.free_path);
+    call.headers = environment_.protocol.stage_headers(record->Info().id);
+    call.body = environment_.protocol.write_free(handles);
+    call.connect_timeout = kConnectTimeout;
+    call.timeout = kFreeTimeout;
+    client_.Start(std::move(call), [this, service = record->Info().service,
+                                    alive = std::weak_ptr<int>(alive_)](
+                                       const http_result& result) {
+      // Results that are not freed expire by themselves.
+      if (!alive.expired() && result.status != kOk) {
+        environment_.metrics.Count("stage_frees_failed", service);
       }
-      auto& handles = found->second;
-      handles.resize(std::min(handles.size(), kMaxHandlesPerFree));
-      http_call call;
-      call.method = "POST";
-      call.url = UrlOf(*record, environment_.protocol.free_path);
-      call.headers = environment_.protocol.stage_headers(record->Info().id);
-      call.body = environment_.protocol.write_free(handles);
-      call.connect_timeout = kConnectTimeout;
-      call.timeout = kFreeTimeout;
-      client_.Start(std::move(call), [this, service = name,
-                                      alive = std::weak_ptr<int>(alive_)](
-                                         const http_result& result) {
-        // Results that are not freed expire by themselves.
-        if (!alive.expired() && result.status != kOk) {
-          environment_.metrics.Count("stage_frees_failed", service);
-        }
-      });
-    }
+    });
   }
 }
 
-duration stage_home::ExpectedWait(const std::string& service, int rank) const {
-  const batch_rule* rule = Rule(service);
-  const auto found = services_.find(service);
-  if (rule == nullptr || found == services_.end()) {
-    return duration(0);
-  }
-  std::size_t usable = 0;
-  const time_point now = environment_.now();
-  for (const auto& record : environment_.roster.Of(service)) {
-    usable += record->Usable() && !record->Avoided(now) ? 1 : 0;
-  }
-  if (usable == 0) {
-    return rule->call_time;
+std::map<stage_shard, std::size_t> stage_home::Waiting() const {
+  std::map<stage_shard, std::size_t> waiting;
+  for (const auto& [shard, state] : shards_) {
+    waiting[shard] = state.queue.Pieces();
   }
-  const duration full_call =
-      rule->call_time +
-      rule->piece_time * static_cast<duration::rep>(rule->most_pieces);
-  const double calls_ahead =
-      static_cast<double>(found->second.queue.PiecesAhead(rank)) /
-      (static_cast<double>(rule->most_pieces) * rule->slots *
-       static_cast<double>(usable));
-  return Scale(full_call, calls_ahead);
+  return waiting;
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "slatestall/dispatch/piece_queue.h"
+#include "slatestall/dispatch/result_room.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/http/http_client.h"
@@ -29,26 +30,31 @@
   stage_home(const stage_home&) = delete;
   stage_home& operator=(const stage_home&) = delete;
 
-  stage_number Submit(const std::string& service, piece_group group,
+  stage_number Submit(const stage_shard& shard, piece_group group,
                       std::function<void(stage_outcome)> done);
   void Cancel(stage_number number);
   void Free(std::vector<std::string> handles);
-  duration ExpectedWait(const std::string& service, int rank) const;
+  /// @brief Pieces that wait for a call, by shard.
+  std::map<stage_shard, std::size_t> Waiting() const;
   /// @brief Endpoints or the configuration changed.
   void Refresh();
 
  private:
   struct group_state;
   struct call_state;
-  struct service_state;
+  struct shard_state;
   using group_state_ptr = std::shared_ptr<group_state>;
   using call_state_ptr = std::shared_ptr<call_state>;
 
-  void Pump(const std::string& service);
-  endpoint_record_ptr FreeEndpoint(const service_state& state,
-                                   const std::string& service,
-                                   const batch_rule& rule) const;
-  void SendBatch(const std::string& service, const batch_rule& rule,
+  void Pump(const stage_shard& shard);
+  std::vector<endpoint_record_ptr> FreeEndpoints(const shard_state& state,
+                                                 const stage_shard& shard,
+                                                 const batch_rule& rule) const;
+  bool PumpOnce(const stage_shard& shard, const batch_rule& rule,
+                const endpoint_record_ptr& record);
+  bool IsSlow(const shard_state& state, const endpoint_record& record) const;
+  std::uint64_t RoomAt(const endpoint_record& record, const batch_rule& rule);
+  void SendBatch(const stage_shard& shard, const batch_rule& rule,
                  const endpoint_record_ptr& record, piece_batch batch);
   void WatchCall(const call_state_ptr& call, duration expected);
   void OnOverdue(const call_state_ptr& call);
@@ -58,16 +64,18 @@
                    const std::vector<piece_result>& results);
   void TakeResult(const call_state_ptr& call, const waiting_piece& piece,
                   const piece_result& result);
-  void TryAgain(const std::string& service, const waiting_piece& piece);
+  void TryAgain(const stage_shard& shard, const waiting_piece& piece);
   void Fail(const piece_group* group, stage_end end);
   void Conclude(group_state_ptr state, stage_outcome outcome);
-  void PumpSoon(const std::string& service, duration delay);
+  void PumpSoon(const stage_shard& shard, duration delay);
   void FlushFrees();
   const batch_rule* Rule(const std::string& service) const;
 
   gateway_environment& environment_;
   http_client& client_;
-  std::map<std::string, service_state> services_;
+  const std::uint64_t host_seed_;
+  std::map<stage_shard, shard_state> shards_;
+  result_room room_;
   std::map<const piece_group*, group_state_ptr> groups_;
   std::map<stage_number, const piece_group*> numbers_;
   std::map<std::string, std::vector<std::string>> frees_;  ///< By keeper.
--- /dev/null
+++ b/src/slatestall/gateway/stage_router.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/home_health.h"
+#include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/stage_calls.h"
+#include "slatestall/gateway/stage_home.h"
+#include "slatestall/peer/peer_node.h"
+
+namespace slatestall {
+
+/// @brief Sends the pieces of this host's requests to the homes of their
+/// shards, and serves as home for other hosts.
+///
+/// All hosts' pieces for an endpoint meet at one home, where they share calls.
+/// A home that is lost costs time and some work done twice, which pieces allow;
+/// a host that reaches no other is home to everything itself.
+/// @ingroup gateway
+class stage_router {
+ public:
+  stage_router(gateway_environment& environment, stage_home& home,
+               peer_node& peers);
+  ~stage_router();
+  stage_router(const stage_router&) = delete;
+  stage_router& operator=(const stage_router&) = delete;
+
+  stage_calls Calls();
+  void SetHosts(std::vector<peer_address> hosts);
+  /// @brief Endpoints or the configuration changed.
+  void Refresh();
+  /// @brief Other hosts are to choose another home.
+  void Drain() { draining_ = true; }
+
+ private:
+  struct order;
+  using order_ptr = std::shared_ptr<order>;
+
+  stage_number Submit(const std::string& service, piece_group group,
+                      std::function<void(stage_outcome)> done);
+  void Cancel(stage_number number);
+  void Free(const std::vector<std::string>& handles);
+  duration ExpectedWait(const std::string& service) const;
+
+  stage_shard ShardFor(const std::string& service,
+                       const piece_group& group) const;
+  std::vector<std::string> DomainsOf(const std::string& service) const;
+  double Crowding(const stage_shard& shard) const;
+  std::string HomeOf(const stage_shard& shard) const;
+  void Place(const order_ptr& placed);
+  void PlaceAt(const std::string& host, const order_ptr& placed);
+  void OnReply(const order_ptr& placed, const std::string& host,
+               const peer_reply& reply);
+  void OnLocal(const order_ptr& placed, stage_outcome outcome);
+  void Conclude(const order_ptr& placed, stage_outcome outcome);
+
+  void ServePeers();
+  void TakeSubmit(const wire::submit_piecesT& submit, const std::string& from,
+                  const std::function<void(wire::messageUnion)>& reply);
+  void Tick();
+  void Ask(const std::string& host);
+  void Lose(const std::string& host, const char* why);
+  const std::vector<std::string>& Ranked(const stage_shard& shard) const;
+  std::vector<stage_shard> Shards() const;
+
+  gateway_environment& environment_;
+  stage_home& home_;
+  peer_node& peers_;
+  const std::string self_;
+  std::vector<std::string> hosts_;  ///< With this one.
+  mutable std::map<stage_shard, std::vector<std::string>> rankings_;
+  home_health health_;
+  std::map<stage_shard, std::pair<std::string, std::size_t>> told_waiting_;
+  std::map<stage_number, order_ptr> orders_;
+  stage_number next_number_ = 1;
+  /// Of other hosts' orders, so that they can be cancelled.
+  std::map<std::tuple<std::string, std::string, unsigned>, stage_number>
+      served_;
+  bool draining_ = false;
+  asio::steady_timer tick_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace slatestall
--- a/src/slatestall/peer/frame_codec.cc
+++ b/src/slatestall/peer/frame_codec.cc
@@ -34,6 +34,22 @@
          LengthOf(entry->request_id()) + TextBytes(entry->outcome());
 }
 
+std::size_t TextBytes(const wire::stage_load* load) {
+  return LengthOf(load->service()) + LengthOf(load->domain());
+}
+
+using text_list = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+std::size_t TextBytes(const text_list* texts) {
+  std::size_t sum = 0;
+  if (texts != nullptr) {
+    for (const auto* text : *texts) {
+      sum += LengthOf(text);
+    }
+  }
+  return sum;
+}
+
 template <typename Table>
 std::size_t TextBytes(
     const flatbuffers::Vector<flatbuffers::Offset<Table>>* tables) {
@@ -58,6 +74,18 @@
   if (const wire::key_handover* handover = frame.body_as_key_handover()) {
     text = TextBytes(handover->entries());
   }
+  if (const wire::submit_pieces* submit = frame.body_as_submit_pieces()) {
+    text = TextBytes(submit->inputs());
+  }
+  if (const auto* reply = frame.body_as_submit_pieces_reply()) {
+    text = TextBytes(reply->handles());
+  }
+  if (const wire::free_results* results = frame.body_as_free_results()) {
+    text = TextBytes(results->handles());
+  }
+  if (const auto* status = frame.body_as_home_status_reply()) {
+    text = TextBytes(status->loads());
+  }
   return text > payload_bytes;
 }
 
@@ -116,6 +144,10 @@
       return wire::message::status_reply;
     case wire::message::share_ask:
       return wire::message::share_answer;
+    case wire::message::submit_pieces:
+      return wire::message::submit_pieces_reply;
+    case wire::message::home_status_request:
+      return wire::message::home_status_reply;
     default:
       return wire::message::NONE;
   }
--- a/src/slatestall/peer/peer_links.cc
+++ b/src/slatestall/peer/peer_links.cc
@@ -168,6 +168,13 @@
   return &made;
 }
 
+void peer_node::impl::Drop(const std::string& host) {
+  const auto found = peers_.find(host);
+  if (found != peers_.end() && found->second.dialed != 0) {
+    links_.at(found->second.dialed).connection->Close("silent");
+  }
+}
+
 void peer_node::impl::Retire(link_id id) {
   const auto found = links_.find(id);
   if (found == links_.end()) {
--- a/src/slatestall/peer/peer_node.cc
+++ b/src/slatestall/peer/peer_node.cc
@@ -303,6 +303,8 @@
   impl_->Call(host, std::move(request), timeout, std::move(done));
 }
 
+void peer_node::Drop(const std::string& host) { impl_->Drop(host); }
+
 void peer_node::Notify(const std::string& host, wire::messageUnion notice) {
   impl_->Notify(host, std::move(notice));
 }
--- a/src/slatestall/peer/peer_node_impl.h
+++ b/src/slatestall/peer/peer_node_impl.h
@@ -28,6 +28,7 @@
   void Call(const std::string& host, wire::messageUnion request,
             milliseconds timeout, std::function<void(peer_reply)> done);
   void Notify(const std::string& host, wire::messageUnion notice);
+  void Drop(const std::string& host);
 
   std::map<wire::message, call_handler> call_handlers;
   std::map<wire::message, notice_handler> notice_handlers;
