Room in all stages is booked at their homes before a request begins

Cause: in a burst requests die in their third stage after taking two; the queue of a later stage is seen half a second too late. Results counted as freed before their maker had done so were met with want of room. Change: stage_admission at each home (pieces that wait and pieces booked by requests still in earlier stages, in time or late), asked before the first stage; refused at once with the time at which there may be room; a caller that came back is known by the time it has left.

--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -72,6 +72,8 @@
   piece_batch Take(const batch_terms& terms);
 
   std::size_t Pieces() const { return entries_.size(); }
+  /// @brief Those that are in time if a call made now has them.
+  std::size_t PiecesInTime(time_point done_by) const;
 
  private:
   struct entry {
--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -85,6 +85,12 @@
   return expired;
 }
 
+std::size_t piece_queue::PiecesInTime(time_point done_by) const {
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(),
+      [&](const entry& one) { return one.piece.group->useful_by >= done_by; }));
+}
+
 piece_batch piece_queue::Take(const batch_terms& terms) {
   piece_batch batch;
   batch.expired = DropExpired(terms);
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -2,6 +2,8 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <map>
+#include <string>
 
 #include "slatestall/dispatch/endpoint_roster.h"
 #include "slatestall/dispatch/repeat_allowance.h"
@@ -27,6 +29,8 @@
   repeat_allowance repeats;
   gateway_metrics metrics;
   routing_table_ptr table;  ///< Null until one is known.
+  /// Longest time that callers of a route have been seen to wait, by its name.
+  std::map<std::string, milliseconds> patience;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -24,8 +24,6 @@
 /// tokens of a prompt in a millisecond.
 constexpr double kTokensPerMillisecond = 40.0;
 constexpr milliseconds kFirstTokenTime{60};
-/// What a piece of work waits at a stage that is not overloaded.
-constexpr milliseconds kUsualStageWait{40};
 /// A whole answer that takes as many times its objective is asked for again
 /// elsewhere, where that may be done.
 constexpr double kWholeStallFactor = 1.3;
@@ -38,6 +36,9 @@
 /// Callers come back at most this part of their time left after a refusal.
 constexpr int kReturnPart = 3;
 constexpr milliseconds kShortestReturn{100};
+constexpr std::int64_t kSpreadSteps = 64;
+/// Less missing from the usual patience of a route's callers is chance.
+constexpr milliseconds kReturnSlack{100};
 /// A request of an ordinary day is logged in this share, by its id, so that
 /// all hosts choose the same ones.
 constexpr std::uint64_t kLoggedShare = 16;
@@ -111,7 +112,7 @@
           self->OnDeadline();
         }
       });
-  Advance();
+  Book();
 }
 
 // ---------------------------------------------------------------- Admission
@@ -173,7 +174,7 @@
     limit = std::min(limit, *facts_.patience);
   }
   deadline_ = request_.arrived + limit;
-  objective_ = request_.arrived + route_->objective;
+  objective_ = request_.arrived + route_->objective - Elapsed(limit);
   const duration path = PathTime();
   if (environment_.now() + path > deadline_) {
     return refusal{error_kind::kDeadlineUnreachable,
@@ -193,28 +194,41 @@
                                                        kTokensPerMillisecond));
 }
 
+/// Callers measure from their first attempt. One that comes back after a
+/// refusal says so only by the time that it has left.
+duration request_run::Elapsed(milliseconds limit) const {
+  auto& longest = environment_.patience[route_->name];
+  longest = std::max(longest, limit);
+  const auto elapsed = longest - limit;
+  return elapsed > kReturnSlack ? elapsed : milliseconds(0);
+}
+
 duration request_run::StageTime(std::size_t stage) const {
-  const auto* rule = table_->Service(route_->stages[stage].service);
-  if (rule == nullptr || !rule->batches || graph_->Pieces(stage) == 0) {
-    return duration(0);
-  }
-  return rule->batches->call_time +
-         rule->batches->piece_time *
-             static_cast<duration::rep>(graph_->Pieces(stage));
+  return graph_->Pieces(stage) == 0
+             ? duration(0)
+             : stages_.usual_time(route_->stages[stage].service);
 }
 
 /// From the end of a stage to the first event.
 duration request_run::TimeAfter(std::size_t stage) const {
-  duration longest(0);
+  duration longest = FirstEventTime();
   for (std::size_t i = stage + 1; i < graph_->Size(); ++i) {
     const auto& after = graph_->After(i);
     if (std::find(after.begin(), after.end(), stage) != after.end() &&
         graph_->Pieces(i) > 0) {
-      longest = std::max(longest, kUsualStageWait + StageTime(i) +
-                                      TimeAfter(i) - FirstEventTime());
+      longest = std::max(longest, StageTime(i) + TimeAfter(i));
     }
   }
-  return longest + FirstEventTime();
+  return longest;
+}
+
+/// From now until a stage can begin.
+duration request_run::TimeBefore(std::size_t stage) const {
+  duration longest(0);
+  for (const auto earlier : graph_->After(stage)) {
+    longest = std::max(longest, TimeBefore(earlier) + StageTime(earlier));
+  }
+  return longest;
 }
 
 duration request_run::PathTime() const {
@@ -223,11 +237,9 @@
   }
   duration longest = FirstEventTime();
   for (std::size_t i = 0; i < graph_->Size(); ++i) {
-    if (graph_->Pieces(i) == 0) {
-      continue;
+    if (graph_->Pieces(i) > 0) {
+      longest = std::max(longest, StageTime(i) + TimeAfter(i));
     }
-    const auto wait = stages_.expected_wait(route_->stages[i].service, rank_);
-    longest = std::max(longest, wait + StageTime(i) + TimeAfter(i));
   }
   return longest;
 }
@@ -239,11 +251,16 @@
 
 /// Returns are spread over the allowed time, so that those refused in one
 /// burst do not make the next.
-milliseconds request_run::ReturnTime() const {
+milliseconds request_run::ReturnTime(milliseconds earliest) const {
   const auto most = TimeLeft() / kReturnPart;
-  if (most <= kShortestReturn) {
+  if (most <= std::max(earliest, kShortestReturn)) {
     return most;
   }
+  if (earliest > milliseconds(0)) {
+    const auto draw =
+        static_cast<std::int64_t>(StableHash(facts_.id) % kSpreadSteps);
+    return earliest + (most - earliest) * draw / kSpreadSteps / 2;
+  }
   const auto spread =
       StableHash(facts_.id) %
       static_cast<std::uint64_t>((most - kShortestReturn).count() + 1);
@@ -252,6 +269,75 @@
 
 // ------------------------------------------------------------------- Stages
 
+/// Room in all stages is asked for before the first begins: a request that
+/// would not get through the last one takes nothing from those that do.
+void request_run::Book() {
+  if (graph_->AllDone()) {
+    Dispatch();
+    return;
+  }
+  std::vector<stage_need> needs;
+  std::string chain_domain;
+  for (std::size_t i = 0; i < graph_->Size(); ++i) {
+    if (graph_->Pieces(i) == 0) {
+      continue;
+    }
+    const auto engine_domain = EngineDomain(i);
+    const auto& near = engine_domain.empty() ? chain_domain : engine_domain;
+    const auto shard =
+        stages_.shard_for(route_->stages[i].service, facts_.id, near);
+    if (engine_domain.empty() && !shard.domain.empty()) {
+      chain_domain = shard.domain;
+    }
+    shards_[i] = shard;
+    needs.push_back(NeedOf(i, shard));
+    bookings_[i] = needs.back();
+  }
+  stages_.book(std::move(needs),
+               [self = shared_from_this()](const booking_answer& answer) {
+                 self->OnBooked(answer);
+               });
+}
+
+stage_need request_run::NeedOf(std::size_t stage,
+                               const stage_shard& shard) const {
+  stage_need need;
+  need.shard = shard;
+  need.booking.request = facts_.id;
+  need.booking.stage = static_cast<unsigned>(stage);
+  need.booking.pieces = graph_->Pieces(stage);
+  need.booking.rank = rank_;
+  need.booking.due = environment_.now() + TimeBefore(stage);
+  const duration rest = TimeAfter(stage);
+  need.booking.useful_by = objective_ - rest;
+  need.booking.worthless_after = deadline_ - rest;
+  return need;
+}
+
+void request_run::OnBooked(const booking_answer& answer) {
+  if (finished_) {
+    return;
+  }
+  if (answer.verdict != booking_verdict::kRefused) {
+    Advance();
+    return;
+  }
+  bookings_.clear();
+  Refuse({error_kind::kOverloaded, "a stage has no room for it in time",
+          ReturnTime(WholeMilliseconds(answer.room_after))});
+}
+
+void request_run::ReleaseBookings() {
+  std::vector<stage_need> needs;
+  for (auto& [stage, need] : bookings_) {
+    needs.push_back(std::move(need));
+  }
+  bookings_.clear();
+  if (!needs.empty()) {
+    stages_.release(needs);
+  }
+}
+
 void request_run::Advance() {
   if (graph_->AllDone()) {
     Dispatch();
@@ -277,8 +363,9 @@
   group.worthless_after = deadline_ - rest;
   group.result_bytes = route_->stages[stage].result_bytes;
   group.near = PlaceOf(stage, group);
+  bookings_.erase(stage);
   const auto number =
-      stages_.submit(route_->stages[stage].service, std::move(group),
+      stages_.submit(shards_.at(stage), std::move(group),
                      [self = shared_from_this(), stage](stage_outcome outcome) {
                        if (!self->finished_) {
                          self->OnStage(stage, std::move(outcome));
@@ -321,8 +408,14 @@
     return input_bytes * group.pieces >= kManyBytes ? DomainOf(group.inputs)
                                                     : std::string();
   }
-  if (graph_->Height(stage) > 1 ||
-      group.result_bytes * group.pieces < kManyBytes) {
+  return EngineDomain(stage);
+}
+
+/// Failure domain of the engine that keeps the request's prompt, for a stage
+/// that hands large results to it.
+std::string request_run::EngineDomain(std::size_t stage) const {
+  const auto bytes = route_->stages[stage].result_bytes * graph_->Pieces(stage);
+  if (graph_->Height(stage) > 1 || bytes < kManyBytes) {
     return {};
   }
   pick_request pick;
@@ -796,6 +889,7 @@
     stages_.cancel(number);
   }
   running_stages_.clear();
+  ReleaseBookings();
   FreeResults();
   deadline_timer_.cancel();
   stall_timer_.cancel();
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,15 +52,22 @@
   std::optional<refusal> CheckTime();
   duration PathTime() const;
   duration StageTime(std::size_t stage) const;
+  duration Elapsed(milliseconds limit) const;
   duration TimeAfter(std::size_t stage) const;
   duration FirstEventTime() const;
-  milliseconds ReturnTime() const;
+  milliseconds ReturnTime(milliseconds earliest = milliseconds(0)) const;
   milliseconds TimeLeft() const;
 
   // Stages.
+  void Book();
+  void OnBooked(const booking_answer& answer);
+  stage_need NeedOf(std::size_t stage, const stage_shard& shard) const;
+  duration TimeBefore(std::size_t stage) const;
+  void ReleaseBookings();
   void Advance();
   void BeginStage(std::size_t stage);
   std::string PlaceOf(std::size_t stage, const piece_group& group) const;
+  std::string EngineDomain(std::size_t stage) const;
   std::string DomainOf(const std::vector<std::string>& handles) const;
   std::uint64_t FinalBytes() const;
   void OnStage(std::size_t stage, stage_outcome outcome);
@@ -105,6 +113,8 @@
   time_point objective_{};
   std::optional<stage_graph> graph_;
   std::vector<std::pair<std::size_t, stage_number>> running_stages_;
+  std::map<std::size_t, stage_need> bookings_;  ///< Not yet submitted.
+  std::map<std::size_t, stage_shard> shards_;   ///< By stage.
   unsigned stage_restarts_ = 0;
 
   std::shared_ptr<endpoint_call> call_;
--- a/src/slatestall/gateway/stage_calls.h
+++ b/src/slatestall/gateway/stage_calls.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "slatestall/dispatch/piece_queue.h"
+#include "slatestall/dispatch/stage_admission.h"
 #include "slatestall/model/time.h"
 
 namespace slatestall {
@@ -36,18 +37,38 @@
   friend auto operator<=>(const stage_shard&, const stage_shard&) = default;
 };
 
+/// @brief One stage that a request is going to need, and where.
+struct stage_need {
+  stage_shard shard;
+  stage_booking booking;
+};
+
 /// @brief Has the pieces of requests made.
 struct stage_calls {
+  /// Asks for room in all of the stages that a request needs; `done` runs
+  /// once, possibly from inside the call. Refused: nothing is held.
+  std::function<void(std::vector<stage_need> needs,
+                     std::function<void(booking_answer)> done)>
+      book;
+  /// Gives up the room of stages that will not be submitted.
+  std::function<void(const std::vector<stage_need>& needs)> release;
   /// `done` runs once, never from inside the call, unless cancelled.
-  std::function<stage_number(const std::string& service, piece_group group,
+  std::function<stage_number(const stage_shard& shard, piece_group group,
                              std::function<void(stage_outcome)> done)>
       submit;
+  /// The shard to make a request's pieces in, with all of one request's stages
+  /// near one another where there are several. `near` may be empty.
+  std::function<stage_shard(const std::string& service,
+                            const std::string& request,
+                            const std::string& near)>
+      shard_for;
   /// Results made later are given up.
   std::function<void(stage_number)> cancel;
   /// Lets endpoints forget results.
   std::function<void(std::vector<std::string> handles)> free;
-  /// How long pieces submitted now would wait for their call to begin.
-  std::function<duration(const std::string& service, int rank)> expected_wait;
+  /// How long pieces of a service take from being submitted to being made, as
+  /// was seen of late.
+  std::function<duration(const std::string& service)> usual_time;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -26,6 +26,11 @@
 /// An endpoint without room or with a full queue is left alone this long:
 /// results are fetched, and calls end, several times a second.
 constexpr milliseconds kFullPause{60};
+/// The told time of a piece differs by stage, as a rule downwards.
+constexpr double kLeastPart = 0.1;
+constexpr double kMostPart = 1.5;
+/// Some thirty calls, a second or two of a busy shard, make the mean.
+constexpr double kPieceTimeWeight = 0.03;
 /// While pieces wait and no call is under way that would end.
 constexpr milliseconds kLookAgain{20};
 constexpr std::uint64_t kDraws = 1024;
@@ -89,6 +94,9 @@
   std::map<std::string, unsigned> calls;          ///< By incarnation.
   std::map<std::string, time_point> paused;       ///< Full until then.
   std::map<std::string, time_point> slowness_at;  ///< Last observed.
+  stage_admission admission;
+  /// Seconds that a piece adds to a call, as seen.
+  moving_average piece_time{kPieceTimeWeight};
   std::shared_ptr<asio::steady_timer> wake;
 };
 
@@ -119,11 +127,64 @@
   groups_[state->group.get()] = state;
   numbers_[state->number] = state->group.get();
   environment_.repeats.NoteRequest(shard.service, environment_.now());
+  shards_[shard].admission.Release(state->group->request, state->group->stage);
   shards_[shard].queue.Add(state->group, environment_.now());
   PumpSoon(shard, duration(0));
   return state->number;
 }
 
+booking_answer stage_home::Book(const stage_need& need) {
+  auto& state = shards_[need.shard];
+  const auto capacity = Capacity(need.shard);
+  const time_point now = environment_.now();
+  const auto answer =
+      state.admission.Book(need.booking, capacity,
+                           state.queue.PiecesInTime(now + capacity.call_time),
+                           state.queue.Pieces(), now);
+  environment_.metrics.Count(answer.verdict == booking_verdict::kRefused
+                                 ? "bookings_refused"
+                                 : "bookings_taken",
+                             need.shard.service);
+  return answer;
+}
+
+void stage_home::Release(const stage_need& need) {
+  shards_[need.shard].admission.Release(need.booking.request,
+                                        need.booking.stage);
+}
+
+stage_capacity stage_home::Capacity(const stage_shard& shard) const {
+  const batch_rule* rule = Rule(shard.service);
+  if (rule == nullptr) {
+    return {};
+  }
+  const auto found = shards_.find(shard);
+  duration piece_time = rule->piece_time;
+  if (found != shards_.end() && found->second.piece_time.Seen()) {
+    piece_time = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(found->second.piece_time.Value()));
+  }
+  stage_capacity capacity;
+  capacity.call_time =
+      rule->call_time +
+      piece_time * static_cast<duration::rep>(rule->most_pieces);
+  const double full_call =
+      std::chrono::duration<double>(capacity.call_time).count();
+  const time_point now = environment_.now();
+  for (const auto& record : environment_.roster.Of(shard.service)) {
+    const bool belongs =
+        shard.domain.empty() || shard.domain == record->Info().failure_domain;
+    if (!belongs || !record->Usable() || record->Avoided(now)) {
+      continue;
+    }
+    const bool is_slow =
+        found != shards_.end() && IsSlow(found->second, *record);
+    capacity.pieces_per_second += rule->slots * rule->most_pieces / full_call /
+                                  (is_slow ? record->Slowness() : 1.0);
+  }
+  return capacity;
+}
+
 void stage_home::Cancel(stage_number number) {
   const auto found = numbers_.find(number);
   if (found == numbers_.end()) {
@@ -399,6 +460,7 @@
       if (results.size() == call->pieces.size()) {
         call->record->NoteSlowness(Ratio(now - call->sent, call->expected));
         shards_[call->shard].slowness_at[call->record->Info().id] = now;
+        NotePieceTime(*call, now - call->sent);
         environment_.metrics.Observe("stage_call", call->shard.service,
                                      now - call->sent);
         TakeResults(call, results);
@@ -414,6 +476,20 @@
   return lesson;
 }
 
+void stage_home::NotePieceTime(const call_state& call, duration taken) {
+  const batch_rule* rule = Rule(call.shard.service);
+  auto& state = shards_[call.shard];
+  if (rule == nullptr || IsSlow(state, *call.record)) {
+    return;
+  }
+  const double seconds =
+      std::chrono::duration<double>(taken - rule->call_time).count() /
+      static_cast<double>(call.pieces.size());
+  const double told = std::chrono::duration<double>(rule->piece_time).count();
+  state.piece_time.Add(
+      std::clamp(seconds, told * kLeastPart, told * kMostPart));
+}
+
 void stage_home::TakeResults(const call_state_ptr& call,
                              const std::vector<piece_result>& results) {
   for (std::size_t i = 0; i < results.size(); ++i) {
@@ -513,7 +589,6 @@
 
 void stage_home::Free(std::vector<std::string> handles) {
   for (auto& handle : handles) {
-    room_.NoteFreed(handle);
     auto keeper = environment_.protocol.keeper_of(handle);
     if (!keeper.empty()) {
       frees_[std::move(keeper)].push_back(std::move(handle));
@@ -550,14 +625,22 @@
     call.body = environment_.protocol.write_free(handles);
     call.connect_timeout = kConnectTimeout;
     call.timeout = kFreeTimeout;
-    client_.Start(std::move(call), [this, service = record->Info().service,
-                                    alive = std::weak_ptr<int>(alive_)](
-                                       const http_result& result) {
-      // Results that are not freed expire by themselves.
-      if (!alive.expired() && result.status != kOk) {
-        environment_.metrics.Count("stage_frees_failed", service);
-      }
-    });
+    client_.Start(
+        std::move(call),
+        [this, service = record->Info().service, handles = std::move(handles),
+         alive = std::weak_ptr<int>(alive_)](const http_result& result) {
+          if (alive.expired()) {
+            return;
+          }
+          // Results that are not freed expire by themselves.
+          if (result.status != kOk) {
+            environment_.metrics.Count("stage_frees_failed", service);
+            return;
+          }
+          for (const auto& handle : handles) {
+            room_.NoteFreed(handle);
+          }
+        });
   }
 }
 
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -33,6 +33,9 @@
   stage_number Submit(const stage_shard& shard, piece_group group,
                       std::function<void(stage_outcome)> done);
   void Cancel(stage_number number);
+  /// @brief Holds room for pieces that are going to come.
+  booking_answer Book(const stage_need& need);
+  void Release(const stage_need& need);
   void Free(std::vector<std::string> handles);
   /// @brief Pieces that wait for a call, by shard.
   std::map<stage_shard, std::size_t> Waiting() const;
@@ -60,6 +63,7 @@
   void OnOverdue(const call_state_ptr& call);
   void OnCallEnd(const call_state_ptr& call, const http_result& result);
   call_lesson TakeAnswer(const call_state_ptr& call, const http_result& result);
+  void NotePieceTime(const call_state& call, duration taken);
   void TakeResults(const call_state_ptr& call,
                    const std::vector<piece_result>& results);
   void TakeResult(const call_state_ptr& call, const waiting_piece& piece,
@@ -70,6 +74,7 @@
   void PumpSoon(const stage_shard& shard, duration delay);
   void FlushFrees();
   const batch_rule* Rule(const std::string& service) const;
+  stage_capacity Capacity(const stage_shard& shard) const;
 
   gateway_environment& environment_;
   http_client& client_;
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -21,6 +21,11 @@
 constexpr std::size_t kMostPerHome = 8;
 /// An order is placed anew as often at most; each time a home was lost.
 constexpr unsigned kMaxPlacements = 4;
+/// A home that does not answer a booking for so long does not hold up the
+/// request: it may still be served.
+constexpr milliseconds kBookingTimeout{120};
+/// Ten or so requests make the mean time of a stage.
+constexpr double kUsualWeight = 0.1;
 
 milliseconds WholeMilliseconds(duration value) {
   return std::chrono::duration_cast<milliseconds>(value);
@@ -50,6 +55,53 @@
   return submit;
 }
 
+wire::book_stageT ToWire(const stage_need& need, time_point now) {
+  const auto& booking = need.booking;
+  const auto until = [now](time_point at) {
+    return static_cast<std::int32_t>(WholeMilliseconds(at - now).count());
+  };
+  wire::book_stageT book;
+  book.service = need.shard.service;
+  book.domain = need.shard.domain;
+  book.request = booking.request;
+  book.stage = static_cast<std::uint16_t>(booking.stage);
+  book.pieces = static_cast<std::uint16_t>(booking.pieces);
+  book.rank = static_cast<std::int16_t>(booking.rank);
+  book.due_ms = until(booking.due);
+  book.useful_ms = until(booking.useful_by);
+  book.worthless_ms = until(booking.worthless_after);
+  return book;
+}
+
+stage_need FromWire(const wire::book_stageT& book, time_point now) {
+  stage_need need;
+  need.shard = {book.service, book.domain};
+  need.booking.request = book.request;
+  need.booking.stage = book.stage;
+  need.booking.pieces = book.pieces;
+  need.booking.rank = book.rank;
+  need.booking.due = now + milliseconds(book.due_ms);
+  need.booking.useful_by = now + milliseconds(book.useful_ms);
+  need.booking.worthless_after = now + milliseconds(book.worthless_ms);
+  return need;
+}
+
+/// A home that cannot be asked is taken to have room.
+booking_answer AnswerIn(const peer_reply& reply) {
+  const auto* told = reply.end == peer_call_end::kReplied
+                         ? reply.body.Asbook_stage_reply()
+                         : nullptr;
+  booking_answer answer;
+  if (told != nullptr && told->verdict == wire::book_verdict::late) {
+    answer.verdict = booking_verdict::kLate;
+  }
+  if (told != nullptr && told->verdict == wire::book_verdict::refused) {
+    answer.verdict = booking_verdict::kRefused;
+    answer.room_after = milliseconds(told->room_after_ms);
+  }
+  return answer;
+}
+
 piece_group FromWire(const wire::submit_piecesT& submit, time_point now) {
   piece_group group;
   group.request = submit.request;
@@ -104,6 +156,7 @@
   std::string host;        ///< Where it is now.
   stage_number local = 0;  ///< At the own home, where it is there.
   unsigned placements = 0;
+  time_point submitted{};
 };
 
 stage_router::stage_router(gateway_environment& environment, stage_home& home,
@@ -122,16 +175,28 @@
 
 stage_calls stage_router::Calls() {
   stage_calls calls;
-  calls.submit = [this](const std::string& service, piece_group group,
+  calls.book = [this](std::vector<stage_need> needs,
+                      std::function<void(booking_answer)> done) {
+    Book(std::move(needs), std::move(done));
+  };
+  calls.release = [this](const std::vector<stage_need>& needs) {
+    Release(needs);
+  };
+  calls.shard_for = [this](const std::string& service,
+                           const std::string& request,
+                           const std::string& near) {
+    return ShardFor(service, request, near);
+  };
+  calls.submit = [this](const stage_shard& shard, piece_group group,
                         std::function<void(stage_outcome)> done) {
-    return Submit(service, std::move(group), std::move(done));
+    return Submit(shard, std::move(group), std::move(done));
   };
   calls.cancel = [this](stage_number number) { Cancel(number); };
   calls.free = [this](const std::vector<std::string>& handles) {
     Free(handles);
   };
-  calls.expected_wait = [this](const std::string& service, int) {
-    return ExpectedWait(service);
+  calls.usual_time = [this](const std::string& service) {
+    return UsualTime(service);
   };
   return calls;
 }
@@ -226,56 +291,116 @@
 /// is far more crowded than another; then, or where none is best, the less
 /// crowded of two that the request's id picks.
 stage_shard stage_router::ShardFor(const std::string& service,
-                                   const piece_group& group) const {
+                                   const std::string& request,
+                                   const std::string& near) const {
   const auto domains = DomainsOf(service);
   if (domains.size() < 2) {
     return {service, domains.empty() ? std::string() : domains.front()};
   }
-  const auto draw = StableHash(group.request);
+  const auto draw = StableHash(request);
   const auto& one = domains[draw % domains.size()];
   const auto& other = domains[(draw / domains.size()) % domains.size()];
   const stage_shard first{service, one};
   const stage_shard second{service, other};
   const auto& calmer = Crowding(second) < Crowding(first) ? second : first;
   const bool near_exists =
-      std::find(domains.begin(), domains.end(), group.near) != domains.end();
+      std::find(domains.begin(), domains.end(), near) != domains.end();
   if (!near_exists) {
     return calmer;
   }
-  const stage_shard near{service, group.near};
+  const stage_shard close{service, near};
   const auto* rule = environment_.table->Service(service);
-  const double full_calls =
+  const double full_call =
       rule != nullptr && rule->batches ? rule->batches->most_pieces : 1.0;
-  return Crowding(near) > full_calls + Crowding(calmer) ? calmer : near;
+  return Crowding(close) > full_call + Crowding(calmer) ? calmer : close;
 }
 
-duration stage_router::ExpectedWait(const std::string& service) const {
+/// Never outside what a call can take: a mean that had grown past it would
+/// have every request refused, and then nothing would bring it down again.
+duration stage_router::UsualTime(const std::string& service) const {
   const auto* rule =
       environment_.table ? environment_.table->Service(service) : nullptr;
   if (rule == nullptr || !rule->batches) {
     return duration(0);
   }
   const auto& batches = *rule->batches;
-  double least = -1;
-  for (const auto& domain : DomainsOf(service)) {
-    const double crowding = Crowding({service, domain});
-    least = least < 0 ? crowding : std::min(least, crowding);
-  }
   const duration full_call =
       batches.call_time +
       batches.piece_time * static_cast<duration::rep>(batches.most_pieces);
-  return duration(
-      static_cast<duration::rep>(std::max(0.0, least) / batches.most_pieces *
-                                 static_cast<double>(full_call.count())));
+  const auto seen = usual_times_.find(service);
+  if (seen == usual_times_.end()) {
+    return (batches.call_time + full_call) / 2;
+  }
+  const auto mean = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seen->second.Value()));
+  return std::clamp(mean, batches.call_time, full_call + full_call / 2);
+}
+
+// --------------------------------------------------------------- Bookings
+
+void stage_router::Book(std::vector<stage_need> needs,
+                        std::function<void(booking_answer)> done) {
+  struct round {
+    std::vector<stage_need> needs;
+    std::function<void(booking_answer)> done;
+    std::size_t awaited = 0;
+    booking_answer worst;
+  };
+  const auto asked = std::make_shared<round>();
+  asked->needs = std::move(needs);
+  asked->done = std::move(done);
+  asked->awaited = asked->needs.size() + 1;
+  const auto take = [this, asked](const booking_answer& answer) {
+    if (answer.verdict > asked->worst.verdict) {
+      asked->worst.verdict = answer.verdict;
+    }
+    asked->worst.room_after =
+        std::max(asked->worst.room_after, answer.room_after);
+    if (--asked->awaited > 0) {
+      return;
+    }
+    if (asked->worst.verdict == booking_verdict::kRefused) {
+      Release(asked->needs);
+    }
+    asked->done(asked->worst);
+  };
+  for (const auto& need : asked->needs) {
+    const auto host = HomeOf(need.shard);
+    if (host == self_) {
+      take(home_.Book(need));
+      continue;
+    }
+    peers_.Call(host, MakeMessage(ToWire(need, environment_.now())),
+                kBookingTimeout,
+                [take](const peer_reply& reply) { take(AnswerIn(reply)); });
+  }
+  take({});
+}
+
+void stage_router::Release(const std::vector<stage_need>& needs) {
+  for (const auto& need : needs) {
+    const auto host = HomeOf(need.shard);
+    if (host == self_) {
+      home_.Release(need);
+      continue;
+    }
+    wire::cancel_piecesT cancel;
+    cancel.request = need.booking.request;
+    cancel.stage = static_cast<std::uint16_t>(need.booking.stage);
+    cancel.service = need.shard.service;
+    cancel.domain = need.shard.domain;
+    peers_.Notify(host, MakeMessage(std::move(cancel)));
+  }
 }
 
 // ----------------------------------------------------------------- Orders
 
-stage_number stage_router::Submit(const std::string& service, piece_group group,
+stage_number stage_router::Submit(const stage_shard& shard, piece_group group,
                                   std::function<void(stage_outcome)> done) {
   const auto placed = std::make_shared<order>();
   placed->number = next_number_++;
-  placed->shard = ShardFor(service, group);
+  placed->shard = shard;
+  placed->submitted = environment_.now();
   placed->group = std::move(group);
   placed->done = std::move(done);
   orders_[placed->number] = placed;
@@ -357,6 +482,13 @@
 
 void stage_router::Conclude(const order_ptr& placed, stage_outcome outcome) {
   orders_.erase(placed->number);
+  if (outcome.end == stage_end::kMade) {
+    auto& usual = usual_times_.try_emplace(placed->shard.service, kUsualWeight)
+                      .first->second;
+    usual.Add(
+        std::chrono::duration<double>(environment_.now() - placed->submitted)
+            .count());
+  }
   const auto done = std::exchange(placed->done, nullptr);
   done(std::move(outcome));
 }
@@ -414,6 +546,11 @@
              const std::function<void(wire::messageUnion)>& reply) {
         TakeSubmit(*request.Assubmit_pieces(), from, reply);
       });
+  peers_.Handle(wire::message::book_stage,
+                [this](const wire::messageUnion& request, const std::string&,
+                       const std::function<void(wire::messageUnion)>& reply) {
+                  TakeBooking(*request.Asbook_stage(), reply);
+                });
   peers_.Handle(wire::message::home_status_request,
                 [this](const wire::messageUnion&, const std::string&,
                        const std::function<void(wire::messageUnion)>& reply) {
@@ -432,6 +569,14 @@
       wire::message::cancel_pieces,
       [this](const wire::messageUnion& notice, const std::string& from) {
         const auto& cancel = *notice.Ascancel_pieces();
+        if (!cancel.service.empty()) {
+          stage_need need;
+          need.shard = {cancel.service, cancel.domain};
+          need.booking.request = cancel.request;
+          need.booking.stage = cancel.stage;
+          home_.Release(need);
+          return;
+        }
         const auto found = served_.find({from, cancel.request, cancel.stage});
         if (found != served_.end()) {
           home_.Cancel(found->second);
@@ -445,6 +590,27 @@
       });
 }
 
+void stage_router::TakeBooking(
+    const wire::book_stageT& booking,
+    const std::function<void(wire::messageUnion)>& reply) {
+  const auto answer = home_.Book(FromWire(booking, environment_.now()));
+  wire::book_stage_replyT told;
+  switch (answer.verdict) {
+    case booking_verdict::kInTime:
+      told.verdict = wire::book_verdict::in_time;
+      break;
+    case booking_verdict::kLate:
+      told.verdict = wire::book_verdict::late;
+      break;
+    case booking_verdict::kRefused:
+      told.verdict = wire::book_verdict::refused;
+      break;
+  }
+  told.room_after_ms = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, WholeMilliseconds(answer.room_after).count()));
+  reply(MakeMessage(std::move(told)));
+}
+
 void stage_router::TakeSubmit(
     const wire::submit_piecesT& submit, const std::string& from,
     const std::function<void(wire::messageUnion)>& reply) {
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "slatestall/dispatch/home_health.h"
+#include "slatestall/dispatch/moving_average.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/gateway/stage_home.h"
@@ -42,14 +43,17 @@
   struct order;
   using order_ptr = std::shared_ptr<order>;
 
-  stage_number Submit(const std::string& service, piece_group group,
+  stage_number Submit(const stage_shard& shard, piece_group group,
                       std::function<void(stage_outcome)> done);
+  void Book(std::vector<stage_need> needs,
+            std::function<void(booking_answer)> done);
+  void Release(const std::vector<stage_need>& needs);
   void Cancel(stage_number number);
   void Free(const std::vector<std::string>& handles);
-  duration ExpectedWait(const std::string& service) const;
+  duration UsualTime(const std::string& service) const;
 
-  stage_shard ShardFor(const std::string& service,
-                       const piece_group& group) const;
+  stage_shard ShardFor(const std::string& service, const std::string& request,
+                       const std::string& near) const;
   std::vector<std::string> DomainsOf(const std::string& service) const;
   double Crowding(const stage_shard& shard) const;
   std::string HomeOf(const stage_shard& shard) const;
@@ -61,6 +65,8 @@
   void Conclude(const order_ptr& placed, stage_outcome outcome);
 
   void ServePeers();
+  void TakeBooking(const wire::book_stageT& booking,
+                   const std::function<void(wire::messageUnion)>& reply);
   void TakeSubmit(const wire::submit_piecesT& submit, const std::string& from,
                   const std::function<void(wire::messageUnion)>& reply);
   void Tick();
@@ -77,6 +83,7 @@
   mutable std::map<stage_shard, std::vector<std::string>> rankings_;
   home_health health_;
   std::map<stage_shard, std::pair<std::string, std::size_t>> told_waiting_;
+  std::map<std::string, moving_average> usual_times_;  ///< Seconds, by service.
   std::map<stage_number, order_ptr> orders_;
   stage_number next_number_ = 1;
   /// Of other hosts' orders, so that they can be cancelled.
--- a/src/slatestall/peer/frame_codec.cc
+++ b/src/slatestall/peer/frame_codec.cc
@@ -148,6 +148,8 @@
       return wire::message::submit_pieces_reply;
     case wire::message::home_status_request:
       return wire::message::home_status_reply;
+    case wire::message::book_stage:
+      return wire::message::book_stage_reply;
     default:
       return wire::message::NONE;
   }
