Most hosts follow the store through two readers; another domain where one has no room

Change: shared_reading and topic_tail: hosts ask one of two readers, whose word counts only while it has itself read the store within half the leaving limit, else each reads for itself. A request whose stages cannot be in time near their bytes is booked once more without that wish. Pieces whose inputs are about to be dropped go first among the late ones.

--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -14,7 +14,7 @@
 constexpr milliseconds kConfigurationPause{20};
 /// Part of the time in which a leaving endpoint must get no more work: the
 /// rest is for the read itself and what is under way.
-constexpr double kEndpointPart = 0.45;
+constexpr double kEndpointPart = 0.35;
 /// Living endpoints are listed again within about two seconds of an outage.
 constexpr milliseconds kReturnTime{2200};
 
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -13,6 +13,7 @@
 
 #include "slatestall/gateway/gateway_control.h"
 #include "slatestall/gateway/gateway_traffic.h"
+#include "slatestall/gateway/shared_reading.h"
 #include "slatestall/http/http_server.h"
 #include "slatestall/relay/boot_time.h"
 #include "slatestall/serve/drain_sequence.h"
@@ -47,11 +48,14 @@
         adapter_(std::move(adapter)),
         log_(options.host_name, kMaxLinesPerSecond, BootTimeNow),
         traffic_(traffic_context_, options_, adapter_.protocol, log_,
-                 BootTimeNow),
+                 BootTimeNow,
+                 [this](const std::string& topic, std::uint64_t from) {
+                   return reading_.ReadTail(topic, from);
+                 }),
         control_client_(control_context_),
-        control_(control_context_, options_,
-                 adapter_.link(control_client_, options_), log_, BootTimeNow,
-                 News()),
+        reading_(control_context_, Readers(), options_.leave_limit / 2,
+                 BootTimeNow),
+        control_(control_context_, options_, Link(), log_, BootTimeNow, News()),
         status_(control_context_, StatusServer(options_),
                 [this](const http_request& request,
                        const http_responder_ptr& responder) {
@@ -104,6 +108,24 @@
     });
   }
 
+  ask_reader Readers() {
+    return [this](const std::string& topic, std::uint64_t from,
+                  std::function<void(std::optional<tail_read>)> done) {
+      asio::post(traffic_context_,
+                 [this, topic, from, done = std::move(done)]() mutable {
+                   traffic_.AskReader(topic, from, std::move(done));
+                 });
+    };
+  }
+
+  platform_link Link() {
+    auto link = adapter_.link(control_client_, options_);
+    link.configuration = reading_.Share("configuration", link.configuration);
+    link.endpoints = reading_.Share("endpoints", link.endpoints);
+    link.hosts = reading_.Share("hosts", link.hosts);
+    return link;
+  }
+
   control_news News() {
     control_news news;
     news.on_configuration = [this](routing_table_ptr table) {
@@ -184,6 +206,7 @@
   asio::io_context control_context_{1};
   gateway_traffic traffic_;
   http_client control_client_;
+  shared_reading reading_;
   gateway_control control_;
   http_server status_;
   asio::signal_set signals_;
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -21,12 +21,15 @@
 /// A connection that is not made within it is as good as none: hosts are a
 /// few milliseconds apart.
 constexpr milliseconds kPeerConnectTime{600};
+/// A configuration of some thousand routes passes from host to host.
+constexpr std::size_t kMaxPeerFrame = std::size_t{4} << 20U;
 
 peer_node_options PeerOptions(const gateway_options& options) {
   peer_node_options made;
   made.listen_address = options.address;
   made.listen_port = options.peer_port;
   made.hello_timeout = kPeerConnectTime;
+  made.max_frame_bytes = kMaxPeerFrame;
   return made;
 }
 
@@ -73,7 +76,8 @@
 gateway_traffic::gateway_traffic(asio::io_context& context,
                                  const gateway_options& options,
                                  const endpoint_protocol& protocol,
-                                 decision_log& log, now_function now)
+                                 decision_log& log, now_function now,
+                                 tail_source read_tail)
     : environment_{context,
                    options,
                    protocol,
@@ -87,7 +91,7 @@
       client_(context),
       home_(environment_, client_),
       peers_(context, NewIncarnation(options), PeerOptions(options)),
-      router_(environment_, home_, peers_),
+      router_(environment_, home_, peers_, std::move(read_tail)),
       stages_(router_.Calls()),
       listener_(context, ListenerOptions(options, now),
                 [this](inbound_request request, answer_channel_ptr channel) {
@@ -111,6 +115,12 @@
   router_.SetHosts(std::move(hosts));
 }
 
+void gateway_traffic::AskReader(
+    const std::string& topic, std::uint64_t from,
+    std::function<void(std::optional<tail_read>)> done) {
+  router_.AskReader(topic, from, std::move(done));
+}
+
 void gateway_traffic::AnnounceClose() {
   listener_.AnnounceClose();
   router_.Drain();
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -21,7 +21,7 @@
  public:
   gateway_traffic(asio::io_context& context, const gateway_options& options,
                   const endpoint_protocol& protocol, decision_log& log,
-                  now_function now);
+                  now_function now, tail_source read_tail);
   ~gateway_traffic();
   gateway_traffic(const gateway_traffic&) = delete;
   gateway_traffic& operator=(const gateway_traffic&) = delete;
@@ -30,6 +30,8 @@
   void SetConfiguration(routing_table_ptr table);
   void SetEndpoints(const std::vector<known_endpoint>& listed);
   void SetHosts(std::vector<peer_address> hosts);
+  void AskReader(const std::string& topic, std::uint64_t from,
+                 std::function<void(std::optional<tail_read>)> done);
   void AnnounceClose();
   void StopAccepting();
   std::size_t InHand() const { return in_hand_; }
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -9,9 +9,9 @@
 /// How often a host announces itself, and after what time without it is left
 /// out. Hosts that are gone are noticed by asking them; the list only has to
 /// lose them some day.
-constexpr milliseconds kAnnounceInterval{5000};
+constexpr milliseconds kAnnounceInterval{15'000};
 constexpr milliseconds kAnnounceRetry{700};
-constexpr milliseconds kEntryLife{17'000};
+constexpr milliseconds kEntryLife{50'000};
 /// A new host takes part in the work of homes that much later at most, and
 /// serves its callers from the start.
 constexpr milliseconds kReadInterval{3000};
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -282,7 +282,8 @@
     if (graph_->Pieces(i) == 0) {
       continue;
     }
-    const auto engine_domain = EngineDomain(i);
+    const auto engine_domain =
+        booked_elsewhere_ ? std::string() : EngineDomain(i);
     const auto& near = engine_domain.empty() ? chain_domain : engine_domain;
     const auto shard =
         stages_.shard_for(route_->stages[i].service, facts_.id, near);
@@ -318,7 +319,19 @@
   if (finished_) {
     return;
   }
-  if (answer.verdict != booking_verdict::kRefused) {
+  const bool refused = answer.verdict == booking_verdict::kRefused;
+  // A place near the bytes is worth less than an answer in time.
+  if (answer.verdict != booking_verdict::kInTime && !booked_elsewhere_ &&
+      HasChoice()) {
+    if (refused) {
+      bookings_.clear();
+    }
+    ReleaseBookings();
+    booked_elsewhere_ = true;
+    Book();
+    return;
+  }
+  if (!refused) {
     Advance();
     return;
   }
@@ -327,6 +340,13 @@
           ReturnTime(WholeMilliseconds(answer.room_after))});
 }
 
+/// Whether some stage could be made in another failure domain.
+bool request_run::HasChoice() const {
+  return std::any_of(shards_.begin(), shards_.end(), [](const auto& item) {
+    return !item.second.domain.empty();
+  });
+}
+
 void request_run::ReleaseBookings() {
   std::vector<stage_need> needs;
   for (auto& [stage, need] : bookings_) {
@@ -361,6 +381,13 @@
   const duration rest = TimeAfter(stage);
   group.useful_by = objective_ - rest;
   group.worthless_after = deadline_ - rest;
+  const auto* rule = table_->Service(route_->stages[stage].service);
+  if (!group.inputs.empty() && rule != nullptr && rule->batches) {
+    // Made later, it would find its inputs dropped.
+    group.worthless_after =
+        std::min(group.worthless_after,
+                 environment_.now() + rule->batches->keep_time * 3 / 4);
+  }
   group.result_bytes = route_->stages[stage].result_bytes;
   group.near = PlaceOf(stage, group);
   bookings_.erase(stage);
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -64,6 +64,7 @@
   stage_need NeedOf(std::size_t stage, const stage_shard& shard) const;
   duration TimeBefore(std::size_t stage) const;
   void ReleaseBookings();
+  bool HasChoice() const;
   void Advance();
   void BeginStage(std::size_t stage);
   std::string PlaceOf(std::size_t stage, const piece_group& group) const;
@@ -115,6 +116,7 @@
   std::vector<std::pair<std::size_t, stage_number>> running_stages_;
   std::map<std::size_t, stage_need> bookings_;  ///< Not yet submitted.
   std::map<std::size_t, stage_shard> shards_;   ///< By stage.
+  bool booked_elsewhere_ = false;               ///< Not only near its bytes.
   unsigned stage_restarts_ = 0;
 
   std::shared_ptr<endpoint_call> call_;
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -647,7 +647,7 @@
 std::map<stage_shard, std::size_t> stage_home::Waiting() const {
   std::map<stage_shard, std::size_t> waiting;
   for (const auto& [shard, state] : shards_) {
-    waiting[shard] = state.queue.Pieces();
+    waiting[shard] = state.queue.Pieces() + state.admission.Booked();
   }
   return waiting;
 }
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -37,7 +37,7 @@
   booking_answer Book(const stage_need& need);
   void Release(const stage_need& need);
   void Free(std::vector<std::string> handles);
-  /// @brief Pieces that wait for a call, by shard.
+  /// @brief Pieces that wait for a call or are booked, by shard.
   std::map<stage_shard, std::size_t> Waiting() const;
   /// @brief Endpoints or the configuration changed.
   void Refresh();
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -24,6 +24,12 @@
 /// A home that does not answer a booking for so long does not hold up the
 /// request: it may still be served.
 constexpr milliseconds kBookingTimeout{120};
+/// Named like a shard, so that it has a ranking of its own.
+constexpr const char* kReadersShard = "store readers";
+constexpr std::size_t kReaders = 2;
+/// A host that is not answered reads the store, which takes a few
+/// milliseconds.
+constexpr milliseconds kReaderTimeout{300};
 /// Ten or so requests make the mean time of a stage.
 constexpr double kUsualWeight = 0.1;
 
@@ -160,10 +166,11 @@
 };
 
 stage_router::stage_router(gateway_environment& environment, stage_home& home,
-                           peer_node& peers)
+                           peer_node& peers, tail_source read_tail)
     : environment_(environment),
       home_(home),
       peers_(peers),
+      read_tail_(std::move(read_tail)),
       self_(environment.options.host_name),
       hosts_({self_}),
       tick_(environment.context) {
@@ -551,6 +558,26 @@
                        const std::function<void(wire::messageUnion)>& reply) {
                   TakeBooking(*request.Asbook_stage(), reply);
                 });
+  peers_.Handle(wire::message::read_topic,
+                [this](const wire::messageUnion& request, const std::string&,
+                       const std::function<void(wire::messageUnion)>& reply) {
+                  const auto& ask = *request.Asread_topic();
+                  const auto read = read_tail_(ask.topic, ask.from);
+                  wire::read_topic_replyT told;
+                  told.known = read.has_value();
+                  if (read) {
+                    told.next = read->next;
+                    told.age_ms = static_cast<std::uint32_t>(read->age.count());
+                    for (const auto& record : read->records) {
+                      auto entry = std::make_unique<wire::topic_recordT>();
+                      entry->key = record.key;
+                      entry->value = record.value.value_or("");
+                      entry->deleted = !record.value.has_value();
+                      told.records.push_back(std::move(entry));
+                    }
+                  }
+                  reply(MakeMessage(std::move(told)));
+                });
   peers_.Handle(wire::message::home_status_request,
                 [this](const wire::messageUnion&, const std::string&,
                        const std::function<void(wire::messageUnion)>& reply) {
@@ -633,6 +660,57 @@
   served_[key] = number;
 }
 
+// ------------------------------------------------------------- Readers
+
+/// Two at a time: with one lost, hosts turn to the other within a moment.
+std::vector<std::string> stage_router::Readers() const {
+  std::vector<std::string> readers;
+  for (const auto& host : Ranked({kReadersShard, ""})) {
+    if (host == self_ || health_.IsTrusted(host)) {
+      readers.push_back(host);
+    }
+    if (readers.size() == kReaders) {
+      break;
+    }
+  }
+  return readers;
+}
+
+void stage_router::AskReader(
+    const std::string& topic, std::uint64_t from,
+    std::function<void(std::optional<tail_read>)> done) {
+  const auto readers = Readers();
+  const bool reads_itself =
+      std::find(readers.begin(), readers.end(), self_) != readers.end();
+  if (reads_itself || readers.empty()) {
+    done(std::nullopt);
+    return;
+  }
+  wire::read_topicT ask;
+  ask.topic = topic;
+  ask.from = from;
+  peers_.Call(
+      readers[StableHash(self_) % readers.size()], MakeMessage(std::move(ask)),
+      kReaderTimeout, [done = std::move(done)](const peer_reply& reply) {
+        const auto* told = reply.end == peer_call_end::kReplied
+                               ? reply.body.Asread_topic_reply()
+                               : nullptr;
+        if (told == nullptr || !told->known) {
+          done(std::nullopt);
+          return;
+        }
+        tail_read read;
+        read.next = told->next;
+        read.age = milliseconds(told->age_ms);
+        for (const auto& record : told->records) {
+          read.records.push_back(
+              {record->key,
+               record->deleted ? std::nullopt : std::optional(record->value)});
+        }
+        done(std::move(read));
+      });
+}
+
 // ------------------------------------------------------- Health of homes
 
 void stage_router::Tick() {
@@ -641,18 +719,12 @@
     Lose(host, "no answer in time");
   }
   std::set<std::string> wanted;
+  for (const auto& host : Wanted({kReadersShard, ""}, kReaders)) {
+    wanted.insert(host);
+  }
   for (const auto& shard : Shards()) {
-    for (const auto& host : Ranked(shard)) {
-      if (host == self_) {
-        if (!draining_) {
-          break;
-        }
-        continue;
-      }
+    for (const auto& host : Wanted(shard, 1)) {
       wanted.insert(host);
-      if (health_.IsTrusted(host)) {
-        break;
-      }
     }
   }
   for (const auto& host : wanted) {
@@ -674,6 +746,26 @@
   });
 }
 
+/// Other hosts to be asked so that `count` usable ones are known of a ranking:
+/// those in use, and all before them that may have come back.
+std::vector<std::string> stage_router::Wanted(const stage_shard& shard,
+                                              std::size_t count) const {
+  std::vector<std::string> wanted;
+  for (const auto& host : Ranked(shard)) {
+    if (count == 0) {
+      break;
+    }
+    const bool is_self = host == self_;
+    if (!is_self) {
+      wanted.push_back(host);
+    }
+    if (is_self ? !draining_ : health_.IsTrusted(host)) {
+      --count;
+    }
+  }
+  return wanted;
+}
+
 void stage_router::Ask(const std::string& host) {
   health_.NoteAsked(host, environment_.now());
   peers_.Call(host, MakeMessage(wire::home_status_requestT()), kStatusTimeout,
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,10 +14,16 @@
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/gateway/stage_home.h"
+#include "slatestall/gateway/topic_tail.h"
 #include "slatestall/peer/peer_node.h"
 
 namespace slatestall {
 
+/// @brief What this host has read of a topic from an offset on.
+/// @ingroup gateway
+using tail_source = std::function<std::optional<tail_read>(
+    const std::string& topic, std::uint64_t from)>;
+
 /// @brief Sends the pieces of this host's requests to the homes of their
 /// shards, and serves as home for other hosts.
 ///
@@ -26,8 +33,9 @@
 /// @ingroup gateway
 class stage_router {
  public:
+  /// @param read_tail What this host has read of a topic, for others.
   stage_router(gateway_environment& environment, stage_home& home,
-               peer_node& peers);
+               peer_node& peers, tail_source read_tail);
   ~stage_router();
   stage_router(const stage_router&) = delete;
   stage_router& operator=(const stage_router&) = delete;
@@ -38,6 +46,9 @@
   void Refresh();
   /// @brief Other hosts are to choose another home.
   void Drain() { draining_ = true; }
+  /// @brief Reads on in a topic through one of the hosts that read the store.
+  void AskReader(const std::string& topic, std::uint64_t from,
+                 std::function<void(std::optional<tail_read>)> done);
 
  private:
   struct order;
@@ -70,14 +81,18 @@
   void TakeSubmit(const wire::submit_piecesT& submit, const std::string& from,
                   const std::function<void(wire::messageUnion)>& reply);
   void Tick();
+  std::vector<std::string> Wanted(const stage_shard& shard,
+                                  std::size_t count) const;
   void Ask(const std::string& host);
   void Lose(const std::string& host, const char* why);
   const std::vector<std::string>& Ranked(const stage_shard& shard) const;
   std::vector<stage_shard> Shards() const;
+  std::vector<std::string> Readers() const;
 
   gateway_environment& environment_;
   stage_home& home_;
   peer_node& peers_;
+  tail_source read_tail_;
   const std::string self_;
   std::vector<std::string> hosts_;  ///< With this one.
   mutable std::map<stage_shard, std::vector<std::string>> rankings_;
--- a/src/slatestall/peer/frame_codec.cc
+++ b/src/slatestall/peer/frame_codec.cc
@@ -34,6 +34,10 @@
          LengthOf(entry->request_id()) + TextBytes(entry->outcome());
 }
 
+std::size_t TextBytes(const wire::topic_record* record) {
+  return LengthOf(record->key()) + LengthOf(record->value());
+}
+
 std::size_t TextBytes(const wire::stage_load* load) {
   return LengthOf(load->service()) + LengthOf(load->domain());
 }
@@ -83,6 +87,9 @@
   if (const wire::free_results* results = frame.body_as_free_results()) {
     text = TextBytes(results->handles());
   }
+  if (const auto* read = frame.body_as_read_topic_reply()) {
+    text = TextBytes(read->records());
+  }
   if (const auto* status = frame.body_as_home_status_reply()) {
     text = TextBytes(status->loads());
   }
@@ -148,6 +155,8 @@
       return wire::message::submit_pieces_reply;
     case wire::message::home_status_request:
       return wire::message::home_status_reply;
+    case wire::message::read_topic:
+      return wire::message::read_topic_reply;
     case wire::message::book_stage:
       return wire::message::book_stage_reply;
     default:
