--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +23,15 @@
   std::vector<std::string> seeds;  ///< "IP:port" of other hosts; may be stale.
   std::size_t max_connections = 1024;
   std::size_t memory_bytes = 0;
+  double processor_share = 1.0;  ///< Of a core that the process may use.
+  double link_mbps = 1000.0;     ///< Of the host's network link.
+
+  /// @brief How much of the hosts' common work it can do: calls of homes carry
+  /// megabytes a second, and on a narrow link they wait for one another.
+  double Weight() const {
+    constexpr double kAmpleLink = 100.0;
+    return processor_share * std::min(1.0, link_mbps / kAmpleLink);
+  }
   repeat_limits repeats;
   /// No new work may reach an endpoint that long after it began to leave.
   milliseconds leave_limit{2000};
--- a/src/slatestall/dispatch/home_ranking.cc
+++ b/src/slatestall/dispatch/home_ranking.cc
@@ -1,6 +1,7 @@
 #include "slatestall/dispatch/home_ranking.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <utility>
@@ -9,13 +10,29 @@
 
 namespace slatestall {
 
+namespace {
+
+/// Below one, whose logarithm is no divisor.
+constexpr double kLargestDraw = 1.0 - 1e-12;
+
+/// Weighted rendezvous: the draw of a host, stretched by its weight.
+double Score(const std::string& host, std::uint64_t seed, double weight) {
+  constexpr double kTwoTo64 = 18446744073709551616.0;
+  const double draw =
+      (static_cast<double>(StableHash(host, seed)) + 1.0) / kTwoTo64;
+  return -weight / std::log(std::min(draw, kLargestDraw));
+}
+
+}  // namespace
+
 std::vector<std::string> RankHomes(const std::string& shard,
-                                   const std::vector<std::string>& hosts) {
+                                   const std::vector<home_candidate>& hosts) {
   const std::uint64_t seed = StableHash(shard);
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  std::vector<std::pair<double, std::string>> ranked;
   ranked.reserve(hosts.size());
-  for (const auto& host : hosts) {
-    ranked.emplace_back(StableHash(host, seed), host);
+  for (const auto& candidate : hosts) {
+    ranked.emplace_back(Score(candidate.host, seed, candidate.weight),
+                        candidate.host);
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
   std::vector<std::string> names;
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -10,7 +10,7 @@
 /// The store answers as soon as the configuration changes. A connection that
 /// has fallen silent shows only when the wait is over, so that it is short
 /// against the time in which a change must be in force.
-constexpr milliseconds kConfigurationWait{3000};
+constexpr milliseconds kConfigurationWait{1000};
 constexpr milliseconds kConfigurationPause{20};
 /// Part of the time in which a leaving endpoint must get no more work: the
 /// rest is for the read itself and what is under way.
@@ -56,7 +56,7 @@
                     }
                   }}),
       hosts_(context, options, link_, log_, now_,
-             [this](std::vector<peer_address> hosts) {
+             [this](std::vector<listed_gateway> hosts) {
                news_.on_hosts(std::move(hosts));
              }) {}
 
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -20,7 +20,7 @@
 struct control_news {
   std::function<void(routing_table_ptr)> on_configuration;
   std::function<void(std::vector<known_endpoint>)> on_endpoints;
-  std::function<void(std::vector<peer_address>)> on_hosts;
+  std::function<void(std::vector<listed_gateway>)> on_hosts;
 };
 
 /// @brief Follows the configuration and the list of endpoints.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -24,6 +24,11 @@
 /// Lines of one event in a second. Some thirty decisions a second are made on
 /// a busy host; the rest of a flood tells nothing new.
 constexpr std::uint32_t kMaxLinesPerSecond = 40;
+/// How old a reader's word of a topic may be. Changes of the configuration are
+/// to be in force within two seconds; a reader itself hears of them at once and
+/// asks anew each second.
+constexpr milliseconds kConfigurationAge{1400};
+constexpr milliseconds kHostsAge{10'000};
 /// Left of the grace for the process to end in.
 constexpr milliseconds kStopSlack{300};
 constexpr int kOk = 200;
@@ -53,8 +58,7 @@
                    return reading_.ReadTail(topic, from);
                  }),
         control_client_(control_context_),
-        reading_(control_context_, Readers(), options_.leave_limit / 2,
-                 BootTimeNow),
+        reading_(control_context_, Readers(), BootTimeNow),
         control_(control_context_, options_, Link(), log_, BootTimeNow, News()),
         status_(control_context_, StatusServer(options_),
                 [this](const http_request& request,
@@ -120,9 +124,11 @@
 
   platform_link Link() {
     auto link = adapter_.link(control_client_, options_);
-    link.configuration = reading_.Share("configuration", link.configuration);
-    link.endpoints = reading_.Share("endpoints", link.endpoints);
-    link.hosts = reading_.Share("hosts", link.hosts);
+    link.configuration =
+        reading_.Share("configuration", link.configuration, kConfigurationAge);
+    link.endpoints =
+        reading_.Share("endpoints", link.endpoints, options_.leave_limit / 2);
+    link.hosts = reading_.Share("hosts", link.hosts, kHostsAge);
     return link;
   }
 
@@ -140,7 +146,7 @@
         listed_ = true;
       });
     };
-    news.on_hosts = [this](std::vector<peer_address> hosts) {
+    news.on_hosts = [this](std::vector<listed_gateway> hosts) {
       asio::post(traffic_context_, [this, hosts = std::move(hosts)] {
         traffic_.SetHosts(hosts);
       });
--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -27,6 +27,8 @@
   std::string seeds;
   std::uint32_t max_connections = 1024;
   std::uint32_t max_memory_mb = 0;
+  double processor_share = 1.0;
+  double link_mbps = 1000.0;
   std::uint32_t leave_limit = 2000;
   double stop_grace = 8;
   double repeat_ratio = 0.2;
@@ -90,6 +92,20 @@
                                       .maximum = 1 << 20,
                                       .meaning = "What the process may use; "
                                                  "0: not known"}),
+      MemberField(&s::processor_share,
+                  {.name = "processor_share",
+                   .type = type::kNumber,
+                   .unit = "cores",
+                   .minimum = 0.01,
+                   .maximum = 64,
+                   .meaning = "What the process may use; hosts that have more "
+                              "do more of the work that hosts share"}),
+      MemberField(&s::link_mbps, {.name = "link_mbps",
+                                  .type = type::kNumber,
+                                  .unit = "Mbit/s",
+                                  .minimum = 0.1,
+                                  .maximum = 1000000,
+                                  .meaning = "Of the host's network link"}),
       MemberField(&s::leave_limit,
                   {.name = "leave_limit_ms",
                    .type = type::kWhole,
@@ -156,6 +172,8 @@
   options.store_address = written.store;
   options.seeds = SplitAtCommas(written.seeds);
   options.max_connections = written.max_connections;
+  options.processor_share = written.processor_share;
+  options.link_mbps = written.link_mbps;
   options.memory_bytes = std::size_t{written.max_memory_mb} << 20U;
   options.leave_limit = milliseconds(written.leave_limit);
   options.stop_grace = FromSeconds(written.stop_grace);
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -111,7 +111,7 @@
   router_.Refresh();
 }
 
-void gateway_traffic::SetHosts(std::vector<peer_address> hosts) {
+void gateway_traffic::SetHosts(std::vector<listed_gateway> hosts) {
   router_.SetHosts(std::move(hosts));
 }
 
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -29,7 +29,7 @@
   // All on the traffic thread.
   void SetConfiguration(routing_table_ptr table);
   void SetEndpoints(const std::vector<known_endpoint>& listed);
-  void SetHosts(std::vector<peer_address> hosts);
+  void SetHosts(std::vector<listed_gateway> hosts);
   void AskReader(const std::string& topic, std::uint64_t from,
                  std::function<void(std::optional<tail_read>)> done);
   void AnnounceClose();
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -1,5 +1,6 @@
 #include "slatestall/gateway/host_directory.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,6 +11,9 @@
 /// out. Hosts that are gone are noticed by asking them; the list only has to
 /// lose them some day.
 constexpr milliseconds kAnnounceInterval{15'000};
+/// What an entry may say of its weight; a wrong one must not take all work.
+constexpr double kLeastWeight = 0.01;
+constexpr double kMostWeight = 64.0;
 constexpr milliseconds kAnnounceRetry{700};
 constexpr milliseconds kEntryLife{50'000};
 /// A new host takes part in the work of homes that much later at most, and
@@ -42,7 +46,8 @@
 
 void host_directory::Announce() {
   const nlohmann::json value = {
-      {"peer", options_.address + ":" + std::to_string(options_.peer_port)}};
+      {"peer", options_.address + ":" + std::to_string(options_.peer_port)},
+      {"weight", options_.Weight()}};
   announce_(options_.host_name, value.dump(),
             [this, alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
               if (alive.expired()) {
@@ -76,17 +81,21 @@
       log_.Write("host_unreadable", {{"host", record.key}});
       continue;
     }
-    entries_[record.key] = {value["peer"].get<std::string>(), now_()};
+    listed_gateway listed;
+    listed.address = {record.key, value["peer"].get<std::string>()};
+    listed.weight =
+        std::clamp(value.value("weight", 1.0), kLeastWeight, kMostWeight);
+    entries_[record.key] = {std::move(listed), now_()};
   }
   Publish();
 }
 
 void host_directory::Publish() {
-  std::map<std::string, std::string> listed;
+  std::vector<listed_gateway> listed;
   const time_point now = now_();
   for (const auto& [name, entry] : entries_) {
     if (now - entry.renewed < kEntryLife) {
-      listed[name] = entry.address;
+      listed.push_back(entry.listed);
     }
   }
   if (listed == published_) {
@@ -94,11 +103,7 @@
   }
   published_ = listed;
   log_.Write("hosts_listed", {{"hosts", listed.size()}});
-  std::vector<peer_address> hosts;
-  for (const auto& [name, address] : listed) {
-    hosts.push_back({name, address});
-  }
-  on_hosts_(std::move(hosts));
+  on_hosts_(std::move(listed));
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -16,12 +16,24 @@
 
 namespace slatestall {
 
+/// @brief A host of the system as it announced itself.
+/// @ingroup gateway
+struct listed_gateway {
+  peer_address address;
+  double weight = 1.0;  ///< Share of a processor that it has.
+
+  friend bool operator==(const listed_gateway& a, const listed_gateway& b) {
+    return a.address.host == b.address.host &&
+           a.address.address == b.address.address && a.weight == b.weight;
+  }
+};
+
 /// @brief Other hosts of the system, as they announce themselves in the
 /// platform's store. Which of them live is found out by asking them.
 /// @ingroup gateway
 class host_directory {
  public:
-  using hosts_hook = std::function<void(std::vector<peer_address>)>;
+  using hosts_hook = std::function<void(std::vector<listed_gateway>)>;
 
   host_directory(asio::io_context& context, const gateway_options& options,
                  const platform_link& link, decision_log& log, now_function now,
@@ -31,7 +43,7 @@
 
  private:
   struct entry {
-    std::string address;
+    listed_gateway listed;
     time_point renewed{};
   };
 
@@ -47,7 +59,7 @@
   now_function now_;
   hosts_hook on_hosts_;
   std::map<std::string, entry> entries_;
-  std::map<std::string, std::string> published_;
+  std::vector<listed_gateway> published_;
   time_point last_read_{};
   asio::steady_timer timer_;
   topic_follower follower_;
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -321,12 +321,8 @@
   }
   const bool refused = answer.verdict == booking_verdict::kRefused;
   // A place near the bytes is worth less than an answer in time.
-  if (answer.verdict != booking_verdict::kInTime && !booked_elsewhere_ &&
-      HasChoice()) {
-    if (refused) {
-      bookings_.clear();
-    }
-    ReleaseBookings();
+  if (refused && !booked_elsewhere_ && HasChoice()) {
+    bookings_.clear();
     booked_elsewhere_ = true;
     Book();
     return;
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -55,14 +55,12 @@
 }  // namespace
 
 shared_reading::shared_reading(asio::io_context& context, ask_reader ask,
-                               milliseconds max_age, now_function now)
-    : context_(context),
-      ask_(std::move(ask)),
-      max_age_(max_age),
-      now_(std::move(now)) {}
+                               now_function now)
+    : context_(context), ask_(std::move(ask)), now_(std::move(now)) {}
 
 keyed_topic shared_reading::Share(const std::string& name,
-                                  const keyed_topic& direct) {
+                                  const keyed_topic& direct,
+                                  milliseconds max_age) {
   const auto tail = std::make_shared<topic_tail>(now_);
   tails_[name] = tail;
   keyed_topic shared = direct;
@@ -76,11 +74,11 @@
       done(got);
     });
   };
-  shared.read_from = [this, name, direct, tail](std::uint64_t from,
-                                                milliseconds wait,
-                                                const read_done& done) {
+  shared.read_from = [this, name, direct, tail, max_age](
+                         std::uint64_t from, milliseconds wait,
+                         const read_done& done) {
     const auto read = std::make_shared<topic_read>(
-        topic_read{context_, direct, tail, max_age_, from, wait, done});
+        topic_read{context_, direct, tail, max_age, from, wait, done});
     ask_(name, from, [read](std::optional<tail_read> told) {
       asio::post(read->context, [read, told = std::move(told)] {
         if (told && told->age <= read->max_age) {
--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -31,12 +31,12 @@
  public:
   /// @param context Of the thread that follows the topics.
   /// @param ask Called on that thread; `done` may come on any.
-  /// @param max_age Of what a reader tells.
-  shared_reading(asio::io_context& context, ask_reader ask,
-                 milliseconds max_age, now_function now);
+  shared_reading(asio::io_context& context, ask_reader ask, now_function now);
 
   /// @brief The topic read through readers where that works.
-  keyed_topic Share(const std::string& name, const keyed_topic& direct);
+  /// @param max_age Of what a reader tells.
+  keyed_topic Share(const std::string& name, const keyed_topic& direct,
+                    milliseconds max_age);
 
   /// @brief For other hosts; from any thread.
   std::optional<tail_read> ReadTail(const std::string& topic,
@@ -45,7 +45,6 @@
  private:
   asio::io_context& context_;
   ask_reader ask_;
-  milliseconds max_age_;
   now_function now_;
   std::map<std::string, std::shared_ptr<topic_tail>> tails_;
 };
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -5,7 +5,6 @@
 #include <tuple>
 #include <utility>
 
-#include "slatestall/dispatch/home_ranking.h"
 #include "slatestall/model/ids.h"
 #include "slatestall/peer/frame_codec.h"
 
@@ -172,7 +171,7 @@
       peers_(peers),
       read_tail_(std::move(read_tail)),
       self_(environment.options.host_name),
-      hosts_({self_}),
+      hosts_({{self_, environment.options.Weight()}}),
       tick_(environment.context) {
   ServePeers();
   Tick();
@@ -210,17 +209,19 @@
 
 // ------------------------------------------------------------------ Homes
 
-void stage_router::SetHosts(std::vector<peer_address> hosts) {
+void stage_router::SetHosts(std::vector<listed_gateway> hosts) {
   std::vector<peer_address> others;
-  hosts_ = {self_};
+  std::vector<std::string> names{self_};
+  hosts_ = {{self_, environment_.options.Weight()}};
   for (auto& host : hosts) {
-    if (host.host != self_) {
-      hosts_.push_back(host.host);
-      others.push_back(std::move(host));
+    if (host.address.host != self_) {
+      hosts_.push_back({host.address.host, host.weight});
+      names.push_back(host.address.host);
+      others.push_back(std::move(host.address));
     }
   }
   rankings_.clear();
-  health_.Keep(hosts_);
+  health_.Keep(names);
   peers_.SetPeers(others);
 }
 
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -10,8 +10,10 @@
 #include <vector>
 
 #include "slatestall/dispatch/home_health.h"
+#include "slatestall/dispatch/home_ranking.h"
 #include "slatestall/dispatch/moving_average.h"
 #include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/host_directory.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/gateway/stage_home.h"
 #include "slatestall/gateway/topic_tail.h"
@@ -41,7 +43,7 @@
   stage_router& operator=(const stage_router&) = delete;
 
   stage_calls Calls();
-  void SetHosts(std::vector<peer_address> hosts);
+  void SetHosts(std::vector<listed_gateway> hosts);
   /// @brief Endpoints or the configuration changed.
   void Refresh();
   /// @brief Other hosts are to choose another home.
@@ -94,7 +96,7 @@
   peer_node& peers_;
   tail_source read_tail_;
   const std::string self_;
-  std::vector<std::string> hosts_;  ///< With this one.
+  std::vector<home_candidate> hosts_;  ///< With this one.
   mutable std::map<stage_shard, std::vector<std::string>> rankings_;
   home_health health_;
   std::map<stage_shard, std::pair<std::string, std::size_t>> told_waiting_;
