--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -39,6 +39,10 @@
   }
 };
 
+bool IsFar(const piece_group& group, const batch_terms& terms) {
+  return !group.near.empty() && group.near != terms.domain;
+}
+
 duration NearWait(const piece_group& group, time_point now) {
   if (group.near.empty()) {
     return duration(0);
@@ -95,16 +99,25 @@
   piece_batch batch;
   batch.expired = DropExpired(terms);
   const pressing_order order{terms.now + terms.call_time};
-  std::stable_sort(entries_.begin(), entries_.end(),
-                   [&](const entry& a, const entry& b) {
-                     return order(*a.piece.group, *b.piece.group);
-                   });
+  // Within a class those near their bytes go first: with all endpoints busy,
+  // each takes its own domain's pieces, and others' only to fill a call.
+  std::stable_sort(
+      entries_.begin(), entries_.end(), [&](const entry& a, const entry& b) {
+        const auto& left = *a.piece.group;
+        const auto& right = *b.piece.group;
+        const bool left_far = IsFar(left, terms);
+        const bool right_far = IsFar(right, terms);
+        if (left_far != right_far && order.Late(left) == order.Late(right)) {
+          return right_far;
+        }
+        return order(left, right);
+      });
   std::uint64_t room = terms.room;
   std::vector<entry> left;
   left.reserve(entries_.size());
   for (auto& one : entries_) {
     const auto& group = *one.piece.group;
-    const bool fits_domain = group.near.empty() || group.near == terms.domain ||
+    const bool fits_domain = !IsFar(group, terms) ||
                              terms.now >= one.anywhere_from ||
                              !terms.has_endpoint(group.near);
     if (batch.pieces.size() < terms.most && fits_domain &&
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -17,7 +17,7 @@
 constexpr milliseconds kReplySlack{200};
 /// Endpoints that one home forms calls for. Up to there one queue for all of a
 /// service keeps them best filled; beyond, each failure domain has its own.
-constexpr std::size_t kMostPerHome = 8;
+constexpr std::size_t kMostPerHome = 24;
 /// An order is placed anew as often at most; each time a home was lost.
 constexpr unsigned kMaxPlacements = 4;
 /// A home that does not answer a booking for so long does not hold up the
