Admission counts on the capacity that bookings were seen to get

Change: the part of the told capacity that is counted on falls while pieces booked in time come late, and recovers; late requests are taken for three full calls of waiting at most; 0.85 of a maker's room is used.

--- a/include/slatestall/dispatch/stage_admission.h
+++ b/include/slatestall/dispatch/stage_admission.h
@@ -54,7 +54,14 @@
                       std::size_t waiting_in_time, std::size_t waiting,
                       time_point now);
   /// @brief Its pieces have come, or never will.
-  void Release(const std::string& request, unsigned stage);
+  /// @returns whether they were booked to be in time.
+  bool Release(const std::string& request, unsigned stage);
+
+  /// @brief What became of pieces that were booked to be in time and came in
+  /// time.
+  void NoteOutcome(std::size_t in_time, std::size_t late, time_point now);
+  /// @brief Part of the told capacity that is counted on.
+  double Confidence() const { return confidence_; }
 
   std::size_t Booked() const { return in_time_ + late_; }
 
@@ -71,6 +78,10 @@
 
   std::map<key, held> held_;
   std::multimap<time_point, key> expiries_;
+  double confidence_ = 1.0;
+  std::size_t seen_in_time_ = 0;  ///< Since `judged_at_`.
+  std::size_t seen_late_ = 0;
+  time_point judged_at_{};
   std::size_t in_time_ = 0;  ///< Pieces booked to be in time.
   std::size_t late_ = 0;     ///< Pieces booked to be late.
 };
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -9,9 +9,21 @@
 /// the queue stays at the length at which the most urgent are just admitted;
 /// a third of a call less keeps the others from taking their places.
 constexpr milliseconds kRankMargin{80};
-/// Part of the time until the deadline that a late request may be expected to
-/// wait: later arrivals that can be in time go before it.
-constexpr double kLatePart = 0.5;
+/// Full calls that a late request may be expected to wait, at most half of its
+/// time: one that waits longer holds the results of its earlier stages, and
+/// with them the room that others need.
+constexpr int kLateCalls = 3;
+/// The capacity that is counted on follows what becomes of bookings: want of
+/// room, slow endpoints and pieces of unusual size all make it less than told.
+/// Judged a few times a second; it falls within a second of an overload and
+/// recovers within some seconds.
+constexpr milliseconds kJudgeInterval{200};
+constexpr std::size_t kFewestJudged = 20;
+constexpr double kToleratedLate = 0.05;
+constexpr double kFall = 0.92;
+constexpr double kRise = 1.03;
+constexpr double kLeastConfidence = 0.3;
+constexpr double kMostConfidence = 1.1;
 /// A booking whose pieces do not come is forgotten that long after they were
 /// due: its request has ended at a host that could not say so.
 constexpr milliseconds kBookingLife{1500};
@@ -32,8 +44,8 @@
     return {booking_verdict::kRefused, capacity.call_time};
   }
   const auto start = [&](std::size_t ahead) {
-    const duration busy =
-        Seconds(static_cast<double>(ahead) / capacity.pieces_per_second);
+    const duration busy = Seconds(static_cast<double>(ahead) /
+                                  (capacity.pieces_per_second * confidence_));
     return std::max(booking.due, now + busy);
   };
   booking_answer answer;
@@ -42,10 +54,10 @@
   const time_point limit = booking.useful_by - kRankMargin * booking.rank;
   if (in_time > limit) {
     const time_point late = start(waiting + Booked()) + capacity.call_time;
-    const duration patience = booking.worthless_after - booking.due;
-    const auto most =
-        booking.due + duration(static_cast<duration::rep>(
-                          kLatePart * static_cast<double>(patience.count())));
+    const duration patience =
+        std::min<duration>((booking.worthless_after - booking.due) / 2,
+                           capacity.call_time * kLateCalls);
+    const auto most = booking.due + patience;
     if (late > most) {
       return {booking_verdict::kRefused, in_time - limit};
     }
@@ -61,11 +73,31 @@
   return answer;
 }
 
-void stage_admission::Release(const std::string& request, unsigned stage) {
+bool stage_admission::Release(const std::string& request, unsigned stage) {
   const auto found = held_.find({request, stage});
-  if (found != held_.end()) {
-    Drop(found);
+  if (found == held_.end()) {
+    return false;
   }
+  const bool in_time = found->second.in_time;
+  Drop(found);
+  return in_time;
+}
+
+void stage_admission::NoteOutcome(std::size_t in_time, std::size_t late,
+                                  time_point now) {
+  seen_in_time_ += in_time;
+  seen_late_ += late;
+  const std::size_t seen = seen_in_time_ + seen_late_;
+  if (now - judged_at_ < kJudgeInterval || seen < kFewestJudged) {
+    return;
+  }
+  const double late_share =
+      static_cast<double>(seen_late_) / static_cast<double>(seen);
+  confidence_ *= late_share > kToleratedLate ? kFall : kRise;
+  confidence_ = std::clamp(confidence_, kLeastConfidence, kMostConfidence);
+  seen_in_time_ = 0;
+  seen_late_ = 0;
+  judged_at_ = now;
 }
 
 void stage_admission::Drop(std::map<key, held>::iterator booking) {
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -31,6 +31,8 @@
 constexpr double kMostPart = 1.5;
 /// Some thirty calls, a second or two of a busy shard, make the mean.
 constexpr double kPieceTimeWeight = 0.03;
+/// Sizes of results are told roughly.
+constexpr double kRoomPart = 0.85;
 /// While pieces wait and no call is under way that would end.
 constexpr milliseconds kLookAgain{20};
 constexpr std::uint64_t kDraws = 1024;
@@ -73,6 +75,7 @@
   std::vector<std::string> handles;
   std::vector<unsigned> tries;
   std::size_t missing = 0;
+  bool expected_in_time = false;  ///< As booked, when its pieces came.
   std::function<void(stage_outcome)> done;
 };
 
@@ -127,7 +130,11 @@
   groups_[state->group.get()] = state;
   numbers_[state->number] = state->group.get();
   environment_.repeats.NoteRequest(shard.service, environment_.now());
-  shards_[shard].admission.Release(state->group->request, state->group->stage);
+  const bool was_booked = shards_[shard].admission.Release(
+      state->group->request, state->group->stage);
+  state->expected_in_time =
+      was_booked &&
+      state->group->useful_by > environment_.now() + Capacity(shard).call_time;
   shards_[shard].queue.Add(state->group, environment_.now());
   PumpSoon(shard, duration(0));
   return state->number;
@@ -267,6 +274,7 @@
     });
   };
   auto batch = state.queue.Take(terms);
+  NoteOutcomes(state, batch, terms.now + terms.call_time);
   for (const auto& group : batch.expired) {
     Fail(group.get(), stage_end::kTooLate);
   }
@@ -283,6 +291,26 @@
   return true;
 }
 
+void stage_home::NoteOutcomes(shard_state& state, const piece_batch& batch,
+                              time_point done_by) {
+  std::size_t in_time = 0;
+  std::size_t late = 0;
+  const auto note = [&](const piece_group* group, std::size_t pieces,
+                        bool is_late) {
+    const auto found = groups_.find(group);
+    if (found != groups_.end() && found->second->expected_in_time) {
+      (is_late ? late : in_time) += pieces;
+    }
+  };
+  for (const auto& piece : batch.pieces) {
+    note(piece.group.get(), 1, piece.group->useful_by < done_by);
+  }
+  for (const auto& group : batch.expired) {
+    note(group.get(), group->pieces, true);
+  }
+  state.admission.NoteOutcome(in_time, late, environment_.now());
+}
+
 bool stage_home::IsSlow(const shard_state& state,
                         const endpoint_record& record) const {
   const auto seen = state.slowness_at.find(record.Info().id);
@@ -296,7 +324,9 @@
     return std::numeric_limits<std::uint64_t>::max();
   }
   const auto used = room_.Used(record.Info().id, environment_.now());
-  return rule.room_bytes - std::min(used, rule.room_bytes);
+  const auto room = static_cast<std::uint64_t>(
+      kRoomPart * static_cast<double>(rule.room_bytes));
+  return room - std::min(used, room);
 }
 
 /// Those that can take a call now, the best first.
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -55,6 +55,8 @@
                                                  const batch_rule& rule) const;
   bool PumpOnce(const stage_shard& shard, const batch_rule& rule,
                 const endpoint_record_ptr& record);
+  void NoteOutcomes(shard_state& state, const piece_batch& batch,
+                    time_point done_by);
   bool IsSlow(const shard_state& state, const endpoint_record& record) const;
   std::uint64_t RoomAt(const endpoint_record& record, const batch_rule& rule);
   void SendBatch(const stage_shard& shard, const batch_rule& rule,
