Tests of the gateway without network and on loopback

Found by them: header names with a space were taken, since the parser beneath is built without its strict checks; now refused.

--- a/programs/slatestalld/gateway_command.cc
+++ b/programs/slatestalld/gateway_command.cc
@@ -3,8 +3,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "platform/engine_protocol.h"
-#include "platform/platform_link.h"
+#include "platform/platform_adapter.h"
 #include "slatestall/gateway/gateway_host.h"
 #include "slatestall/gateway/gateway_settings.h"
 
@@ -14,16 +13,6 @@
 constexpr int kBadSettings = 2;
 constexpr const char* kSettingsVariable = "SLATESTALL_SETTINGS";
 
-gateway_adapter MakeAdapter() {
-  gateway_adapter adapter;
-  adapter.protocol = MakeEngineProtocol();
-  adapter.ready_path = "/readyz";
-  adapter.link = [](http_client& client, const gateway_options& options) {
-    return MakePlatformLink(client, options.store_address);
-  };
-  return adapter;
-}
-
 }  // namespace
 
 int RunGateway(std::string settings_file, bool check_only) {
@@ -42,7 +31,7 @@
     std::cout << "the settings are good\n";
     return 0;
   }
-  gateway_host host(loaded.content, MakeAdapter());
+  gateway_host host(loaded.content, MakePlatformAdapter());
   host.Run();
   return 0;
 }
--- /dev/null
+++ b/src/slatestall/dispatch/endpoint_pick_test.cc
@@ -0,0 +1,138 @@
+#include "slatestall/dispatch/endpoint_pick.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "slatestall/dispatch/endpoint_roster.h"
+
+namespace slatestall {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+
+std::vector<known_endpoint> Endpoints(int count) {
+  std::vector<known_endpoint> listed;
+  for (int i = 0; i < count; ++i) {
+    known_endpoint endpoint;
+    endpoint.id = "e" + std::to_string(i);
+    endpoint.service = "engines";
+    endpoint.address = {asio::ip::make_address("127.0.0.1"),
+                        static_cast<std::uint16_t>(9000 + i)};
+    endpoint.failure_domain = i % 2 == 0 ? "a" : "b";
+    endpoint.slots = 4;
+    listed.push_back(endpoint);
+  }
+  return listed;
+}
+
+class endpoint_pick_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(endpoint_pick_test);
+  CPPUNIT_TEST(ASharedPromptStaysWithItsHomesWhileTheyAreNotBusier);
+  CPPUNIT_TEST(AHotPromptSpillsOver);
+  CPPUNIT_TEST(AFailingEndpointGetsLittle);
+  CPPUNIT_TEST(NoneLeftIsSaid);
+  CPPUNIT_TEST(ALeavingEndpointGetsNothing);
+  CPPUNIT_TEST(TheLastOneIsTriedAlthoughItFailed);
+  CPPUNIT_TEST(AReplacedListKeepsWhatIsKnown);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { roster_.Replace(Endpoints(8)); }
+
+ private:
+  endpoint_record_ptr Pick(std::uint64_t prompt = 0, int ms = 0) {
+    pick_request request;
+    request.now = kStart + milliseconds(ms);
+    request.shared_prompt = prompt;
+    return PickEndpoint(roster_.Of("engines"), request);
+  }
+
+  void ASharedPromptStaysWithItsHomesWhileTheyAreNotBusier() {
+    std::set<std::string> homes;
+    for (int i = 0; i < 50; ++i) {
+      homes.insert(Pick(77, i)->Info().id);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, homes.size());
+  }
+
+  // The load: all requests are about one prompt. Its home would be asked for
+  // everything while the others stand idle.
+  void AHotPromptSpillsOver() {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 80; ++i) {
+      const auto picked = Pick(77, i);
+      picked->NoteStart();
+      ++counts[picked->Info().id];
+    }
+    CPPUNIT_ASSERT(counts.size() >= 7);
+    for (const auto& [id, count] : counts) {
+      CPPUNIT_ASSERT_MESSAGE(id, count <= 20);
+    }
+  }
+
+  // One endpoint fails half of its calls while it answers health checks. It
+  // must be known by the answers themselves.
+  void AFailingEndpointGetsLittle() {
+    int failing = 0;
+    for (int i = 0; i < 400; ++i) {
+      const auto now = kStart + milliseconds(20 * i);
+      const auto picked = Pick(0, 20 * i);
+      const bool is_bad = picked->Info().id == "e3";
+      failing += is_bad ? 1 : 0;
+      picked->NoteStart();
+      picked->NoteEnd(
+          is_bad && i % 2 == 0 ? call_lesson::kFailed : call_lesson::kAnswered,
+          now);
+    }
+    CPPUNIT_ASSERT(failing < 400 / 8 / 2);
+  }
+
+  void NoneLeftIsSaid() {
+    pick_request request;
+    request.now = kStart;
+    for (const auto& endpoint : Endpoints(8)) {
+      request.tried.push_back(endpoint.id);
+    }
+    CPPUNIT_ASSERT(!PickEndpoint(roster_.Of("engines"), request));
+    CPPUNIT_ASSERT(!PickEndpoint(roster_.Of("unknown"), request));
+  }
+
+  void ALeavingEndpointGetsNothing() {
+    auto listed = Endpoints(2);
+    listed[0].leaving = true;
+    roster_.Replace(listed);
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string("e1"), Pick(0, i)->Info().id);
+    }
+    roster_.Find("e1")->MarkGone();
+    CPPUNIT_ASSERT(!Pick());
+  }
+
+  void TheLastOneIsTriedAlthoughItFailed() {
+    roster_.Replace(Endpoints(1));
+    const auto only = Pick();
+    only->NoteStart();
+    only->NoteEnd(call_lesson::kFailed, kStart);
+    CPPUNIT_ASSERT(only->Avoided(kStart + milliseconds(1)));
+    CPPUNIT_ASSERT(Pick(0, 1) == only);
+  }
+
+  void AReplacedListKeepsWhatIsKnown() {
+    const auto before = roster_.Find("e1");
+    before->NoteStart();
+    roster_.Replace(Endpoints(3));
+    CPPUNIT_ASSERT(roster_.Find("e1") == before);
+    CPPUNIT_ASSERT(!roster_.Find("e5"));
+    CPPUNIT_ASSERT(roster_.FindAt("127.0.0.1:9001") == before);
+  }
+
+  endpoint_roster roster_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_pick_test);
+
+}  // namespace
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/dispatch/home_test.cc
@@ -0,0 +1,112 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "slatestall/dispatch/home_health.h"
+#include "slatestall/dispatch/home_ranking.h"
+#include "slatestall/dispatch/result_room.h"
+
+namespace slatestall {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+
+std::vector<home_candidate> Hosts(int count) {
+  std::vector<home_candidate> hosts;
+  for (int i = 0; i < count; ++i) {
+    hosts.push_back({"h" + std::to_string(i), i == 0 ? 4.0 : 1.0});
+  }
+  return hosts;
+}
+
+class home_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(home_test);
+  CPPUNIT_TEST(AllHostsRankAlikeWhateverTheOrderOfTheList);
+  CPPUNIT_TEST(AHostThatGoesMovesOnlyItsOwnShards);
+  CPPUNIT_TEST(WeightGetsItsShare);
+  CPPUNIT_TEST(AHostIsTrustedOnceItHasAnswered);
+  CPPUNIT_TEST(APausedHostIsNoticedThoughItsConnectionsStand);
+  CPPUNIT_TEST(ADrainingHostIsNoHome);
+  CPPUNIT_TEST(RoomComesBackWhenFreedOrExpired);
+  CPPUNIT_TEST_SUITE_END();
+
+  void AllHostsRankAlikeWhateverTheOrderOfTheList() {
+    auto hosts = Hosts(9);
+    const auto ranked = RankHomes("s/a", hosts);
+    std::reverse(hosts.begin(), hosts.end());
+    CPPUNIT_ASSERT(ranked == RankHomes("s/a", hosts));
+  }
+
+  void AHostThatGoesMovesOnlyItsOwnShards() {
+    const auto all = Hosts(9);
+    auto fewer = all;
+    fewer.erase(fewer.begin() + 4);
+    for (int shard = 0; shard < 60; ++shard) {
+      const auto name = std::to_string(shard);
+      const auto before = RankHomes(name, all).front();
+      if (before != "h4") {
+        CPPUNIT_ASSERT_EQUAL(before, RankHomes(name, fewer).front());
+      }
+    }
+  }
+
+  void WeightGetsItsShare() {
+    std::map<std::string, int> counts;
+    for (int shard = 0; shard < 1200; ++shard) {
+      ++counts[RankHomes(std::to_string(shard), Hosts(9)).front()];
+    }
+    // A third of the weight.
+    CPPUNIT_ASSERT(counts["h0"] > 320 && counts["h0"] < 480);
+  }
+
+  void AHostIsTrustedOnceItHasAnswered() {
+    home_health health;
+    CPPUNIT_ASSERT(!health.IsTrusted("h"));
+    CPPUNIT_ASSERT(health.IsDue("h", kStart));
+    health.NoteAsked("h", kStart);
+    CPPUNIT_ASSERT(!health.IsDue("h", kStart));
+    health.NoteAnswer("h", false, kStart + milliseconds(2));
+    CPPUNIT_ASSERT(health.IsTrusted("h"));
+    health.NoteFailure("h", kStart + milliseconds(10));
+    CPPUNIT_ASSERT(!health.IsTrusted("h"));
+  }
+
+  // The home is suspended. Its connections stay open and take what is sent;
+  // only the answer that does not come shows it. The pieces that wait there
+  // must be placed elsewhere well within a request's objective.
+  void APausedHostIsNoticedThoughItsConnectionsStand() {
+    home_health health;
+    health.NoteAsked("h", kStart);
+    health.NoteAnswer("h", false, kStart);
+    const time_point asked = kStart + milliseconds(250);
+    CPPUNIT_ASSERT(health.IsDue("h", asked));
+    health.NoteAsked("h", asked);
+    CPPUNIT_ASSERT(health.Overdue(asked + milliseconds(400)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         health.Overdue(asked + milliseconds(500)).size());
+  }
+
+  void ADrainingHostIsNoHome() {
+    home_health health;
+    health.NoteAnswer("h", true, kStart);
+    CPPUNIT_ASSERT(!health.IsTrusted("h"));
+  }
+
+  void RoomComesBackWhenFreedOrExpired() {
+    result_room room;
+    room.NoteMade("e", "x/1", 100, kStart, std::chrono::seconds(4));
+    room.NoteMade("e", "x/2", 50, kStart, std::chrono::seconds(4));
+    CPPUNIT_ASSERT(room.Used("e", kStart) == 150);
+    room.NoteFreed("x/1");
+    room.NoteFreed("x/1");
+    CPPUNIT_ASSERT(room.Used("e", kStart) == 50);
+    CPPUNIT_ASSERT(room.Used("e", kStart + std::chrono::seconds(4)) == 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(home_test);
+
+}  // namespace
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/dispatch/piece_queue_test.cc
@@ -0,0 +1,169 @@
+#include "slatestall/dispatch/piece_queue.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+
+namespace slatestall {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+
+piece_group_ptr Group(const std::string& request, unsigned pieces,
+                      milliseconds useful, milliseconds worthless,
+                      const std::string& near = "") {
+  piece_group group;
+  group.request = request;
+  group.pieces = pieces;
+  group.useful_by = kStart + useful;
+  group.worthless_after = kStart + worthless;
+  group.near = near;
+  return std::make_shared<const piece_group>(group);
+}
+
+batch_terms Terms(unsigned most, const std::string& domain = "a") {
+  batch_terms terms;
+  terms.now = kStart;
+  terms.call_time = milliseconds(200);
+  terms.most = most;
+  terms.domain = domain;
+  terms.room = 1U << 30U;
+  terms.has_endpoint = [](const std::string&) { return true; };
+  return terms;
+}
+
+std::string Requests(const piece_batch& batch) {
+  std::string text;
+  for (const auto& piece : batch.pieces) {
+    text += piece.group->request;
+  }
+  return text;
+}
+
+class piece_queue_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(piece_queue_test);
+  CPPUNIT_TEST(PiecesOfManyRequestsShareACall);
+  CPPUNIT_TEST(ALatePieceNeverDelaysOneThatCanBeInTime);
+  CPPUNIT_TEST(WhatIsWorthlessIsDroppedAndTold);
+  CPPUNIT_TEST(APieceWaitsForItsDomainOnlyWhileItHasTime);
+  CPPUNIT_TEST(PiecesOfTheOwnDomainGoFirst);
+  CPPUNIT_TEST(ADomainWithoutEndpointsIsNotWaitedFor);
+  CPPUNIT_TEST(LargeResultsWaitForRoomAndSmallOnesDoNot);
+  CPPUNIT_TEST(InABurstTheOnesInTimeAreServedAndNoneIsLost);
+  CPPUNIT_TEST_SUITE_END();
+
+  void PiecesOfManyRequestsShareACall() {
+    piece_queue queue;
+    queue.Add(Group("x", 2, milliseconds(900), milliseconds(5000)), kStart);
+    queue.Add(Group("y", 3, milliseconds(500), milliseconds(5000)), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::string("yyyx"), Requests(queue.Take(Terms(4))));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.Pieces());
+  }
+
+  void ALatePieceNeverDelaysOneThatCanBeInTime() {
+    piece_queue queue;
+    queue.Add(Group("l", 2, milliseconds(100), milliseconds(1000)), kStart);
+    queue.Add(Group("i", 2, milliseconds(900), milliseconds(5000)), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::string("iil"), Requests(queue.Take(Terms(3))));
+  }
+
+  void WhatIsWorthlessIsDroppedAndTold() {
+    piece_queue queue;
+    queue.Add(Group("w", 2, milliseconds(0), milliseconds(100)), kStart);
+    const auto batch = queue.Take(Terms(4));
+    CPPUNIT_ASSERT(batch.pieces.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.expired.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.Pieces());
+  }
+
+  void APieceWaitsForItsDomainOnlyWhileItHasTime() {
+    piece_queue queue;
+    queue.Add(Group("n", 1, milliseconds(600), milliseconds(5000), "b"),
+              kStart);
+    auto terms = Terms(4);
+    CPPUNIT_ASSERT(queue.Take(terms).pieces.empty());
+    terms.now = kStart + milliseconds(200);  // A third of its spare time.
+    CPPUNIT_ASSERT_EQUAL(std::string("n"), Requests(queue.Take(terms)));
+  }
+
+  void PiecesOfTheOwnDomainGoFirst() {
+    piece_queue queue;
+    queue.Add(Group("f", 2, milliseconds(400), milliseconds(5000), "b"),
+              kStart - milliseconds(400));
+    queue.Add(Group("o", 2, milliseconds(900), milliseconds(5000), "a"),
+              kStart - milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::string("oof"), Requests(queue.Take(Terms(3))));
+  }
+
+  void ADomainWithoutEndpointsIsNotWaitedFor() {
+    piece_queue queue;
+    queue.Add(Group("n", 1, milliseconds(900), milliseconds(5000), "gone"),
+              kStart);
+    auto terms = Terms(4);
+    terms.has_endpoint = [](const std::string& domain) {
+      return domain != "gone";
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("n"), Requests(queue.Take(terms)));
+  }
+
+  void LargeResultsWaitForRoomAndSmallOnesDoNot() {
+    piece_queue queue;
+    piece_group large = *Group("L", 3, milliseconds(500), milliseconds(5000));
+    large.result_bytes = 3'000'000;
+    queue.Add(std::make_shared<const piece_group>(large), kStart);
+    queue.Add(Group("s", 2, milliseconds(900), milliseconds(5000)), kStart);
+    auto terms = Terms(8);
+    terms.room = 4'000'000;
+    CPPUNIT_ASSERT_EQUAL(std::string("Lss"), Requests(queue.Take(terms)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.Pieces());
+  }
+
+  // The load: 40 requests of 8 pieces come in one second to a service that
+  // makes 40 pieces a call, one call each 250 ms. What is taken first must be
+  // what can be in time; each piece is taken once or told as expired.
+  void InABurstTheOnesInTimeAreServedAndNoneIsLost() {
+    constexpr int kRequests = 40;
+    constexpr unsigned kPieces = 8;
+    piece_queue queue;
+    std::set<std::pair<std::string, unsigned>> taken;
+    std::set<std::string> expired;
+    int added = 0;
+    int late = 0;
+    for (int ms = 0; ms < 6000; ms += 25) {
+      const milliseconds now(ms);
+      if (added < kRequests) {
+        queue.Add(Group(std::to_string(added++), kPieces,
+                        now + milliseconds(700), now + milliseconds(4000)),
+                  kStart + now);
+      }
+      if (ms % 250 != 0) {
+        continue;
+      }
+      auto terms = Terms(40);
+      terms.now = kStart + now;
+      const auto batch = queue.Take(terms);
+      bool late_seen = false;
+      for (const auto& piece : batch.pieces) {
+        const bool is_late =
+            piece.group->useful_by < terms.now + terms.call_time;
+        CPPUNIT_ASSERT(is_late || !late_seen);
+        late_seen = late_seen || is_late;
+        late += is_late ? 1 : 0;
+        CPPUNIT_ASSERT(taken.emplace(piece.group->request, piece.piece).second);
+      }
+      for (const auto& group : batch.expired) {
+        CPPUNIT_ASSERT(expired.insert(group->request).second);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.Pieces());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kRequests * kPieces}, taken.size());
+    CPPUNIT_ASSERT(expired.empty());
+    CPPUNIT_ASSERT(late < static_cast<int>(kRequests * kPieces) / 2);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(piece_queue_test);
+
+}  // namespace
+}  // namespace slatestall
--- a/src/slatestall/relay/message_reader.cc
+++ b/src/slatestall/relay/message_reader.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "slatestall/http/ascii_case.h"
+#include "slatestall/http/header_check.h"
 
 namespace slatestall {
 namespace {
@@ -204,7 +205,7 @@
     for (auto& header : head_.headers) {
       header.value = std::string(Trim(header.value));
     }
-    if (!FramingIsPlain()) {
+    if (!HeadersAreSafe(head_.headers) || !FramingIsPlain()) {
       Fail(read_fault::kMalformed);
       return -1;
     }
--- /dev/null
+++ b/src/slatestall/relay/message_reader_test.cc
@@ -0,0 +1,154 @@
+#include "slatestall/relay/message_reader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace slatestall {
+namespace {
+
+const std::string kGet = "GET /a/b?c=d HTTP/1.1\r\nHost: x\r\n\r\n";
+
+read_fault FaultOf(message_kind kind, const std::string& bytes) {
+  message_reader reader(kind, {});
+  reader.Feed(bytes);
+  return reader.Fault();
+}
+
+/// Feeds one byte at a time, so that no border between reads is missed.
+void Trickle(message_reader& reader, const std::string& bytes) {
+  for (const char c : bytes) {
+    reader.Feed(std::string_view(&c, 1));
+  }
+}
+
+class message_reader_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(message_reader_test);
+  CPPUNIT_TEST(ARequestIsReadWithItsHeadAsItStood);
+  CPPUNIT_TEST(TheNextRequestIsLeftForLater);
+  CPPUNIT_TEST(AChunkedBodyIsJoinedAndItsTrailersAreNoHeaders);
+  CPPUNIT_TEST(FramingThatCanBeReadTwoWaysIsRefused);
+  CPPUNIT_TEST(SizesAreBounded);
+  CPPUNIT_TEST(AnAnswerWithoutLengthEndsWithItsConnection);
+  CPPUNIT_TEST(AnAnswerThatIsCutIsNotComplete);
+  CPPUNIT_TEST(AnAnswerToHeadHasNoBody);
+  CPPUNIT_TEST(WhatIsNoAnswerIsMalformed);
+  CPPUNIT_TEST_SUITE_END();
+
+  void ARequestIsReadWithItsHeadAsItStood() {
+    message_reader reader(message_kind::kRequest, {});
+    Trickle(reader,
+            "POST /p/q?r=1 HTTP/1.1\r\nHost: x\r\nX-Odd:  two words \r\n"
+            "Empty:\r\nContent-Length: 3\r\n\r\nabc");
+    CPPUNIT_ASSERT(reader.Complete());
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), reader.Head().method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/p/q?r=1"), reader.Head().target);
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Odd"), reader.Head().headers[1].name);
+    CPPUNIT_ASSERT_EQUAL(std::string("two words"),
+                         reader.Head().headers[1].value);
+    CPPUNIT_ASSERT_EQUAL(std::string(), reader.Head().headers[2].value);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), reader.TakeBody());
+    CPPUNIT_ASSERT(reader.Head().keep_alive);
+  }
+
+  void TheNextRequestIsLeftForLater() {
+    message_reader reader(message_kind::kRequest, {});
+    const std::string two = kGet + "GET /next HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::size_t taken = reader.Feed(two);
+    CPPUNIT_ASSERT_EQUAL(kGet.size(), taken);
+    reader.Reset();
+    reader.Feed(std::string_view(two).substr(taken));
+    CPPUNIT_ASSERT(reader.Complete());
+    CPPUNIT_ASSERT_EQUAL(std::string("/next"), reader.Head().target);
+  }
+
+  void AChunkedBodyIsJoinedAndItsTrailersAreNoHeaders() {
+    message_reader reader(message_kind::kRequest, {});
+    Trickle(reader,
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n2\r\nde\r\n0\r\nHost: forged\r\n\r\n");
+    CPPUNIT_ASSERT(reader.Complete());
+    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), reader.TakeBody());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader.Head().headers.size());
+  }
+
+  // A caller hides a second request in the first: what this host takes for a
+  // body, or for one header, a later reader takes for a message of its own.
+  // That one would run under whatever key the connection carries.
+  void FramingThatCanBeReadTwoWaysIsRefused() {
+    const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string end = "\r\n\r\n0\r\n\r\n";
+    for (const std::string& fields :
+         {std::string("Content-Length: 5\r\nTransfer-Encoding: chunked"),
+          std::string("Transfer-Encoding: chunked\r\nContent-Length: 5"),
+          std::string("Content-Length: 5\r\nContent-Length: 6"),
+          std::string("Content-Length: 5\r\nContent-Length: 5"),
+          std::string("Transfer-Encoding: chunked\r\n"
+                      "Transfer-Encoding: chunked"),
+          std::string("Transfer-Encoding: identity"),
+          std::string("Transfer-Encoding: xchunked"),
+          std::string("Transfer-Encoding: gzip, chunked"),
+          std::string("Content-Length: +5"), std::string("Content-Length: 5x"),
+          std::string("X: a\nContent-Length: 5"),
+          std::string("X: a\r\n folded: b"), std::string("X : a")}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          fields, static_cast<int>(read_fault::kMalformed),
+          static_cast<int>(
+              FaultOf(message_kind::kRequest, start + fields + end)));
+    }
+  }
+
+  void SizesAreBounded() {
+    message_limits limits;
+    limits.max_head_bytes = 100;
+    limits.max_body_bytes = 10;
+    message_reader head(message_kind::kRequest, limits);
+    head.Feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'a') + "\r\n\r\n");
+    CPPUNIT_ASSERT(head.Fault() == read_fault::kHeadTooLarge);
+    message_reader body(message_kind::kRequest, limits);
+    body.Feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901");
+    CPPUNIT_ASSERT(body.Fault() == read_fault::kBodyTooLarge);
+  }
+
+  void AnAnswerWithoutLengthEndsWithItsConnection() {
+    message_reader reader(message_kind::kAnswer, {});
+    reader.Feed("HTTP/1.1 200 OK\r\nA: b\r\n\r\nall of it");
+    CPPUNIT_ASSERT(!reader.Complete());
+    reader.FeedEnd();
+    CPPUNIT_ASSERT(reader.Complete());
+    CPPUNIT_ASSERT_EQUAL(std::string("all of it"), reader.TakeBody());
+  }
+
+  // The endpoint dies while it writes. Its connection ends in an orderly way
+  // all the same, and what has come so far must not pass for the answer.
+  void AnAnswerThatIsCutIsNotComplete() {
+    for (const std::string& cut :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "4\r\nhalf\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-")}) {
+      message_reader reader(message_kind::kAnswer, {});
+      reader.Feed(cut);
+      reader.FeedEnd();
+      CPPUNIT_ASSERT(!reader.Complete());
+      CPPUNIT_ASSERT(reader.Fault() != read_fault::kNone);
+    }
+  }
+
+  void AnAnswerToHeadHasNoBody() {
+    message_reader reader(message_kind::kAnswer, {});
+    reader.ExpectNoBody();
+    reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    CPPUNIT_ASSERT(reader.Complete());
+  }
+
+  void WhatIsNoAnswerIsMalformed() {
+    CPPUNIT_ASSERT(FaultOf(message_kind::kAnswer, "\x01\x02 nonsense\r\n") ==
+                   read_fault::kMalformed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(message_reader_test);
+
+}  // namespace
+}  // namespace slatestall
