--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -41,7 +41,7 @@
 constexpr double kSlowFactor = 2.0;
 /// How long an endpoint counts as slow without a new observation, so that one
 /// that has recovered is tried again.
-constexpr milliseconds kSlownessLife{2000};
+constexpr milliseconds kSlownessLife{4000};
 /// Results are freed together: a call for each would cost more than the room.
 constexpr milliseconds kFreeInterval{60};
 constexpr milliseconds kFreeTimeout{1000};
