--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -84,7 +84,8 @@
   endpoint_record_ptr record;
   std::vector<waiting_piece> pieces;
   time_point sent{};
-  duration expected{0};
+  duration nominal{0};   ///< What an ordinary endpoint takes.
+  duration expected{0};  ///< What this one is expected to take.
   http_client::call_number number = 0;
   asio::steady_timer overdue;
   bool pieces_released = false;  ///< They wait for another call, too.
@@ -373,9 +374,13 @@
   call->record = record;
   call->pieces = std::move(batch.pieces);
   call->sent = environment_.now();
+  call->nominal = rule.call_time + rule.piece_time * static_cast<duration::rep>(
+                                                         call->pieces.size());
+  // Known to be slow, it is given the time: made again elsewhere, its pieces
+  // would cost the others what it was to take off them.
   call->expected =
-      rule.call_time +
-      rule.piece_time * static_cast<duration::rep>(call->pieces.size());
+      Scale(call->nominal,
+            IsSlow(shards_[shard], *record) ? record->Slowness() : 1.0);
   record->NoteStart();
   ++shards_[shard].calls[record->Info().id];
   environment_.metrics.Count("stage_calls", shard.service);
@@ -488,7 +493,7 @@
     } else if (result.status == kOk) {
       const auto results = environment_.protocol.read_pieces(result.body);
       if (results.size() == call->pieces.size()) {
-        call->record->NoteSlowness(Ratio(now - call->sent, call->expected));
+        call->record->NoteSlowness(Ratio(now - call->sent, call->nominal));
         shards_[call->shard].slowness_at[call->record->Info().id] = now;
         NotePieceTime(*call, now - call->sent);
         environment_.metrics.Observe("stage_call", call->shard.service,
