--- a/include/slatestall/gateway/routing_table.h
+++ b/include/slatestall/gateway/routing_table.h
@@ -104,6 +104,9 @@
 
 using routing_table_ptr = std::shared_ptr<const routing_table>;
 
+/// @brief A request's target without its query.
+std::string_view PathOf(std::string_view target);
+
 /// @brief "HOST:PORT" in any case as a route's `host` is kept.
 std::string RouteHost(std::string_view header);
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,7 @@
         self.status = None
         self.fault = None  # A broken promise that shows by itself.
         self.cut = False   # The connection ended without a whole answer.
+        self.timed_out = False
 
 
 async def read_whole(reader, head, outcome):
@@ -105,6 +106,7 @@
             return await asyncio.wait_for(self.read(reader, outcome), 6)
         except asyncio.TimeoutError:
             outcome.cut = True
+            outcome.timed_out = True
         except (EOFError, OSError, ValueError, asyncio.IncompleteReadError):
             outcome.cut = True
         return False
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -84,7 +84,8 @@
 class Run:
     """One seed."""
 
-    def __init__(self, binary, seed, seconds, folder):
+    def __init__(self, binary, seed, seconds, times, folder):
+        self.times = times
         self.random = random.Random(seed)
         self.seed = seed
         self.seconds = seconds
@@ -294,9 +295,10 @@
             ended = one.ended or time.monotonic()
             calm = not self.near(one.host.disturbed, one.sent, ended)
             # A stream whose engine broke off twice ends cut, too.
-            if one.cut and calm and one.kind in ("once", "safe"):
+            cut = one.cut and (self.times or not one.timed_out)
+            if cut and calm and one.kind in ("once", "safe"):
                 broken.append(f"{name}: no answer from a calm host")
-            if calm and ended - one.sent > 4.6:
+            if self.times and calm and ended - one.sent > 4.6:
                 broken.append(f"{name}: held {ended - one.sent:.1f} s")
         for endpoint in self.endpoints:
             for late in endpoint.late_arrivals or []:
@@ -304,22 +306,23 @@
                 calm = not self.near(self.store_troubles, endpoint.left_at, at)
                 disturbed = any(self.near(h.disturbed, endpoint.left_at, at)
                                 for h in self.hosts)
-                if late > LEAVE_LIMIT + 0.3 and calm and not disturbed:
+                if (self.times and late > LEAVE_LIMIT + 0.3 and calm and
+                        not disturbed):
                     broken.append(f"{endpoint.identity} got work {late:.1f} s "
                                   "after it began to leave")
         for host in self.hosts:
             for code in host.ends:
                 broken.append(f"{host.name} ended by itself with {code}")
         served = sum(1 for o in self.outcomes if o.status == 200 and not o.cut)
-        if served * 2 < len(self.outcomes):
+        if self.times and served * 2 < len(self.outcomes):
             broken.append(f"served only {served} of {len(self.outcomes)}")
         self.served = served
         return broken
 
 
-def play_seed(binary, seed, seconds):
+def play_seed(binary, seed, seconds, times):
     with tempfile.TemporaryDirectory(prefix="slatestall-soak-") as folder:
-        run = Run(binary, seed, seconds, folder)
+        run = Run(binary, seed, seconds, times, folder)
         broken = asyncio.run(run.play())
         print(f"seed {seed}: {run.served} of {len(run.outcomes)} served, "
               f"{len(broken)} broken", flush=True)
@@ -341,10 +344,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--no-times", action="store_true",
+                        help="leave out what a busy machine can break")
     options = parser.parse_args()
     good = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        good += play_seed(options.binary, seed, options.seconds)
+        good += play_seed(options.binary, seed, options.seconds,
+                          not options.no_times)
     print(f"soak: {good} of {options.seeds} seeds kept every promise")
     return 0 if good == options.seeds else 1
 
--- /dev/null
+++ b/src/slatestall/gateway/request_admission.cc
@@ -0,0 +1,195 @@
+// What is decided of a request before anything is spent on it.
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "slatestall/gateway/request_run.h"
+#include "slatestall/model/ids.h"
+
+namespace slatestall {
+namespace {
+
+/// Prefill and first token where nothing better is known. Engines read some 40
+/// tokens of a prompt in a millisecond.
+constexpr double kTokensPerMillisecond = 40.0;
+constexpr milliseconds kFirstTokenTime{60};
+/// Callers come back at most this part of their time left after a refusal.
+constexpr int kReturnPart = 3;
+constexpr milliseconds kShortestReturn{100};
+constexpr std::int64_t kSpreadSteps = 64;
+/// Less missing from the usual patience of a route's callers is chance.
+constexpr milliseconds kReturnSlack{100};
+
+/// The service that takes a request, by weight and the request's id.
+std::string ServiceOf(const route& found, const std::string& id) {
+  std::uint64_t total = 0;
+  for (const auto& part : found.services) {
+    total += part.weight;
+  }
+  if (total == 0) {
+    return {};
+  }
+  std::uint64_t draw = StableHash(id) % total;
+  for (const auto& part : found.services) {
+    if (draw < part.weight) {
+      return part.service;
+    }
+    draw -= part.weight;
+  }
+  return found.services.back().service;
+}
+
+}  // namespace
+
+std::optional<request_run::refusal> request_run::Admit() {
+  table_ = environment_.table;
+  if (!table_) {
+    return refusal{error_kind::kNoConfiguration, "no configuration yet",
+                   milliseconds(300)};
+  }
+  try {
+    facts_ = environment_.protocol.read_request(request_.head);
+  } catch (const request_error& problem) {
+    return refusal{problem.Kind(), problem.what()};
+  }
+  if (auto refused = FindRoute()) {
+    return refused;
+  }
+  if (auto refused = FindWorkspace()) {
+    return refused;
+  }
+  last_event_ = facts_.last_event;
+  return CheckTime();
+}
+
+std::optional<request_run::refusal> request_run::FindRoute() {
+  const auto host = RouteHost(FindHeader(request_.head.headers, "Host"));
+  route_ = table_->Find(host, PathOf(request_.head.target));
+  if (route_ == nullptr) {
+    return refusal{error_kind::kNotFound, "no route for this host and path"};
+  }
+  service_ = ServiceOf(*route_, facts_.id);
+  graph_.emplace(route_->stages, facts_.pieces);
+  return std::nullopt;
+}
+
+std::optional<request_run::refusal> request_run::FindWorkspace() {
+  rank_ = route_->rank;
+  if (!table_->needs_keys) {
+    return std::nullopt;
+  }
+  const auto* holder = table_->HolderOf(facts_.key);
+  if (holder == nullptr) {
+    if (route_->is_public) {
+      return std::nullopt;
+    }
+    return refusal{error_kind::kUnauthorized, "unknown workspace key"};
+  }
+  workspace_ = holder->name;
+  rank_ = holder->rank.value_or(rank_);
+  return std::nullopt;
+}
+
+/// A request that cannot make its deadline is refused before anything is spent
+/// on it: refused late, it would have kept others waiting for nothing.
+std::optional<request_run::refusal> request_run::CheckTime() {
+  milliseconds limit = route_->timeout;
+  if (facts_.patience) {
+    limit = std::min(limit, *facts_.patience);
+  }
+  deadline_ = request_.arrived + limit;
+  objective_ = request_.arrived + route_->objective - Elapsed(limit);
+  const duration path = PathTime();
+  if (environment_.now() + path > deadline_) {
+    return refusal{error_kind::kDeadlineUnreachable,
+                   "the way to an answer takes " +
+                       std::to_string(WholeMilliseconds(path).count()) +
+                       " ms now, " + std::to_string(limit.count()) +
+                       " ms are left",
+                   ReturnTime()};
+  }
+  return std::nullopt;
+}
+
+duration request_run::FirstEventTime() const {
+  return kFirstTokenTime +
+         std::chrono::duration_cast<duration>(
+             std::chrono::duration<double, std::milli>(facts_.prompt_tokens /
+                                                       kTokensPerMillisecond));
+}
+
+/// Callers measure from their first attempt. One that comes back after a
+/// refusal says so only by the time that it has left.
+duration request_run::Elapsed(milliseconds limit) const {
+  auto& longest = environment_.patience[route_->name];
+  longest = std::max(longest, limit);
+  const auto elapsed = longest - limit;
+  return elapsed > kReturnSlack ? elapsed : milliseconds(0);
+}
+
+duration request_run::StageTime(std::size_t stage) const {
+  return graph_->Pieces(stage) == 0
+             ? duration(0)
+             : stages_.usual_time(route_->stages[stage].service);
+}
+
+/// From the end of a stage to the first event.
+duration request_run::TimeAfter(std::size_t stage) const {
+  duration longest = FirstEventTime();
+  for (std::size_t i = stage + 1; i < graph_->Size(); ++i) {
+    const auto& after = graph_->After(i);
+    if (std::find(after.begin(), after.end(), stage) != after.end() &&
+        graph_->Pieces(i) > 0) {
+      longest = std::max(longest, StageTime(i) + TimeAfter(i));
+    }
+  }
+  return longest;
+}
+
+/// From now until a stage can begin.
+duration request_run::TimeBefore(std::size_t stage) const {
+  duration longest(0);
+  for (const auto earlier : graph_->After(stage)) {
+    longest = std::max(longest, TimeBefore(earlier) + StageTime(earlier));
+  }
+  return longest;
+}
+
+duration request_run::PathTime() const {
+  if (!route_->IsStream()) {
+    return duration(0);
+  }
+  duration longest = FirstEventTime();
+  for (std::size_t i = 0; i < graph_->Size(); ++i) {
+    if (graph_->Pieces(i) > 0) {
+      longest = std::max(longest, StageTime(i) + TimeAfter(i));
+    }
+  }
+  return longest;
+}
+
+milliseconds request_run::TimeLeft() const {
+  return std::max(milliseconds(0),
+                  WholeMilliseconds(deadline_ - environment_.now()));
+}
+
+/// Returns are spread over the allowed time, so that those refused in one
+/// burst do not make the next.
+milliseconds request_run::ReturnTime(milliseconds earliest) const {
+  const auto most = TimeLeft() / kReturnPart;
+  if (most <= std::max(earliest, kShortestReturn)) {
+    return most;
+  }
+  if (earliest > milliseconds(0)) {
+    const auto draw =
+        static_cast<std::int64_t>(StableHash(facts_.id) % kSpreadSteps);
+    return earliest + (most - earliest) * draw / kSpreadSteps / 2;
+  }
+  const auto spread =
+      StableHash(facts_.id) %
+      static_cast<std::uint64_t>((most - kShortestReturn).count() + 1);
+  return kShortestReturn + milliseconds(spread);
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -0,0 +1,365 @@
+// The calls of a request to endpoints, and what follows from how they end.
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "slatestall/dispatch/endpoint_pick.h"
+#include "slatestall/gateway/request_run.h"
+#include "slatestall/model/ids.h"
+#include "slatestall/relay/message_text.h"
+
+namespace slatestall {
+namespace {
+
+constexpr milliseconds kConnectTimeout{350};
+constexpr milliseconds kEndpointSilence{1200};
+constexpr std::size_t kMaxEventBytes = std::size_t{256} << 10U;
+/// Connections refused or addresses reused: nothing was run, and each try
+/// costs a round trip.
+constexpr unsigned kMaxMoves = 4;
+/// A whole answer that takes as many times its objective is asked for again
+/// elsewhere, where that may be done.
+constexpr double kWholeStallFactor = 1.3;
+constexpr milliseconds kShortestWholeStall{250};
+/// First events come after queueing and prefill; later ones steadily.
+constexpr double kFirstEventStallFactor = 2.0;
+constexpr milliseconds kShortestFirstEventStall{1800};
+constexpr int kPauseStallFactor = 3;
+constexpr milliseconds kShortestPauseStall{1000};
+constexpr int kFirstFailure = 400;
+constexpr int kFirstServerFailure = 500;
+
+}  // namespace
+
+/// A configuration that came while the request waited may have taken its key
+/// or its route away; nothing may be sent for it then.
+std::optional<request_run::refusal> request_run::StillAllowed() const {
+  const auto& newest = environment_.table;
+  if (newest == table_) {
+    return std::nullopt;
+  }
+  const auto host = RouteHost(FindHeader(request_.head.headers, "Host"));
+  const auto* found = newest->Find(host, PathOf(request_.head.target));
+  if (found == nullptr) {
+    return refusal{error_kind::kNotFound, "the route was removed"};
+  }
+  if (newest->needs_keys && !found->is_public &&
+      newest->HolderOf(facts_.key) == nullptr) {
+    return refusal{error_kind::kUnauthorized, "the workspace key was revoked"};
+  }
+  return std::nullopt;
+}
+
+std::uint64_t request_run::SharedPrompt() const {
+  if (facts_.prompt.size() < 2) {
+    return 0;
+  }
+  return StableHash(facts_.prompt[facts_.prompt.size() - 2].id) | 1U;
+}
+
+void request_run::Dispatch() {
+  if (sends_ == 0) {
+    if (const auto refused = StillAllowed()) {
+      Refuse(*refused);
+      return;
+    }
+  }
+  pick_request pick;
+  pick.now = environment_.now();
+  pick.shared_prompt = SharedPrompt();
+  pick.tried = tried_;
+  if (FinalBytes() >= kManyBytes) {
+    pick.near = DomainOf(graph_->FinalInputs());
+  }
+  const auto record = PickEndpoint(environment_.roster.Of(service_), pick);
+  if (!record) {
+    GiveUp(attempt_failure::kNotRun, "no endpoint of the service is left");
+    return;
+  }
+  Send(record);
+}
+
+void request_run::Send(const endpoint_record_ptr& record) {
+  record_ = record;
+  dispatch_.request = facts_.id;
+  dispatch_.incarnation = record->Info().id;
+  dispatch_.workspace = workspace_;
+  dispatch_.time_left = TimeLeft();
+  dispatch_.inputs = graph_->FinalInputs();
+  dispatch_.resume_after = last_event_;
+  dispatch_.rank = rank_;
+  auto headers =
+      environment_.protocol.write_headers(request_.head.headers, dispatch_);
+  if (!request_.body.empty() || request_.head.method == "POST" ||
+      request_.head.method == "PUT" || request_.head.method == "PATCH") {
+    headers.push_back({"Content-Length", std::to_string(request_.body.size())});
+  }
+  endpoint_call_options options;
+  options.to = record->Info().address;
+  options.request =
+      RequestHeadText(request_.head.method, request_.head.target, headers) +
+      request_.body;
+  options.is_head = request_.head.method == "HEAD";
+  options.connect_timeout = kConnectTimeout;
+  options.silence_timeout = kEndpointSilence;
+
+  sent_ = environment_.now();
+  answer_ = {};
+  answer_body_.clear();
+  events_.reset();
+  record->NoteStart();
+  endpoint_call_hooks hooks;
+  hooks.on_head = [self = shared_from_this()](message_head& head) {
+    self->OnHead(head);
+  };
+  hooks.on_body = [self = shared_from_this()](const std::string& bytes) {
+    self->OnBody(bytes);
+  };
+  hooks.on_end = [self = shared_from_this()](call_outcome outcome) {
+    self->OnEnd(outcome);
+  };
+  call_ = std::make_shared<endpoint_call>(environment_.context,
+                                          std::move(options), std::move(hooks));
+  if (route_->MayRepeat()) {
+    ArmStallTimer(
+        route_->IsStream()
+            ? std::max<duration>(
+                  kShortestFirstEventStall,
+                  Scaled(route_->objective, kFirstEventStallFactor))
+            : std::max<duration>(kShortestWholeStall,
+                                 Scaled(route_->objective, kWholeStallFactor)));
+  }
+  call_->Start();
+}
+
+void request_run::ArmStallTimer(duration limit) {
+  stall_timer_.expires_after(limit);
+  stall_timer_.async_wait(
+      [self = shared_from_this()](const asio::error_code& error) {
+        if (error || self->finished_ || !self->call_) {
+          return;
+        }
+        const bool again = self->MaySendAgain(attempt_failure::kUnknown) &&
+                           self->TimeLeft() > self->route_->objective / 2;
+        if (again) {
+          self->EndAttempt(call_lesson::kFailed);
+          self->FailAttempt(attempt_failure::kUnknown, "stalled");
+        }
+      });
+}
+
+bool request_run::IsSuccess() const {
+  return answer_.status < kFirstFailure && answer_.status > 0;
+}
+
+void request_run::OnHead(message_head& head) {
+  const auto facts =
+      environment_.protocol.read_answer(head, dispatch_, environment_.now());
+  if (facts.load) {
+    record_->NoteLoad(*facts.load);
+  }
+  if (!facts.is_to_this_request) {
+    EndAttempt(call_lesson::kFailed);
+    FailAttempt(attempt_failure::kUnknown, "an answer to another request");
+    return;
+  }
+  if (facts.not_run) {
+    if (facts.other_incarnation) {
+      record_->MarkGone();
+    }
+    const auto status = std::to_string(head.status);
+    EndAttempt(call_lesson::kRefused);
+    FailAttempt(facts.other_incarnation ? attempt_failure::kMoved
+                : facts.inputs_gone     ? attempt_failure::kNoInputs
+                                        : attempt_failure::kNotRun,
+                "refused by the endpoint with " + status);
+    return;
+  }
+  answer_ = head;
+  if (IsSuccess() && (!facts.proven || facts.encoded)) {
+    EndAttempt(call_lesson::kFailed);
+    FailAttempt(attempt_failure::kUnknown, "a success without its proof");
+    return;
+  }
+  if (IsSuccess() && route_->IsStream()) {
+    events_.emplace(kMaxEventBytes);
+  }
+}
+
+void request_run::OnBody(const std::string& bytes) {
+  if (!events_) {
+    answer_body_ += bytes;
+    return;
+  }
+  const auto events = events_->Feed(bytes);
+  if (events_->Overflowed()) {
+    EndAttempt(call_lesson::kFailed);
+    FailAttempt(attempt_failure::kUnknown, "an event past all bounds");
+  } else if (!events.empty()) {
+    OnEvents(events);
+  }
+}
+
+void request_run::OnEvents(const std::vector<whole_event>& events) {
+  BeginStream();
+  std::string text;
+  for (const auto& event : events) {
+    // A resumed run may begin before what the caller has already seen.
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+      continue;
+    }
+    if (event.id) {
+      last_event_ = event.id;
+    }
+    text += event.text;
+  }
+  if (finished_) {
+    return;  // The caller left while its head was written.
+  }
+  const time_point now = environment_.now();
+  late_pause_ = late_pause_ || (last_event_at_ != time_point{} &&
+                                route_->longest_pause > milliseconds(0) &&
+                                now - last_event_at_ > route_->longest_pause);
+  last_event_at_ = now;
+  if (!text.empty()) {
+    channel_->Write(std::move(text));
+  }
+  if (!finished_ && route_->MayRepeat()) {
+    ArmStallTimer(std::max<duration>(
+        kShortestPauseStall, route_->longest_pause * kPauseStallFactor));
+  }
+}
+
+/// The head goes out with the first event, so that an endpoint that dies
+/// before it can still be replaced without a trace.
+void request_run::BeginStream() {
+  if (stream_begun_) {
+    return;
+  }
+  stream_begun_ = true;
+  record_->NoteSlowness(
+      static_cast<double>((environment_.now() - sent_).count()) /
+      static_cast<double>(FirstEventTime().count()));
+  environment_.metrics.Observe("first_event", route_->name,
+                               environment_.now() - request_.arrived);
+  channel_->Start(answer_.status,
+                  environment_.protocol.answer_headers(answer_.headers));
+  // The endpoint reads its inputs before it makes the first event.
+  FreeResults();
+}
+
+void request_run::OnEnd(call_outcome outcome) {
+  const bool whole = outcome == call_outcome::kComplete &&
+                     !(events_ && events_->InsideEvent());
+  if (!whole) {
+    const bool unsent = outcome == call_outcome::kNotConnected;
+    EndAttempt(unsent ? call_lesson::kUnreachable : call_lesson::kFailed);
+    FailAttempt(unsent ? attempt_failure::kNotSent : attempt_failure::kUnknown,
+                unsent ? "not connected" : "broken off");
+    return;
+  }
+  if (answer_.status >= kFirstServerFailure) {
+    EndAttempt(call_lesson::kFailed);
+    FailAttempt(attempt_failure::kOwnError,
+                "failed with " + std::to_string(answer_.status));
+    return;
+  }
+  EndAttempt(call_lesson::kAnswered);
+  if (events_) {
+    BeginStream();
+    if (!finished_) {
+      channel_->Finish();
+      Finish("streamed");
+    }
+    return;
+  }
+  record_->NoteSlowness(
+      static_cast<double>((environment_.now() - sent_).count()) /
+      static_cast<double>(
+          std::max<duration>(route_->objective, milliseconds(1)).count()));
+  DeliverWhole();
+}
+
+void request_run::EndAttempt(call_lesson lesson) {
+  stall_timer_.cancel();
+  if (call_) {
+    may_have_run_ = may_have_run_ ||
+                    (call_->MayHaveLeft() && lesson != call_lesson::kRefused);
+    call_->Cancel();
+    call_ = nullptr;
+    record_->NoteEnd(lesson, environment_.now());
+  }
+}
+
+bool request_run::MaySendAgain(attempt_failure failure) const {
+  const bool unharmed = failure == attempt_failure::kNotSent ||
+                        failure == attempt_failure::kMoved;
+  if (unharmed) {
+    return moves_ < kMaxMoves && (!may_have_run_ || route_->MayRepeat());
+  }
+  if (may_have_run_ || failure == attempt_failure::kUnknown ||
+      failure == attempt_failure::kOwnError) {
+    return route_->MayRepeat() && sends_ + 1 < route_->attempts;
+  }
+  return sends_ + 1 < route_->attempts;
+}
+
+void request_run::FailAttempt(attempt_failure failure,
+                              const std::string& detail) {
+  environment_.log.Write(
+      "attempt_failed",
+      {{"request", facts_.id},
+       {"endpoint", dispatch_.incarnation},
+       {"detail", detail},
+       {"attempt", sends_ + moves_},
+       {"may_have_run", may_have_run_},
+       {"after_ms", WholeMilliseconds(environment_.now() - sent_).count()},
+       {"left_ms", TimeLeft().count()}});
+  environment_.metrics.Count("attempts_failed", service_);
+  const bool again = MaySendAgain(failure);
+  if (failure == attempt_failure::kNoInputs) {
+    if (stage_restarts_ < kMaxStageRestarts) {
+      RestartStages();
+      return;
+    }
+    GiveUp(failure, detail);
+    return;
+  }
+  // A connection that was never made is no call that the endpoint got.
+  const bool counts = failure != attempt_failure::kNotSent;
+  if (!again ||
+      (counts && !environment_.repeats.Take(service_, environment_.now()))) {
+    GiveUp(failure, detail);
+    return;
+  }
+  tried_.push_back(dispatch_.incarnation);
+  if (failure == attempt_failure::kNotSent ||
+      failure == attempt_failure::kMoved) {
+    ++moves_;
+  } else {
+    ++sends_;
+  }
+  // Results are given up with the first event; an endpoint that takes over
+  // needs them made again.
+  Advance();
+}
+
+void request_run::GiveUp(attempt_failure failure, const std::string& detail) {
+  if (stream_begun_) {
+    Abort(detail);
+    return;
+  }
+  if (failure == attempt_failure::kOwnError) {
+    DeliverWhole();
+    return;
+  }
+  // Pieces may be made any number of times: they are no run of the request.
+  if (may_have_run_) {
+    Refuse({error_kind::kStageFailed, detail});
+  } else {
+    Refuse({error_kind::kNoEndpoint, detail, ReturnTime()});
+  }
+}
+
+}  // namespace slatestall
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -28,6 +28,13 @@
   void Start();
 
  private:
+  /// Bytes of results that are worth a place near them: between failure
+  /// domains, a quarter of a megabyte costs four times as much as one more
+  /// connection to an endpoint.
+  static constexpr std::uint64_t kManyBytes = std::uint64_t{256} << 10U;
+  /// How often all stages are run anew because their results were lost.
+  static constexpr unsigned kMaxStageRestarts = 1;
+
   /// How an attempt failed, as far as it decides what comes next.
   enum class attempt_failure {
     kNotSent,   ///< No connection: the endpoint has seen nothing.
--- a/src/slatestall/gateway/routing_table.cc
+++ b/src/slatestall/gateway/routing_table.cc
@@ -17,6 +17,10 @@
 
 }  // namespace
 
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
 std::string RouteHost(std::string_view header) {
   const auto colon = header.rfind(':');
   const bool has_port = colon != std::string_view::npos &&
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -43,6 +43,10 @@
   void Refresh();
 
  private:
+  /// Slower than this against expectation, an endpoint is used only when the
+  /// others cannot take what waits.
+  static constexpr double kSlowFactor = 2.0;
+
   struct group_state;
   struct call_state;
   struct shard_state;
--- /dev/null
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -0,0 +1,374 @@
+// Calls to endpoints, what comes of them, and results that are given up.
+#include <algorithm>
+#include <asio/post.hpp>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "slatestall/gateway/stage_home.h"
+#include "slatestall/gateway/stage_home_state.h"
+#include "slatestall/model/ids.h"
+
+namespace slatestall {
+namespace {
+
+/// How often a piece is tried. A piece that failed at three endpoints fails
+/// for a reason of its own.
+constexpr unsigned kMaxTries = 4;
+/// An overdue call's pieces are made elsewhere as well. Calls of one kind
+/// differ by some tenths; twice the expected time and a bit is not chance.
+constexpr double kOverdueFactor = 2.0;
+constexpr milliseconds kOverdueSlack{150};
+/// A call is given up after as many times its expected time: slow endpoints
+/// work four to five times as long.
+constexpr double kGiveUpFactor = 6.0;
+constexpr milliseconds kShortestGiveUp{1500};
+constexpr milliseconds kConnectTimeout{300};
+/// An endpoint without room or with a full queue is left alone this long:
+/// results are fetched, and calls end, several times a second.
+constexpr milliseconds kFullPause{60};
+/// The told time of a piece differs by stage, as a rule downwards.
+constexpr double kLeastPart = 0.1;
+constexpr double kMostPart = 1.5;
+/// Results are freed together: a call for each would cost more than the room.
+constexpr milliseconds kFreeInterval{60};
+constexpr milliseconds kFreeTimeout{1000};
+constexpr std::size_t kMaxHandlesPerFree = 400;
+constexpr int kOk = 200;
+
+double Ratio(duration a, duration b) {
+  return static_cast<double>(a.count()) /
+         std::max(1.0, static_cast<double>(b.count()));
+}
+
+std::string UrlOf(const endpoint_record& record, const std::string& path) {
+  return "http://" + AddressText(record.Info()) + path;
+}
+
+}  // namespace
+
+void stage_home::SendBatch(const stage_shard& shard, const batch_rule& rule,
+                           const endpoint_record_ptr& record,
+                           piece_batch batch) {
+  const auto call = std::make_shared<call_state>(environment_.context);
+  call->shard = shard;
+  call->record = record;
+  call->pieces = std::move(batch.pieces);
+  call->sent = environment_.now();
+  call->nominal = rule.call_time + rule.piece_time * static_cast<duration::rep>(
+                                                         call->pieces.size());
+  // Known to be slow, it is given the time: made again elsewhere, its pieces
+  // would cost the others what it was to take off them.
+  call->expected =
+      Scaled(call->nominal,
+             IsSlow(shards_[shard], *record) ? record->Slowness() : 1.0);
+  record->NoteStart();
+  ++shards_[shard].calls[record->Info().id];
+  environment_.metrics.Count("stage_calls", shard.service);
+  environment_.metrics.Count("stage_pieces", shard.service,
+                             call->pieces.size());
+  for (const auto& piece : call->pieces) {
+    ++groups_.at(piece.group.get())->tries[piece.piece];
+  }
+
+  http_call request;
+  request.method = "POST";
+  request.url = UrlOf(*record, environment_.protocol.stage_path);
+  request.headers = environment_.protocol.stage_headers(record->Info().id);
+  request.body = environment_.protocol.write_pieces(call->pieces, call->sent);
+  request.connect_timeout = kConnectTimeout;
+  request.timeout =
+      std::max(kShortestGiveUp,
+               WholeMilliseconds(Scaled(call->expected, kGiveUpFactor)));
+  // A kept connection can bring a late answer to an earlier call: its results
+  // would be handed to other requests.
+  request.at_most_once = true;
+  call->number = client_.Start(std::move(request),
+                               [this, call, alive = std::weak_ptr<int>(alive_)](
+                                   const http_result& result) {
+                                 if (!alive.expired()) {
+                                   OnCallEnd(call, result);
+                                 }
+                               });
+  WatchCall(call, Scaled(call->expected, kOverdueFactor) + kOverdueSlack);
+}
+
+void stage_home::WatchCall(const call_state_ptr& call, duration expected) {
+  call->overdue.expires_after(expected);
+  call->overdue.async_wait([this, call, alive = std::weak_ptr<int>(alive_)](
+                               const asio::error_code& error) {
+    if (!error && !alive.expired()) {
+      OnOverdue(call);
+    }
+  });
+}
+
+/// A stalled or very slow endpoint holds a whole batch. Its pieces are made
+/// again elsewhere, which the protocol allows, within the limit on repeats;
+/// whichever result comes first is used, the other is freed.
+void stage_home::OnOverdue(const call_state_ptr& call) {
+  call->record->NoteSlowness(kOverdueFactor * kSlowFactor);
+  shards_[call->shard].slowness_at[call->record->Info().id] =
+      environment_.now();
+  if (!environment_.repeats.Take(call->shard.service, environment_.now())) {
+    return;
+  }
+  environment_.log.Write(
+      "stage_call_overdue",
+      {{"endpoint", call->record->Info().id},
+       {"service", call->shard.service},
+       {"pieces", call->pieces.size()},
+       {"expected_ms", WholeMilliseconds(call->expected).count()}});
+  environment_.metrics.Count("stage_calls_overdue", call->shard.service);
+  call->pieces_released = true;
+  for (const auto& piece : call->pieces) {
+    const auto found = groups_.find(piece.group.get());
+    if (found != groups_.end() && found->second->handles[piece.piece].empty()) {
+      TryAgain(call->shard, piece);
+    }
+  }
+  PumpSoon(call->shard, duration(0));
+}
+
+void stage_home::OnCallEnd(const call_state_ptr& call,
+                           const http_result& result) {
+  call->overdue.cancel();
+  auto& state = shards_[call->shard];
+  const auto calls = state.calls.find(call->record->Info().id);
+  if (calls != state.calls.end() && --calls->second == 0) {
+    state.calls.erase(calls);
+  }
+  const call_lesson lesson = TakeAnswer(call, result);
+  call->record->NoteEnd(lesson, environment_.now());
+  if (lesson != call_lesson::kAnswered) {
+    environment_.log.Write(
+        "stage_call_failed",
+        {{"endpoint", call->record->Info().id},
+         {"service", call->shard.service},
+         {"pieces", call->pieces.size()},
+         {"status", result.status},
+         {"detail", result.detail},
+         {"ms", WholeMilliseconds(environment_.now() - call->sent).count()}});
+    environment_.metrics.Count("stage_calls_failed", call->shard.service);
+  }
+  PumpSoon(call->shard, duration(0));
+}
+
+call_lesson stage_home::TakeAnswer(const call_state_ptr& call,
+                                   const http_result& result) {
+  const time_point now = environment_.now();
+  call_lesson lesson = call_lesson::kFailed;
+  if (result.end == call_end::kConnectFailed) {
+    lesson = call_lesson::kUnreachable;
+  } else if (result.end == call_end::kComplete) {
+    const auto facts = environment_.protocol.read_stage_answer(
+        result.status, result.headers, now);
+    if (facts.load) {
+      call->record->NoteLoad(*facts.load);
+    }
+    if (facts.other_incarnation) {
+      call->record->MarkGone();
+      lesson = call_lesson::kRefused;
+    } else if (facts.not_run) {
+      shards_[call->shard].paused[call->record->Info().id] = now + kFullPause;
+      lesson = call_lesson::kRefused;
+    } else if (result.status == kOk) {
+      const auto results = environment_.protocol.read_pieces(result.body);
+      if (results.size() == call->pieces.size()) {
+        call->record->NoteSlowness(Ratio(now - call->sent, call->nominal));
+        shards_[call->shard].slowness_at[call->record->Info().id] = now;
+        NotePieceTime(*call, now - call->sent);
+        environment_.metrics.Observe("stage_call", call->shard.service,
+                                     now - call->sent);
+        TakeResults(call, results);
+        return call_lesson::kAnswered;
+      }
+    }
+  }
+  if (!call->pieces_released) {
+    for (const auto& piece : call->pieces) {
+      TryAgain(call->shard, piece);
+    }
+  }
+  return lesson;
+}
+
+void stage_home::NotePieceTime(const call_state& call, duration taken) {
+  const batch_rule* rule = Rule(call.shard.service);
+  auto& state = shards_[call.shard];
+  if (rule == nullptr || IsSlow(state, *call.record)) {
+    return;
+  }
+  const double seconds =
+      std::chrono::duration<double>(taken - rule->call_time).count() /
+      static_cast<double>(call.pieces.size());
+  const double told = std::chrono::duration<double>(rule->piece_time).count();
+  state.piece_time.Add(
+      std::clamp(seconds, told * kLeastPart, told * kMostPart));
+}
+
+void stage_home::TakeResults(const call_state_ptr& call,
+                             const std::vector<piece_result>& results) {
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    TakeResult(call, call->pieces[i], results[i]);
+  }
+}
+
+void stage_home::TakeResult(const call_state_ptr& call,
+                            const waiting_piece& piece,
+                            const piece_result& result) {
+  const auto found = groups_.find(piece.group.get());
+  const bool wanted =
+      found != groups_.end() && found->second->handles[piece.piece].empty();
+  if (result.end == piece_end::kMade) {
+    const batch_rule* rule = Rule(call->shard.service);
+    room_.NoteMade(call->record->Info().id, result.handle,
+                   piece.group->result_bytes, environment_.now(),
+                   rule == nullptr ? duration(0) : rule->keep_time);
+    if (!wanted) {
+      Free({result.handle});
+      return;
+    }
+    const auto state = found->second;
+    state->handles[piece.piece] = result.handle;
+    if (--state->missing == 0) {
+      auto handles = std::move(state->handles);
+      state->handles.clear();
+      Conclude(state, {stage_end::kMade, std::move(handles)});
+    }
+    return;
+  }
+  if (!wanted) {
+    return;
+  }
+  environment_.metrics.Count("stage_pieces_not_made", call->shard.service);
+  switch (result.end) {
+    case piece_end::kTooLate:
+      Fail(piece.group.get(), stage_end::kTooLate);
+      break;
+    case piece_end::kInputsGone:
+      Fail(piece.group.get(), stage_end::kInputsGone);
+      break;
+    case piece_end::kNoRoom:
+      shards_[call->shard].paused[call->record->Info().id] =
+          environment_.now() + kFullPause;
+      // Want of room says nothing of the piece, and ends with time.
+      --found->second->tries[piece.piece];
+      TryAgain(call->shard, piece);
+      break;
+    case piece_end::kMade:
+    case piece_end::kFailed:
+      if (!call->pieces_released) {
+        TryAgain(call->shard, piece);
+      }
+      break;
+  }
+}
+
+void stage_home::TryAgain(const stage_shard& shard,
+                          const waiting_piece& piece) {
+  const auto found = groups_.find(piece.group.get());
+  if (found == groups_.end()) {
+    return;
+  }
+  if (found->second->tries[piece.piece] >= kMaxTries) {
+    Fail(piece.group.get(), stage_end::kFailed);
+    return;
+  }
+  shards_[shard].queue.AddAgain(piece);
+}
+
+void stage_home::Fail(const piece_group* group, stage_end end) {
+  const auto found = groups_.find(group);
+  if (found != groups_.end()) {
+    Conclude(found->second, {end, {}});
+  }
+}
+
+void stage_home::Conclude(const group_state_ptr& ended, stage_outcome outcome) {
+  // `ended` may be the very entry that is erased here.
+  const group_state_ptr state = ended;  // NOLINT(performance-*)
+  shards_[state->shard].queue.Remove(state->group.get());
+  numbers_.erase(state->number);
+  groups_.erase(state->group.get());
+  std::vector<std::string> unused;
+  for (auto& handle : state->handles) {
+    if (!handle.empty()) {
+      unused.push_back(std::move(handle));
+    }
+  }
+  Free(std::move(unused));
+  if (state->done) {
+    asio::post(environment_.context,
+               [done = std::move(state->done), outcome = std::move(outcome)] {
+                 done(outcome);
+               });
+  }
+}
+
+void stage_home::Free(std::vector<std::string> handles) {
+  for (auto& handle : handles) {
+    auto keeper = environment_.protocol.keeper_of(handle);
+    if (!keeper.empty()) {
+      frees_[std::move(keeper)].push_back(std::move(handle));
+    }
+  }
+  if (frees_.empty() || free_planned_) {
+    return;
+  }
+  free_planned_ = true;
+  free_timer_.expires_after(kFreeInterval);
+  free_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
+                             const asio::error_code& error) {
+    if (!error && !alive.expired()) {
+      free_planned_ = false;
+      FlushFrees();
+    }
+  });
+}
+
+void stage_home::FlushFrees() {
+  auto frees = std::exchange(frees_, {});
+  for (auto& [keeper, handles] : frees) {
+    const auto record = environment_.roster.FindAt(keeper);
+    // A leaving endpoint takes its results with it; one whose address has gone
+    // to another incarnation never held them.
+    if (!record || Rule(record->Info().service) == nullptr) {
+      continue;
+    }
+    handles.resize(std::min(handles.size(), kMaxHandlesPerFree));
+    http_call call;
+    call.method = "POST";
+    call.url = UrlOf(*record, environment_.protocol.free_path);
+    call.headers = environment_.protocol.stage_headers(record->Info().id);
+    call.body = environment_.protocol.write_free(handles);
+    call.connect_timeout = kConnectTimeout;
+    call.timeout = kFreeTimeout;
+    client_.Start(
+        std::move(call),
+        [this, service = record->Info().service, handles = std::move(handles),
+         alive = std::weak_ptr<int>(alive_)](const http_result& result) {
+          if (alive.expired()) {
+            return;
+          }
+          // Results that are not freed expire by themselves.
+          if (result.status != kOk) {
+            environment_.metrics.Count("stage_frees_failed", service);
+            return;
+          }
+          for (const auto& handle : handles) {
+            room_.NoteFreed(handle);
+          }
+        });
+  }
+}
+
+std::map<stage_shard, std::size_t> stage_home::Waiting() const {
+  std::map<stage_shard, std::size_t> waiting;
+  for (const auto& [shard, state] : shards_) {
+    waiting[shard] = state.queue.Pieces() + state.admission.Booked();
+  }
+  return waiting;
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/moving_average.h"
+#include "slatestall/gateway/stage_home.h"
+
+namespace slatestall {
+
+/// Some thirty calls, a second or two of a busy shard, make the mean.
+constexpr double kPieceTimeWeight = 0.03;
+
+struct stage_home::group_state {
+  stage_number number = 0;
+  stage_shard shard;
+  piece_group_ptr group;
+  std::vector<std::string> handles;
+  std::vector<unsigned> tries;
+  std::size_t missing = 0;
+  bool expected_in_time = false;  ///< As booked, when its pieces came.
+  std::function<void(stage_outcome)> done;
+};
+
+struct stage_home::call_state {
+  stage_shard shard;
+  endpoint_record_ptr record;
+  std::vector<waiting_piece> pieces;
+  time_point sent{};
+  duration nominal{0};   ///< What an ordinary endpoint takes.
+  duration expected{0};  ///< What this one is expected to take.
+  http_client::call_number number = 0;
+  asio::steady_timer overdue;
+  bool pieces_released = false;  ///< They wait for another call, too.
+
+  explicit call_state(asio::io_context& context) : overdue(context) {}
+};
+
+struct stage_home::shard_state {
+  piece_queue queue;
+  std::map<std::string, unsigned> calls;          ///< By incarnation.
+  std::map<std::string, time_point> paused;       ///< Full until then.
+  std::map<std::string, time_point> slowness_at;  ///< Last observed.
+  stage_admission admission;
+  /// Seconds that a piece adds to a call, as seen.
+  moving_average piece_time{kPieceTimeWeight};
+  std::shared_ptr<asio::steady_timer> wake;
+};
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -0,0 +1,301 @@
+// Which host is home to which shard, and which of them can be relied on.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
+
+#include "slatestall/gateway/stage_router.h"
+#include "slatestall/gateway/stage_wire.h"
+#include "slatestall/model/ids.h"
+#include "slatestall/peer/frame_codec.h"
+
+namespace slatestall {
+namespace {
+
+constexpr milliseconds kTick{50};
+constexpr milliseconds kStatusTimeout{1000};
+/// Endpoints that one home forms calls for. Up to there one queue for all of a
+/// service keeps them best filled; beyond, each failure domain has its own.
+constexpr std::size_t kMostPerHome = 24;
+/// Named like a shard, so that it has a ranking of its own.
+constexpr const char* kReadersShard = "store readers";
+constexpr std::size_t kReaders = 2;
+/// A host that is not answered reads the store, which takes a few
+/// milliseconds.
+constexpr milliseconds kReaderTimeout{300};
+
+std::string ShardName(const stage_shard& shard) {
+  return shard.service + "/" + shard.domain;
+}
+
+}  // namespace
+
+void stage_router::SetHosts(std::vector<listed_gateway> hosts) {
+  std::vector<peer_address> others;
+  std::vector<std::string> names{self_};
+  hosts_ = {{self_, environment_.options.Weight()}};
+  for (auto& host : hosts) {
+    if (host.address.host != self_) {
+      hosts_.push_back({host.address.host, host.weight});
+      names.push_back(host.address.host);
+      others.push_back(std::move(host.address));
+    }
+  }
+  rankings_.clear();
+  health_.Keep(names);
+  peers_.SetPeers(others);
+}
+
+void stage_router::Refresh() {
+  rankings_.clear();
+  home_.Refresh();
+}
+
+std::vector<std::string> stage_router::DomainsOf(
+    const std::string& service) const {
+  std::set<std::string> domains;
+  std::size_t usable = 0;
+  for (const auto& record : environment_.roster.Of(service)) {
+    if (record->Usable()) {
+      domains.insert(record->Info().failure_domain);
+      ++usable;
+    }
+  }
+  if (usable <= kMostPerHome) {
+    return {std::string()};
+  }
+  return {domains.begin(), domains.end()};
+}
+
+std::vector<stage_shard> stage_router::Shards() const {
+  std::vector<stage_shard> shards;
+  if (!environment_.table) {
+    return shards;
+  }
+  for (const auto& [name, rule] : environment_.table->services) {
+    if (rule.batches) {
+      for (auto& domain : DomainsOf(name)) {
+        shards.push_back({name, std::move(domain)});
+      }
+    }
+  }
+  return shards;
+}
+
+const std::vector<std::string>& stage_router::Ranked(
+    const stage_shard& shard) const {
+  const auto found = rankings_.find(shard);
+  if (found != rankings_.end()) {
+    return found->second;
+  }
+  return rankings_[shard] = RankHomes(ShardName(shard), hosts_);
+}
+
+std::string stage_router::HomeOf(const stage_shard& shard) const {
+  for (const auto& host : Ranked(shard)) {
+    if (host == self_ ? !draining_ : health_.IsTrusted(host)) {
+      return host;
+    }
+  }
+  return self_;
+}
+
+/// Pieces that wait for each endpoint of a shard.
+double stage_router::Crowding(const stage_shard& shard) const {
+  std::size_t endpoints = 0;
+  for (const auto& record : environment_.roster.Of(shard.service)) {
+    const auto& info = record->Info();
+    const bool belongs =
+        shard.domain.empty() || shard.domain == info.failure_domain;
+    endpoints += belongs && record->Usable() ? 1 : 0;
+  }
+  const auto told = told_waiting_.find(shard);
+  const auto waiting = told == told_waiting_.end()
+                           ? 0.0
+                           : static_cast<double>(told->second.second);
+  return waiting / std::max(0.5, static_cast<double>(endpoints));
+}
+
+/// The shard of the failure domain where the pieces are best made, unless it
+/// is far more crowded than another; then, or where none is best, the less
+/// crowded of two that the request's id picks.
+stage_shard stage_router::ShardFor(const std::string& service,
+                                   const std::string& request,
+                                   const std::string& near) const {
+  const auto domains = DomainsOf(service);
+  if (domains.size() < 2) {
+    return {service, domains.empty() ? std::string() : domains.front()};
+  }
+  const auto draw = StableHash(request);
+  const auto& one = domains[draw % domains.size()];
+  const auto& other = domains[(draw / domains.size()) % domains.size()];
+  const stage_shard first{service, one};
+  const stage_shard second{service, other};
+  const auto& calmer = Crowding(second) < Crowding(first) ? second : first;
+  const bool near_exists =
+      std::find(domains.begin(), domains.end(), near) != domains.end();
+  if (!near_exists) {
+    return calmer;
+  }
+  const stage_shard close{service, near};
+  const auto* rule = environment_.table->Service(service);
+  const double full_call =
+      rule != nullptr && rule->batches ? rule->batches->most_pieces : 1.0;
+  return Crowding(close) > full_call + Crowding(calmer) ? calmer : close;
+}
+
+/// Never outside what a call can take: a mean that had grown past it would
+/// have every request refused, and then nothing would bring it down again.
+duration stage_router::UsualTime(const std::string& service) const {
+  const auto* rule =
+      environment_.table ? environment_.table->Service(service) : nullptr;
+  if (rule == nullptr || !rule->batches) {
+    return duration(0);
+  }
+  const auto& batches = *rule->batches;
+  const duration full_call =
+      batches.call_time +
+      batches.piece_time * static_cast<duration::rep>(batches.most_pieces);
+  const auto seen = usual_times_.find(service);
+  if (seen == usual_times_.end()) {
+    return (batches.call_time + full_call) / 2;
+  }
+  const auto mean = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seen->second.Value()));
+  return std::clamp(mean, batches.call_time, full_call + full_call / 2);
+}
+
+/// Two at a time: with one lost, hosts turn to the other within a moment.
+std::vector<std::string> stage_router::Readers() const {
+  std::vector<std::string> readers;
+  for (const auto& host : Ranked({kReadersShard, ""})) {
+    if (host == self_ || health_.IsTrusted(host)) {
+      readers.push_back(host);
+    }
+    if (readers.size() == kReaders) {
+      break;
+    }
+  }
+  return readers;
+}
+
+void stage_router::AskReader(
+    const std::string& topic, std::uint64_t from,
+    std::function<void(std::optional<tail_read>)> done) {
+  const auto readers = Readers();
+  const bool reads_itself =
+      std::find(readers.begin(), readers.end(), self_) != readers.end();
+  if (reads_itself || readers.empty()) {
+    done(std::nullopt);
+    return;
+  }
+  wire::read_topicT ask;
+  ask.topic = topic;
+  ask.from = from;
+  peers_.Call(
+      readers[StableHash(self_) % readers.size()], MakeMessage(std::move(ask)),
+      kReaderTimeout, [done = std::move(done)](const peer_reply& reply) {
+        const auto* told = reply.end == peer_call_end::kReplied
+                               ? reply.body.Asread_topic_reply()
+                               : nullptr;
+        if (told == nullptr || !told->known) {
+          done(std::nullopt);
+          return;
+        }
+        tail_read read;
+        read.next = told->next;
+        read.age = milliseconds(told->age_ms);
+        for (const auto& record : told->records) {
+          read.records.push_back(
+              {record->key,
+               record->deleted ? std::nullopt : std::optional(record->value)});
+        }
+        done(std::move(read));
+      });
+}
+
+void stage_router::Tick() {
+  const time_point now = environment_.now();
+  for (const auto& host : health_.Overdue(now)) {
+    Lose(host, "no answer in time");
+  }
+  std::set<std::string> wanted;
+  for (const auto& host : Wanted({kReadersShard, ""}, kReaders)) {
+    wanted.insert(host);
+  }
+  for (const auto& shard : Shards()) {
+    for (const auto& host : Wanted(shard, 1)) {
+      wanted.insert(host);
+    }
+  }
+  for (const auto& host : wanted) {
+    if (health_.IsDue(host, now)) {
+      Ask(host);
+    }
+  }
+  for (const auto& [shard, pieces] : home_.Waiting()) {
+    if (HomeOf(shard) == self_) {
+      told_waiting_[shard] = {self_, pieces};
+    }
+  }
+  tick_.expires_after(kTick);
+  tick_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
+                       const asio::error_code& error) {
+    if (!error && !alive.expired()) {
+      Tick();
+    }
+  });
+}
+
+/// Other hosts to be asked so that `count` usable ones are known of a ranking:
+/// those in use, and all before them that may have come back.
+std::vector<std::string> stage_router::Wanted(const stage_shard& shard,
+                                              std::size_t count) const {
+  std::vector<std::string> wanted;
+  for (const auto& host : Ranked(shard)) {
+    if (count == 0) {
+      break;
+    }
+    const bool is_self = host == self_;
+    if (!is_self) {
+      wanted.push_back(host);
+    }
+    if (is_self ? !draining_ : health_.IsTrusted(host)) {
+      --count;
+    }
+  }
+  return wanted;
+}
+
+void stage_router::Ask(const std::string& host) {
+  health_.NoteAsked(host, environment_.now());
+  peers_.Call(host, MakeMessage(wire::home_status_requestT()), kStatusTimeout,
+              [this, host](const peer_reply& reply) {
+                const auto* status = reply.end == peer_call_end::kReplied
+                                         ? reply.body.Ashome_status_reply()
+                                         : nullptr;
+                if (status == nullptr) {
+                  Lose(host, "no status");
+                  return;
+                }
+                health_.NoteAnswer(host, status->draining, environment_.now());
+                for (const auto& load : status->loads) {
+                  const stage_shard shard{load->service, load->domain};
+                  if (HomeOf(shard) == host) {
+                    told_waiting_[shard] = {host, load->pieces};
+                  }
+                }
+              });
+}
+
+void stage_router::Lose(const std::string& host, const char* why) {
+  if (health_.IsTrusted(host)) {
+    environment_.log.Write("home_lost", {{"home", host}, {"detail", why}});
+    environment_.metrics.Count("homes_lost", why);
+  }
+  health_.NoteFailure(host, environment_.now());
+  // Ends its calls, whose pieces are then placed elsewhere.
+  peers_.Drop(host);
+}
+
+}  // namespace slatestall
