--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -76,7 +76,7 @@
 gateway_traffic::gateway_traffic(asio::io_context& context,
                                  const gateway_options& options,
                                  const endpoint_protocol& protocol,
-                                 decision_log& log, now_function now,
+                                 decision_log& log, const now_function& now,
                                  tail_source read_tail)
     : environment_{context,
                    options,
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -21,7 +21,7 @@
  public:
   gateway_traffic(asio::io_context& context, const gateway_options& options,
                   const endpoint_protocol& protocol, decision_log& log,
-                  now_function now, tail_source read_tail);
+                  const now_function& now, tail_source read_tail);
   ~gateway_traffic();
   gateway_traffic(const gateway_traffic&) = delete;
   gateway_traffic& operator=(const gateway_traffic&) = delete;
--- a/src/slatestall/relay/message_reader_test.cc
+++ b/src/slatestall/relay/message_reader_test.cc
@@ -57,7 +57,7 @@
     const std::size_t taken = reader.Feed(two);
     CPPUNIT_ASSERT(taken == kGet.size());
     reader.Reset();
-    reader.Feed(std::string_view(two).substr(taken));
+    reader.Feed(two.substr(taken));
     CPPUNIT_ASSERT(reader.Complete());
     CPPUNIT_ASSERT_EQUAL(std::string("/next"), reader.Head().target);
   }
