--- a/include/slatestall/gateway/gateway_settings.h
+++ b/include/slatestall/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "slatestall/config/config_problem.h"
+#include "slatestall/config/field_reference.h"
 #include "slatestall/gateway/gateway_options.h"
 
 namespace slatestall {
@@ -17,6 +18,9 @@
 /// @ingroup gateway
 loaded_gateway_settings LoadGatewaySettings(const std::string& file);
 
+/// @brief All fields of the file, for the reference.
+field_section GatewaySettingsReference();
+
 /// @brief The same from text; `file` is what problems name.
 loaded_gateway_settings ReadGatewaySettings(const std::string& text,
                                             const std::string& file);
--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -205,6 +205,10 @@
   return loaded;
 }
 
+field_section GatewaySettingsReference() {
+  return SectionOf("gateway settings", Fields());
+}
+
 loaded_gateway_settings LoadGatewaySettings(const std::string& file) {
   std::ifstream stream(file, std::ios::binary);
   const std::string text{std::istreambuf_iterator<char>(stream), {}};
--- a/src/slatestall/gateway/gateway_settings_test.cc
+++ b/src/slatestall/gateway/gateway_settings_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(EveryMistakeIsToldWithItsPlace);
   CPPUNIT_TEST(AMissingFileIsSaid);
   CPPUNIT_TEST(TheTemplateNamesOnlyKnownFields);
+  CPPUNIT_TEST(ThePageHoldsEveryFieldAsItIs);
   CPPUNIT_TEST_SUITE_END();
 
   void AGoodFileIsRead() {
@@ -58,6 +59,15 @@
         LoadGatewaySettings("/nonexistent/settings.yaml").problems.size());
   }
 
+  void ThePageHoldsEveryFieldAsItIs() {
+    std::ifstream file(std::string(SLATESTALL_SOURCE_DIR) +
+                       "/docs/GATEWAY_SETTINGS.md");
+    const std::string page{std::istreambuf_iterator<char>(file), {}};
+    const std::string wanted = MarkdownTable(GatewaySettingsReference());
+    CPPUNIT_ASSERT_MESSAGE("docs/GATEWAY_SETTINGS.md lacks:\n" + wanted,
+                           page.find(wanted) != std::string::npos);
+  }
+
   // The template is filled in by the platform at every start; a field that the
   // program does not know would keep all hosts from starting.
   void TheTemplateNamesOnlyKnownFields() {
