--- a/programs/slatestalld/main.cc
+++ b/programs/slatestalld/main.cc
@@ -35,8 +35,7 @@
 
 void AddGateway(CLI::App& app, command_line& line) {
   auto* gateway = app.add_subcommand(
-      "gateway",
-      "Serve on a platform whose store holds routes and endpoints");
+      "gateway", "Serve on a platform whose store holds routes and endpoints");
   gateway->add_option("--settings", line.sources.file,
                       "Settings file (YAML); else that named by "
                       "SLATESTALL_SETTINGS");
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -5,8 +5,8 @@
 #include <thread>
 #include <utility>
 
-#include "slatestall/node/control_core.h"
 #include "slatestall/model/listen_address.h"
+#include "slatestall/node/control_core.h"
 #include "slatestall/node/operator_server.h"
 
 namespace slatestall {
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -7,11 +7,11 @@
 #include <utility>
 
 #include "slatestall/model/ids.h"
-#include "slatestall/node/control_loop.h"
-#include "slatestall/serve/drain_sequence.h"
 #include "slatestall/model/listen_address.h"
+#include "slatestall/node/control_loop.h"
 #include "slatestall/node/trace_recorder.h"
 #include "slatestall/node/traffic_threads.h"
+#include "slatestall/serve/drain_sequence.h"
 
 namespace slatestall {
 namespace {
