--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -39,7 +39,6 @@
   milliseconds stop_grace{8000};
   /// How long the balancer sends requests to a host that is not ready.
   milliseconds balancer_lag{3000};
-  std::string log_level = "info";
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -152,6 +152,7 @@
          {"endpoint", dispatch_.incarnation},
          {"attempts", sends_ + moves_ + 1},
          {"configuration", table_->version},
+         {"late_pause", late_pause_},
          {"past_deadline", environment_.now() > deadline_},
          {"after_ms",
           WholeMilliseconds(environment_.now() - request_.arrived).count()}});
