--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "slatestall/gateway/request_run.h"
-#include "slatestall/model/ids.h"
+#include "slatestall/model/new_incarnation.h"
 
 namespace slatestall {
 namespace {
@@ -33,14 +33,6 @@
   return made;
 }
 
-host_id NewIncarnation(const gateway_options& options) {
-  host_id host{options.host_name, 0};
-  while (host.incarnation == 0) {
-    host.incarnation = RandomBits();
-  }
-  return host;
-}
-
 /// Counts a request as in hand until its answer is no longer held.
 class counted_channel : public answer_channel {
  public:
@@ -90,7 +82,7 @@
                    {}},
       client_(context),
       home_(environment_, client_),
-      peers_(context, NewIncarnation(options), PeerOptions(options)),
+      peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
       router_(environment_, home_, peers_, std::move(read_tail)),
       stages_(router_.Calls()),
       listener_(context, ListenerOptions(options, now),
--- a/src/slatestall/http/client_call.cc
+++ b/src/slatestall/http/client_call.cc
@@ -7,6 +7,7 @@
 #include "slatestall/http/ascii_case.h"
 #include "slatestall/http/curl_event_loop.h"
 #include "slatestall/http/header_check.h"
+#include "slatestall/http/trim.h"
 
 namespace slatestall {
 namespace {
@@ -25,15 +26,6 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlank = " \t\r\n";
-  const auto first = text.find_first_not_of(kBlank);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
-}
-
 }  // namespace
 
 client_call::client_call(http_call call, http_client::completion done,
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -8,24 +8,13 @@
 
 #include "slatestall/model/ids.h"
 #include "slatestall/model/listen_address.h"
+#include "slatestall/model/new_incarnation.h"
 #include "slatestall/node/control_loop.h"
 #include "slatestall/node/trace_recorder.h"
 #include "slatestall/node/traffic_threads.h"
 #include "slatestall/serve/drain_sequence.h"
 
 namespace slatestall {
-namespace {
-
-host_id NewIncarnation(const std::string& name) {
-  host_id host{name, 0};
-  while (host.incarnation == 0) {
-    host.incarnation = RandomBits();
-  }
-  return host;
-}
-
-}  // namespace
-
 class entry_host::impl {
  public:
   explicit impl(const settings& options)
--- a/src/slatestall/relay/message_reader.cc
+++ b/src/slatestall/relay/message_reader.cc
@@ -6,21 +6,13 @@
 
 #include "slatestall/http/ascii_case.h"
 #include "slatestall/http/header_check.h"
+#include "slatestall/http/trim.h"
 
 namespace slatestall {
 namespace {
 
 constexpr int kStopAfterHead = 1;  ///< To the parser: no body follows.
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlank = " \t";
-  const auto first = text.find_first_not_of(kBlank);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
-}
-
 std::size_t CountOf(const http_headers& headers, std::string_view name) {
   std::size_t count = 0;
   for (const auto& header : headers) {
