A host that the store does not answer learns from the other hosts

Cause: a host killed while the store is down started without a configuration and refused every caller (503, not ready) until the store was back; one that the store turned away missed changes that the others had read. Seeds were read and not used. Ruled out: a copy of what was known on the host (no disk); waiting for the store faster (it is silent); gossip of everything (bytes, and no host needs it while the store answers). Change: every host keeps the newest of each key that it has read (topic_tail); after a failed read it asks three hosts, or the seeds, and takes the most recent answer where that is newer (topic_exchange). A seed is a contact: an address at which any host may answer. Giving up a booking is a message of its own.

--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -32,6 +32,13 @@
     constexpr double kAmpleLink = 100.0;
     return processor_share * std::min(1.0, link_mbps / kAmpleLink);
   }
+  /// @brief Where hosts other than this one may answer.
+  std::vector<std::string> OtherSeeds() const {
+    std::vector<std::string> others = seeds;
+    std::erase(others, address + ":" + std::to_string(peer_port));
+    return others;
+  }
+
   repeat_limits repeats;
   /// No new work may reach an endpoint that long after it began to leave.
   milliseconds leave_limit{2000};
--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -31,6 +31,8 @@
   std::vector<keyed_record> records;
   std::uint64_t next = 0;  ///< Offset to read from next.
   std::string detail;
+  /// Told by another host, since the store did not answer this one.
+  bool second_hand = false;
 };
 
 /// @brief A compacted topic of the platform's store. Completions run later, on
--- a/include/slatestall/peer/peer_node.h
+++ b/include/slatestall/peer/peer_node.h
@@ -20,6 +20,9 @@
 struct peer_address {
   std::string host;     ///< Host name.
   std::string address;  ///< "IP:port" of its peer listener.
+  /// Only the address is known: `host` is a name for it, and whichever host
+  /// answers there is meant.
+  bool is_contact = false;
 };
 
 enum class peer_call_end {
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -40,16 +40,15 @@
           {kConfigurationWait, kConfigurationPause},
           {[this](const auto& records) { TakeConfiguration(records); },
            [this](const auto& records) { TakeConfiguration(records); },
-           [this](bool succeeded, const std::string& detail) {
-             OnRead("configuration", configuration_reachable_, succeeded,
-                    detail);
+           [this](const keyed_read& read) {
+             OnRead("configuration", configuration_reachable_, read);
            }}),
       endpoints_(context, link_.endpoints, EndpointPace(options),
                  {[this](const auto& records) { TakeAllEndpoints(records); },
                   [this](const auto& records) { TakeEndpointChanges(records); },
-                  [this](bool succeeded, const std::string& detail) {
-                    OnRead("endpoints", endpoints_reachable_, succeeded,
-                           detail);
+                  [this](const keyed_read& read) {
+                    OnRead("endpoints", endpoints_reachable_, read);
+                    const bool succeeded = read.outcome == store_outcome::kDone;
                     listing_.NoteRead(succeeded, now_());
                     if (succeeded && listing_.DropOverdue(now_())) {
                       PublishEndpoints();
@@ -66,14 +65,16 @@
   hosts_.Start();
 }
 
-void gateway_control::OnRead(const char* what, bool& reachable, bool succeeded,
-                             const std::string& detail) {
-  if (succeeded == reachable) {
+void gateway_control::OnRead(const char* what, bool& reachable,
+                             const keyed_read& read) {
+  const bool answered =
+      read.outcome == store_outcome::kDone && !read.second_hand;
+  if (answered == reachable) {
     return;
   }
-  reachable = succeeded;
-  log_.Write(succeeded ? "store_regained" : "store_lost",
-             {{"reads", what}, {"detail", detail}});
+  reachable = answered;
+  log_.Write(answered ? "store_regained" : "store_lost",
+             {{"reads", what}, {"detail", read.detail}});
 }
 
 void gateway_control::TakeConfiguration(
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -42,8 +42,7 @@
   std::optional<known_endpoint> Decode(const keyed_record& record);
   void PublishEndpoints();
   void LogChanges(const std::vector<known_endpoint>& listed);
-  void OnRead(const char* what, bool& reachable, bool succeeded,
-              const std::string& detail);
+  void OnRead(const char* what, bool& reachable, const keyed_read& read);
 
   platform_link link_;
   decision_log& log_;
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -54,11 +54,11 @@
         log_(options.host_name, kMaxLinesPerSecond, BootTimeNow),
         traffic_(traffic_context_, options_, adapter_.protocol, log_,
                  BootTimeNow,
-                 [this](const std::string& topic, std::uint64_t from) {
-                   return reading_.ReadTail(topic, from);
+                 [this](const topic_question& question) {
+                   return reading_.Answer(question);
                  }),
         control_client_(control_context_),
-        reading_(control_context_, Readers(), BootTimeNow),
+        reading_(control_context_, OtherHosts(), BootTimeNow),
         control_(control_context_, options_, Link(), log_, BootTimeNow, News()),
         status_(control_context_, StatusServer(options_),
                 [this](const http_request& request,
@@ -112,14 +112,30 @@
     });
   }
 
-  ask_reader Readers() {
-    return [this](const std::string& topic, std::uint64_t from,
-                  std::function<void(std::optional<tail_read>)> done) {
+  topic_asks OtherHosts() {
+    topic_asks asks;
+    asks.reader = [this](const topic_question& question,
+                         topic_asks::done_hook done) {
       asio::post(traffic_context_,
-                 [this, topic, from, done = std::move(done)]() mutable {
-                   traffic_.AskReader(topic, from, std::move(done));
+                 [this, question, done = std::move(done)]() mutable {
+                   traffic_.AskReader(question, std::move(done));
                  });
     };
+    asks.any = [this](const topic_question& question,
+                      topic_asks::done_hook done) {
+      asio::post(traffic_context_,
+                 [this, question, done = std::move(done)]() mutable {
+                   traffic_.AskAny(question, std::move(done));
+                 });
+    };
+    asks.on_taken = [this](const topic_question& question,
+                           const tail_read& told) {
+      log_.Write("told_by_host", {{"reads", question.topic},
+                                  {"whole", !question.from.has_value()},
+                                  {"records", told.records.size()},
+                                  {"age_ms", told.age.count()}});
+    };
+    return asks;
   }
 
   platform_link Link() {
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -69,7 +69,7 @@
                                  const gateway_options& options,
                                  const endpoint_protocol& protocol,
                                  decision_log& log, const now_function& now,
-                                 tail_source read_tail)
+                                 topic_source known_topics)
     : environment_{context,
                    options,
                    protocol,
@@ -83,7 +83,8 @@
       client_(context),
       home_(environment_, client_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
-      router_(environment_, home_, peers_, std::move(read_tail)),
+      topics_(peers_, std::move(known_topics)),
+      router_(environment_, home_, peers_),
       stages_(router_.Calls()),
       listener_(context, ListenerOptions(options, now),
                 [this](inbound_request request, answer_channel_ptr channel) {
@@ -107,10 +108,19 @@
   router_.SetHosts(std::move(hosts));
 }
 
-void gateway_traffic::AskReader(
-    const std::string& topic, std::uint64_t from,
-    std::function<void(std::optional<tail_read>)> done) {
-  router_.AskReader(topic, from, std::move(done));
+void gateway_traffic::AskReader(const topic_question& question,
+                                topic_exchange::done_hook done) {
+  const auto reader = router_.Reader();
+  if (reader.empty()) {
+    done(std::nullopt);
+    return;
+  }
+  topics_.Ask(reader, question, std::move(done));
+}
+
+void gateway_traffic::AskAny(const topic_question& question,
+                             topic_exchange::done_hook done) {
+  topics_.AskAll(router_.Sources(), question, std::move(done));
 }
 
 void gateway_traffic::AnnounceClose() {
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -8,6 +8,7 @@
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/stage_home.h"
 #include "slatestall/gateway/stage_router.h"
+#include "slatestall/gateway/topic_exchange.h"
 #include "slatestall/http/http_client.h"
 #include "slatestall/peer/peer_node.h"
 #include "slatestall/relay/caller_listener.h"
@@ -21,7 +22,7 @@
  public:
   gateway_traffic(asio::io_context& context, const gateway_options& options,
                   const endpoint_protocol& protocol, decision_log& log,
-                  const now_function& now, tail_source read_tail);
+                  const now_function& now, topic_source known_topics);
   ~gateway_traffic();
   gateway_traffic(const gateway_traffic&) = delete;
   gateway_traffic& operator=(const gateway_traffic&) = delete;
@@ -30,8 +31,11 @@
   void SetConfiguration(routing_table_ptr table);
   void SetEndpoints(const std::vector<known_endpoint>& listed);
   void SetHosts(std::vector<listed_gateway> hosts);
-  void AskReader(const std::string& topic, std::uint64_t from,
-                 std::function<void(std::optional<tail_read>)> done);
+  /// @brief Asks the host that reads the store; nothing: this one reads.
+  void AskReader(const topic_question& question,
+                 topic_exchange::done_hook done);
+  /// @brief Asks some other hosts what they know.
+  void AskAny(const topic_question& question, topic_exchange::done_hook done);
   void AnnounceClose();
   void StopAccepting();
   std::size_t InHand() const { return in_hand_; }
@@ -46,6 +50,7 @@
   http_client client_;
   stage_home home_;
   peer_node peers_;
+  topic_exchange topics_;
   stage_router router_;
   const stage_calls stages_;
   std::size_t in_hand_ = 0;
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -35,8 +35,8 @@
       follower_(context, link.hosts, {milliseconds(0), kReadInterval},
                 {[this](const auto& records) { Take(records); },
                  [this](const auto& records) { Take(records); },
-                 [this](bool succeeded, const std::string&) {
-                   if (succeeded) {
+                 [this](const keyed_read& read) {
+                   if (read.outcome == store_outcome::kDone) {
                      last_read_ = now_();
                      Publish();
                    }
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -13,37 +13,109 @@
 
 using read_done = std::function<void(keyed_read)>;
 
-/// One read of a topic: by a reader, else by the store.
-struct topic_read {
+/// One topic, and how it is read.
+struct shared_topic {
   asio::io_context& context;
+  topic_asks asks;
+  std::string name;
   keyed_topic direct;
   std::shared_ptr<topic_tail> tail;
   milliseconds max_age;
+};
+using shared_topic_ptr = std::shared_ptr<shared_topic>;
+
+/// One read on from an offset.
+struct next_read {
+  shared_topic_ptr topic;
   std::uint64_t from;
   milliseconds wait;
   read_done done;
 };
-using topic_read_ptr = std::shared_ptr<topic_read>;
+using next_read_ptr = std::shared_ptr<next_read>;
+
+keyed_read ReadOf(tail_read told) {
+  keyed_read read;
+  read.outcome = store_outcome::kDone;
+  read.next = told.next;
+  read.records = std::move(told.records);
+  return read;
+}
+
+/// Asks any other host, since the store has failed to answer.
+void AskOthers(const shared_topic_ptr& topic, const topic_question& question,
+               const std::function<void(std::optional<tail_read>)>& done) {
+  topic->asks.any(question, [topic, question,
+                             done](std::optional<tail_read> told) {
+    asio::post(topic->context, [topic, question, done, told = std::move(told)] {
+      const std::uint64_t known = question.from.value_or(0);
+      if (!told || told->next <= known) {
+        done(std::nullopt);
+        return;
+      }
+      topic->asks.on_taken(question, *told);
+      done(told);
+    });
+  });
+}
+
+void ReadAll(const shared_topic_ptr& topic, const read_done& done) {
+  topic->direct.read_newest([topic, done](const keyed_read& got) {
+    if (got.outcome == store_outcome::kDone) {
+      topic->tail->NoteAll(got);
+      done(got);
+      return;
+    }
+    AskOthers(topic, {topic->name, std::nullopt},
+              [topic, done, got](std::optional<tail_read> told) {
+                if (!told) {
+                  done(got);
+                  return;
+                }
+                const milliseconds age = told->age;
+                keyed_read read = ReadOf(std::move(*told));
+                read.second_hand = true;
+                topic->tail->NoteAll(read, age);
+                done(read);
+              });
+  });
+}
 
-void ReadDirectly(const topic_read_ptr& read) {
-  read->direct.read_from(read->from, read->wait, [read](keyed_read got) {
+void ReadDirectly(const next_read_ptr& read) {
+  const auto& topic = read->topic;
+  topic->direct.read_from(read->from, read->wait, [read](keyed_read got) {
+    const auto& topic = read->topic;
     if (got.outcome == store_outcome::kDone) {
-      read->tail->Note(read->from, got);
+      topic->tail->Note(read->from, got);
     }
-    read->done(std::move(got));
+    if (got.outcome == store_outcome::kDone ||
+        got.outcome == store_outcome::kTooOld) {
+      read->done(std::move(got));
+      return;
+    }
+    AskOthers(topic, {topic->name, read->from},
+              [read, got](std::optional<tail_read> told) {
+                if (!told) {
+                  read->done(got);
+                  return;
+                }
+                const milliseconds age = told->age;
+                keyed_read news = ReadOf(std::move(*told));
+                news.second_hand = true;
+                read->topic->tail->Note(read->from, news, age);
+                read->done(news);
+              });
   });
 }
 
-void Deliver(const topic_read_ptr& read, tail_read told) {
-  keyed_read got;
-  got.outcome = store_outcome::kDone;
-  got.next = told.next;
-  got.records = std::move(told.records);
+void Deliver(const next_read_ptr& read, tail_read told) {
+  const milliseconds age = told.age;
+  const keyed_read got = ReadOf(std::move(told));
+  read->topic->tail->Note(read->from, got, age);
   if (!got.records.empty() || read->wait == milliseconds(0)) {
-    read->done(std::move(got));
+    read->done(got);
     return;
   }
-  const auto timer = std::make_shared<asio::steady_timer>(read->context);
+  const auto timer = std::make_shared<asio::steady_timer>(read->topic->context);
   timer->expires_after(kAskInterval);
   timer->async_wait([timer, read, got](const asio::error_code& error) {
     if (!error) {
@@ -52,50 +124,50 @@
   });
 }
 
+void ReadNext(const next_read_ptr& read) {
+  const auto& topic = read->topic;
+  topic->asks.reader(
+      {topic->name, read->from}, [read](std::optional<tail_read> told) {
+        asio::post(read->topic->context, [read, told = std::move(told)] {
+          if (told && told->age <= read->topic->max_age) {
+            Deliver(read, *told);
+          } else {
+            ReadDirectly(read);
+          }
+        });
+      });
+}
+
 }  // namespace
 
-shared_reading::shared_reading(asio::io_context& context, ask_reader ask,
+shared_reading::shared_reading(asio::io_context& context, topic_asks asks,
                                now_function now)
-    : context_(context), ask_(std::move(ask)), now_(std::move(now)) {}
+    : context_(context), asks_(std::move(asks)), now_(std::move(now)) {}
 
 keyed_topic shared_reading::Share(const std::string& name,
                                   const keyed_topic& direct,
                                   milliseconds max_age) {
   const auto tail = std::make_shared<topic_tail>(now_);
   tails_[name] = tail;
+  const auto topic = std::make_shared<shared_topic>(
+      shared_topic{context_, asks_, name, direct, tail, max_age});
   keyed_topic shared = direct;
-  shared.read_newest = [direct, tail](const read_done& done) {
-    direct.read_newest([tail, done](const keyed_read& got) {
-      if (got.outcome == store_outcome::kDone) {
-        keyed_read nothing;
-        nothing.next = got.next;
-        tail->Note(got.next, nothing);
-      }
-      done(got);
-    });
-  };
-  shared.read_from = [this, name, direct, tail, max_age](
-                         std::uint64_t from, milliseconds wait,
-                         const read_done& done) {
-    const auto read = std::make_shared<topic_read>(
-        topic_read{context_, direct, tail, max_age, from, wait, done});
-    ask_(name, from, [read](std::optional<tail_read> told) {
-      asio::post(read->context, [read, told = std::move(told)] {
-        if (told && told->age <= read->max_age) {
-          Deliver(read, *told);
-        } else {
-          ReadDirectly(read);
-        }
-      });
-    });
+  shared.read_newest = [topic](const read_done& done) { ReadAll(topic, done); };
+  shared.read_from = [topic](std::uint64_t from, milliseconds wait,
+                             const read_done& done) {
+    ReadNext(std::make_shared<next_read>(next_read{topic, from, wait, done}));
   };
   return shared;
 }
 
-std::optional<tail_read> shared_reading::ReadTail(const std::string& topic,
-                                                  std::uint64_t from) const {
-  const auto found = tails_.find(topic);
-  return found == tails_.end() ? std::nullopt : found->second->ReadFrom(from);
+std::optional<tail_read> shared_reading::Answer(
+    const topic_question& question) const {
+  const auto found = tails_.find(question.topic);
+  if (found == tails_.end()) {
+    return std::nullopt;
+  }
+  return question.from ? found->second->ReadFrom(*question.from)
+                       : found->second->ReadAll();
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -13,12 +13,21 @@
 
 namespace slatestall {
 
-/// @brief Asks another host for what it has read of a topic; nothing where
-/// this host is to read the store itself, or the other one cannot tell.
+/// @brief How a host learns from others what they have read of a topic.
+/// Called on the control thread; `done` may come on any. It gets nothing where
+/// none can tell.
 /// @ingroup gateway
-using ask_reader =
-    std::function<void(const std::string& topic, std::uint64_t from,
-                       std::function<void(std::optional<tail_read>)> done)>;
+struct topic_asks {
+  using done_hook = std::function<void(std::optional<tail_read>)>;
+
+  /// Asks the host that reads the store for others; nothing, too, where this
+  /// host is to read the store itself.
+  std::function<void(const topic_question&, done_hook done)> reader;
+  /// Asks some that may know; the most recent answer counts.
+  std::function<void(const topic_question&, done_hook done)> any;
+  /// Something was taken from other hosts since the store did not answer.
+  std::function<void(const topic_question&, const tail_read&)> on_taken;
+};
 
 /// @brief Lets most hosts follow topics through a few that read the store:
 /// every host of a fleet reading for itself would spend the store's calls on
@@ -27,11 +36,14 @@
 /// What a reader tells counts only while it has itself read the store just
 /// now. Else, and where no reader answers, a host reads the store as if it were
 /// alone, so that no reader's fault can make others older than that limit.
+///
+/// Where the store does not answer either, what any other host knows counts:
+/// a host that starts meanwhile would else refuse every caller until the store
+/// is back, and one that the store turns away would miss what others learn.
 class shared_reading {
  public:
   /// @param context Of the thread that follows the topics.
-  /// @param ask Called on that thread; `done` may come on any.
-  shared_reading(asio::io_context& context, ask_reader ask, now_function now);
+  shared_reading(asio::io_context& context, topic_asks asks, now_function now);
 
   /// @brief The topic read through readers where that works.
   /// @param max_age Of what a reader tells.
@@ -39,12 +51,11 @@
                     milliseconds max_age);
 
   /// @brief For other hosts; from any thread.
-  std::optional<tail_read> ReadTail(const std::string& topic,
-                                    std::uint64_t from) const;
+  std::optional<tail_read> Answer(const topic_question& question) const;
 
  private:
   asio::io_context& context_;
-  ask_reader ask_;
+  topic_asks asks_;
   now_function now_;
   std::map<std::string, std::shared_ptr<topic_tail>> tails_;
 };
--- a/src/slatestall/gateway/shared_reading_test.cc
+++ b/src/slatestall/gateway/shared_reading_test.cc
@@ -24,6 +24,10 @@
   CPPUNIT_TEST(ATailTellsOnlyWhatItHoldsWithoutAGap);
   CPPUNIT_TEST(AReadersFreshWordSavesTheStore);
   CPPUNIT_TEST(AReadersOldWordDoesNotCount);
+  CPPUNIT_TEST(AHostThatStartsWhileTheStoreIsAwayTakesWhatOthersKnow);
+  CPPUNIT_TEST(AHostThatTheStoreTurnsAwayHearsOfChanges);
+  CPPUNIT_TEST(WhatOthersKnowIsTakenOnlyWhereItIsNewer);
+  CPPUNIT_TEST(TheWholeIsToldOnlyWhereNoChangeWasMissed);
   CPPUNIT_TEST(AFollowerReadsAllAnewWhereRecordsAreGone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -31,6 +35,7 @@
   void setUp() override {
     now_ = kStart;
     direct_reads_ = 0;
+    taken_ = 0;
   }
 
  private:
@@ -53,17 +58,16 @@
 
   keyed_read ReadThrough(milliseconds age) {
     asio::io_context context;
-    shared_reading reading(
-        context,
-        [age](const std::string&, std::uint64_t,
-              const std::function<void(std::optional<tail_read>)>& done) {
-          tail_read told;
-          told.records = {{"k", "told"}};
-          told.next = 9;
-          told.age = age;
-          done(told);
-        },
-        Now());
+    topic_asks asks;
+    asks.reader = [age](const topic_question&,
+                        const topic_asks::done_hook& done) {
+      tail_read told;
+      told.records = {{"k", "told"}};
+      told.next = 9;
+      told.age = age;
+      done(told);
+    };
+    shared_reading reading(context, asks, Now());
     const auto topic = reading.Share("t", Direct(), milliseconds(1000));
     keyed_read got;
     topic.read_from(8, milliseconds(0),
@@ -102,6 +106,95 @@
     CPPUNIT_ASSERT_EQUAL(1, direct_reads_);
   }
 
+  /// A topic whose store does not answer, while another host knows it up to
+  /// offset 9.
+  keyed_read ReadWithoutStore(std::optional<std::uint64_t> from) {
+    asio::io_context context;
+    topic_asks asks;
+    asks.reader = [](const topic_question&, const topic_asks::done_hook& done) {
+      done(std::nullopt);
+    };
+    asks.any = [this](const topic_question& question,
+                      const topic_asks::done_hook& done) {
+      asked_ = question;
+      tail_read told;
+      told.records = {{"k", "told"}};
+      told.next = 9;
+      told.age = milliseconds(20'000);
+      done(told);
+    };
+    asks.on_taken = [this](const topic_question&, const tail_read&) {
+      ++taken_;
+    };
+    keyed_topic away;
+    away.read_newest = [](const std::function<void(keyed_read)>& done) {
+      done({});
+    };
+    away.read_from = [](std::uint64_t, milliseconds,
+                        const std::function<void(keyed_read)>& done) {
+      done({});
+    };
+    shared_reading reading(context, asks, Now());
+    const auto topic = reading.Share("t", away, milliseconds(1000));
+    keyed_read got;
+    const auto take = [&got](keyed_read read) { got = std::move(read); };
+    if (from) {
+      topic.read_from(*from, milliseconds(0), take);
+    } else {
+      topic.read_newest(take);
+    }
+    context.run();
+    return got;
+  }
+
+  // All callers of a host are refused for want of a configuration: it was
+  // killed and started while the store is down. The other hosts still serve
+  // with what they read before, and what they know is all that it needs.
+  void AHostThatStartsWhileTheStoreIsAwayTakesWhatOthersKnow() {
+    const auto got = ReadWithoutStore(std::nullopt);
+    CPPUNIT_ASSERT(got.outcome == store_outcome::kDone);
+    CPPUNIT_ASSERT(got.second_hand);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, got.next);
+    CPPUNIT_ASSERT_EQUAL(std::string("told"), *got.records.front().value);
+    CPPUNIT_ASSERT_EQUAL(std::string("t"), asked_.topic);
+    CPPUNIT_ASSERT(!asked_.from);
+    CPPUNIT_ASSERT_EQUAL(1, taken_);
+  }
+
+  // The store refuses some hosts and serves the others. A refused one would go
+  // on sending work to an endpoint that left, and obey a revoked key.
+  void AHostThatTheStoreTurnsAwayHearsOfChanges() {
+    const auto got = ReadWithoutStore(8);
+    CPPUNIT_ASSERT(got.outcome == store_outcome::kDone);
+    CPPUNIT_ASSERT(got.second_hand);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, *asked_.from);
+  }
+
+  // A failed read stays one, so that the outage is noticed as such.
+  void WhatOthersKnowIsTakenOnlyWhereItIsNewer() {
+    const auto got = ReadWithoutStore(9);
+    CPPUNIT_ASSERT(got.outcome == store_outcome::kNoAnswer);
+    CPPUNIT_ASSERT_EQUAL(0, taken_);
+  }
+
+  // A host that lost its place in the topic has not seen what was deleted in
+  // between. Told on as the whole, an endpoint long gone would come back.
+  void TheWholeIsToldOnlyWhereNoChangeWasMissed() {
+    topic_tail tail(Now());
+    CPPUNIT_ASSERT(!tail.ReadAll());
+    tail.Note(3, Read({{"x", "0"}}, 4));
+    CPPUNIT_ASSERT(!tail.ReadAll());
+    tail.NoteAll(Read({{"a", "1"}, {"b", "2"}}, 7), milliseconds(400));
+    CPPUNIT_ASSERT(tail.ReadAll()->age == milliseconds(400));
+    tail.Note(7, Read({{"a", std::nullopt}, {"c", "3"}}, 9));
+    const auto all = tail.ReadAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, all->records.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), all->records.front().key);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, all->next);
+    tail.Note(12, Read({{"d", "4"}}, 13));
+    CPPUNIT_ASSERT(!tail.ReadAll());
+  }
+
   // The store forgets its history while a host is paused. Deletions in between
   // are told by no record, only by what is missing from the whole.
   void AFollowerReadsAllAnewWhereRecordsAreGone() {
@@ -127,7 +220,7 @@
     topic_follower follower(
         context, topic, {milliseconds(0), milliseconds(1)},
         {[&](const auto&) { ++all; }, [&](const auto&) { ++changes; },
-         [](bool, const std::string&) {}});
+         [](const keyed_read&) {}});
     follower.Start();
     context.run();
     CPPUNIT_ASSERT_EQUAL(2, all);
@@ -136,6 +229,8 @@
 
   time_point now_;
   int direct_reads_ = 0;
+  int taken_ = 0;
+  topic_question asked_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shared_reading_test);
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -38,15 +38,15 @@
 };
 
 stage_router::stage_router(gateway_environment& environment, stage_home& home,
-                           peer_node& peers, tail_source read_tail)
+                           peer_node& peers)
     : environment_(environment),
       home_(home),
       peers_(peers),
-      read_tail_(std::move(read_tail)),
       self_(environment.options.host_name),
       hosts_({{self_, environment.options.Weight()}}),
       tick_(environment.context) {
   ServePeers();
+  peers_.SetPeers(Contacts());
   Tick();
 }
 
@@ -126,12 +126,12 @@
       home_.Release(need);
       continue;
     }
-    wire::cancel_piecesT cancel;
-    cancel.request = need.booking.request;
-    cancel.stage = static_cast<std::uint16_t>(need.booking.stage);
-    cancel.service = need.shard.service;
-    cancel.domain = need.shard.domain;
-    peers_.Notify(host, MakeMessage(std::move(cancel)));
+    wire::release_bookingT release;
+    release.service = need.shard.service;
+    release.domain = need.shard.domain;
+    release.request = need.booking.request;
+    release.stage = static_cast<std::uint16_t>(need.booking.stage);
+    peers_.Notify(host, MakeMessage(std::move(release)));
   }
 }
 
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -16,16 +16,10 @@
 #include "slatestall/gateway/host_directory.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/gateway/stage_home.h"
-#include "slatestall/gateway/topic_tail.h"
 #include "slatestall/peer/peer_node.h"
 
 namespace slatestall {
 
-/// @brief What this host has read of a topic from an offset on.
-/// @ingroup gateway
-using tail_source = std::function<std::optional<tail_read>(
-    const std::string& topic, std::uint64_t from)>;
-
 /// @brief Sends the pieces of this host's requests to the homes of their
 /// shards, and serves as home for other hosts.
 ///
@@ -35,9 +29,8 @@
 /// @ingroup gateway
 class stage_router {
  public:
-  /// @param read_tail What this host has read of a topic, for others.
   stage_router(gateway_environment& environment, stage_home& home,
-               peer_node& peers, tail_source read_tail);
+               peer_node& peers);
   ~stage_router();
   stage_router(const stage_router&) = delete;
   stage_router& operator=(const stage_router&) = delete;
@@ -48,9 +41,10 @@
   void Refresh();
   /// @brief Other hosts are to choose another home.
   void Drain() { draining_ = true; }
-  /// @brief Reads on in a topic through one of the hosts that read the store.
-  void AskReader(const std::string& topic, std::uint64_t from,
-                 std::function<void(std::optional<tail_read>)> done);
+  /// @brief The host to read the store through; empty: this one reads itself.
+  std::string Reader() const;
+  /// @brief Hosts that may know what the store does not tell this one now.
+  std::vector<std::string> Sources() const;
 
  private:
   struct order;
@@ -90,11 +84,11 @@
   const std::vector<std::string>& Ranked(const stage_shard& shard) const;
   std::vector<stage_shard> Shards() const;
   std::vector<std::string> Readers() const;
+  std::vector<peer_address> Contacts() const;
 
   gateway_environment& environment_;
   stage_home& home_;
   peer_node& peers_;
-  tail_source read_tail_;
   const std::string self_;
   std::vector<home_candidate> hosts_;  ///< With this one.
   mutable std::map<stage_shard, std::vector<std::string>> rankings_;
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -20,9 +20,7 @@
 /// Named like a shard, so that it has a ranking of its own.
 constexpr const char* kReadersShard = "store readers";
 constexpr std::size_t kReaders = 2;
-/// A host that is not answered reads the store, which takes a few
-/// milliseconds.
-constexpr milliseconds kReaderTimeout{300};
+constexpr std::size_t kNewestSources = 3;
 
 std::string ShardName(const stage_shard& shard) {
   return shard.service + "/" + shard.domain;
@@ -43,9 +41,21 @@
   }
   rankings_.clear();
   health_.Keep(names);
+  const auto contacts = Contacts();
+  others.insert(others.end(), contacts.begin(), contacts.end());
   peers_.SetPeers(others);
 }
 
+/// The addresses of seeds. Only these are known while the store is away, and
+/// whoever answers there can tell the rest.
+std::vector<peer_address> stage_router::Contacts() const {
+  std::vector<peer_address> contacts;
+  for (const auto& seed : environment_.options.OtherSeeds()) {
+    contacts.push_back({seed, seed, true});
+  }
+  return contacts;
+}
+
 void stage_router::Refresh() {
   rankings_.clear();
   home_.Refresh();
@@ -179,39 +189,31 @@
   return readers;
 }
 
-void stage_router::AskReader(
-    const std::string& topic, std::uint64_t from,
-    std::function<void(std::optional<tail_read>)> done) {
+std::string stage_router::Reader() const {
   const auto readers = Readers();
   const bool reads_itself =
       std::find(readers.begin(), readers.end(), self_) != readers.end();
   if (reads_itself || readers.empty()) {
-    done(std::nullopt);
-    return;
+    return {};
+  }
+  return readers[StableHash(self_) % readers.size()];
+}
+
+/// The readers first, since the others have it from them; a host that has just
+/// started knows its seeds only.
+std::vector<std::string> stage_router::Sources() const {
+  std::vector<std::string> sources;
+  for (const auto& host : Ranked({kReadersShard, ""})) {
+    if (host != self_ && health_.IsTrusted(host)) {
+      sources.push_back(host);
+    }
+    if (sources.size() == kNewestSources) {
+      return sources;
+    }
   }
-  wire::read_topicT ask;
-  ask.topic = topic;
-  ask.from = from;
-  peers_.Call(
-      readers[StableHash(self_) % readers.size()], MakeMessage(std::move(ask)),
-      kReaderTimeout, [done = std::move(done)](const peer_reply& reply) {
-        const auto* told = reply.end == peer_call_end::kReplied
-                               ? reply.body.Asread_topic_reply()
-                               : nullptr;
-        if (told == nullptr || !told->known) {
-          done(std::nullopt);
-          return;
-        }
-        tail_read read;
-        read.next = told->next;
-        read.age = milliseconds(told->age_ms);
-        for (const auto& record : told->records) {
-          read.records.push_back(
-              {record->key,
-               record->deleted ? std::nullopt : std::optional(record->value)});
-        }
-        done(std::move(read));
-      });
+  const auto seeds = environment_.options.OtherSeeds();
+  sources.insert(sources.end(), seeds.begin(), seeds.end());
+  return sources;
 }
 
 void stage_router::Tick() {
--- a/src/slatestall/gateway/stage_router_peers.cc
+++ b/src/slatestall/gateway/stage_router_peers.cc
@@ -23,26 +23,6 @@
                        const std::function<void(wire::messageUnion)>& reply) {
                   TakeBooking(*request.Asbook_stage(), reply);
                 });
-  peers_.Handle(wire::message::read_topic,
-                [this](const wire::messageUnion& request, const std::string&,
-                       const std::function<void(wire::messageUnion)>& reply) {
-                  const auto& ask = *request.Asread_topic();
-                  const auto read = read_tail_(ask.topic, ask.from);
-                  wire::read_topic_replyT told;
-                  told.known = read.has_value();
-                  if (read) {
-                    told.next = read->next;
-                    told.age_ms = static_cast<std::uint32_t>(read->age.count());
-                    for (const auto& record : read->records) {
-                      auto entry = std::make_unique<wire::topic_recordT>();
-                      entry->key = record.key;
-                      entry->value = record.value.value_or("");
-                      entry->deleted = !record.value.has_value();
-                      told.records.push_back(std::move(entry));
-                    }
-                  }
-                  reply(MakeMessage(std::move(told)));
-                });
   peers_.Handle(wire::message::home_status_request,
                 [this](const wire::messageUnion&, const std::string&,
                        const std::function<void(wire::messageUnion)>& reply) {
@@ -61,20 +41,22 @@
       wire::message::cancel_pieces,
       [this](const wire::messageUnion& notice, const std::string& from) {
         const auto& cancel = *notice.Ascancel_pieces();
-        if (!cancel.service.empty()) {
-          stage_need need;
-          need.shard = {cancel.service, cancel.domain};
-          need.booking.request = cancel.request;
-          need.booking.stage = cancel.stage;
-          home_.Release(need);
-          return;
-        }
         const auto found = served_.find({from, cancel.request, cancel.stage});
         if (found != served_.end()) {
           home_.Cancel(found->second);
           served_.erase(found);
         }
       });
+  peers_.HandleNotice(
+      wire::message::release_booking,
+      [this](const wire::messageUnion& notice, const std::string&) {
+        const auto& release = *notice.Asrelease_booking();
+        stage_need need;
+        need.shard = {release.service, release.domain};
+        need.booking.request = release.request;
+        need.booking.stage = release.stage;
+        home_.Release(need);
+      });
   peers_.HandleNotice(
       wire::message::free_results,
       [this](const wire::messageUnion& notice, const std::string&) {
--- /dev/null
+++ b/src/slatestall/gateway/topic_exchange_test.cc
@@ -0,0 +1,100 @@
+#include "slatestall/gateway/topic_exchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "slatestall/peer/peer_test_support.h"
+
+namespace slatestall {
+namespace {
+
+tail_read Known(std::uint64_t next) {
+  tail_read read;
+  read.records = {{"a", "1"}, {"b", std::nullopt}};
+  read.next = next;
+  read.age = milliseconds(70);
+  return read;
+}
+
+class topic_exchange_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(topic_exchange_test);
+  CPPUNIT_TEST(AHostTellsWhatItKnows);
+  CPPUNIT_TEST(AHostThatDoesNotKnowSaysSo);
+  CPPUNIT_TEST(TheMostRecentAnswerCounts);
+  CPPUNIT_TEST(HostsThatDoNotAnswerAreLeftOut);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    asked_.clear();
+    peers_.SetPeers({{"h2", AddressOf(near_.Port())},
+                     {"h3", AddressOf(far_.Port())},
+                     {"gone", "127.0.0.1:1"}});
+  }
+
+ private:
+  topic_source Source(std::optional<tail_read> known) {
+    return [this, known](const topic_question& question) {
+      asked_.push_back(question);
+      return known;
+    };
+  }
+
+  std::optional<tail_read> Ask(const std::vector<std::string>& hosts,
+                               const topic_question& question) {
+    topic_exchange exchange(peers_, Source(std::nullopt));
+    bool ended = false;
+    std::optional<tail_read> got;
+    exchange.AskAll(hosts, question, [&](std::optional<tail_read> told) {
+      ended = true;
+      got = std::move(told);
+    });
+    CPPUNIT_ASSERT(RunUntil(context_, [&] { return ended; }));
+    return got;
+  }
+
+  void AHostTellsWhatItKnows() {
+    topic_exchange near(near_, Source(Known(9)));
+    const auto got = Ask({"h2"}, {"endpoints", 4});
+    CPPUNIT_ASSERT(got);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, got->next);
+    CPPUNIT_ASSERT(got->age == milliseconds(70));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), *got->records[0].value);
+    CPPUNIT_ASSERT(!got->records[1].value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, *asked_.at(0).from);
+    Ask({"h2"}, {"endpoints", std::nullopt});
+    CPPUNIT_ASSERT(!asked_.at(1).from);
+  }
+
+  void AHostThatDoesNotKnowSaysSo() {
+    topic_exchange near(near_, Source(std::nullopt));
+    CPPUNIT_ASSERT(!Ask({"h2"}, {"endpoints", 4}));
+    CPPUNIT_ASSERT(!Ask({}, {"endpoints", 4}));
+  }
+
+  // Of the hosts that a starting one can ask, one has been cut off for a
+  // while. Taken first, its older configuration would be in force again.
+  void TheMostRecentAnswerCounts() {
+    topic_exchange near(near_, Source(Known(9)));
+    topic_exchange far(far_, Source(Known(12)));
+    const auto got = Ask({"h2", "h3"}, {"configuration", std::nullopt});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, got->next);
+  }
+
+  // Seeds may be stale: nobody listens at some of their addresses.
+  void HostsThatDoNotAnswerAreLeftOut() {
+    topic_exchange near(near_, Source(Known(9)));
+    const auto got = Ask({"gone", "h2", "unlisted"}, {"hosts", std::nullopt});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, got->next);
+  }
+
+  asio::io_context context_;
+  peer_node peers_{context_, {"h1", 1}, LocalOptions()};
+  peer_node near_{context_, {"h2", 2}, LocalOptions()};
+  peer_node far_{context_, {"h3", 3}, LocalOptions()};
+  std::vector<topic_question> asked_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(topic_exchange_test);
+
+}  // namespace
+}  // namespace slatestall
--- a/src/slatestall/gateway/topic_follower.cc
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -57,7 +57,7 @@
 }
 
 void topic_follower::OnNewest(const keyed_read& read) {
-  hooks_.on_read(read.outcome == store_outcome::kDone, read.detail);
+  hooks_.on_read(read);
   if (read.outcome != store_outcome::kDone) {
     Retry();
     return;
@@ -72,11 +72,10 @@
 void topic_follower::OnNext(const keyed_read& read) {
   if (read.outcome == store_outcome::kTooOld) {
     // What was deleted in between is told only by its absence.
-    hooks_.on_read(true, read.detail);
     ReadNewest();
     return;
   }
-  hooks_.on_read(read.outcome == store_outcome::kDone, read.detail);
+  hooks_.on_read(read);
   if (read.outcome != store_outcome::kDone) {
     Retry();
     return;
--- a/src/slatestall/gateway/topic_follower.h
+++ b/src/slatestall/gateway/topic_follower.h
@@ -24,7 +24,7 @@
   std::function<void(const std::vector<keyed_record>&)> on_all;
   std::function<void(const std::vector<keyed_record>&)> on_changes;
   /// After each read, before its records are told.
-  std::function<void(bool succeeded, const std::string& detail)> on_read;
+  std::function<void(const keyed_read& read)> on_read;
 };
 
 /// @brief Follows one compacted topic: the newest of every key once, then the
--- a/src/slatestall/gateway/topic_tail.cc
+++ b/src/slatestall/gateway/topic_tail.cc
@@ -5,13 +5,40 @@
 namespace slatestall {
 namespace {
 
-/// Readers ask every second or so; one that lags further reads the store.
+/// Hosts ask every second or so; one that lags further reads the store.
 constexpr milliseconds kKept{5000};
 
 }  // namespace
 
-void topic_tail::Note(std::uint64_t from, const keyed_read& read) {
+void topic_tail::NoteAll(const keyed_read& read, milliseconds age) {
   const std::lock_guard lock(mutex_);
+  newest_.clear();
+  for (const auto& record : read.records) {
+    newest_[record.key] = record;
+  }
+  has_all_ = true;
+  keyed_read nothing;
+  nothing.next = read.next;
+  Append(read.next, nothing, age);
+}
+
+void topic_tail::Note(std::uint64_t from, const keyed_read& read,
+                      milliseconds age) {
+  const std::lock_guard lock(mutex_);
+  // Past a gap, deletions may have been missed.
+  has_all_ = has_all_ && from == next_;
+  for (const auto& record : read.records) {
+    if (record.value) {
+      newest_[record.key] = record;
+    } else {
+      newest_.erase(record.key);
+    }
+  }
+  Append(from, read, age);
+}
+
+void topic_tail::Append(std::uint64_t from, const keyed_read& read,
+                        milliseconds age) {
   const time_point now = now_();
   if (from != next_) {
     entries_.clear();
@@ -22,27 +49,46 @@
     entries_.push_back({offset++, now, record});
   }
   next_ = read.next;
-  read_at_ = now;
+  read_at_ = now - age;
   while (!entries_.empty() && now - entries_.front().read_at > kKept) {
     first_ = entries_.front().offset + 1;
     entries_.pop_front();
   }
 }
 
+tail_read topic_tail::Told(std::vector<keyed_record> records) const {
+  tail_read read;
+  read.records = std::move(records);
+  read.next = next_;
+  read.age = std::chrono::duration_cast<milliseconds>(now_() - read_at_);
+  return read;
+}
+
 std::optional<tail_read> topic_tail::ReadFrom(std::uint64_t from) const {
   const std::lock_guard lock(mutex_);
   if (read_at_ == time_point{} || from < first_ || from > next_) {
     return std::nullopt;
   }
-  tail_read read;
-  read.next = next_;
-  read.age = std::chrono::duration_cast<milliseconds>(now_() - read_at_);
+  std::vector<keyed_record> records;
   for (const auto& entry : entries_) {
     if (entry.offset >= from) {
-      read.records.push_back(entry.record);
+      records.push_back(entry.record);
     }
   }
-  return read;
+  return Told(std::move(records));
+}
+
+std::optional<tail_read> topic_tail::ReadAll() const {
+  const std::lock_guard lock(mutex_);
+  if (!has_all_) {
+    return std::nullopt;
+  }
+  std::vector<keyed_record> records;
+  records.reserve(newest_.size());
+  for (const auto& [key, record] : newest_) {
+    records.push_back(record);
+  }
+  return Told(std::move(records));
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/topic_tail.h
+++ b/src/slatestall/gateway/topic_tail.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -12,24 +14,38 @@
 
 namespace slatestall {
 
-/// @brief What another host is told of a topic.
+/// @brief What a host asks another about a topic.
 /// @ingroup gateway
+struct topic_question {
+  std::string topic;
+  /// Records from that offset on; nothing: the newest of every key.
+  std::optional<std::uint64_t> from;
+};
+
+/// @brief What another host is told of a topic.
 struct tail_read {
   std::vector<keyed_record> records;
   std::uint64_t next = 0;
   milliseconds age{0};  ///< Since the store was last read.
 };
 
-/// @brief The newest records that this host has read of a topic, for hosts
-/// that read the topic through it. Any thread may use it.
+/// @brief What this host knows of a topic, for hosts that follow the topic
+/// through it or start while the store is away. Any thread may use it.
 class topic_tail {
  public:
   explicit topic_tail(now_function now) : now_(std::move(now)) {}
 
-  /// @brief Notes a successful read of the store.
-  void Note(std::uint64_t from, const keyed_read& read);
+  /// @brief The newest of every key was read.
+  /// @param age Of what was read, where another host told it.
+  void NoteAll(const keyed_read& read, milliseconds age = milliseconds(0));
+  /// @brief Records from an offset on were read.
+  void Note(std::uint64_t from, const keyed_read& read,
+            milliseconds age = milliseconds(0));
+
   /// @returns nothing where it does not hold all records from there on.
   std::optional<tail_read> ReadFrom(std::uint64_t from) const;
+  /// @returns nothing where the whole was never read.
+  std::optional<tail_read> ReadAll() const;
 
  private:
   struct entry {
@@ -38,12 +54,17 @@
     keyed_record record;
   };
 
+  tail_read Told(std::vector<keyed_record> records) const;
+  void Append(std::uint64_t from, const keyed_read& read, milliseconds age);
+
   now_function now_;
   mutable std::mutex mutex_;
   std::deque<entry> entries_;
-  std::uint64_t first_ = 0;  ///< Of what is held without a gap.
+  std::map<std::string, keyed_record> newest_;  ///< By key, of `has_all_`.
+  bool has_all_ = false;
+  std::uint64_t first_ = 0;  ///< Of what `entries_` hold without a gap.
   std::uint64_t next_ = 0;
-  time_point read_at_{};
+  time_point read_at_{};  ///< When the store told the last of it.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/peer/peer_links.cc
+++ b/src/slatestall/peer/peer_links.cc
@@ -75,6 +75,7 @@
   for (const peer_address& listed : peers) {
     peer entry;
     entry.where = ParseAddress(listed.address);
+    entry.is_contact = listed.is_contact;
     const auto known = peers_.find(listed.host);
     if (known != peers_.end() && known->second.where == entry.where) {
       entry = known->second;
@@ -164,6 +165,7 @@
   target.dialed = AddLink(tcp::socket(context_), true);
   link& made = links_.at(target.dialed);
   made.peer.name = host;
+  made.is_contact = target.is_contact;
   made.connection->Connect(*target.where, EncodeHello());
   return &made;
 }
@@ -269,12 +271,15 @@
   link& greeted = links_.at(id);
   // An address from the lagging list may already belong to another host, which
   // would answer for keys and usage that are not its own.
-  if (greeted.dialed && hello.host != greeted.peer.name) {
+  if (greeted.dialed && !greeted.is_contact &&
+      hello.host != greeted.peer.name) {
     Refuse(id, "host " + hello.host + " answers at the address of " +
                    greeted.peer.name);
     return;
   }
-  greeted.peer = {hello.host, hello.incarnation};
+  // A contact keeps the name by which its calls find it.
+  greeted.peer = {greeted.is_contact ? greeted.peer.name : hello.host,
+                  hello.incarnation};
   ++counters.connections_made;
   if (!greeted.dialed) {
     greeted.connection->SendFirst(EncodeHello());
--- a/src/slatestall/peer/peer_node_impl.h
+++ b/src/slatestall/peer/peer_node_impl.h
@@ -45,14 +45,16 @@
   struct link {
     std::shared_ptr<peer_connection> connection;
     bool dialed = false;
-    bool retired = false;  ///< Takes no new call; closes after its last.
-    host_id peer;          ///< The incarnation is 0 before the hello.
+    bool retired = false;     ///< Takes no new call; closes after its last.
+    bool is_contact = false;  ///< Dialed by address, whoever answers there.
+    host_id peer;             ///< The incarnation is 0 before the hello.
     std::set<std::uint64_t> calls;
     std::size_t serving = 0;
   };
   struct peer {
     std::optional<asio::ip::tcp::endpoint> where;  ///< None: cannot be read.
     link_id dialed = 0;                            ///< 0: not connected.
+    bool is_contact = false;                       ///< As in `peer_address`.
     time_point retry_at{};
     milliseconds backoff{0};
   };
--- a/src/slatestall/peer/peer_node_test.cc
+++ b/src/slatestall/peer/peer_node_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(CallWithoutHelloIsNotSent);
   CPPUNIT_TEST(CallWithoutReplyIsUnknown);
   CPPUNIT_TEST(AnotherHostAtTheAddressIsNotSent);
+  CPPUNIT_TEST(AContactIsWhoeverAnswersThere);
   CPPUNIT_TEST(UnknownVersionIsToldSo);
   CPPUNIT_TEST(BrokenBytesCloseOnlyTheirConnection);
   CPPUNIT_TEST(DoubledAndUnaskedRepliesAreDropped);
@@ -112,6 +113,19 @@
     CPPUNIT_ASSERT(CallStatus().end == peer_call_end::kNotSent);
   }
 
+  // A host that has just started knows addresses only: who listens there it
+  // is still to learn.
+  void AContactIsWhoeverAnswersThere() {
+    peer_node other(context_, {"entry-3", 33}, ShortOptions());
+    AnswerStatus(other, "{}");
+    const auto address = AddressOf(other.Port());
+    node_->SetPeers({{"entry-2", address, true}});
+    CPPUNIT_ASSERT(CallStatus().end == peer_call_end::kReplied);
+    // On the connection made before.
+    CPPUNIT_ASSERT(CallStatus().end == peer_call_end::kReplied);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, node_->Counters().connections_made);
+  }
+
   void UnknownVersionIsToldSo() {
     raw_peer peer(context_, node_->Port());
     peer.Write(HelloFrame("entry-2", 22, kPeerProtocolVersion + 1));
