One client for the platform's store; the stand-in speaks the published protocol

Cause: two clients of the platform stood in the repository: the product's own log protocol in src/slatestall/platform, the published one in platform/. What the tests and the demo ran through was not what serves on the platform. Change: platform/ holds calls and records of the store once (store_calls, store_records); keyed topics and the product's streams are made of them. Hosts get log, host list and weight store through their constructor, so that src/slatestall/platform has no sources any more.

--- a/include/slatestall/node/control_loop.h
+++ b/include/slatestall/node/control_loop.h
@@ -12,6 +12,7 @@
 #include "slatestall/model/ids.h"
 #include "slatestall/model/time.h"
 #include "slatestall/model/told_load.h"
+#include "slatestall/platform/platform_services.h"
 #include "slatestall/policy/control_snapshot.h"
 #include "slatestall/policy/share_types.h"
 #include "slatestall/serve/outcome_guard.h"
@@ -43,7 +44,8 @@
   /// @throws std::system_error where the peer or operators' address cannot be
   /// bound.
   control_loop(const settings& options, const host_id& self, now_function now,
-               snapshot_cell& snapshots, control_hooks hooks);
+               snapshot_cell& snapshots, control_hooks hooks,
+               const make_platform_services& platform);
   /// @brief Stops the thread.
   ~control_loop();
   control_loop(const control_loop&) = delete;
--- a/include/slatestall/node/entry_host.h
+++ b/include/slatestall/node/entry_host.h
@@ -5,6 +5,7 @@
 
 #include "slatestall/config/settings.h"
 #include "slatestall/model/time.h"
+#include "slatestall/platform/platform_services.h"
 
 namespace slatestall {
 
@@ -14,7 +15,7 @@
  public:
   /// @throws std::system_error where an address cannot be bound.
   /// @throws std::invalid_argument where a setting is none.
-  explicit entry_host(const settings& options);
+  entry_host(const settings& options, const make_platform_services& platform);
   ~entry_host();
   entry_host(const entry_host&) = delete;
   entry_host& operator=(const entry_host&) = delete;
--- a/include/slatestall/platform/weight_store.h
+++ b/include/slatestall/platform/weight_store.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 
-#include "slatestall/http/http_client.h"
 #include "slatestall/model/time.h"
 
 namespace slatestall {
@@ -24,9 +23,4 @@
 using fetch_weights = std::function<void(
     const std::string& version, std::function<void(weight_result)> done)>;
 
-/// @brief The weight store over HTTP.
-/// @param client Outlives the hook; both belong to the same thread.
-fetch_weights MakeWeightStoreClient(http_client& client,
-                                    const std::string& url);
-
 }  // namespace slatestall
--- a/programs/slatestalld/main.cc
+++ b/programs/slatestalld/main.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "platform/platform_adapter.h"
 #include "slatestall/config/config_problem.h"
 #include "slatestall/config/settings.h"
 #include "slatestall/node/entry_host.h"
@@ -89,7 +90,7 @@
     return 0;
   }
   ConfigureLog(loaded.content.log_level);
-  entry_host host(loaded.content);
+  entry_host host(loaded.content, MakePlatformServices(loaded.content));
   std::cout << "slatestalld " << loaded.content.host_name << " port "
             << host.Port() << " peer-port " << host.PeerPort();
   if (host.OperatorPort() != 0) {
--- a/src/slatestall/node/control_core.cc
+++ b/src/slatestall/node/control_core.cc
@@ -7,9 +7,6 @@
 #include "slatestall/node/control_setup.h"
 #include "slatestall/node/longest_deadline.h"
 #include "slatestall/node/peer_heads.h"
-#include "slatestall/platform/host_list_client.h"
-#include "slatestall/platform/log_client.h"
-#include "slatestall/platform/weight_store.h"
 #include "slatestall/serve/workspace_auth.h"
 
 namespace slatestall {
@@ -45,7 +42,8 @@
 
 control_core::control_core(asio::io_context& context, const settings& options,
                            const host_id& self, now_function now,
-                           snapshot_cell& snapshots, control_hooks hooks)
+                           snapshot_cell& snapshots, control_hooks hooks,
+                           const make_platform_services& platform)
     : options_(options),
       self_(self),
       now_(std::move(now)),
@@ -54,15 +52,14 @@
       traffic_(options_.log_url, options_.host_list_url,
                options_.weight_store_url),
       client_(context),
-      fetch_hosts_(MakeHostListClient(client_, options_.host_list_url)),
+      platform_(platform(client_)),
       peers_(context, self_, PeerOptions(options_)),
       network_(context, peers_, OwnDigest(options_, self_, peers_.Port()), now_,
                [this] { OnNetwork(); }),
-      follower_(context, FollowerOptions(), CheckSource,
-                MakeLogClient(client_, options_.log_url), now_,
+      follower_(context, FollowerOptions(), CheckSource, platform_.log, now_,
                 FollowerHooks()),
-      outcomes_(context, self_, OutcomeOptions(),
-                MakeLogClient(client_, options_.log_url), OutcomePeers(), now_),
+      outcomes_(context, self_, OutcomeOptions(), platform_.log, OutcomePeers(),
+                now_),
       reporter_(self_, now_, peers_, follower_, directory_, network_),
       loads_(context, client_, now_, directory_,
              {[this] { PublishSoon(); },
@@ -189,9 +186,8 @@
     return nullptr;
   }
   return std::make_unique<order_service>(
-      context, self_, client_, directory_,
-      MakeLogClient(client_, options_.log_url),
-      MakeWeightStoreClient(client_, options_.weight_store_url), now_,
+      context, self_, client_, directory_, platform_.log, platform_.weights,
+      now_,
       order_links{[this] { return network_.Members().LiveHosts(); },
                   [this] { ChooseEndpoints(); }});
 }
@@ -286,7 +282,7 @@
 }
 
 void control_core::FetchHosts() {
-  fetch_hosts_([this](const host_list_result& result) {
+  platform_.hosts([this](const host_list_result& result) {
     if (result.ok) {
       OnHostList(result.hosts);
     }
--- a/src/slatestall/node/control_core.h
+++ b/src/slatestall/node/control_core.h
@@ -23,7 +23,7 @@
 #include "slatestall/node/order_service.h"
 #include "slatestall/node/outcome_service.h"
 #include "slatestall/node/told_loads.h"
-#include "slatestall/platform/host_list.h"
+#include "slatestall/platform/platform_services.h"
 
 namespace slatestall {
 
@@ -43,7 +43,7 @@
  public:
   control_core(asio::io_context& context, const settings& options,
                const host_id& self, now_function now, snapshot_cell& snapshots,
-               control_hooks hooks);
+               control_hooks hooks, const make_platform_services& platform);
 
   void Start();
   void HandleAdminCall(const http_request& request, const admin_reply& reply);
@@ -96,7 +96,7 @@
   control_traffic traffic_;
 
   http_client client_;
-  fetch_host_list fetch_hosts_;
+  platform_services platform_;
   peer_node peers_;
   host_network network_;
   config_follower follower_;
--- a/src/slatestall/node/control_loop.cc
+++ b/src/slatestall/node/control_loop.cc
@@ -23,10 +23,11 @@
 class control_loop::impl {
  public:
   impl(const settings& options, const host_id& self, now_function now,
-       snapshot_cell& snapshots, control_hooks hooks)
+       snapshot_cell& snapshots, control_hooks hooks,
+       const make_platform_services& platform)
       : work_(asio::make_work_guard(context_)),
         core_(context_, options, self, std::move(now), snapshots,
-              WithOperatorAddress(options, std::move(hooks))) {
+              WithOperatorAddress(options, std::move(hooks)), platform) {
     if (!options.operator_listen.empty()) {
       operators_ = std::make_unique<operator_server>(
           context_, options.operator_listen,
@@ -78,9 +79,10 @@
 
 control_loop::control_loop(const settings& options, const host_id& self,
                            now_function now, snapshot_cell& snapshots,
-                           control_hooks hooks)
+                           control_hooks hooks,
+                           const make_platform_services& platform)
     : impl_(std::make_shared<impl>(options, self, std::move(now), snapshots,
-                                   std::move(hooks))) {}
+                                   std::move(hooks), platform)) {}
 
 control_loop::~control_loop() { impl_->Stop(); }
 
--- a/src/slatestall/node/control_traffic.cc
+++ b/src/slatestall/node/control_traffic.cc
@@ -20,7 +20,7 @@
 
 control_traffic::control_traffic(std::string log_url, std::string host_list_url,
                                  std::string weight_store_url)
-    : log_prefix_(std::move(log_url) + "/streams"),
+    : log_prefix_(std::move(log_url) + "/"),
       list_prefix_(std::move(host_list_url) + "/hosts"),
       weights_prefix_(std::move(weight_store_url)) {}
 
--- a/src/slatestall/node/entry_host.cc
+++ b/src/slatestall/node/entry_host.cc
@@ -17,10 +17,10 @@
 namespace slatestall {
 class entry_host::impl {
  public:
-  explicit impl(const settings& options)
+  impl(const settings& options, const make_platform_services& platform)
       : options_(options),
         self_(NewIncarnation(options.host_name)),
-        control_(options_, self_, Now, snapshots_, ControlHooks()),
+        control_(options_, self_, Now, snapshots_, ControlHooks(), platform),
         signals_(context_, SIGTERM, SIGINT),
         drain_(context_, DrainHooks()) {
     if (!options_.record_path.empty()) {
@@ -131,8 +131,9 @@
   drain_sequence drain_;
 };
 
-entry_host::entry_host(const settings& options)
-    : impl_(std::make_unique<impl>(options)) {}
+entry_host::entry_host(const settings& options,
+                       const make_platform_services& platform)
+    : impl_(std::make_unique<impl>(options, platform)) {}
 entry_host::~entry_host() = default;
 
 std::uint16_t entry_host::Port() const { return impl_->Port(); }
--- a/standins/platform/log_front.h
+++ b/standins/platform/log_front.h
@@ -41,7 +41,7 @@
     explicit waiting_read(asio::io_context& context) : timer(context) {}
     std::string stream;
     std::uint64_t from = 0;
-    std::size_t max = 0;
+    std::size_t max_bytes = 0;
     http_responder_ptr responder;
     asio::steady_timer timer;
     bool over = false;
--- a/standins/platform/log_store.h
+++ b/standins/platform/log_store.h
@@ -35,6 +35,8 @@
   /// @return The record's offset.
   std::uint64_t Append(const std::string& stream, std::string payload,
                        time_point now);
+  /// @brief The offset that the next record will get.
+  std::uint64_t End(const std::string& stream) { return streams_[stream].next; }
   log_page Read(const std::string& stream, std::uint64_t from,
                 std::size_t max_records, time_point now);
 
