Settings are read again on SIGHUP and when the file changes

Cause: a changed file was ignored until the next start; the log said so and no more. Change: settings_watch reads the file on SIGHUP, and looks at its time every two seconds, since files change without a signal too. Seeds, limits on repeats and the time for a stop are in force at once; fields that need a restart are named in the log line 'reloaded', a file with a problem changes nothing ('reload_failed').

--- a/include/slatestall/gateway/gateway_host.h
+++ b/include/slatestall/gateway/gateway_host.h
@@ -28,7 +28,10 @@
 class gateway_host {
  public:
   /// @throws std::system_error where an address cannot be bound.
-  gateway_host(const gateway_options& options, gateway_adapter adapter);
+  /// @param settings_file Read again on SIGHUP and when it changes; may be
+  /// empty.
+  gateway_host(const gateway_options& options, gateway_adapter adapter,
+               const std::string& settings_file);
   ~gateway_host();
   gateway_host(const gateway_host&) = delete;
   gateway_host& operator=(const gateway_host&) = delete;
--- a/programs/slatestalld/gateway_command.cc
+++ b/programs/slatestalld/gateway_command.cc
@@ -31,7 +31,7 @@
     std::cout << "the settings are good\n";
     return 0;
   }
-  gateway_host host(loaded.content, MakePlatformAdapter());
+  gateway_host host(loaded.content, MakePlatformAdapter(), settings_file);
   host.Run();
   return 0;
 }
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -13,6 +13,7 @@
 
 #include "slatestall/gateway/gateway_control.h"
 #include "slatestall/gateway/gateway_traffic.h"
+#include "slatestall/gateway/settings_reload.h"
 #include "slatestall/gateway/shared_reading.h"
 #include "slatestall/http/http_server.h"
 #include "slatestall/relay/boot_time.h"
@@ -48,7 +49,8 @@
 
 class gateway_host::impl {
  public:
-  impl(const gateway_options& options, gateway_adapter adapter)
+  impl(const gateway_options& options, gateway_adapter adapter,
+       const std::string& settings_file)
       : options_(options),
         adapter_(std::move(adapter)),
         log_(options.host_name, kMaxLinesPerSecond, BootTimeNow),
@@ -66,7 +68,8 @@
                   AnswerStatus(request, *responder);
                 }),
         signals_(traffic_context_, SIGTERM, SIGINT),
-        reload_(traffic_context_, SIGHUP),
+        settings_(traffic_context_, settings_file,
+                  [this](const auto& loaded) { Reload(loaded); }),
         drain_(traffic_context_, DrainHooks()) {}
 
   ~impl() { StopControl(); }
@@ -76,7 +79,6 @@
                            {"status", status_.Port()},
                            {"store", options_.store_address}});
     AwaitStop();
-    AwaitReload();
     control_.Start();
     control_thread_ = std::thread([this] { control_context_.run(); });
     traffic_context_.run();
@@ -100,16 +102,18 @@
     });
   }
 
-  /// What the settings file holds is read at the start; a signal that it has
-  /// changed must not end the process, which is its default effect.
-  void AwaitReload() {
-    reload_.async_wait([this](const asio::error_code& error, int) {
-      if (!error) {
-        log_.Write("reload_ignored",
-                   {{"detail", "settings are read at the start"}});
-        AwaitReload();
-      }
-    });
+  /// A file with a problem changes nothing, as at the start.
+  void Reload(const loaded_gateway_settings& loaded) {
+    if (!loaded.problems.empty()) {
+      log_.Write("reload_failed",
+                 {{"problems", loaded.problems.size()},
+                  {"detail", Describe(loaded.problems.front())}});
+      return;
+    }
+    const auto change = ApplyReload(loaded.content, options_);
+    traffic_.SetRepeatLimits(options_.repeats);
+    log_.Write("reloaded", {{"applied", change.applied},
+                            {"at_restart", change.at_restart}});
   }
 
   topic_asks OtherHosts() {
@@ -218,7 +222,8 @@
     }
   }
 
-  const gateway_options options_;
+  /// What a reload changes of it is used on the traffic thread only.
+  gateway_options options_;
   gateway_adapter adapter_;
   decision_log log_;
   std::atomic<bool> configured_{false};
@@ -232,15 +237,17 @@
   gateway_control control_;
   http_server status_;
   asio::signal_set signals_;
-  asio::signal_set reload_;
+  settings_watch settings_;
   asio::steady_timer last_bytes_{traffic_context_};
   drain_sequence drain_;
   std::thread control_thread_;
 };
 
 gateway_host::gateway_host(const gateway_options& options,
-                           gateway_adapter adapter)
-    : impl_(std::make_unique<impl>(options, std::move(adapter))) {}
+                           gateway_adapter adapter,
+                           const std::string& settings_file)
+    : impl_(
+          std::make_unique<impl>(options, std::move(adapter), settings_file)) {}
 gateway_host::~gateway_host() = default;
 
 void gateway_host::Run() { impl_->Run(); }
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -36,6 +36,9 @@
                  topic_exchange::done_hook done);
   /// @brief Asks some other hosts what they know.
   void AskAny(const topic_question& question, topic_exchange::done_hook done);
+  void SetRepeatLimits(const repeat_limits& limits) {
+    environment_.repeats.SetLimits(limits);
+  }
   void AnnounceClose();
   void StopAccepting();
   std::size_t InHand() const { return in_hand_; }
