A caller refused for want of a configuration is told a time beyond an outage

Ruled out: learning from others (all hosts had lost what they knew), the start of hosts (0.3 s). Change: past 0.6 s without a configuration, the later half of what callers may wait is told. A refusal is logged once, as request_refused; request_done told it again (half of the lines under overload) with a deadline not yet known.

--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -31,6 +31,7 @@
   routing_table_ptr table;  ///< Null until one is known.
   /// Longest time that callers of a route have been seen to wait, by its name.
   std::map<std::string, milliseconds> patience;
+  time_point started_at{};
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -17,6 +17,10 @@
 /// Callers come back at most this part of their time left after a refusal.
 constexpr int kReturnPart = 3;
 constexpr milliseconds kShortestReturn{100};
+/// Some 50 ms pass from the start of a host to its configuration, 300 ms where
+/// the store is slow.
+constexpr milliseconds kUsualStart{600};
+constexpr milliseconds kReturnWhileStarting{300};
 constexpr std::int64_t kSpreadSteps = 64;
 /// Less missing from the usual patience of a route's callers is chance.
 constexpr milliseconds kReturnSlack{100};
@@ -46,7 +50,7 @@
   table_ = environment_.table;
   if (!table_) {
     return refusal{error_kind::kNoConfiguration, "no configuration yet",
-                   milliseconds(300)};
+                   ReturnWithoutConfiguration()};
   }
   try {
     facts_ = environment_.protocol.read_request(request_.head);
@@ -63,6 +67,25 @@
   return CheckTime();
 }
 
+/// A host that starts has a configuration within a moment. One that still has
+/// none then waits for the store, whose outages last for seconds: callers who
+/// came back at once would use up their return in the same outage.
+milliseconds request_run::ReturnWithoutConfiguration() const {
+  if (environment_.now() - environment_.started_at < kUsualStart) {
+    return kReturnWhileStarting;
+  }
+  try {
+    const auto facts = environment_.protocol.read_request(request_.head);
+    const auto most =
+        facts.patience.value_or(kReturnWhileStarting) / kReturnPart;
+    const auto part = static_cast<std::int64_t>(
+        StableHash(facts.id) % static_cast<std::uint64_t>(kSpreadSteps));
+    return most - most * part / kSpreadSteps / 2;
+  } catch (const request_error&) {
+    return kReturnWhileStarting;  // It is refused as malformed next time.
+  }
+}
+
 std::optional<request_run::refusal> request_run::FindRoute() {
   const auto host = RouteHost(FindHeader(request_.head.headers, "Host"));
   route_ = table_->Find(host, PathOf(request_.head.target));
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -16,6 +16,8 @@
 /// all hosts choose the same ones.
 constexpr std::uint64_t kLoggedShare = 16;
 
+constexpr std::string_view kRefused = "refused";
+
 }  // namespace
 
 request_run::request_run(gateway_environment& environment,
@@ -81,7 +83,7 @@
        {"after_ms",
         WholeMilliseconds(environment_.now() - request_.arrived).count()}});
   environment_.metrics.Count("refused", AnswerFor(why.kind).name);
-  Finish("refused");
+  Finish(kRefused);
 }
 
 void request_run::Abort(const std::string& why) {
@@ -141,7 +143,8 @@
   deadline_timer_.cancel();
   stall_timer_.cancel();
   const bool ordinary = outcome == "answered" || outcome == "streamed";
-  if (route_ != nullptr &&
+  // A refusal has had its line.
+  if (route_ != nullptr && outcome != kRefused &&
       (!ordinary || sends_ > 0 || StableHash(facts_.id) % kLoggedShare == 0)) {
     environment_.log.Write(
         "request_done",
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -54,6 +54,7 @@
 
   // Admission.
   std::optional<refusal> Admit();
+  milliseconds ReturnWithoutConfiguration() const;
   std::optional<refusal> FindRoute();
   std::optional<refusal> FindWorkspace();
   std::optional<refusal> CheckTime();
