slatestall explain reads the logs of gateway hosts

Cause: on the users' platform an engineer has logs and metrics only; explain asked hosts, which keep requests in memory and answer operators' calls of the other kind of host.

--- a/programs/slatestall/queries/explain_query.cc
+++ b/programs/slatestall/queries/explain_query.cc
@@ -1,8 +1,11 @@
+#include <fstream>
+#include <iostream>
 #include <memory>
 
 #include "slatestall/console.h"
 #include "slatestall/format_number.h"
 #include "slatestall/host_option.h"
+#include "slatestall/log_story.h"
 #include "slatestall/request_search.h"
 #include "slatestall/subcommands.h"
 
@@ -14,6 +17,7 @@
 struct explain_options {
   std::string host;
   std::string request;
+  std::vector<std::string> logs;  ///< Files; "-" is standard input.
   bool json = false;
 };
 
@@ -43,7 +47,73 @@
          Milliseconds(trace.value("deadline_ms", json())) + " ms";
 }
 
+bool ReadLogs(const std::vector<std::string>& files, story_reader& reader) {
+  for (const auto& file : files) {
+    if (file == "-") {
+      reader.Read(std::cin);
+      continue;
+    }
+    std::ifstream log(file);
+    if (!log.is_open()) {
+      PrintError(file + ": cannot be read");
+      return false;
+    }
+    reader.Read(log);
+  }
+  return true;
+}
+
+std::string FieldsText(const json& fields) {
+  std::string text;
+  for (const auto& [name, value] : fields.items()) {
+    text += (text.empty() ? "" : "  ") + name + " " +
+            (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return text;
+}
+
+exit_code ExplainFromLogs(const explain_options& options) {
+  story_reader reader(options.request);
+  if (!ReadLogs(options.logs, reader)) {
+    return exit_code::kBadInput;
+  }
+  const auto story = reader.Take();
+  if (story.unreadable > 0) {
+    PrintError(std::to_string(story.unreadable) +
+               " lines are cut short or no JSON; left out");
+  }
+  if (story.lines.empty()) {
+    PrintError(options.request +
+               ": not in these logs; one that went well is logged for one "
+               "request in sixteen");
+    return exit_code::kNegative;
+  }
+  std::vector<std::vector<std::string>> rows{
+      {"AT ms", "HOST", "WHAT", "DETAILS"}};
+  json told = json::array();
+  for (const auto& line : story.lines) {
+    const auto at = line.ms - story.arrived_ms;
+    rows.push_back({std::to_string(at), line.host,
+                    line.is_own ? line.event : "(" + line.event + ")",
+                    FieldsText(line.fields)});
+    told.push_back({{"at_ms", at},
+                    {"host", line.host},
+                    {"event", line.event},
+                    {"of_request", line.is_own},
+                    {"fields", line.fields}});
+  }
+  if (options.json) {
+    PrintJson(told);
+  } else {
+    Print(TextTable(rows));
+  }
+  return exit_code::kOk;
+}
+
 exit_code RunExplain(const explain_options& options) {
+  if (!options.logs.empty()) {
+    return ExplainFromLogs(options);
+  }
   const request_search search =
       FindRequest(SendOverHttp, options.host, options.request);
   if (!search.trace) {
@@ -82,15 +152,24 @@
   CLI::App* command = app.add_subcommand(
       "explain",
       "Show every decision taken for a recent request, and why; asks every "
-      "host for it");
+      "host for it, or reads the logs of gateway hosts");
   command
       ->add_option("REQUEST_ID", options->request, "X-Request-Id of the answer")
       ->required()
       ->check(RequestIdProblem);
   AddHostOption(*command, options->host);
+  command->get_option("--host")->required(false);
+  command->add_option("--logs", options->logs,
+                      "Logs of gateway hosts to read in place of asking; - is "
+                      "standard input");
   command->add_flag("--json", options->json, "Answer in JSON");
   command->footer(kExitCodeHelp);
-  command->callback([options, &result] { result = RunExplain(*options); });
+  command->callback([options, &result] {
+    if (options->host.empty() && options->logs.empty()) {
+      throw CLI::RequiredError("--host or --logs");
+    }
+    result = RunExplain(*options);
+  });
 }
 
 }  // namespace slatestall
