--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -1,7 +1,9 @@
 #include "slatestall/dispatch/endpoint_pick.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
+#include <utility>
 
 #include "slatestall/model/ids.h"
 
@@ -37,15 +39,23 @@
   double failures = 0;
 };
 
+/// Its load is estimated once a choice: that takes most of the choice's time.
+struct candidate {
+  const endpoint_record_ptr* whole;
+  double busy;
+
+  const endpoint_record& Record() const { return **whole; }
+};
+
 class endpoint_picker {
  public:
   endpoint_picker(const std::vector<endpoint_record_ptr>& all,
                   const pick_request& request)
       : request_(request) {
+    candidates_.reserve(all.size());
     for (const auto& record : all) {
       if (record->Usable() && !Tried(request, *record)) {
-        usable_.push_back(record.get());
-        whole_.push_back(record);
+        candidates_.push_back({&record, record->Busy(request.now)});
       }
     }
     DropAvoided();
@@ -53,78 +63,78 @@
   }
 
   endpoint_record_ptr Pick() const {
-    if (usable_.empty()) {
+    if (candidates_.empty()) {
       return nullptr;
     }
-    if (request_.shared_prompt != 0) {
-      if (const auto* home = Home()) {
-        return Whole(home);
-      }
-    }
-    return Whole(Least());
+    const candidate* home = request_.shared_prompt != 0 ? Home() : nullptr;
+    return *(home != nullptr ? home : Least())->whole;
   }
 
  private:
   /// Endpoints that fail are left alone, unless no other is left: then the one
   /// that was left alone longest may have recovered.
   void DropAvoided() {
-    std::vector<const endpoint_record*> calm;
-    for (const auto* record : usable_) {
-      if (!record->Avoided(request_.now)) {
-        calm.push_back(record);
-      }
-    }
-    if (!calm.empty()) {
-      usable_ = std::move(calm);
+    const auto is_avoided = [this](const candidate& one) {
+      return one.Record().Avoided(request_.now);
+    };
+    if (candidates_.empty()) {
       return;
     }
-    std::sort(usable_.begin(), usable_.end(), [](const auto* a, const auto* b) {
-      return a->AvoidUntil() < b->AvoidUntil();
-    });
-    if (usable_.size() > 1) {
-      usable_.resize(1);
+    if (!std::all_of(candidates_.begin(), candidates_.end(), is_avoided)) {
+      std::erase_if(candidates_, is_avoided);
+      return;
     }
+    const auto first = *std::min_element(
+        candidates_.begin(), candidates_.end(),
+        [](const candidate& a, const candidate& b) {
+          return a.Record().AvoidUntil() < b.Record().AvoidUntil();
+        });
+    candidates_ = {first};
   }
 
   void Average() {
-    if (usable_.empty()) {
+    if (candidates_.empty()) {
       return;
     }
-    for (const auto* record : usable_) {
-      means_.busy += record->Busy(request_.now);
-      means_.slowness += record->Slowness();
-      means_.failures += record->FailureShare();
+    for (const auto& one : candidates_) {
+      means_.busy += one.busy;
+      means_.slowness += one.Record().Slowness();
+      means_.failures += one.Record().FailureShare();
     }
-    const auto count = static_cast<double>(usable_.size());
+    const auto count = static_cast<double>(candidates_.size());
     means_.busy /= count;
     means_.slowness /= count;
     means_.failures /= count;
   }
 
-  const endpoint_record* Home() const {
-    std::vector<std::pair<std::uint64_t, const endpoint_record*>> ranked;
-    ranked.reserve(usable_.size());
-    for (const auto* record : usable_) {
-      ranked.emplace_back(StableHash(record->Info().id, request_.shared_prompt),
-                          record);
+  /// The first of the prompt's homes, by rendezvous, that has room.
+  const candidate* Home() const {
+    std::array<std::pair<std::uint64_t, const candidate*>, kHomesOfPrompt>
+        homes{};
+    for (const auto& one : candidates_) {
+      std::pair ranked{
+          StableHash(one.Record().Info().id, request_.shared_prompt), &one};
+      for (auto& home : homes) {
+        if (home.second == nullptr || ranked.first > home.first) {
+          std::swap(home, ranked);
+        }
+        if (ranked.second == nullptr) {
+          break;
+        }
+      }
     }
-    const std::size_t homes = std::min(kHomesOfPrompt, ranked.size());
-    std::partial_sort(ranked.begin(),
-                      ranked.begin() + static_cast<std::ptrdiff_t>(homes),
-                      ranked.end(), std::greater<>());
-    for (std::size_t i = 0; i < homes; ++i) {
-      if (HasRoom(*ranked[i].second)) {
-        return ranked[i].second;
+    for (const auto& [rank, home] : homes) {
+      if (home != nullptr && HasRoom(*home)) {
+        return home;
       }
     }
     return nullptr;
   }
 
-  bool HasRoom(const endpoint_record& record) const {
-    return record.Busy(request_.now) <=
-               kHomeLoadFactor * means_.busy + kHomeLoadExtra &&
-           record.Slowness() <= kHomeSlownessFactor * means_.slowness &&
-           FailureFactor(record) < kHomeSlownessFactor;
+  bool HasRoom(const candidate& one) const {
+    return one.busy <= kHomeLoadFactor * means_.busy + kHomeLoadExtra &&
+           one.Record().Slowness() <= kHomeSlownessFactor * means_.slowness &&
+           FailureFactor(one.Record()) < kHomeSlownessFactor;
   }
 
   double FailureFactor(const endpoint_record& record) const {
@@ -132,9 +142,10 @@
                      std::max(0.0, record.FailureShare() - means_.failures);
   }
 
-  double Cost(const endpoint_record& record) const {
+  double Cost(const candidate& one) const {
+    const auto& record = one.Record();
     const double slots = std::max(1U, record.Info().slots);
-    const double busy = record.Busy(request_.now) / slots;
+    const double busy = one.busy / slots;
     const bool is_far =
         !request_.near.empty() && request_.near != record.Info().failure_domain;
     return (kOwnCall + busy) * record.Slowness() * FailureFactor(record) *
@@ -143,17 +154,20 @@
 
   /// Ties go by a hash of the moment, so that hosts that know equally little
   /// do not all choose the same endpoint.
-  const endpoint_record* Least() const {
+  const candidate* Least() const {
     const auto seed =
         static_cast<std::uint64_t>(request_.now.time_since_epoch().count());
-    const endpoint_record* best = nullptr;
+    const candidate* best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     std::uint64_t tie = 0;
-    for (const auto* record : usable_) {
-      const double cost = Cost(*record);
-      const std::uint64_t draw = StableHash(record->Info().id, seed);
-      if (cost < least || (cost == least && draw > tie)) {
-        best = record;
+    for (const auto& one : candidates_) {
+      const double cost = Cost(one);
+      if (cost > least) {
+        continue;
+      }
+      const std::uint64_t draw = StableHash(one.Record().Info().id, seed);
+      if (cost < least || draw > tie) {
+        best = &one;
         least = cost;
         tie = draw;
       }
@@ -161,18 +175,8 @@
     return best;
   }
 
-  endpoint_record_ptr Whole(const endpoint_record* record) const {
-    for (const auto& candidate : whole_) {
-      if (candidate.get() == record) {
-        return candidate;
-      }
-    }
-    return nullptr;
-  }
-
   const pick_request& request_;
-  std::vector<const endpoint_record*> usable_;
-  std::vector<endpoint_record_ptr> whole_;
+  std::vector<candidate> candidates_;
   service_means means_;
 };
 
