--- a/programs/slatestall/log_story.cc
+++ b/programs/slatestall/log_story.cc
@@ -80,7 +80,8 @@
   }
   std::stable_sort(own_.begin(), own_.end(), Earlier);
   story.arrived_ms = ArrivalOf(own_);
-  const auto& host = own_.front().host;
+  // A copy: the list that holds it is handed over and grows.
+  const std::string host = own_.front().host;
   const auto last = own_.back().ms;
   story.lines = std::move(own_);
   std::copy_if(others_.begin(), others_.end(), std::back_inserter(story.lines),
