A return is told from a first attempt by the usual range of patience

Cause: callers of a route differ in patience by 15 %; whoever had less than the longest was taken for one that had come back, up to 1.2 s ago, and waited behind all others. Now the range of first attempts is learnt; a configuration that shortens a time-out no longer makes everybody a return either. The log line of a late or failed request now tells where its time went.

--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -6,7 +6,9 @@
 #include <string>
 
 #include "slatestall/dispatch/endpoint_roster.h"
+#include "slatestall/dispatch/first_event_time.h"
 #include "slatestall/dispatch/repeat_allowance.h"
+#include "slatestall/dispatch/usual_patience.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/endpoint_protocol.h"
 #include "slatestall/gateway/gateway_metrics.h"
@@ -28,9 +30,9 @@
   endpoint_roster roster;
   repeat_allowance repeats;
   gateway_metrics metrics;
-  routing_table_ptr table;  ///< Null until one is known.
-  /// Longest time that callers of a route have been seen to wait, by its name.
-  std::map<std::string, milliseconds> patience;
+  routing_table_ptr table;                         ///< Null until one is known.
+  std::map<std::string, usual_patience> patience;  ///< By route.
+  std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
 };
 
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -10,10 +10,9 @@
 namespace slatestall {
 namespace {
 
-/// Prefill and first token where nothing better is known. Engines read some 40
-/// tokens of a prompt in a millisecond.
-constexpr double kTokensPerMillisecond = 40.0;
-constexpr milliseconds kFirstTokenTime{60};
+/// Part of a route's objective that the first event is taken to need, after
+/// the stages, until the service's speed is known.
+constexpr int kUnknownFirstEventPart = 4;
 /// Callers come back at most this part of their time left after a refusal.
 constexpr int kReturnPart = 3;
 constexpr milliseconds kShortestReturn{100};
@@ -22,8 +21,6 @@
 constexpr milliseconds kUsualStart{600};
 constexpr milliseconds kReturnWhileStarting{300};
 constexpr std::int64_t kSpreadSteps = 64;
-/// Less missing from the usual patience of a route's callers is chance.
-constexpr milliseconds kReturnSlack{100};
 
 /// The service that takes a request, by weight and the request's id.
 std::string ServiceOf(const route& found, const std::string& id) {
@@ -122,7 +119,7 @@
     limit = std::min(limit, *facts_.patience);
   }
   deadline_ = request_.arrived + limit;
-  objective_ = request_.arrived + route_->objective - Elapsed(limit);
+  objective_ = request_.arrived + route_->objective - Elapsed();
   const duration path = PathTime();
   if (environment_.now() + path > deadline_) {
     return refusal{error_kind::kDeadlineUnreachable,
@@ -136,19 +133,34 @@
 }
 
 duration request_run::FirstEventTime() const {
-  return kFirstTokenTime +
-         std::chrono::duration_cast<duration>(
-             std::chrono::duration<double, std::milli>(facts_.prompt_tokens /
-                                                       kTokensPerMillisecond));
+  const duration otherwise = route_->objective / kUnknownFirstEventPart;
+  const auto learnt = environment_.first_events.find(service_);
+  return learnt == environment_.first_events.end()
+             ? otherwise
+             : learnt->second.Expected(PromptSize(), otherwise);
+}
+
+/// The last part of a prompt is the request's own.
+prompt_size request_run::PromptSize() const {
+  prompt_size size;
+  for (std::size_t i = 0; i + 1 < facts_.prompt.size(); ++i) {
+    size.shared_tokens += facts_.prompt[i].tokens;
+  }
+  size.own_tokens =
+      facts_.prompt_tokens - std::min(size.shared_tokens, facts_.prompt_tokens);
+  return size;
 }
 
 /// Callers measure from their first attempt. One that comes back after a
 /// refusal says so only by the time that it has left.
-duration request_run::Elapsed(milliseconds limit) const {
-  auto& longest = environment_.patience[route_->name];
-  longest = std::max(longest, limit);
-  const auto elapsed = longest - limit;
-  return elapsed > kReturnSlack ? elapsed : milliseconds(0);
+duration request_run::Elapsed() const {
+  if (!facts_.patience) {
+    return duration(0);
+  }
+  auto& usual = environment_.patience[route_->name];
+  const auto elapsed = usual.Elapsed(*facts_.patience);
+  usual.Note(*facts_.patience);
+  return elapsed;
 }
 
 duration request_run::StageTime(std::size_t stage) const {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -238,9 +238,13 @@
     return;
   }
   stream_begun_ = true;
-  record_->NoteSlowness(
-      static_cast<double>((environment_.now() - sent_).count()) /
-      static_cast<double>(FirstEventTime().count()));
+  first_event_at_ = environment_.now();
+  const duration taken = environment_.now() - sent_;
+  record_->NoteSlowness(static_cast<double>(taken.count()) /
+                        static_cast<double>(FirstEventTime().count()));
+  if (route_->IsStream() && !facts_.last_event && sends_ == 0) {
+    environment_.first_events[service_].Note(PromptSize(), taken);
+  }
   environment_.metrics.Observe("first_event", route_->name,
                                environment_.now() - request_.arrived);
   channel_->Start(answer_.status,
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -129,6 +129,35 @@
   }
 }
 
+/// By what this host has seen: the first event, or the whole answer, against
+/// the objective, and the pauses of a stream.
+bool request_run::IsLate() const {
+  const bool is_stream = first_event_at_ != time_point{};
+  const time_point counts = is_stream ? first_event_at_ : environment_.now();
+  return counts > objective_ || late_pause_;
+}
+
+/// Where the time of a request went, in milliseconds from its arrival.
+nlohmann::json request_run::SpanFields() const {
+  const auto since = [this](time_point at) {
+    return at == time_point{}
+               ? nlohmann::json()
+               : nlohmann::json(
+                     WholeMilliseconds(at - request_.arrived).count());
+  };
+  nlohmann::json stages = nlohmann::json::array();
+  for (const auto& [stage, span] : spans_) {
+    stages.push_back({{"service", route_->stages[stage].service},
+                      {"begun_ms", since(span.begun)},
+                      {"made_ms", since(span.made)}});
+  }
+  return {{"objective_ms", since(objective_)},
+          {"booked_late", booked_ == booking_verdict::kLate},
+          {"stages", std::move(stages)},
+          {"sent_ms", since(sent_)},
+          {"first_event_ms", since(first_event_at_)}};
+}
+
 void request_run::Finish(std::string_view outcome) {
   if (finished_) {
     return;
@@ -142,25 +171,37 @@
   FreeResults();
   deadline_timer_.cancel();
   stall_timer_.cancel();
-  const bool ordinary = outcome == "answered" || outcome == "streamed";
   // A refusal has had its line.
-  if (route_ != nullptr && outcome != kRefused &&
-      (!ordinary || sends_ > 0 || StableHash(facts_.id) % kLoggedShare == 0)) {
-    environment_.log.Write(
-        "request_done",
-        {{"request", facts_.id},
-         {"route", route_->name},
-         {"outcome", outcome},
-         {"status", answer_.status},
-         {"endpoint", dispatch_.incarnation},
-         {"attempts", sends_ + moves_ + 1},
-         {"configuration", table_->version},
-         {"late_pause", late_pause_},
-         {"past_deadline", environment_.now() > deadline_},
-         {"after_ms",
-          WholeMilliseconds(environment_.now() - request_.arrived).count()}});
+  if (route_ != nullptr && outcome != kRefused) {
+    LogEnd(outcome);
   }
   channel_ = nullptr;
 }
 
+void request_run::LogEnd(std::string_view outcome) const {
+  const bool ordinary = outcome == "answered" || outcome == "streamed";
+  const bool is_late = IsLate();
+  if (ordinary && !is_late && sends_ == 0 &&
+      StableHash(facts_.id) % kLoggedShare != 0) {
+    return;
+  }
+  nlohmann::json fields = {
+      {"request", facts_.id},
+      {"route", route_->name},
+      {"outcome", outcome},
+      {"status", answer_.status},
+      {"endpoint", dispatch_.incarnation},
+      {"attempts", sends_ + moves_ + 1},
+      {"configuration", table_->version},
+      {"late", is_late},
+      {"late_pause", late_pause_},
+      {"past_deadline", environment_.now() > deadline_},
+      {"after_ms",
+       WholeMilliseconds(environment_.now() - request_.arrived).count()}};
+  if (is_late || !ordinary) {
+    fields.update(SpanFields());
+  }
+  environment_.log.Write("request_done", std::move(fields));
+}
+
 }  // namespace slatestall
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -3,6 +3,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +46,12 @@
     kOwnError,  ///< It ran and failed; its answer is whole.
   };
 
+  /// When a stage was begun and made, for the log of a late request.
+  struct stage_span {
+    time_point begun{};
+    time_point made{};  ///< Not set: not made.
+  };
+
   /// A refusal, which goes to the caller as it stands.
   struct refusal {
     error_kind kind;
@@ -60,9 +67,10 @@
   std::optional<refusal> CheckTime();
   duration PathTime() const;
   duration StageTime(std::size_t stage) const;
-  duration Elapsed(milliseconds limit) const;
+  duration Elapsed() const;
   duration TimeAfter(std::size_t stage) const;
   duration FirstEventTime() const;
+  prompt_size PromptSize() const;
   milliseconds ReturnTime(milliseconds earliest = milliseconds(0)) const;
   milliseconds TimeLeft() const;
 
@@ -105,6 +113,9 @@
   void Abort(const std::string& why);
   void OnCallerGone();
   void OnDeadline();
+  bool IsLate() const;
+  nlohmann::json SpanFields() const;
+  void LogEnd(std::string_view outcome) const;
   void Finish(std::string_view outcome);
   void FreeResults();
 
@@ -126,6 +137,9 @@
   std::map<std::size_t, stage_shard> shards_;   ///< By stage.
   bool booked_elsewhere_ = false;               ///< Not only near its bytes.
   unsigned stage_restarts_ = 0;
+  /// Of each stage that was begun, by its number; the last run counts.
+  std::map<std::size_t, stage_span> spans_;
+  booking_verdict booked_ = booking_verdict::kInTime;
 
   std::shared_ptr<endpoint_call> call_;
   endpoint_record_ptr record_;
@@ -141,6 +155,7 @@
   std::optional<std::uint64_t> last_event_;
   bool stream_begun_ = false;
   bool late_pause_ = false;
+  time_point first_event_at_{};
   time_point last_event_at_{};
 
   asio::steady_timer deadline_timer_;
