An incarnation of an endpoint is its id and its start; entries of other writers

An endpoint may start again under the id that it had. Its record, its failures and load, the room that results take, pauses, slowness and calls in hand are kept by incarnation; a request may try the new run of one that it has tried. The record of an earlier run that comes late (an older read, another host) changes nothing, also after the new run has gone; a record without a start, where one is known, is another writer's. Results at an ended run are found missing by the endpoint's own word, and the pieces are made anew.

Entries by other writers: a field missing or of another type, an unknown state, absurd numbers, a key that is no id, bytes that cannot be read. Such an entry names no endpoint (one under a good key takes it out until the endpoint writes again, within a beat); the others hold, records that are none of the topic keep their place in the order; a line in the log and a counter tell. Before, one such record stopped the following of the topic for good.

--- a/include/slatestall/dispatch/endpoint_pick.h
+++ b/include/slatestall/dispatch/endpoint_pick.h
@@ -15,7 +15,7 @@
   /// Hash of the longest part of the prompt that other requests share; 0:
   /// none. Such requests go to the same few endpoints, which keep it cached.
   std::uint64_t shared_prompt = 0;
-  std::vector<std::string> tried;  ///< Incarnations not to use again.
+  std::vector<endpoint_incarnation> tried;  ///< Not to be used again.
   std::string near;  ///< Failure domain where the inputs lie; may be empty.
 };
 
--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "slatestall/dispatch/moving_average.h"
@@ -12,16 +13,33 @@
 
 namespace slatestall {
 
-/// @brief One incarnation of an endpoint as the platform lists it.
+/// @brief One run of an endpoint. One that starts again may have the id that
+/// it had, and then holds and knows nothing of before.
 /// @ingroup dispatch
+struct endpoint_incarnation {
+  std::string id;
+  std::int64_t started_ms = 0;  ///< Unix time; 0: not told.
+
+  friend bool operator==(const endpoint_incarnation&,
+                         const endpoint_incarnation&) = default;
+  friend bool operator<(const endpoint_incarnation& a,
+                        const endpoint_incarnation& b) {
+    return std::tie(a.id, a.started_ms) < std::tie(b.id, b.started_ms);
+  }
+};
+
+/// @brief One incarnation of an endpoint as the platform lists it.
 struct known_endpoint {
-  std::string id;  ///< New with each start of the endpoint.
+  std::string id;
+  std::int64_t started_ms = 0;  ///< Unix time of its start; 0: not told.
   std::string service;
   asio::ip::tcp::endpoint address;
   std::string failure_domain;
   std::uint32_t slots = 1;
   bool leaving = false;  ///< Takes no new work.
 
+  endpoint_incarnation Incarnation() const { return {id, started_ms}; }
+
   friend bool operator==(const known_endpoint&,
                          const known_endpoint&) = default;
 };
--- a/include/slatestall/dispatch/result_room.h
+++ b/include/slatestall/dispatch/result_room.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "slatestall/dispatch/endpoint_record.h"
 #include "slatestall/model/time.h"
 
 namespace slatestall {
@@ -17,15 +18,15 @@
 class result_room {
  public:
   /// @param keep_time After which makers drop a result by themselves.
-  void NoteMade(const std::string& endpoint, const std::string& handle,
+  void NoteMade(const endpoint_incarnation& endpoint, const std::string& handle,
                 std::uint64_t bytes, time_point now, duration keep_time);
   void NoteFreed(const std::string& handle);
   /// @brief Bytes taken up at an endpoint.
-  std::uint64_t Used(const std::string& endpoint, time_point now);
+  std::uint64_t Used(const endpoint_incarnation& endpoint, time_point now);
 
  private:
   struct result {
-    std::string endpoint;
+    endpoint_incarnation endpoint;
     std::uint64_t bytes = 0;
   };
   struct expiry {
@@ -36,7 +37,7 @@
   void Expire(time_point now);
 
   std::unordered_map<std::string, result> results_;  ///< By handle.
-  std::map<std::string, std::uint64_t> used_;        ///< By endpoint.
+  std::map<endpoint_incarnation, std::uint64_t> used_;
   std::deque<expiry> expiries_;
 };
 
--- a/include/slatestall/gateway/endpoint_listing.h
+++ b/include/slatestall/gateway/endpoint_listing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,6 +17,10 @@
 /// Entries lapse when an endpoint cannot write to the store, also for the
 /// store's own fault. Those that vanish during an outage are kept until a
 /// little after it: living endpoints are back by then.
+///
+/// Records may come late, from another host or an older read. One of an earlier
+/// run of an endpoint changes nothing: its "leaving" would take the new run
+/// out, its "ready" would have work sent to results that are gone.
 /// @ingroup gateway
 class endpoint_listing {
  public:
@@ -26,6 +31,9 @@
 
   /// @brief One changed entry.
   void Put(const known_endpoint& endpoint);
+  /// @brief An entry that cannot be read: its key names no endpoint until a
+  /// readable one is written there, which a living endpoint does within a beat.
+  void Withdraw(const std::string& id) { entries_.erase(id); }
   /// @brief One deleted entry.
   void Drop(const std::string& id, time_point now);
   /// @brief The whole list was read anew.
@@ -48,9 +56,12 @@
   /// Whether what is read now shows what went on in an outage.
   bool SeesOutage(time_point now) const;
   bool InOutage(time_point now) const;
+  void LimitStarts();
 
   milliseconds return_time_;
   std::map<std::string, entry> entries_;
+  /// Start of the newest run seen of each id, also of those that are gone.
+  std::map<std::string, std::int64_t> newest_starts_;
   bool failing_ = false;
   std::optional<time_point> outage_over_;
 };
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -38,7 +38,7 @@
 /// @brief What goes with a request to an endpoint.
 struct dispatch_facts {
   std::string request;      ///< Id of the request.
-  std::string incarnation;  ///< Of the endpoint that it is meant for.
+  std::string endpoint_id;  ///< Of the endpoint that it is meant for.
   std::string workspace;    ///< Empty: none.
   milliseconds time_left{0};
   std::vector<std::string> inputs;  ///< Handles of results of its stages.
@@ -87,7 +87,7 @@
 
   std::string stage_path;
   std::string free_path;
-  std::function<http_headers(const std::string& incarnation)> stage_headers;
+  std::function<http_headers(const std::string& endpoint_id)> stage_headers;
   std::function<std::string(const std::vector<waiting_piece>&, time_point now)>
       write_pieces;
   /// @returns as many results as pieces were sent, or none: not readable.
--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -31,6 +31,9 @@
   std::vector<keyed_record> records;
   std::uint64_t next = 0;  ///< Offset to read from next.
   std::string detail;
+  /// Records, by other writers, that are none of a compacted topic. Each stands
+  /// as a deletion of no key, so that offsets go on.
+  std::size_t unreadable = 0;
   /// Told by another host, since the store did not answer this one.
   bool second_hand = false;
 };
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -108,6 +108,7 @@
         self.late_arrivals = []
         self.port = None
         self.address = None  # As published.
+        self.born = int(time.time() * 1000)
         self.server = None
         self.open = set()
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -121,7 +121,8 @@
     def publish(self, endpoint, state="ready"):
         self.store.put("keyed.servers", endpoint.identity, {
             "service": endpoint.service, "addr": endpoint.address,
-            "zone": "d", "slots": 4, "state": state, "seq": self.number})
+            "zone": "d", "version": "v1", "slots": 4, "state": state,
+            "coldLeftMs": 0, "seq": self.number, "born": endpoint.born})
 
     def configure(self):
         self.version += 1
--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -30,7 +30,7 @@
 
 bool Tried(const pick_request& request, const endpoint_record& record) {
   return std::find(request.tried.begin(), request.tried.end(),
-                   record.Info().id) != request.tried.end();
+                   record.Info().Incarnation()) != request.tried.end();
 }
 
 struct service_means {
--- a/src/slatestall/dispatch/endpoint_pick_test.cc
+++ b/src/slatestall/dispatch/endpoint_pick_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(ALeavingEndpointGetsNothing);
   CPPUNIT_TEST(TheLastOneIsTriedAlthoughItFailed);
   CPPUNIT_TEST(AReplacedListKeepsWhatIsKnown);
+  CPPUNIT_TEST(ANewRunUnderAnOldIdStartsWithoutAPast);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -50,6 +51,31 @@
     return PickEndpoint(roster_.Of("engines"), request);
   }
 
+  // An endpoint failed three calls, crashed and starts again under its id. Left
+  // alone for what its last run did, or passed over as one that this request
+  // has tried, it would stand idle while the others queue.
+  void ANewRunUnderAnOldIdStartsWithoutAPast() {
+    auto listed = Endpoints(2);
+    listed[1].started_ms = 1000;
+    roster_.Replace(listed);
+    const auto old = roster_.Find("e1");
+    for (int i = 0; i < 3; ++i) {
+      old->NoteStart();
+      old->NoteEnd(call_lesson::kFailed, kStart);
+    }
+    listed[1].started_ms = 2000;
+    roster_.Replace(listed);
+    const auto renewed = roster_.Find("e1");
+    CPPUNIT_ASSERT(renewed != old);
+    CPPUNIT_ASSERT(!old->Usable());
+    CPPUNIT_ASSERT(renewed->Usable() && !renewed->Avoided(kStart));
+    CPPUNIT_ASSERT_EQUAL(0.0, renewed->FailureShare());
+    pick_request request;
+    request.now = kStart;
+    request.tried = {listed[0].Incarnation(), old->Info().Incarnation()};
+    CPPUNIT_ASSERT(PickEndpoint(roster_.Of("engines"), request) == renewed);
+  }
+
   void ASharedPromptStaysWithItsHomesWhileTheyAreNotBusier() {
     std::set<std::string> homes;
     for (int i = 0; i < 50; ++i) {
@@ -94,7 +120,7 @@
     pick_request request;
     request.now = kStart;
     for (const auto& endpoint : Endpoints(8)) {
-      request.tried.push_back(endpoint.id);
+      request.tried.push_back(endpoint.Incarnation());
     }
     CPPUNIT_ASSERT(!PickEndpoint(roster_.Of("engines"), request));
     CPPUNIT_ASSERT(!PickEndpoint(roster_.Of("unknown"), request));
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -10,6 +10,11 @@
   by_address_.clear();
   for (const auto& endpoint : listed) {
     auto record = Find(endpoint.id);
+    if (record && record->Info().started_ms != endpoint.started_ms) {
+      // What was learnt, and what lies there, is of a run that has ended.
+      record->MarkGone();
+      record = nullptr;
+    }
     if (record) {
       record->Update(endpoint);
     } else {
--- a/src/slatestall/dispatch/home_test.cc
+++ b/src/slatestall/dispatch/home_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(APausedHostIsNoticedThoughItsConnectionsStand);
   CPPUNIT_TEST(ADrainingHostIsNoHome);
   CPPUNIT_TEST(RoomComesBackWhenFreedOrExpired);
+  CPPUNIT_TEST(ANewRunHoldsNoResultsOfTheOldOne);
   CPPUNIT_TEST_SUITE_END();
 
   void AllHostsRankAlikeWhateverTheOrderOfTheList() {
@@ -115,15 +116,24 @@
     CPPUNIT_ASSERT(!health.IsTrusted("h"));
   }
 
+  void ANewRunHoldsNoResultsOfTheOldOne() {
+    result_room room;
+    room.NoteMade({"e", 1000}, "x/1", 100, kStart, std::chrono::seconds(4));
+    CPPUNIT_ASSERT(room.Used({"e", 2000}, kStart) == 0);
+    room.NoteMade({"e", 2000}, "x/2", 50, kStart, std::chrono::seconds(4));
+    room.NoteFreed("x/1");
+    CPPUNIT_ASSERT(room.Used({"e", 2000}, kStart) == 50);
+  }
+
   void RoomComesBackWhenFreedOrExpired() {
     result_room room;
-    room.NoteMade("e", "x/1", 100, kStart, std::chrono::seconds(4));
-    room.NoteMade("e", "x/2", 50, kStart, std::chrono::seconds(4));
-    CPPUNIT_ASSERT(room.Used("e", kStart) == 150);
+    room.NoteMade({"e"}, "x/1", 100, kStart, std::chrono::seconds(4));
+    room.NoteMade({"e"}, "x/2", 50, kStart, std::chrono::seconds(4));
+    CPPUNIT_ASSERT(room.Used({"e"}, kStart) == 150);
     room.NoteFreed("x/1");
     room.NoteFreed("x/1");
-    CPPUNIT_ASSERT(room.Used("e", kStart) == 50);
-    CPPUNIT_ASSERT(room.Used("e", kStart + std::chrono::seconds(4)) == 0);
+    CPPUNIT_ASSERT(room.Used({"e"}, kStart) == 50);
+    CPPUNIT_ASSERT(room.Used({"e"}, kStart + std::chrono::seconds(4)) == 0);
   }
 };
 
--- a/src/slatestall/dispatch/result_room.cc
+++ b/src/slatestall/dispatch/result_room.cc
@@ -4,7 +4,7 @@
 
 namespace slatestall {
 
-void result_room::NoteMade(const std::string& endpoint,
+void result_room::NoteMade(const endpoint_incarnation& endpoint,
                            const std::string& handle, std::uint64_t bytes,
                            time_point now, duration keep_time) {
   Expire(now);
@@ -26,7 +26,8 @@
   results_.erase(found);
 }
 
-std::uint64_t result_room::Used(const std::string& endpoint, time_point now) {
+std::uint64_t result_room::Used(const endpoint_incarnation& endpoint,
+                                time_point now) {
   Expire(now);
   const auto found = used_.find(endpoint);
   return found == used_.end() ? 0 : found->second;
--- a/src/slatestall/gateway/endpoint_listing.cc
+++ b/src/slatestall/gateway/endpoint_listing.cc
@@ -1,5 +1,6 @@
 #include "slatestall/gateway/endpoint_listing.h"
 
+#include <algorithm>
 #include <set>
 
 namespace slatestall {
@@ -7,10 +8,23 @@
 
 /// Taking in the first read after an outage; reads are further apart.
 constexpr milliseconds kFirstRead{100};
+/// Ids of endpoints that are gone whose starts are kept: a day's at the size
+/// that the system is built for.
+constexpr std::size_t kMostStarts = 4096;
 
 }  // namespace
 
 void endpoint_listing::Put(const known_endpoint& endpoint) {
+  auto& newest = newest_starts_[endpoint.id];
+  if (endpoint.started_ms == 0 && newest > 0) {
+    // An endpoint that tells its start tells it always: another writer's.
+    Withdraw(endpoint.id);
+    return;
+  }
+  if (endpoint.started_ms < newest) {
+    return;  // Of a run before.
+  }
+  newest = endpoint.started_ms;
   entries_[endpoint.id] = {endpoint, std::nullopt};
 }
 
@@ -27,6 +41,20 @@
     return;
   }
   entries_.erase(found);
+  LimitStarts();
+}
+
+/// Ids that are gone for long are not told any more.
+void endpoint_listing::LimitStarts() {
+  while (newest_starts_.size() > kMostStarts + entries_.size()) {
+    const auto old = std::find_if(
+        newest_starts_.begin(), newest_starts_.end(),
+        [this](const auto& item) { return entries_.count(item.first) == 0; });
+    if (old == newest_starts_.end()) {
+      return;
+    }
+    newest_starts_.erase(old);
+  }
 }
 
 void endpoint_listing::ReplaceAll(const std::vector<known_endpoint>& listed,
--- a/src/slatestall/gateway/endpoint_listing_test.cc
+++ b/src/slatestall/gateway/endpoint_listing_test.cc
@@ -9,6 +9,15 @@
 
 const time_point kStart{std::chrono::hours(1)};
 
+known_endpoint Run(const std::string& id, std::int64_t started_ms,
+                   bool leaving = false) {
+  known_endpoint endpoint;
+  endpoint.id = id;
+  endpoint.started_ms = started_ms;
+  endpoint.leaving = leaving;
+  return endpoint;
+}
+
 known_endpoint Endpoint(const std::string& id, bool leaving = false) {
   known_endpoint endpoint;
   endpoint.id = id;
@@ -23,6 +32,11 @@
   CPPUNIT_TEST(WhatIsStillMissingAfterAnOutageIsGone);
   CPPUNIT_TEST(ADeletionAfterTheReturnCounts);
   CPPUNIT_TEST(OneThatWasLeavingIsGoneInAnOutageToo);
+  CPPUNIT_TEST(TheOldRunsWordChangesNothingOfTheNewRun);
+  CPPUNIT_TEST(ARunThatEndedDoesNotComeBack);
+  CPPUNIT_TEST(TwoRestartsInOneReadLeaveTheLast);
+  CPPUNIT_TEST(ARestartInAnOutageIsTaken);
+  CPPUNIT_TEST(AnUnreadableEntryNamesNoEndpoint);
   CPPUNIT_TEST_SUITE_END();
 
   void ADeletedEntryIsGoneAtOnce() {
@@ -86,6 +100,69 @@
     listing.Drop("a", kStart);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listing.size());
   }
+
+  // An endpoint says that it leaves, dies and starts again under its id. The
+  // old word comes once more, from a host that had been cut off. Taken, the new
+  // run would get no work although it is ready.
+  void TheOldRunsWordChangesNothingOfTheNewRun() {
+    endpoint_listing listing(milliseconds(2000));
+    listing.Put(Run("a", 1000, true));
+    listing.Put(Run("a", 2000));
+    listing.Put(Run("a", 1000, true));
+    CPPUNIT_ASSERT(!listing.Listed().front().leaving);
+    listing.ReplaceAll({Run("a", 1000, true)}, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2000},
+                         listing.Listed().front().started_ms);
+  }
+
+  // The new run has gone as well when the old one's "ready" comes: it must not
+  // get work again.
+  void ARunThatEndedDoesNotComeBack() {
+    endpoint_listing listing(milliseconds(2000));
+    listing.Put(Run("a", 1000));
+    listing.Put(Run("a", 2000));
+    listing.Drop("a", kStart);
+    listing.Put(Run("a", 1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listing.size());
+    listing.Put(Run("a", 2000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listing.size());
+  }
+
+  void TwoRestartsInOneReadLeaveTheLast() {
+    endpoint_listing listing(milliseconds(2000));
+    listing.Put(Run("a", 1000));
+    listing.Put(Run("a", 2000, true));
+    listing.Put(Run("a", 3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listing.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3000},
+                         listing.Listed().front().started_ms);
+  }
+
+  void ARestartInAnOutageIsTaken() {
+    endpoint_listing listing(milliseconds(2000));
+    listing.ReplaceAll({Run("a", 1000), Run("b", 1000)}, kStart);
+    listing.NoteRead(false, kStart + seconds(1));
+    const time_point back = kStart + seconds(9);
+    listing.NoteRead(true, back);
+    listing.ReplaceAll({Run("a", 5000)}, back);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5000},
+                         listing.Listed().front().started_ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, listing.size());
+  }
+
+  // Another writer overwrites the entry of an endpoint. Its key names nothing
+  // until the endpoint writes again.
+  void AnUnreadableEntryNamesNoEndpoint() {
+    endpoint_listing listing(milliseconds(2000));
+    listing.Put(Run("a", 1000));
+    listing.Put(Run("b", 1000));
+    listing.Withdraw("a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listing.size());
+    listing.Put(Run("a", 1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, listing.size());
+    listing.Put(Run("a", 0));  // No start told, where one is known.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listing.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_listing_test);
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -67,6 +67,11 @@
 
 void gateway_control::OnRead(const char* what, bool& reachable,
                              const keyed_read& read) {
+  if (read.unreadable > 0) {
+    log_.Write("records_unreadable",
+               {{"reads", what}, {"records", read.unreadable}});
+    news_.on_unreadable("record");
+  }
   const bool answered =
       read.outcome == store_outcome::kDone && !read.second_hand;
   if (answered == reachable) {
@@ -106,6 +111,8 @@
   } catch (const std::exception& problem) {
     log_.Write("endpoint_unreadable",
                {{"endpoint", record.key}, {"detail", problem.what()}});
+    news_.on_unreadable("endpoint");
+    listing_.Withdraw(record.key);
     return std::nullopt;
   }
 }
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "slatestall/gateway/decision_log.h"
@@ -21,6 +22,8 @@
   std::function<void(routing_table_ptr)> on_configuration;
   std::function<void(std::vector<known_endpoint>)> on_endpoints;
   std::function<void(std::vector<listed_gateway>)> on_hosts;
+  /// What the store holds and nobody can read, to be counted.
+  std::function<void(std::string_view what)> on_unreadable;
 };
 
 /// @brief Follows the configuration and the list of endpoints.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -171,6 +171,9 @@
         traffic_.SetHosts(hosts);
       });
     };
+    news.on_unreadable = [this](std::string_view what) {
+      traffic_.Metrics().Count("unreadable", what);
+    };
     return news;
   }
 
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -44,7 +44,7 @@
   std::size_t InHand() const { return in_hand_; }
 
   std::uint16_t Port() const { return listener_.Port(); }
-  const gateway_metrics& Metrics() const { return environment_.metrics; }
+  gateway_metrics& Metrics() { return environment_.metrics; }
 
  private:
   void TakeRequest(inbound_request request, answer_channel_ptr channel);
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -83,7 +83,7 @@
 void request_run::Send(const endpoint_record_ptr& record) {
   record_ = record;
   dispatch_.request = facts_.id;
-  dispatch_.incarnation = record->Info().id;
+  dispatch_.endpoint_id = record->Info().id;
   dispatch_.workspace = workspace_;
   dispatch_.time_left = TimeLeft();
   dispatch_.inputs = graph_->FinalInputs();
@@ -314,7 +314,7 @@
   environment_.log.Write(
       "attempt_failed",
       {{"request", facts_.id},
-       {"endpoint", dispatch_.incarnation},
+       {"endpoint", dispatch_.endpoint_id},
        {"detail", detail},
        {"attempt", sends_ + moves_},
        {"may_have_run", may_have_run_},
@@ -337,7 +337,7 @@
     GiveUp(failure, detail);
     return;
   }
-  tried_.push_back(dispatch_.incarnation);
+  tried_.push_back(record_->Info().Incarnation());
   if (failure == attempt_failure::kNotSent ||
       failure == attempt_failure::kMoved) {
     ++moves_;
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -79,7 +79,7 @@
        {"detail", why.detail},
        {"retry_after_ms", why.retry_after.count()},
        {"configuration", table_ ? table_->version : 0},
-       {"endpoint", dispatch_.incarnation},
+       {"endpoint", dispatch_.endpoint_id},
        {"after_ms",
         WholeMilliseconds(environment_.now() - request_.arrived).count()}});
   environment_.metrics.Count("refused", AnswerFor(why.kind).name);
@@ -89,7 +89,7 @@
 void request_run::Abort(const std::string& why) {
   environment_.log.Write("stream_cut", {{"request", facts_.id},
                                         {"route", route_->name},
-                                        {"endpoint", dispatch_.incarnation},
+                                        {"endpoint", dispatch_.endpoint_id},
                                         {"detail", why},
                                         {"last_event", last_event_.value_or(0)},
                                         {"left_ms", TimeLeft().count()}});
@@ -190,7 +190,7 @@
       {"route", route_->name},
       {"outcome", outcome},
       {"status", answer_.status},
-      {"endpoint", dispatch_.incarnation},
+      {"endpoint", dispatch_.endpoint_id},
       {"attempts", sends_ + moves_ + 1},
       {"configuration", table_->version},
       {"late", is_late},
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -144,7 +144,7 @@
   std::shared_ptr<endpoint_call> call_;
   endpoint_record_ptr record_;
   dispatch_facts dispatch_;
-  std::vector<std::string> tried_;
+  std::vector<endpoint_incarnation> tried_;
   unsigned sends_ = 0;
   unsigned moves_ = 0;  ///< Attempts that reached no endpoint of the service.
   bool may_have_run_ = false;
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -239,7 +239,7 @@
 
 bool stage_home::IsSlow(const shard_state& state,
                         const endpoint_record& record) const {
-  const auto seen = state.slowness_at.find(record.Info().id);
+  const auto seen = state.slowness_at.find(record.Info().Incarnation());
   return record.Slowness() > kSlowFactor && seen != state.slowness_at.end() &&
          environment_.now() - seen->second < kSlownessLife;
 }
@@ -249,7 +249,7 @@
   if (rule.room_bytes == 0) {
     return std::numeric_limits<std::uint64_t>::max();
   }
-  const auto used = room_.Used(record.Info().id, environment_.now());
+  const auto used = room_.Used(record.Info().Incarnation(), environment_.now());
   const auto room = static_cast<std::uint64_t>(
       kRoomPart * static_cast<double>(rule.room_bytes));
   return room - std::min(used, room);
@@ -263,9 +263,9 @@
   const bool others_suffice = state.queue.Pieces() < rule.most_pieces;
   std::vector<std::pair<double, endpoint_record_ptr>> ranked;
   for (const auto& record : environment_.roster.Of(shard.service)) {
-    const auto& id = record->Info().id;
-    const auto calls = state.calls.find(id);
-    const auto paused = state.paused.find(id);
+    const auto incarnation = record->Info().Incarnation();
+    const auto calls = state.calls.find(incarnation);
+    const auto paused = state.paused.find(incarnation);
     const bool other_shard =
         !shard.domain.empty() && shard.domain != record->Info().failure_domain;
     const bool full = calls != state.calls.end() && calls->second >= rule.slots;
@@ -277,7 +277,8 @@
     }
     // Hosts that know equally little are not all to take the same one.
     const double draw =
-        static_cast<double>(StableHash(id, host_seed_) % kDraws) / kDraws;
+        static_cast<double>(StableHash(incarnation.id, host_seed_) % kDraws) /
+        kDraws;
     ranked.emplace_back(
         record->OthersBusy(now) + (is_slow ? record->Slowness() : 1.0) + draw,
         record);
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -63,7 +63,7 @@
       Scaled(call->nominal,
              IsSlow(shards_[shard], *record) ? record->Slowness() : 1.0);
   record->NoteStart();
-  ++shards_[shard].calls[record->Info().id];
+  ++shards_[shard].calls[record->Info().Incarnation()];
   environment_.metrics.Count("stage_calls", shard.service);
   environment_.metrics.Count("stage_pieces", shard.service,
                              call->pieces.size());
@@ -108,7 +108,7 @@
 /// whichever result comes first is used, the other is freed.
 void stage_home::OnOverdue(const call_state_ptr& call) {
   call->record->NoteSlowness(kOverdueFactor * kSlowFactor);
-  shards_[call->shard].slowness_at[call->record->Info().id] =
+  shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
       environment_.now();
   if (!environment_.repeats.Take(call->shard.service, environment_.now())) {
     return;
@@ -134,7 +134,7 @@
                            const http_result& result) {
   call->overdue.cancel();
   auto& state = shards_[call->shard];
-  const auto calls = state.calls.find(call->record->Info().id);
+  const auto calls = state.calls.find(call->record->Info().Incarnation());
   if (calls != state.calls.end() && --calls->second == 0) {
     state.calls.erase(calls);
   }
@@ -170,13 +170,15 @@
       call->record->MarkGone();
       lesson = call_lesson::kRefused;
     } else if (facts.not_run) {
-      shards_[call->shard].paused[call->record->Info().id] = now + kFullPause;
+      shards_[call->shard].paused[call->record->Info().Incarnation()] =
+          now + kFullPause;
       lesson = call_lesson::kRefused;
     } else if (result.status == kOk) {
       const auto results = environment_.protocol.read_pieces(result.body);
       if (results.size() == call->pieces.size()) {
         call->record->NoteSlowness(Ratio(now - call->sent, call->nominal));
-        shards_[call->shard].slowness_at[call->record->Info().id] = now;
+        shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
+            now;
         NotePieceTime(*call, now - call->sent);
         environment_.metrics.Observe("stage_call", call->shard.service,
                                      now - call->sent);
@@ -222,7 +224,7 @@
       found != groups_.end() && found->second->handles[piece.piece].empty();
   if (result.end == piece_end::kMade) {
     const batch_rule* rule = Rule(call->shard.service);
-    room_.NoteMade(call->record->Info().id, result.handle,
+    room_.NoteMade(call->record->Info().Incarnation(), result.handle,
                    piece.group->result_bytes, environment_.now(),
                    rule == nullptr ? duration(0) : rule->keep_time);
     if (!wanted) {
@@ -250,7 +252,7 @@
       Fail(piece.group.get(), stage_end::kInputsGone);
       break;
     case piece_end::kNoRoom:
-      shards_[call->shard].paused[call->record->Info().id] =
+      shards_[call->shard].paused[call->record->Info().Incarnation()] =
           environment_.now() + kFullPause;
       // Want of room says nothing of the piece, and ends with time.
       --found->second->tries[piece.piece];
--- a/src/slatestall/gateway/stage_home_state.h
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -42,9 +42,9 @@
 
 struct stage_home::shard_state {
   piece_queue queue;
-  std::map<std::string, unsigned> calls;          ///< By incarnation.
-  std::map<std::string, time_point> paused;       ///< Full until then.
-  std::map<std::string, time_point> slowness_at;  ///< Last observed.
+  std::map<endpoint_incarnation, unsigned> calls;
+  std::map<endpoint_incarnation, time_point> paused;       ///< Full until then.
+  std::map<endpoint_incarnation, time_point> slowness_at;  ///< Last observed.
   stage_admission admission;
   /// Seconds that a piece adds to a call, as seen.
   moving_average piece_time{kPieceTimeWeight};
