Each decision under load can be switched off, to measure its worth

A setting, disabled_mechanisms, with the names of the parts; unknown names are told with file, line and field. A refused booking is logged with its inputs.

--- a/include/slatestall/dispatch/endpoint_pick.h
+++ b/include/slatestall/dispatch/endpoint_pick.h
@@ -16,6 +16,7 @@
   /// none. Such requests go to the same few endpoints, which keep it cached.
   std::uint64_t shared_prompt = 0;
   std::vector<endpoint_incarnation> tried;  ///< Not to be used again.
+  bool one_home = false;                    ///< A prompt has one home only.
   std::string near;  ///< Failure domain where the inputs lie; may be empty.
 };
 
--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -59,7 +59,9 @@
 /// @brief What one host has seen of one endpoint.
 class endpoint_record {
  public:
-  explicit endpoint_record(known_endpoint info) : info_(std::move(info)) {}
+  /// @param may_avoid Whether it is left alone after failures.
+  explicit endpoint_record(known_endpoint info, bool may_avoid = true)
+      : info_(std::move(info)), may_avoid_(may_avoid) {}
 
   const known_endpoint& Info() const { return info_; }
   void Update(known_endpoint info) { info_ = std::move(info); }
@@ -81,13 +83,16 @@
   double FailureShare() const { return failures_.Value(); }
   /// @brief Left alone until then, after failures in a row.
   time_point AvoidUntil() const { return avoid_until_; }
-  bool Avoided(time_point now) const { return now < avoid_until_; }
+  bool Avoided(time_point now) const {
+    return may_avoid_ && now < avoid_until_;
+  }
   /// @brief Takes it out for good: another incarnation has its address.
   void MarkGone() { gone_ = true; }
   bool Usable() const { return !gone_ && !info_.leaving; }
 
  private:
   known_endpoint info_;
+  bool may_avoid_;
   std::uint32_t in_flight_ = 0;
   told_load told_;
   std::uint32_t in_flight_when_told_ = 0;
--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -14,6 +14,9 @@
 /// @ingroup dispatch
 class endpoint_roster {
  public:
+  /// @param may_avoid Whether endpoints are left alone after failures.
+  explicit endpoint_roster(bool may_avoid = true) : may_avoid_(may_avoid) {}
+
   void Replace(const std::vector<known_endpoint>& listed);
 
   /// @brief Endpoints of a service, leaving ones included.
@@ -25,6 +28,7 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
+  bool may_avoid_;
   std::map<std::string, endpoint_record_ptr> by_id_;
   std::map<std::string, std::vector<endpoint_record_ptr>> by_service_;
   std::unordered_map<std::string, endpoint_record_ptr> by_address_;
--- a/include/slatestall/dispatch/home_ranking.h
+++ b/include/slatestall/dispatch/home_ranking.h
@@ -13,11 +13,16 @@
   double weight = 1.0;
 };
 
+inline constexpr double kWeakHostPart = 0.25;
+
 /// @brief Hosts in the order in which they are to be the home of a shard, by
 /// rendezvous hashing: all hosts that know the same hosts agree without a word,
 /// and where one goes, only its own shards move. A host of twice the weight is
 /// first for twice as many shards.
+/// @param least_part Hosts with less than this part of the largest weight come
+/// last.
 std::vector<std::string> RankHomes(const std::string& shard,
-                                   const std::vector<home_candidate>& hosts);
+                                   const std::vector<home_candidate>& hosts,
+                                   double least_part = kWeakHostPart);
 
 }  // namespace slatestall
--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/mechanism.h"
 #include "slatestall/dispatch/repeat_allowance.h"
 #include "slatestall/model/time.h"
 
@@ -39,6 +40,9 @@
     return others;
   }
 
+  bool Uses(mechanism one) const { return !disabled.Has(one); }
+
+  disabled_mechanisms disabled;
   repeat_limits repeats;
   /// No new work may reach an endpoint that long after it began to leave.
   milliseconds leave_limit{2000};
--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -127,6 +127,9 @@
       if (home != nullptr && HasRoom(*home)) {
         return home;
       }
+      if (request_.one_home) {
+        break;
+      }
     }
     return nullptr;
   }
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -18,7 +18,7 @@
     if (record) {
       record->Update(endpoint);
     } else {
-      record = std::make_shared<endpoint_record>(endpoint);
+      record = std::make_shared<endpoint_record>(endpoint, may_avoid_);
     }
     by_service_[endpoint.service].push_back(record);
     if (record->Usable()) {
--- a/src/slatestall/dispatch/home_ranking.cc
+++ b/src/slatestall/dispatch/home_ranking.cc
@@ -16,10 +16,6 @@
 /// Below one, whose logarithm is no divisor.
 constexpr double kLargestDraw = 1.0 - 1e-12;
 
-/// Hosts with less than this part of the largest weight are homes only where
-/// none of the others is left.
-constexpr double kLeastPart = 0.25;
-
 /// Weighted rendezvous: the draw of a host, stretched by its weight.
 double Score(const std::string& host, std::uint64_t seed, double weight) {
   constexpr double kTwoTo64 = 18446744073709551616.0;
@@ -34,7 +30,8 @@
 /// one for its home, and all its calls queue on that host's link: requests of
 /// three stages took 0.5 s longer, all day. So the weak ones come last.
 std::vector<std::string> RankHomes(const std::string& shard,
-                                   const std::vector<home_candidate>& hosts) {
+                                   const std::vector<home_candidate>& hosts,
+                                   double least_part) {
   const std::uint64_t seed = StableHash(shard);
   double largest = 0;
   for (const auto& candidate : hosts) {
@@ -44,7 +41,7 @@
   std::vector<std::tuple<bool, double, std::string>> ranked;
   ranked.reserve(hosts.size());
   for (const auto& candidate : hosts) {
-    ranked.emplace_back(candidate.weight >= kLeastPart * largest,
+    ranked.emplace_back(candidate.weight >= least_part * largest,
                         Score(candidate.host, seed, candidate.weight),
                         candidate.host);
   }
--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -34,6 +34,7 @@
   double repeat_ratio = 0.2;
   double repeat_window = 10;
   double repeat_reserve = 0;
+  std::string disabled;
 };
 
 field_spec Seconds(std::string name, std::string meaning) {
@@ -132,6 +133,11 @@
                    .minimum = 0,
                    .maximum = 1000000,
                    .meaning = "Repeats on top in a window, over all hosts"}),
+      MemberField(&s::disabled,
+                  {.name = "disabled_mechanisms",
+                   .type = type::kText,
+                   .meaning = "Decisions that are switched off to measure "
+                              "what they are worth, joined by commas"}),
   };
   return kTable;
 }
@@ -154,6 +160,28 @@
   return items;
 }
 
+std::string AllMechanisms() {
+  std::string names;
+  for (const auto& entry : kMechanismNames) {
+    names += (names.empty() ? "" : ", ") + std::string(entry.name);
+  }
+  return names;
+}
+
+disabled_mechanisms Disabled(const std::string& names, problem_sink& problems) {
+  disabled_mechanisms disabled;
+  for (const auto& name : SplitAtCommas(names)) {
+    if (const auto one = ValueIn(kMechanismNames, name)) {
+      disabled.Add(*one);
+    } else {
+      problems.Add(
+          "disabled_mechanisms",
+          "has no mechanism \"" + name + "\"; there are " + AllMechanisms());
+    }
+  }
+  return disabled;
+}
+
 /// Hosts share the reserve without knowing how many they are: this part of it
 /// each keeps the sum under it up to as many hosts.
 constexpr double kReserveHosts = 25;
@@ -198,9 +226,11 @@
     problems.Remember(top, document.root->position);
     ReadFields({*document.root, top, spec, problems}, Fields(), written);
   }
+  const auto disabled = Disabled(written.disabled, problems);
   loaded.problems = problems.Sorted();
   if (loaded.problems.empty()) {
     loaded.content = OptionsOf(written);
+    loaded.content.disabled = disabled;
   }
   return loaded;
 }
--- a/src/slatestall/gateway/gateway_settings_test.cc
+++ b/src/slatestall/gateway/gateway_settings_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(gateway_settings_test);
   CPPUNIT_TEST(AGoodFileIsRead);
   CPPUNIT_TEST(EveryMistakeIsToldWithItsPlace);
+  CPPUNIT_TEST(MechanismsAreSwitchedOffByName);
   CPPUNIT_TEST(AMissingFileIsSaid);
   CPPUNIT_TEST(ThePageHoldsEveryFieldAsItIs);
   CPPUNIT_TEST_SUITE_END();
@@ -52,6 +53,21 @@
     CPPUNIT_ASSERT(misspelt);
   }
 
+  void MechanismsAreSwitchedOffByName() {
+    const auto loaded = ReadGatewaySettings(
+        kGood + "disabled_mechanisms: \"near_results,bookings\"\n", "f");
+    CPPUNIT_ASSERT(loaded.problems.empty());
+    CPPUNIT_ASSERT(!loaded.content.Uses(mechanism::kNearResults));
+    CPPUNIT_ASSERT(!loaded.content.Uses(mechanism::kBookings));
+    CPPUNIT_ASSERT(loaded.content.Uses(mechanism::kPromptHomes));
+    const auto wrong = ReadGatewaySettings(
+        kGood + "disabled_mechanisms: \"near_result\"\n", "f");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, wrong.problems.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("disabled_mechanisms"),
+                         wrong.problems[0].path);
+    CPPUNIT_ASSERT_EQUAL(12, static_cast<int>(wrong.problems[0].line));
+  }
+
   void AMissingFileIsSaid() {
     CPPUNIT_ASSERT_EQUAL(
         std::size_t{1},
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -135,7 +135,8 @@
 duration request_run::FirstEventTime() const {
   const duration otherwise = route_->objective / kUnknownFirstEventPart;
   const auto learnt = environment_.first_events.find(service_);
-  return learnt == environment_.first_events.end()
+  return learnt == environment_.first_events.end() ||
+                 !environment_.options.Uses(mechanism::kLearntFirstEvent)
              ? otherwise
              : learnt->second.Expected(PromptSize(), otherwise);
 }
@@ -154,7 +155,8 @@
 /// Callers measure from their first attempt. One that comes back after a
 /// refusal says so only by the time that it has left.
 duration request_run::Elapsed() const {
-  if (!facts_.patience) {
+  if (!facts_.patience ||
+      !environment_.options.Uses(mechanism::kUsualPatience)) {
     return duration(0);
   }
   auto& usual = environment_.patience[route_->name];
@@ -213,6 +215,9 @@
 /// burst do not make the next.
 milliseconds request_run::ReturnTime(milliseconds earliest) const {
   const auto most = TimeLeft() / kReturnPart;
+  if (!environment_.options.Uses(mechanism::kSpreadReturns)) {
+    return std::min(most, std::max(earliest, kShortestReturn));
+  }
   if (most <= std::max(earliest, kShortestReturn)) {
     return most;
   }
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -52,7 +52,8 @@
 }
 
 std::uint64_t request_run::SharedPrompt() const {
-  if (facts_.prompt.size() < 2) {
+  if (facts_.prompt.size() < 2 ||
+      !environment_.options.Uses(mechanism::kPromptHomes)) {
     return 0;
   }
   return StableHash(facts_.prompt[facts_.prompt.size() - 2].id) | 1U;
@@ -69,7 +70,9 @@
   pick.now = environment_.now();
   pick.shared_prompt = SharedPrompt();
   pick.tried = tried_;
-  if (FinalBytes() >= kManyBytes) {
+  pick.one_home = !environment_.options.Uses(mechanism::kSecondHome);
+  if (FinalBytes() >= kManyBytes &&
+      environment_.options.Uses(mechanism::kNearResults)) {
     pick.near = DomainOf(graph_->FinalInputs());
   }
   const auto record = PickEndpoint(environment_.roster.Of(service_), pick);
@@ -134,6 +137,9 @@
 }
 
 void request_run::ArmStallTimer(duration limit) {
+  if (!environment_.options.Uses(mechanism::kStallTimers)) {
+    return;
+  }
   stall_timer_.expires_after(limit);
   stall_timer_.async_wait(
       [self = shared_from_this()](const asio::error_code& error) {
@@ -323,7 +329,7 @@
   environment_.metrics.Count("attempts_failed", service_);
   const bool again = MaySendAgain(failure);
   if (failure == attempt_failure::kNoInputs) {
-    if (stage_restarts_ < kMaxStageRestarts) {
+    if (MayRestartStages()) {
       RestartStages();
       return;
     }
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -76,6 +76,9 @@
 
   // Stages.
   void Book();
+  void PlaceStages();
+  int StageRank() const;
+  bool MayRestartStages() const;
   void OnBooked(const booking_answer& answer);
   stage_need NeedOf(std::size_t stage, const stage_shard& shard) const;
   duration TimeBefore(std::size_t stage) const;
--- a/src/slatestall/gateway/request_stages.cc
+++ b/src/slatestall/gateway/request_stages.cc
@@ -8,7 +8,6 @@
 #include "slatestall/gateway/request_run.h"
 
 namespace slatestall {
-namespace {}  // namespace
 
 /// Room in all stages is asked for before the first begins: a request that
 /// would not get through the last one takes nothing from those that do.
@@ -17,7 +16,24 @@
     Dispatch();
     return;
   }
+  PlaceStages();
+  if (!environment_.options.Uses(mechanism::kBookings)) {
+    Advance();
+    return;
+  }
   std::vector<stage_need> needs;
+  for (const auto& [stage, shard] : shards_) {
+    needs.push_back(NeedOf(stage, shard));
+    bookings_[stage] = needs.back();
+  }
+  stages_.book(std::move(needs),
+               [self = shared_from_this()](const booking_answer& answer) {
+                 self->OnBooked(answer);
+               });
+}
+
+/// Chooses the shard of each stage that has pieces.
+void request_run::PlaceStages() {
   std::string chain_domain;
   for (std::size_t i = 0; i < graph_->Size(); ++i) {
     if (graph_->Pieces(i) == 0) {
@@ -32,13 +48,11 @@
       chain_domain = shard.domain;
     }
     shards_[i] = shard;
-    needs.push_back(NeedOf(i, shard));
-    bookings_[i] = needs.back();
   }
-  stages_.book(std::move(needs),
-               [self = shared_from_this()](const booking_answer& answer) {
-                 self->OnBooked(answer);
-               });
+}
+
+int request_run::StageRank() const {
+  return environment_.options.Uses(mechanism::kRankMargins) ? rank_ : 0;
 }
 
 stage_need request_run::NeedOf(std::size_t stage,
@@ -48,11 +62,14 @@
   need.booking.request = facts_.id;
   need.booking.stage = static_cast<unsigned>(stage);
   need.booking.pieces = graph_->Pieces(stage);
-  need.booking.rank = rank_;
+  need.booking.rank = StageRank();
   need.booking.due = environment_.now() + TimeBefore(stage);
   const duration rest = TimeAfter(stage);
   need.booking.useful_by = objective_ - rest;
   need.booking.worthless_after = deadline_ - rest;
+  if (!environment_.options.Uses(mechanism::kLateAdmission)) {
+    need.booking.worthless_after = need.booking.due;
+  }
   return need;
 }
 
@@ -115,7 +132,7 @@
   if (group.inputs.empty()) {
     group.key = facts_.piece_key;
   }
-  group.rank = rank_;
+  group.rank = StageRank();
   const duration rest = TimeAfter(stage);
   group.useful_by = objective_ - rest;
   group.worthless_after = deadline_ - rest;
@@ -165,6 +182,9 @@
 /// the request's prompt.
 std::string request_run::PlaceOf(std::size_t stage,
                                  const piece_group& group) const {
+  if (!environment_.options.Uses(mechanism::kNearResults)) {
+    return {};
+  }
   std::uint64_t input_bytes = 0;
   for (const auto earlier : graph_->After(stage)) {
     input_bytes +=
@@ -212,7 +232,7 @@
       Advance();
       return;
     case stage_end::kInputsGone:
-      if (stage_restarts_ < kMaxStageRestarts) {
+      if (MayRestartStages()) {
         RestartStages();
         return;
       }
@@ -225,6 +245,11 @@
          "stage " + std::to_string(stage) + " could not be made");
 }
 
+bool request_run::MayRestartStages() const {
+  return stage_restarts_ < kMaxStageRestarts &&
+         environment_.options.Uses(mechanism::kResultRestart);
+}
+
 void request_run::RestartStages() {
   ++stage_restarts_;
   for (const auto& [stage, number] : running_stages_) {
--- a/src/slatestall/gateway/settings_reload.cc
+++ b/src/slatestall/gateway/settings_reload.cc
@@ -50,6 +50,7 @@
   Note("processor_share", loaded.processor_share, current.processor_share,
        later);
   Note("link_mbps", loaded.link_mbps, current.link_mbps, later);
+  Note("disabled_mechanisms", loaded.disabled, current.disabled, later);
   Note("leave_limit_ms", loaded.leave_limit, current.leave_limit, later);
   return change;
 }
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -21,6 +21,7 @@
 /// Full calls that late pieces may wait: one more than a late request may be
 /// expected to wait when it is admitted.
 constexpr int kLateWaitCalls = 4;
+constexpr std::chrono::hours kNoLimit{1};
 /// How long an endpoint counts as slow without a new observation, so that one
 /// that has recovered is tried again.
 constexpr milliseconds kSlownessLife{4000};
@@ -73,13 +74,33 @@
       state.admission.Book(need.booking, capacity,
                            state.queue.PiecesInTime(now + capacity.call_time),
                            state.queue.Pieces(), now);
-  environment_.metrics.Count(answer.verdict == booking_verdict::kRefused
-                                 ? "bookings_refused"
-                                 : "bookings_taken",
+  const bool refused = answer.verdict == booking_verdict::kRefused;
+  environment_.metrics.Count(refused ? "bookings_refused" : "bookings_taken",
                              need.shard.service);
+  if (refused) {
+    LogRefusal(need, state, capacity);
+  }
   return answer;
 }
 
+void stage_home::LogRefusal(const stage_need& need, const shard_state& state,
+                            const stage_capacity& capacity) const {
+  const auto in_ms = [now = environment_.now()](time_point at) {
+    return WholeMilliseconds(at - now).count();
+  };
+  environment_.log.Write("booking_refused",
+                         {{"request", need.booking.request},
+                          {"stage", need.booking.stage},
+                          {"service", need.shard.service},
+                          {"rank", need.booking.rank},
+                          {"due_ms", in_ms(need.booking.due)},
+                          {"useful_ms", in_ms(need.booking.useful_by)},
+                          {"waiting", state.queue.Pieces()},
+                          {"booked", state.admission.Booked()},
+                          {"pieces_per_second", capacity.pieces_per_second},
+                          {"counted_on", state.admission.Confidence()}});
+}
+
 void stage_home::Release(const stage_need& need) {
   shards_[need.shard].admission.Release(need.booking.request,
                                         need.booking.stage);
@@ -188,7 +209,9 @@
   terms.now = environment_.now();
   terms.call_time = Scaled(rule.call_time + rule.piece_time,
                            IsSlow(state, *record) ? record->Slowness() : 1.0);
-  terms.late_wait = Capacity(shard).call_time * kLateWaitCalls;
+  terms.late_wait = environment_.options.Uses(mechanism::kLateGiveUp)
+                        ? Capacity(shard).call_time * kLateWaitCalls
+                        : kNoLimit;
   terms.most = rule.most_pieces;
   terms.domain = record->Info().failure_domain;
   terms.room = RoomAt(*record, rule);
@@ -234,13 +257,16 @@
   for (const auto& group : batch.expired) {
     note(group.get(), group->pieces, true);
   }
-  state.admission.NoteOutcome(in_time, late, environment_.now());
+  if (environment_.options.Uses(mechanism::kLearntCapacity)) {
+    state.admission.NoteOutcome(in_time, late, environment_.now());
+  }
 }
 
 bool stage_home::IsSlow(const shard_state& state,
                         const endpoint_record& record) const {
   const auto seen = state.slowness_at.find(record.Info().Incarnation());
-  return record.Slowness() > kSlowFactor && seen != state.slowness_at.end() &&
+  return environment_.options.Uses(mechanism::kSlowEndpoints) &&
+         record.Slowness() > kSlowFactor && seen != state.slowness_at.end() &&
          environment_.now() - seen->second < kSlownessLife;
 }
 
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -59,6 +59,8 @@
                                                  const batch_rule& rule) const;
   bool PumpOnce(const stage_shard& shard, const batch_rule& rule,
                 const endpoint_record_ptr& record);
+  void LogRefusal(const stage_need& need, const shard_state& state,
+                  const stage_capacity& capacity) const;
   void NoteOutcomes(shard_state& state, const piece_batch& batch,
                     time_point done_by);
   bool IsSlow(const shard_state& state, const endpoint_record& record) const;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -110,7 +110,8 @@
   call->record->NoteSlowness(kOverdueFactor * kSlowFactor);
   shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
       environment_.now();
-  if (!environment_.repeats.Take(call->shard.service, environment_.now())) {
+  if (!environment_.options.Uses(mechanism::kOverdueCalls) ||
+      !environment_.repeats.Take(call->shard.service, environment_.now())) {
     return;
   }
   environment_.log.Write(
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -98,7 +98,9 @@
   if (found != rankings_.end()) {
     return found->second;
   }
-  return rankings_[shard] = RankHomes(ShardName(shard), hosts_);
+  const double least_part =
+      environment_.options.Uses(mechanism::kWeakHostsLast) ? kWeakHostPart : 0;
+  return rankings_[shard] = RankHomes(ShardName(shard), hosts_, least_part);
 }
 
 std::string stage_router::HomeOf(const stage_shard& shard) const {
@@ -190,6 +192,9 @@
 }
 
 std::string stage_router::Reader() const {
+  if (!environment_.options.Uses(mechanism::kSharedReading)) {
+    return {};
+  }
   const auto readers = Readers();
   const bool reads_itself =
       std::find(readers.begin(), readers.end(), self_) != readers.end();
@@ -202,6 +207,9 @@
 /// The readers first, since the others have it from them; a host that has just
 /// started knows its seeds only.
 std::vector<std::string> stage_router::Sources() const {
+  if (!environment_.options.Uses(mechanism::kTopicExchange)) {
+    return {};
+  }
   std::vector<std::string> sources;
   for (const auto& host : Ranked({kReadersShard, ""})) {
     if (host != self_ && health_.IsTrusted(host)) {
