A lightly loaded home keeps its prompts

Hypothesis: a prompt leaves its home for an engine that has to read it again when the home runs 1.25 times the mean and three calls more; with 128 places and six calls an engine that is no load at all. Now a home keeps its prompts up to a quarter of its places.

--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -16,6 +16,9 @@
 /// other requests cost.
 constexpr double kHomeLoadFactor = 1.25;
 constexpr double kHomeLoadExtra = 3.0;
+/// An endpoint that runs less than this part of what it can run at a time makes
+/// nobody wait for a place.
+constexpr double kLightPart = 0.25;
 constexpr std::size_t kHomesOfPrompt = 2;
 /// Slower than this against the mean, a home has lost its advantage.
 constexpr double kHomeSlownessFactor = 2.0;
@@ -135,7 +138,10 @@
   }
 
   bool HasRoom(const candidate& one) const {
-    return one.busy <= kHomeLoadFactor * means_.busy + kHomeLoadExtra &&
+    const double light = kLightPart * one.Record().Info().slots;
+    const double bound =
+        std::max(light, kHomeLoadFactor * means_.busy + kHomeLoadExtra);
+    return one.busy <= bound &&
            one.Record().Slowness() <= kHomeSlownessFactor * means_.slowness &&
            FailureFactor(one.Record()) < kHomeSlownessFactor;
   }
