slatestall losses: where requests were late, refused or failed, and why

From the hosts' logs, by route, span of seconds and cause: the service whose wait took most of a late request's time, the stage without room, what broke a failed one off; as a table or JSON. Lines that hosts left out are told.

--- a/programs/slatestall/main.cc
+++ b/programs/slatestall/main.cc
@@ -20,6 +20,7 @@
   AddApply(app, result);
   AddStatus(app, result);
   AddExplain(app, result);
+  AddLosses(app, result);
   AddDrain(app, result);
   AddReport(app, result);
   AddReplay(app, result);
--- a/programs/slatestall/queries/explain_query.cc
+++ b/programs/slatestall/queries/explain_query.cc
@@ -1,10 +1,9 @@
-#include <fstream>
-#include <iostream>
 #include <memory>
 
 #include "slatestall/console.h"
 #include "slatestall/format_number.h"
 #include "slatestall/host_option.h"
+#include "slatestall/log_files.h"
 #include "slatestall/log_story.h"
 #include "slatestall/request_search.h"
 #include "slatestall/subcommands.h"
@@ -47,22 +46,6 @@
          Milliseconds(trace.value("deadline_ms", json())) + " ms";
 }
 
-bool ReadLogs(const std::vector<std::string>& files, story_reader& reader) {
-  for (const auto& file : files) {
-    if (file == "-") {
-      reader.Read(std::cin);
-      continue;
-    }
-    std::ifstream log(file);
-    if (!log.is_open()) {
-      PrintError(file + ": cannot be read");
-      return false;
-    }
-    reader.Read(log);
-  }
-  return true;
-}
-
 std::string FieldsText(const json& fields) {
   std::string text;
   for (const auto& [name, value] : fields.items()) {
@@ -74,7 +57,7 @@
 
 exit_code ExplainFromLogs(const explain_options& options) {
   story_reader reader(options.request);
-  if (!ReadLogs(options.logs, reader)) {
+  if (!ReadLogs(options.logs, [&](std::istream& log) { reader.Read(log); })) {
     return exit_code::kBadInput;
   }
   const auto story = reader.Take();
--- a/programs/slatestall/subcommands.h
+++ b/programs/slatestall/subcommands.h
@@ -14,6 +14,7 @@
 void AddCheck(CLI::App& app, exit_code& result);
 void AddStatus(CLI::App& app, exit_code& result);
 void AddExplain(CLI::App& app, exit_code& result);
+void AddLosses(CLI::App& app, exit_code& result);
 void AddReport(CLI::App& app, exit_code& result);
 void AddReplay(CLI::App& app, exit_code& result);
 
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -200,6 +200,8 @@
        WholeMilliseconds(environment_.now() - request_.arrived).count()}};
   if (is_late || !ordinary) {
     fields.update(SpanFields());
+  } else if (sends_ == 0) {
+    fields["sampled"] = kLoggedShare;
   }
   environment_.log.Write("request_done", std::move(fields));
 }
