Waits and margins in stages follow the time of a call

Three times were written for calls of 278 ms (the wait for a near endpoint, the step between ranks in a queue, the margin in bookings); they are now parts of the call's own time.

--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -76,7 +76,8 @@
 /// bytes, never so long that this makes it late.
 class piece_queue {
  public:
-  void Add(const piece_group_ptr& group, time_point now);
+  /// @param call_time Of a full call.
+  void Add(const piece_group_ptr& group, time_point now, duration call_time);
   /// @brief Puts a single piece back that a call did not make.
   void AddAgain(const waiting_piece& piece);
   /// @brief Drops what waits of a group.
--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -6,27 +6,28 @@
 namespace slatestall {
 namespace {
 
-/// How much later a request of the next rank is taken to be due. Half a call:
+/// Part of a call by which a request of the next rank is taken to be due later:
 /// enough for the more urgent one to go first where both are close, too little
 /// to starve the other.
-constexpr milliseconds kRankStep{100};
+constexpr double kRankStepPart = 0.36;
 
-/// How long a piece waits for an endpoint near its bytes. Somewhat more than a
-/// call takes, after which each endpoint there has been free once.
-constexpr milliseconds kNearWait{250};
+/// Part of a full call that a piece waits for an endpoint near its bytes: after
+/// a whole one each endpoint there has been free once.
+constexpr double kNearWaitPart = 0.9;
 /// Part of the spare time that may go into that wait.
 constexpr int kSparePart = 3;
 
 struct pressing_order {
   time_point done_by;  ///< When a call made now ends.
+  duration rank_step;
 
   bool Late(const piece_group& group) const {
     return group.useful_by < done_by;
   }
 
-  static time_point Due(const piece_group& group, bool late) {
+  time_point Due(const piece_group& group, bool late) const {
     return (late ? group.worthless_after : group.useful_by) +
-           kRankStep * group.rank;
+           rank_step * group.rank;
   }
 
   bool operator()(const piece_group& a, const piece_group& b) const {
@@ -43,15 +44,22 @@
   return !group.near.empty() && group.near != terms.domain;
 }
 
-duration NearWait(const piece_group& group, time_point now) {
+duration Part(duration whole, double part) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, duration::period>(whole) * part);
+}
+
+duration NearWait(const piece_group& group, time_point now,
+                  duration call_time) {
+  const duration most = Part(call_time, kNearWaitPart);
   if (group.near.empty()) {
     return duration(0);
   }
   const duration spare = group.useful_by - now;
   if (spare <= duration(0)) {
-    return kNearWait;  // Late already; a little more costs nothing.
+    return most;  // Late already; a little more costs nothing.
   }
-  return std::min<duration>(kNearWait, spare / kSparePart);
+  return std::min<duration>(most, spare / kSparePart);
 }
 
 /// Too late for any use, or late and passed over for long: while pieces that
@@ -66,8 +74,9 @@
 
 }  // namespace
 
-void piece_queue::Add(const piece_group_ptr& group, time_point now) {
-  const time_point anywhere_from = now + NearWait(*group, now);
+void piece_queue::Add(const piece_group_ptr& group, time_point now,
+                      duration call_time) {
+  const time_point anywhere_from = now + NearWait(*group, now, call_time);
   for (unsigned piece = 0; piece < group->pieces; ++piece) {
     entries_.push_back({{group, piece}, anywhere_from});
   }
@@ -111,7 +120,8 @@
   batch.done_by = terms.now + terms.call_time +
                   terms.piece_time * static_cast<duration::rep>(fill);
   batch.expired = DropExpired(terms, batch.done_by);
-  const pressing_order order{batch.done_by};
+  const pressing_order order{batch.done_by,
+                             Part(batch.done_by - terms.now, kRankStepPart)};
   // Within a class those near their bytes go first: with all endpoints busy,
   // each takes its own domain's pieces, and others' only to fill a call.
   std::stable_sort(
--- a/src/slatestall/dispatch/piece_queue_test.cc
+++ b/src/slatestall/dispatch/piece_queue_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 const time_point kStart{std::chrono::hours(1)};
+constexpr milliseconds kFullCall{278};
 
 piece_group_ptr Group(const std::string& request, unsigned pieces,
                       milliseconds useful, milliseconds worthless,
@@ -59,16 +60,20 @@
 
   void PiecesOfManyRequestsShareACall() {
     piece_queue queue;
-    queue.Add(Group("x", 2, milliseconds(900), milliseconds(5000)), kStart);
-    queue.Add(Group("y", 3, milliseconds(500), milliseconds(5000)), kStart);
+    queue.Add(Group("x", 2, milliseconds(900), milliseconds(5000)), kStart,
+              kFullCall);
+    queue.Add(Group("y", 3, milliseconds(500), milliseconds(5000)), kStart,
+              kFullCall);
     CPPUNIT_ASSERT_EQUAL(std::string("yyyx"), Requests(queue.Take(Terms(4))));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.Pieces());
   }
 
   void ALatePieceNeverDelaysOneThatCanBeInTime() {
     piece_queue queue;
-    queue.Add(Group("l", 2, milliseconds(100), milliseconds(1000)), kStart);
-    queue.Add(Group("i", 2, milliseconds(900), milliseconds(5000)), kStart);
+    queue.Add(Group("l", 2, milliseconds(100), milliseconds(1000)), kStart,
+              kFullCall);
+    queue.Add(Group("i", 2, milliseconds(900), milliseconds(5000)), kStart,
+              kFullCall);
     CPPUNIT_ASSERT_EQUAL(std::string("iil"), Requests(queue.Take(Terms(3))));
   }
 
@@ -78,22 +83,27 @@
   // and those behind them miss their turn: at the end all are late.
   void AFullCallThatEndsTooLateIsNotHurriedFor() {
     piece_queue queue;
-    queue.Add(Group("d", 4, milliseconds(300), milliseconds(5000)), kStart);
-    queue.Add(Group("e", 4, milliseconds(500), milliseconds(5000)), kStart);
+    queue.Add(Group("d", 4, milliseconds(300), milliseconds(5000)), kStart,
+              kFullCall);
+    queue.Add(Group("e", 4, milliseconds(500), milliseconds(5000)), kStart,
+              kFullCall);
     auto terms = Terms(4);
     terms.piece_time = milliseconds(50);
     const auto batch = queue.Take(terms);
     CPPUNIT_ASSERT_EQUAL(std::string("eeee"), Requests(batch));
     CPPUNIT_ASSERT(batch.done_by == kStart + milliseconds(400));
     piece_queue calm;
-    calm.Add(Group("d", 1, milliseconds(300), milliseconds(5000)), kStart);
-    calm.Add(Group("e", 1, milliseconds(500), milliseconds(5000)), kStart);
+    calm.Add(Group("d", 1, milliseconds(300), milliseconds(5000)), kStart,
+             kFullCall);
+    calm.Add(Group("e", 1, milliseconds(500), milliseconds(5000)), kStart,
+             kFullCall);
     CPPUNIT_ASSERT_EQUAL(std::string("de"), Requests(calm.Take(terms)));
   }
 
   void WhatIsWorthlessIsDroppedAndTold() {
     piece_queue queue;
-    queue.Add(Group("w", 2, milliseconds(0), milliseconds(100)), kStart);
+    queue.Add(Group("w", 2, milliseconds(0), milliseconds(100)), kStart,
+              kFullCall);
     const auto batch = queue.Take(Terms(4));
     CPPUNIT_ASSERT(batch.pieces.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, batch.expired.size());
@@ -106,12 +116,13 @@
   // that late pieces may wait, it is refused as not run and can come back.
   void ALatePieceThatIsPassedOverIsGivenUpEarly() {
     piece_queue queue;
-    queue.Add(Group("l", 1, milliseconds(100), milliseconds(6000)), kStart);
+    queue.Add(Group("l", 1, milliseconds(100), milliseconds(6000)), kStart,
+              kFullCall);
     milliseconds given_up{0};
     for (milliseconds at{0}; at < milliseconds(3000) && given_up.count() == 0;
          at += milliseconds(200)) {
       queue.Add(Group("i", 4, at + milliseconds(500), milliseconds(6000)),
-                kStart + at);
+                kStart + at, kFullCall);
       auto terms = Terms(4);
       terms.now = kStart + at;
       terms.late_wait = milliseconds(1000);
@@ -126,8 +137,8 @@
 
   void APieceWaitsForItsDomainOnlyWhileItHasTime() {
     piece_queue queue;
-    queue.Add(Group("n", 1, milliseconds(600), milliseconds(5000), "b"),
-              kStart);
+    queue.Add(Group("n", 1, milliseconds(600), milliseconds(5000), "b"), kStart,
+              kFullCall);
     auto terms = Terms(4);
     CPPUNIT_ASSERT(queue.Take(terms).pieces.empty());
     terms.now = kStart + milliseconds(200);  // A third of its spare time.
@@ -137,16 +148,16 @@
   void PiecesOfTheOwnDomainGoFirst() {
     piece_queue queue;
     queue.Add(Group("f", 2, milliseconds(400), milliseconds(5000), "b"),
-              kStart - milliseconds(400));
+              kStart - milliseconds(400), kFullCall);
     queue.Add(Group("o", 2, milliseconds(900), milliseconds(5000), "a"),
-              kStart - milliseconds(400));
+              kStart - milliseconds(400), kFullCall);
     CPPUNIT_ASSERT_EQUAL(std::string("oof"), Requests(queue.Take(Terms(3))));
   }
 
   void ADomainWithoutEndpointsIsNotWaitedFor() {
     piece_queue queue;
     queue.Add(Group("n", 1, milliseconds(900), milliseconds(5000), "gone"),
-              kStart);
+              kStart, kFullCall);
     auto terms = Terms(4);
     terms.has_endpoint = [](const std::string& domain) {
       return domain != "gone";
@@ -158,8 +169,9 @@
     piece_queue queue;
     piece_group large = *Group("L", 3, milliseconds(500), milliseconds(5000));
     large.result_bytes = 3'000'000;
-    queue.Add(std::make_shared<const piece_group>(large), kStart);
-    queue.Add(Group("s", 2, milliseconds(900), milliseconds(5000)), kStart);
+    queue.Add(std::make_shared<const piece_group>(large), kStart, kFullCall);
+    queue.Add(Group("s", 2, milliseconds(900), milliseconds(5000)), kStart,
+              kFullCall);
     auto terms = Terms(8);
     terms.room = 4'000'000;
     CPPUNIT_ASSERT_EQUAL(std::string("Lss"), Requests(queue.Take(terms)));
@@ -182,7 +194,7 @@
       if (added < kRequests) {
         queue.Add(Group(std::to_string(added++), kPieces,
                         now + milliseconds(700), now + milliseconds(4000)),
-                  kStart + now);
+                  kStart + now, kFullCall);
       }
       if (ms % 250 != 0) {
         continue;
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -5,10 +5,10 @@
 namespace slatestall {
 namespace {
 
-/// Time by which a request of the next rank must be earlier. Under overload
-/// the queue stays at the length at which the most urgent are just admitted;
-/// a third of a call less keeps the others from taking their places.
-constexpr milliseconds kRankMargin{80};
+/// Part of a full call by which a request of the next rank must be earlier.
+/// Under overload the queue stays at the length at which the most urgent are
+/// just admitted; that much less keeps the others from taking their places.
+constexpr double kRankMarginPart = 0.29;
 /// Full calls that a late request may be expected to wait, at most half of its
 /// time: one that waits longer holds the results of its earlier stages, and
 /// with them the room that others need.
@@ -51,7 +51,11 @@
   booking_answer answer;
   const time_point in_time =
       start(waiting_in_time + in_time_) + capacity.call_time;
-  const time_point limit = booking.useful_by - kRankMargin * booking.rank;
+  const time_point limit =
+      booking.useful_by -
+      std::chrono::duration_cast<duration>(
+          std::chrono::duration<double, duration::period>(capacity.call_time) *
+          (kRankMarginPart * booking.rank));
   if (in_time > limit) {
     const time_point late = start(waiting + Booked()) + capacity.call_time;
     const duration patience =
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -65,7 +65,8 @@
   state->expected_in_time =
       was_booked &&
       state->group->useful_by > environment_.now() + Capacity(shard).call_time;
-  shards_[shard].queue.Add(state->group, environment_.now());
+  shards_[shard].queue.Add(state->group, environment_.now(),
+                           Capacity(shard).call_time);
   PumpSoon(shard, duration(0));
   return state->number;
 }
