--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -14,6 +14,7 @@
 using namespace slatestall;  // NOLINT(google-build-using-namespace)
 
 constexpr std::size_t kDomains = 20;
+constexpr milliseconds kFullCall{278};
 
 time_point Start() { return time_point(std::chrono::hours(1)); }
 
@@ -79,7 +80,7 @@
   piece_queue queue;
   std::uint64_t number = 0;
   for (; number * 16 < waiting; ++number) {
-    queue.Add(Group(number), Start());
+    queue.Add(Group(number), Start(), kFullCall);
   }
   batch_terms terms;
   terms.now = Start();
@@ -91,7 +92,7 @@
   for (auto _ : state) {
     const auto batch = queue.Take(terms);
     for (std::size_t i = 0; i < batch.pieces.size(); i += 16) {
-      queue.Add(Group(++number), Start());
+      queue.Add(Group(++number), Start(), kFullCall);
     }
   }
 }
