--- a/src/slatestall/dispatch/home_test.cc
+++ b/src/slatestall/dispatch/home_test.cc
@@ -68,8 +68,10 @@
   // fifth shard has one of the 78 for its home, where all calls of a service
   // queue on the link: its requests are late all day, also in calm seconds.
   void WeakHostsAreHomesOnlyWhereNoOtherIsLeft() {
+    constexpr int kHosts = 86;
     std::vector<home_candidate> hosts;
-    for (int i = 0; i < 86; ++i) {
+    hosts.reserve(kHosts);
+    for (int i = 0; i < kHosts; ++i) {
       hosts.push_back({"h" + std::to_string(i), i < 8 ? 0.5 : 0.012});
     }
     for (int shard = 0; shard < 200; ++shard) {
