Parts of a call's time by Scaled, which the project already had

piece_queue and stage_admission each wrote the same conversion again. No behaviour changes; dispatch_test passes, linter clean on the files.

--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -44,14 +44,9 @@
   return !group.near.empty() && group.near != terms.domain;
 }
 
-duration Part(duration whole, double part) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, duration::period>(whole) * part);
-}
-
 duration NearWait(const piece_group& group, time_point now,
                   duration call_time) {
-  const duration most = Part(call_time, kNearWaitPart);
+  const duration most = Scaled(call_time, kNearWaitPart);
   if (group.near.empty()) {
     return duration(0);
   }
@@ -121,7 +116,7 @@
                   terms.piece_time * static_cast<duration::rep>(fill);
   batch.expired = DropExpired(terms, batch.done_by);
   const pressing_order order{batch.done_by,
-                             Part(batch.done_by - terms.now, kRankStepPart)};
+                             Scaled(batch.done_by - terms.now, kRankStepPart)};
   // Within a class those near their bytes go first: with all endpoints busy,
   // each takes its own domain's pieces, and others' only to fill a call.
   std::stable_sort(
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -53,9 +53,7 @@
       start(waiting_in_time + in_time_) + capacity.call_time;
   const time_point limit =
       booking.useful_by -
-      std::chrono::duration_cast<duration>(
-          std::chrono::duration<double, duration::period>(capacity.call_time) *
-          (kRankMarginPart * booking.rank));
+      Scaled(capacity.call_time, kRankMarginPart * booking.rank);
   if (in_time > limit) {
     const time_point late = start(waiting + Booked()) + capacity.call_time;
     const duration patience =
