--- a/include/slatestall/dispatch/usual_patience.h
+++ b/include/slatestall/dispatch/usual_patience.h
@@ -15,8 +15,8 @@
 /// First attempts differ too. Taking the longest patience for everybody's made
 /// first attempts with a deadline 15 % shorter pass for returns that had
 /// already missed their objective: they waited behind all others. Told apart by
-/// the usual range, 0.016 of the credit more is earned on heavy days (20 days of
-/// six hosts).
+/// the usual range, 0.016 of the credit more is earned on heavy days (20 days
+/// of six hosts).
 ///
 /// The range is taken as symmetric around the median of the last ones; a
 /// minority of returns moves the median little. Pure state.
