A stopping host tells what it takes, and what it has in hand at its end

The incident's logs could not tell what a host that had stopped accepting was still waiting for: an ordinary request leaves one line in sixteen, and 'stopped' came after everything was dropped. taken_while_stopping tells each request that is taken, how late and as which on its connection; drained what is left when the process ends. No decision is changed.

--- a/include/slatestall/relay/caller_listener.h
+++ b/include/slatestall/relay/caller_listener.h
@@ -18,6 +18,7 @@
   message_head head;
   std::string body;
   time_point arrived{};  ///< When its last byte was read.
+  std::uint64_t earlier = 0;  ///< Requests before it on its connection.
 };
 
 /// @brief The answer to one request. Dropped without one, it closes the
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "slatestall/dispatch/endpoint_roster.h"
@@ -13,6 +14,7 @@
 #include "slatestall/gateway/endpoint_protocol.h"
 #include "slatestall/gateway/gateway_metrics.h"
 #include "slatestall/gateway/gateway_options.h"
+#include "slatestall/gateway/host_stop.h"
 #include "slatestall/gateway/routing_table.h"
 #include "slatestall/model/time.h"
 
@@ -34,6 +36,7 @@
   std::map<std::string, usual_patience> patience;  ///< By route.
   std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
+  std::optional<host_stop> stop{};  ///< Not set: goes on.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -210,6 +210,8 @@
     hooks.in_hand = [this] { return traffic_.InHand(); };
     hooks.hand_over = [](const std::function<void()>& done) { done(); };
     hooks.finished = [this] {
+      log_.Write("drained", {{"in_hand", traffic_.InHand()},
+                             {"connections", traffic_.Connections()}});
       // The last bytes of answers are still on their way to the callers.
       last_bytes_.expires_after(kStopSlack);
       last_bytes_.async_wait(
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -81,7 +81,8 @@
                    nullptr,
                    {},
                    {},
-                   now()},
+                   now(),
+                   std::nullopt},
       client_(context),
       home_(environment_, client_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
@@ -126,6 +127,7 @@
 }
 
 void gateway_traffic::AnnounceClose() {
+  environment_.stop = host_stop{environment_.now()};
   listener_.AnnounceClose();
   router_.Drain();
 }
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -42,6 +42,7 @@
   void AnnounceClose();
   void StopAccepting();
   std::size_t InHand() const { return in_hand_; }
+  std::size_t Connections() const { return listener_.Connections(); }
 
   std::uint16_t Port() const { return listener_.Port(); }
   gateway_metrics& Metrics() { return environment_.metrics; }
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -40,6 +40,7 @@
     Refuse(*refused);
     return;
   }
+  LogTakenWhileStopping();
   environment_.repeats.NoteRequest(service_, environment_.now());
   environment_.metrics.Count("requests", route_->name);
   deadline_timer_.expires_after(deadline_ - environment_.now());
@@ -178,6 +179,21 @@
   channel_ = nullptr;
 }
 
+/// What a stopping host takes decides how long it lives and what it cuts; an
+/// ordinary end would leave no trace of it.
+void request_run::LogTakenWhileStopping() const {
+  if (!environment_.stop) {
+    return;
+  }
+  const duration since = environment_.now() - environment_.stop->told_at;
+  environment_.log.Write("taken_while_stopping",
+                         {{"request", facts_.id},
+                          {"route", route_->name},
+                          {"stopping_ms", WholeMilliseconds(since).count()},
+                          {"left_ms", TimeLeft().count()},
+                          {"earlier_on_connection", request_.earlier}});
+}
+
 void request_run::LogEnd(std::string_view outcome) const {
   const bool ordinary = outcome == "answered" || outcome == "streamed";
   const bool is_late = IsLate();
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -118,6 +118,7 @@
   void OnDeadline();
   bool IsLate() const;
   nlohmann::json SpanFields() const;
+  void LogTakenWhileStopping() const;
   void LogEnd(std::string_view outcome) const;
   void Finish(std::string_view outcome);
   void FreeResults();
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -224,6 +224,7 @@
   request.head = reader_.Head();
   request.body = reader_.TakeBody();
   request.arrived = environment_->options.now();
+  request.earlier = number_ - 1;
   environment_->hook(std::move(request), std::make_shared<connection_answer>(
                                              shared_from_this(), number_));
 }
