--- a/cmake/slatestall_package.cmake
+++ b/cmake/slatestall_package.cmake
@@ -67,5 +67,6 @@
   endforeach()
   add_test(NAME ${name}_test COMMAND ${name}_test)
   set_tests_properties(${name}_test PROPERTIES
-    TIMEOUT 600 ENVIRONMENT "RC_PARAMS=${SLATESTALL_RC_PARAMS}")
+    TIMEOUT 600 ENVIRONMENT
+    "RC_PARAMS=${SLATESTALL_RC_PARAMS};SLATESTALL_KNOWN_RED=${PROJECT_SOURCE_DIR}/KNOWN-RED.txt")
 endfunction()
