A stopping host takes only requests that it will live to answer

Cause: admission knew the caller's deadline and not the host's own end. After SIGTERM a host took every request that reached it, from new connections for 3 s and on kept ones until its last moment. A stream whose head went out before SIGTERM says nothing of closing, so its connection outlives the closing of idle ones; the chat that came on it 4.2 s after SIGTERM had 3.7 s to live and was cut.

Ruled out: a late signal (the cut fits the stop sequence to 20 ms), a connection taken in the last moment (those were closed as idle).

Change: the planned stop is part of what admission checks (host_stop). While the balancer still sends callers here, a request is taken if the longest of its route's last 64 answers would end in time; later, if its caller's deadline does; once nothing is in hand, none. Others are refused at once as not run, on a connection that closes, to come back after 50 ms elsewhere. A connection that has just been made is no longer closed with its first request in the socket. What is learnt of routes that are gone is forgotten.

Before: ARequestThatOutlivesTheHostIsRefusedAtOnce and ACallerThatHasJustConnectedIsAnswered failed.

--- a/include/slatestall/relay/caller_listener.h
+++ b/include/slatestall/relay/caller_listener.h
@@ -76,8 +76,8 @@
   void SetLimits(const caller_limits& limits);
   /// @brief From now on each answer is the last of its connection.
   void AnnounceClose();
-  /// @brief Takes no new connection, and closes those on which no request has
-  /// begun.
+  /// @brief Takes no new connection, and closes those that are between two
+  /// requests.
   void StopAccepting();
   std::size_t Connections() const;
 
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -8,6 +8,7 @@
 
 #include "slatestall/dispatch/endpoint_roster.h"
 #include "slatestall/dispatch/first_event_time.h"
+#include "slatestall/dispatch/longest_answer.h"
 #include "slatestall/dispatch/repeat_allowance.h"
 #include "slatestall/dispatch/usual_patience.h"
 #include "slatestall/gateway/decision_log.h"
@@ -34,6 +35,7 @@
   gateway_metrics metrics;
   routing_table_ptr table;                         ///< Null until one is known.
   std::map<std::string, usual_patience> patience;  ///< By route.
+  std::map<std::string, longest_answer> answers;   ///< By route.
   std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
   std::optional<host_stop> stop{};  ///< Not set: goes on.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -208,7 +208,12 @@
     };
     hooks.stop_accepting = [this] { traffic_.StopAccepting(); };
     hooks.in_hand = [this] { return traffic_.InHand(); };
-    hooks.hand_over = [](const std::function<void()>& done) { done(); };
+    // The process ends a moment later. A request taken meanwhile on a kept
+    // connection would be cut with it; refused, it is answered.
+    hooks.hand_over = [this](const std::function<void()>& done) {
+      traffic_.TakeNoMore();
+      done();
+    };
     hooks.finished = [this] {
       log_.Write("drained", {{"in_hand", traffic_.InHand()},
                              {"connections", traffic_.Connections()}});
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -1,5 +1,7 @@
 #include "slatestall/gateway/gateway_traffic.h"
 
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "slatestall/gateway/request_run.h"
@@ -81,6 +83,7 @@
                    nullptr,
                    {},
                    {},
+                   {},
                    now(),
                    std::nullopt},
       client_(context),
@@ -98,10 +101,25 @@
 
 void gateway_traffic::SetConfiguration(routing_table_ptr table) {
   environment_.table = std::move(table);
+  ForgetOldRoutes();
   listener_.SetLimits(environment_.table->limits);
   router_.Refresh();
 }
 
+/// Thousands of changes a day name new routes; what was learnt of those that
+/// are gone would pile up.
+void gateway_traffic::ForgetOldRoutes() {
+  std::set<std::string_view> names;
+  for (const auto& one : environment_.table->routes) {
+    names.insert(one.name);
+  }
+  const auto is_gone = [&names](const auto& learnt) {
+    return !names.contains(learnt.first);
+  };
+  std::erase_if(environment_.patience, is_gone);
+  std::erase_if(environment_.answers, is_gone);
+}
+
 void gateway_traffic::SetEndpoints(const std::vector<known_endpoint>& listed) {
   environment_.roster.Replace(listed);
   router_.Refresh();
@@ -127,11 +145,23 @@
 }
 
 void gateway_traffic::AnnounceClose() {
-  environment_.stop = host_stop{environment_.now()};
+  environment_.stop =
+      host_stop::Begin(environment_.now(), environment_.options.stop_grace);
   listener_.AnnounceClose();
   router_.Drain();
 }
-void gateway_traffic::StopAccepting() { listener_.StopAccepting(); }
+void gateway_traffic::StopAccepting() {
+  if (environment_.stop) {
+    environment_.stop->balancer_knows = true;
+  }
+  listener_.StopAccepting();
+}
+
+void gateway_traffic::TakeNoMore() {
+  if (environment_.stop) {
+    environment_.stop->last_answer_by = time_point::min();
+  }
+}
 
 void gateway_traffic::TakeRequest(inbound_request request,
                                   answer_channel_ptr channel) {
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -41,6 +41,8 @@
   }
   void AnnounceClose();
   void StopAccepting();
+  /// @brief Refuses every request that still comes.
+  void TakeNoMore();
   std::size_t InHand() const { return in_hand_; }
   std::size_t Connections() const { return listener_.Connections(); }
 
@@ -48,6 +50,7 @@
   gateway_metrics& Metrics() { return environment_.metrics; }
 
  private:
+  void ForgetOldRoutes();
   void TakeRequest(inbound_request request, answer_channel_ptr channel);
 
   gateway_environment environment_;
--- /dev/null
+++ b/src/slatestall/gateway/host_stop_test.cc
@@ -0,0 +1,47 @@
+#include "slatestall/gateway/host_stop.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace slatestall {
+namespace {
+
+constexpr milliseconds kGrace{8000};
+constexpr time_point kTold{std::chrono::seconds(100)};
+
+class host_stop_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(host_stop_test);
+  CPPUNIT_TEST(WhatLikelyEndsInTimeIsTakenAtFirst);
+  CPPUNIT_TEST(WhatIsSureToEndInTimeIsTakenLater);
+  CPPUNIT_TEST(ATimeTooShortForAnyAnswerAllowsNone);
+  CPPUNIT_TEST_SUITE_END();
+
+ private:
+  static time_point After(int ms) { return kTold + milliseconds(ms); }
+
+  void WhatLikelyEndsInTimeIsTakenAtFirst() {
+    const auto stop = host_stop::Begin(kTold, kGrace);
+    CPPUNIT_ASSERT(stop.Allows(After(15'000), After(7300)));
+    CPPUNIT_ASSERT(!stop.Allows(After(15'000), After(7301)));
+    // Callers that wait less than answers usually take end in time, too.
+    CPPUNIT_ASSERT(stop.Allows(After(7000), After(9000)));
+  }
+
+  // Two of a hundred streams take longer than the longest of the last ones.
+  // Once callers have other hosts to go to, none of them may be cut.
+  void WhatIsSureToEndInTimeIsTakenLater() {
+    auto stop = host_stop::Begin(kTold, kGrace);
+    stop.balancer_knows = true;
+    CPPUNIT_ASSERT(!stop.Allows(After(15'000), After(5000)));
+    CPPUNIT_ASSERT(stop.Allows(After(7300), After(9000)));
+  }
+
+  void ATimeTooShortForAnyAnswerAllowsNone() {
+    const auto stop = host_stop::Begin(kTold, milliseconds(200));
+    CPPUNIT_ASSERT(!stop.Allows(After(1), After(1)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(host_stop_test);
+
+}  // namespace
+}  // namespace slatestall
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -20,6 +20,8 @@
 /// the store is slow.
 constexpr milliseconds kUsualStart{600};
 constexpr milliseconds kReturnWhileStarting{300};
+/// Other hosts can take the request at once; some time for the balancer.
+constexpr milliseconds kReturnFromStop{50};
 constexpr std::int64_t kSpreadSteps = 64;
 
 /// The service that takes a request, by weight and the request's id.
@@ -61,7 +63,10 @@
     return refused;
   }
   last_event_ = facts_.last_event;
-  return CheckTime();
+  if (auto refused = CheckTime()) {
+    return refused;
+  }
+  return CheckStop();
 }
 
 /// A host that starts has a configuration within a moment. One that still has
@@ -132,6 +137,29 @@
   return std::nullopt;
 }
 
+/// Connections outlive the moment at which a stopping host takes no new ones:
+/// a stream whose head went out before keeps its own open, and the caller's
+/// next request comes on it. Taken without regard to the host's end, it was cut
+/// in the middle of its answer. Refused here it has cost nothing, and the
+/// caller comes back on a new connection, to another host.
+std::optional<request_run::refusal> request_run::CheckStop() const {
+  const auto& stop = environment_.stop;
+  if (!stop) {
+    return std::nullopt;
+  }
+  const auto known = environment_.answers.find(route_->name);
+  const auto longest = known == environment_.answers.end()
+                           ? std::nullopt
+                           : known->second.Value();
+  const time_point likely_end =
+      longest ? request_.arrived + *longest : deadline_;
+  if (stop->Allows(deadline_, likely_end)) {
+    return std::nullopt;
+  }
+  return refusal{error_kind::kDraining, "the host stops before its answer ends",
+                 kReturnFromStop};
+}
+
 duration request_run::FirstEventTime() const {
   const duration otherwise = route_->objective / kUnknownFirstEventPart;
   const auto learnt = environment_.first_events.find(service_);
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -17,6 +17,12 @@
 constexpr std::uint64_t kLoggedShare = 16;
 
 constexpr std::string_view kRefused = "refused";
+constexpr std::string_view kAnswered = "answered";
+constexpr std::string_view kStreamed = "streamed";
+
+bool IsWhole(std::string_view outcome) {
+  return outcome == kAnswered || outcome == kStreamed;
+}
 
 }  // namespace
 
@@ -59,7 +65,7 @@
                  std::move(answer_body_));
   environment_.metrics.Observe("answer", route_->name,
                                environment_.now() - request_.arrived);
-  Finish("answered");
+  Finish(kAnswered);
 }
 
 void request_run::Refuse(const refusal& why) {
@@ -172,6 +178,10 @@
   FreeResults();
   deadline_timer_.cancel();
   stall_timer_.cancel();
+  if (IsWhole(outcome)) {
+    environment_.answers[route_->name].Note(environment_.now() -
+                                            request_.arrived);
+  }
   // A refusal has had its line.
   if (route_ != nullptr && outcome != kRefused) {
     LogEnd(outcome);
@@ -195,7 +205,7 @@
 }
 
 void request_run::LogEnd(std::string_view outcome) const {
-  const bool ordinary = outcome == "answered" || outcome == "streamed";
+  const bool ordinary = IsWhole(outcome);
   const bool is_late = IsLate();
   if (ordinary && !is_late && sends_ == 0 &&
       StableHash(facts_.id) % kLoggedShare != 0) {
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -65,6 +65,7 @@
   std::optional<refusal> FindRoute();
   std::optional<refusal> FindWorkspace();
   std::optional<refusal> CheckTime();
+  std::optional<refusal> CheckStop() const;
   duration PathTime() const;
   duration StageTime(std::size_t stage) const;
   duration Elapsed() const;
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -99,7 +99,10 @@
 }
 
 void caller_connection::CloseIfIdle() {
-  if (phase_ == phase::kReading && !reader_.Started()) {
+  // A caller that has just connected has its first request on the way, maybe
+  // in the socket: closed now, it would see a reset in place of an answer.
+  const bool has_been_answered = number_ > 0;
+  if (phase_ == phase::kReading && !reader_.Started() && has_been_answered) {
     Close();
   }
 }
--- a/src/slatestall/relay/caller_connection.h
+++ b/src/slatestall/relay/caller_connection.h
@@ -36,7 +36,7 @@
                     std::shared_ptr<caller_environment> environment);
 
   void Start();
-  /// @brief Closes at once where no request has begun.
+  /// @brief Closes at once between two requests.
   void CloseIfIdle();
   /// @brief Closes without an orderly end.
   void Abort();
