--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -20,9 +20,18 @@
 /// the store is slow.
 constexpr milliseconds kUsualStart{600};
 constexpr milliseconds kReturnWhileStarting{300};
-/// Other hosts can take the request at once; some time for the balancer.
+/// Other hosts take the request at once: nothing has to pass first.
 constexpr milliseconds kReturnFromStop{50};
-constexpr std::int64_t kSpreadSteps = 64;
+/// Callers wait two seconds or so at the most: steps of some 2 ms.
+constexpr std::int64_t kSpreadSteps = 1024;
+
+/// A time from `least` to `most`, always the same for one request.
+milliseconds SpreadBetween(milliseconds least, milliseconds most,
+                           const std::string& id) {
+  const auto draw = static_cast<std::int64_t>(
+      StableHash(id) % static_cast<std::uint64_t>(kSpreadSteps));
+  return least + (most - least) * draw / kSpreadSteps;
+}
 
 /// The service that takes a request, by weight and the request's id.
 std::string ServiceOf(const route& found, const std::string& id) {
@@ -80,9 +89,7 @@
     const auto facts = environment_.protocol.read_request(request_.head);
     const auto most =
         facts.patience.value_or(kReturnWhileStarting) / kReturnPart;
-    const auto part = static_cast<std::int64_t>(
-        StableHash(facts.id) % static_cast<std::uint64_t>(kSpreadSteps));
-    return most - most * part / kSpreadSteps / 2;
+    return SpreadBetween(most / 2, most, facts.id);
   } catch (const request_error&) {
     return kReturnWhileStarting;  // It is refused as malformed next time.
   }
@@ -250,14 +257,9 @@
     return most;
   }
   if (earliest > milliseconds(0)) {
-    const auto draw =
-        static_cast<std::int64_t>(StableHash(facts_.id) % kSpreadSteps);
-    return earliest + (most - earliest) * draw / kSpreadSteps / 2;
+    return SpreadBetween(earliest, earliest + (most - earliest) / 2, facts_.id);
   }
-  const auto spread =
-      StableHash(facts_.id) %
-      static_cast<std::uint64_t>((most - kShortestReturn).count() + 1);
-  return kShortestReturn + milliseconds(spread);
+  return SpreadBetween(kShortestReturn, most, facts_.id);
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -280,7 +280,7 @@
     BeginStream();
     if (!finished_) {
       channel_->Finish();
-      Finish("streamed");
+      Finish(request_end::kStreamed);
     }
     return;
   }
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -16,14 +16,6 @@
 /// all hosts choose the same ones.
 constexpr std::uint64_t kLoggedShare = 16;
 
-constexpr std::string_view kRefused = "refused";
-constexpr std::string_view kAnswered = "answered";
-constexpr std::string_view kStreamed = "streamed";
-
-bool IsWhole(std::string_view outcome) {
-  return outcome == kAnswered || outcome == kStreamed;
-}
-
 }  // namespace
 
 request_run::request_run(gateway_environment& environment,
@@ -65,7 +57,7 @@
                  std::move(answer_body_));
   environment_.metrics.Observe("answer", route_->name,
                                environment_.now() - request_.arrived);
-  Finish(kAnswered);
+  Finish(request_end::kAnswered);
 }
 
 void request_run::Refuse(const refusal& why) {
@@ -90,7 +82,7 @@
        {"after_ms",
         WholeMilliseconds(environment_.now() - request_.arrived).count()}});
   environment_.metrics.Count("refused", AnswerFor(why.kind).name);
-  Finish(kRefused);
+  Finish(request_end::kRefused);
 }
 
 void request_run::Abort(const std::string& why) {
@@ -102,7 +94,7 @@
                                         {"left_ms", TimeLeft().count()}});
   environment_.metrics.Count("streams_cut", route_->name);
   channel_->Abort();
-  Finish("cut");
+  Finish(request_end::kCut);
 }
 
 void request_run::OnCallerGone() {
@@ -112,7 +104,7 @@
   EndAttempt(call_lesson::kNothing);
   environment_.metrics.Count("callers_gone",
                              route_ != nullptr ? route_->name : "");
-  Finish("caller gone");
+  Finish(request_end::kCallerGone);
 }
 
 void request_run::OnDeadline() {
@@ -165,7 +157,7 @@
           {"first_event_ms", since(first_event_at_)}};
 }
 
-void request_run::Finish(std::string_view outcome) {
+void request_run::Finish(request_end end) {
   if (finished_) {
     return;
   }
@@ -178,13 +170,13 @@
   FreeResults();
   deadline_timer_.cancel();
   stall_timer_.cancel();
-  if (IsWhole(outcome)) {
+  if (IsWhole(end)) {
     environment_.answers[route_->name].Note(environment_.now() -
                                             request_.arrived);
   }
   // A refusal has had its line.
-  if (route_ != nullptr && outcome != kRefused) {
-    LogEnd(outcome);
+  if (route_ != nullptr && end != request_end::kRefused) {
+    LogEnd(end);
   }
   channel_ = nullptr;
 }
@@ -204,8 +196,8 @@
                           {"earlier_on_connection", request_.earlier}});
 }
 
-void request_run::LogEnd(std::string_view outcome) const {
-  const bool ordinary = IsWhole(outcome);
+void request_run::LogEnd(request_end end) const {
+  const bool ordinary = IsWhole(end);
   const bool is_late = IsLate();
   if (ordinary && !is_late && sends_ == 0 &&
       StableHash(facts_.id) % kLoggedShare != 0) {
@@ -214,7 +206,7 @@
   nlohmann::json fields = {
       {"request", facts_.id},
       {"route", route_->name},
-      {"outcome", outcome},
+      {"outcome", NameIn(kRequestEndNames, end)},
       {"status", answer_.status},
       {"endpoint", dispatch_.endpoint_id},
       {"attempts", sends_ + moves_ + 1},
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/request_end.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/gateway/stage_graph.h"
 #include "slatestall/model/error_kind.h"
@@ -120,8 +121,8 @@
   bool IsLate() const;
   nlohmann::json SpanFields() const;
   void LogTakenWhileStopping() const;
-  void LogEnd(std::string_view outcome) const;
-  void Finish(std::string_view outcome);
+  void LogEnd(request_end end) const;
+  void Finish(request_end end);
   void FreeResults();
 
   gateway_environment& environment_;
