A stopping host lives until its answers are written, and refuses what it never began

A request counted as done when its answer had been queued, so the host ended 0.3 s later and cut a slow caller's bytes (1.8 of 4.0 MB arrived) with seconds of its time left. A request that still waited for a stage at the end was dropped without a word. Connections were dropped that the system had made and the host was about to take, or that waited behind idle ones. Pieces of other hosts did not count at all.

Change: in hand is what the end would cut: connections with an answer not wholly written, a request being read or about to come, and other hosts' orders. At the end what has reached no endpoint is refused as not run, what may have run is answered as unknown. What waited too long for its stages is not begun. Idle connections go before the backlog is taken; a connection that is being taken is kept. The time in which likely ends count ends 0.5 s before the balancer's lag, by the clock. Only successes teach how long answers take. A caller whose next request is already read is not told that the connection closes.

--- a/include/slatestall/relay/caller_listener.h
+++ b/include/slatestall/relay/caller_listener.h
@@ -17,7 +17,7 @@
 struct inbound_request {
   message_head head;
   std::string body;
-  time_point arrived{};  ///< When its last byte was read.
+  time_point arrived{};       ///< When its last byte was read.
   std::uint64_t earlier = 0;  ///< Requests before it on its connection.
 };
 
@@ -80,6 +80,9 @@
   /// requests.
   void StopAccepting();
   std::size_t Connections() const;
+  /// @brief Connections whose end now would cut somebody: with an answer that
+  /// is not wholly written, a request that is being read, or one on its way.
+  std::size_t Busy() const;
 
  private:
   class impl;
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "slatestall/dispatch/endpoint_roster.h"
@@ -38,7 +39,8 @@
   std::map<std::string, longest_answer> answers;   ///< By route.
   std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
-  std::optional<host_stop> stop{};  ///< Not set: goes on.
+  std::optional<host_stop> stop{};      ///< Not set: goes on.
+  std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -35,36 +35,6 @@
   return made;
 }
 
-/// Counts a request as in hand until its answer is no longer held.
-class counted_channel : public answer_channel {
- public:
-  counted_channel(answer_channel_ptr channel, std::size_t& count)
-      : channel_(std::move(channel)), count_(count) {
-    ++count_;
-  }
-  ~counted_channel() override { --count_; }
-  counted_channel(const counted_channel&) = delete;
-  counted_channel& operator=(const counted_channel&) = delete;
-
-  void Send(int status, const http_headers& headers,
-            std::string body) override {
-    channel_->Send(status, headers, std::move(body));
-  }
-  void Start(int status, const http_headers& headers) override {
-    channel_->Start(status, headers);
-  }
-  void Write(std::string bytes) override { channel_->Write(std::move(bytes)); }
-  void Finish() override { channel_->Finish(); }
-  void Abort() override { channel_->Abort(); }
-  void OnCallerGone(std::function<void()> hook) override {
-    channel_->OnCallerGone(std::move(hook));
-  }
-
- private:
-  answer_channel_ptr channel_;
-  std::size_t& count_;
-};
-
 }  // namespace
 
 gateway_traffic::gateway_traffic(asio::io_context& context,
@@ -85,7 +55,8 @@
                    {},
                    {},
                    now(),
-                   std::nullopt},
+                   std::nullopt,
+                   {}},
       client_(context),
       home_(environment_, client_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
@@ -146,28 +117,36 @@
 
 void gateway_traffic::AnnounceClose() {
   environment_.stop =
-      host_stop::Begin(environment_.now(), environment_.options.stop_grace);
+      host_stop::Begin(environment_.now(), environment_.options.stop_grace,
+                       environment_.options.balancer_lag);
   listener_.AnnounceClose();
   router_.Drain();
 }
 void gateway_traffic::StopAccepting() {
   if (environment_.stop) {
-    environment_.stop->balancer_knows = true;
+    environment_.stop->likely_until = environment_.now();
   }
   listener_.StopAccepting();
 }
 
 void gateway_traffic::TakeNoMore() {
   if (environment_.stop) {
-    environment_.stop->last_answer_by = time_point::min();
+    environment_.stop->takes_none = true;
+  }
+  // Those that end leave the set.
+  std::vector<std::shared_ptr<request_run>> runs;
+  for (auto* run : environment_.runs) {
+    runs.push_back(run->shared_from_this());
+  }
+  for (const auto& run : runs) {
+    run->OnHostEnds();
   }
 }
 
 void gateway_traffic::TakeRequest(inbound_request request,
                                   answer_channel_ptr channel) {
-  std::make_shared<request_run>(
-      environment_, stages_, std::move(request),
-      std::make_shared<counted_channel>(std::move(channel), in_hand_))
+  std::make_shared<request_run>(environment_, stages_, std::move(request),
+                                std::move(channel))
       ->Start();
 }
 
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -41,9 +41,12 @@
   }
   void AnnounceClose();
   void StopAccepting();
-  /// @brief Refuses every request that still comes.
+  /// @brief The process ends a moment later: refuses what still comes and what
+  /// has not begun to be answered.
   void TakeNoMore();
-  std::size_t InHand() const { return in_hand_; }
+  /// @brief What the end of this host would cut: callers that are not yet
+  /// answered to the last byte, and other hosts' pieces.
+  std::size_t InHand() const { return listener_.Busy() + router_.Serves(); }
   std::size_t Connections() const { return listener_.Connections(); }
 
   std::uint16_t Port() const { return listener_.Port(); }
@@ -60,7 +63,6 @@
   topic_exchange topics_;
   stage_router router_;
   const stage_calls stages_;
-  std::size_t in_hand_ = 0;
   caller_listener listener_;
 };
 
--- a/src/slatestall/gateway/host_stop_test.cc
+++ b/src/slatestall/gateway/host_stop_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr milliseconds kGrace{8000};
+constexpr milliseconds kLag{3000};
 constexpr time_point kTold{std::chrono::seconds(100)};
 
 class host_stop_test : public CppUnit::TestFixture {
@@ -13,31 +14,37 @@
   CPPUNIT_TEST(WhatLikelyEndsInTimeIsTakenAtFirst);
   CPPUNIT_TEST(WhatIsSureToEndInTimeIsTakenLater);
   CPPUNIT_TEST(ATimeTooShortForAnyAnswerAllowsNone);
+  CPPUNIT_TEST(NothingIsTakenInTheLastMoment);
   CPPUNIT_TEST_SUITE_END();
 
  private:
   static time_point After(int ms) { return kTold + milliseconds(ms); }
 
   void WhatLikelyEndsInTimeIsTakenAtFirst() {
-    const auto stop = host_stop::Begin(kTold, kGrace);
-    CPPUNIT_ASSERT(stop.Allows(After(15'000), After(7300)));
-    CPPUNIT_ASSERT(!stop.Allows(After(15'000), After(7301)));
+    const auto stop = host_stop::Begin(kTold, kGrace, kLag);
+    CPPUNIT_ASSERT(stop.Allows(After(2499), After(15'000), After(7300)));
+    CPPUNIT_ASSERT(!stop.Allows(After(0), After(15'000), After(7301)));
     // Callers that wait less than answers usually take end in time, too.
-    CPPUNIT_ASSERT(stop.Allows(After(7000), After(9000)));
+    CPPUNIT_ASSERT(stop.Allows(After(0), After(7000), After(9000)));
   }
 
   // Two of a hundred streams take longer than the longest of the last ones.
   // Once callers have other hosts to go to, none of them may be cut.
   void WhatIsSureToEndInTimeIsTakenLater() {
-    auto stop = host_stop::Begin(kTold, kGrace);
-    stop.balancer_knows = true;
-    CPPUNIT_ASSERT(!stop.Allows(After(15'000), After(5000)));
-    CPPUNIT_ASSERT(stop.Allows(After(7300), After(9000)));
+    const auto stop = host_stop::Begin(kTold, kGrace, kLag);
+    CPPUNIT_ASSERT(!stop.Allows(After(2500), After(15'000), After(5000)));
+    CPPUNIT_ASSERT(stop.Allows(After(2500), After(7300), After(9000)));
+  }
+
+  void NothingIsTakenInTheLastMoment() {
+    auto stop = host_stop::Begin(kTold, kGrace, kLag);
+    stop.takes_none = true;
+    CPPUNIT_ASSERT(!stop.Allows(After(0), After(1), After(1)));
   }
 
   void ATimeTooShortForAnyAnswerAllowsNone() {
-    const auto stop = host_stop::Begin(kTold, milliseconds(200));
-    CPPUNIT_ASSERT(!stop.Allows(After(1), After(1)));
+    const auto stop = host_stop::Begin(kTold, milliseconds(200), kLag);
+    CPPUNIT_ASSERT(!stop.Allows(After(0), After(1), After(1)));
   }
 };
 
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -20,8 +20,10 @@
 /// the store is slow.
 constexpr milliseconds kUsualStart{600};
 constexpr milliseconds kReturnWhileStarting{300};
-/// Other hosts take the request at once: nothing has to pass first.
+/// Other hosts take the request at once: nothing has to pass first. Spread, so
+/// that callers of many hosts that stop together do not meet on the others.
 constexpr milliseconds kReturnFromStop{50};
+constexpr milliseconds kLatestReturnFromStop{150};
 /// Callers wait two seconds or so at the most: steps of some 2 ms.
 constexpr std::int64_t kSpreadSteps = 1024;
 
@@ -56,6 +58,9 @@
 
 std::optional<request_run::refusal> request_run::Admit() {
   table_ = environment_.table;
+  if (!table_ && environment_.stop) {
+    return HostStops();
+  }
   if (!table_) {
     return refusal{error_kind::kNoConfiguration, "no configuration yet",
                    ReturnWithoutConfiguration()};
@@ -72,10 +77,11 @@
     return refused;
   }
   last_event_ = facts_.last_event;
-  if (auto refused = CheckTime()) {
+  SetTimes();
+  if (auto refused = CheckStop()) {
     return refused;
   }
-  return CheckStop();
+  return CheckTime();
 }
 
 /// A host that starts has a configuration within a moment. One that still has
@@ -123,21 +129,24 @@
   return std::nullopt;
 }
 
-/// A request that cannot make its deadline is refused before anything is spent
-/// on it: refused late, it would have kept others waiting for nothing.
-std::optional<request_run::refusal> request_run::CheckTime() {
+void request_run::SetTimes() {
   milliseconds limit = route_->timeout;
   if (facts_.patience) {
     limit = std::min(limit, *facts_.patience);
   }
   deadline_ = request_.arrived + limit;
   objective_ = request_.arrived + route_->objective - Elapsed();
+}
+
+/// A request that cannot make its deadline is refused before anything is spent
+/// on it: refused late, it would have kept others waiting for nothing.
+std::optional<request_run::refusal> request_run::CheckTime() const {
   const duration path = PathTime();
   if (environment_.now() + path > deadline_) {
     return refusal{error_kind::kDeadlineUnreachable,
                    "the way to an answer takes " +
                        std::to_string(WholeMilliseconds(path).count()) +
-                       " ms now, " + std::to_string(limit.count()) +
+                       " ms now, " + std::to_string(TimeLeft().count()) +
                        " ms are left",
                    ReturnTime()};
   }
@@ -160,11 +169,15 @@
                            : known->second.Value();
   const time_point likely_end =
       longest ? request_.arrived + *longest : deadline_;
-  if (stop->Allows(deadline_, likely_end)) {
+  if (stop->Allows(environment_.now(), deadline_, likely_end)) {
     return std::nullopt;
   }
-  return refusal{error_kind::kDraining, "the host stops before its answer ends",
-                 kReturnFromStop};
+  return HostStops();
+}
+
+request_run::refusal request_run::HostStops() const {
+  return {error_kind::kDraining, "the host stops before its answer ends",
+          SpreadBetween(kReturnFromStop, kLatestReturnFromStop, facts_.id)};
 }
 
 duration request_run::FirstEventTime() const {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -65,6 +65,14 @@
       Refuse(*refused);
       return;
     }
+    // It waited for its stages longer than expected. Begun now, it would be
+    // cut.
+    const auto& stop = environment_.stop;
+    if (stop && !may_have_run_ &&
+        environment_.now() + FirstEventTime() > stop->last_answer_by) {
+      Refuse(HostStops());
+      return;
+    }
   }
   pick_request pick;
   pick.now = environment_.now();
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -38,6 +38,7 @@
     Refuse(*refused);
     return;
   }
+  environment_.runs.insert(this);
   LogTakenWhileStopping();
   environment_.repeats.NoteRequest(service_, environment_.now());
   environment_.metrics.Count("requests", route_->name);
@@ -121,6 +122,21 @@
   Refuse({error_kind::kDeadlineExceeded, "time limit"});
 }
 
+/// A stream goes on until the process ends. Everybody else would see the
+/// connection close without a word, and could not tell a request that has
+/// reached no endpoint from one that may have run.
+void request_run::OnHostEnds() {
+  if (finished_ || stream_begun_) {
+    return;
+  }
+  EndAttempt(call_lesson::kNothing);
+  if (may_have_run_) {
+    Refuse({error_kind::kOutcomeUnknown, "the host stops"});
+  } else {
+    Refuse(HostStops());
+  }
+}
+
 void request_run::FreeResults() {
   if (graph_) {
     stages_.free(graph_->AllHandles());
@@ -162,6 +178,7 @@
     return;
   }
   finished_ = true;
+  environment_.runs.erase(this);
   for (const auto& [stage, number] : running_stages_) {
     stages_.cancel(number);
   }
@@ -170,7 +187,7 @@
   FreeResults();
   deadline_timer_.cancel();
   stall_timer_.cancel();
-  if (IsWhole(end)) {
+  if (IsWhole(end) && IsSuccess()) {
     environment_.answers[route_->name].Note(environment_.now() -
                                             request_.arrived);
   }
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -28,6 +28,8 @@
               inbound_request request, answer_channel_ptr channel);
 
   void Start();
+  /// @brief The process ends a moment later.
+  void OnHostEnds();
 
  private:
   /// Bytes of results that are worth a place near them: between failure
@@ -65,8 +67,10 @@
   milliseconds ReturnWithoutConfiguration() const;
   std::optional<refusal> FindRoute();
   std::optional<refusal> FindWorkspace();
-  std::optional<refusal> CheckTime();
+  void SetTimes();
+  std::optional<refusal> CheckTime() const;
   std::optional<refusal> CheckStop() const;
+  refusal HostStops() const;
   duration PathTime() const;
   duration StageTime(std::size_t stage) const;
   duration Elapsed() const;
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -41,6 +41,8 @@
   void Refresh();
   /// @brief Other hosts are to choose another home.
   void Drain() { draining_ = true; }
+  /// @brief Orders of other hosts that are not yet answered.
+  std::size_t Serves() const { return served_.size(); }
   /// @brief The host to read the store through; empty: this one reads itself.
   std::string Reader() const;
   /// @brief Hosts that may know what the store does not tell this one now.
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -25,6 +25,10 @@
 /// byte they are gone.
 constexpr milliseconds kCallerSilence{5000};
 
+/// A caller that has connected sends its request at once; half a round trip and
+/// a busy caller's delay.
+constexpr milliseconds kFirstRequestTime{200};
+
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char* kLastChunk = "0\r\n\r\n";
 
@@ -89,7 +93,8 @@
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       environment_(std::move(environment)),
-      reader_(message_kind::kRequest, environment_->limits.message) {
+      reader_(message_kind::kRequest, environment_->limits.message),
+      taken_at_(environment_->options.now()) {
   LimitSilence(socket_, kCallerSilence);
 }
 
@@ -107,6 +112,12 @@
   }
 }
 
+bool caller_connection::IsBusy(time_point now) const {
+  const bool awaits_first = number_ == 0 && now - taken_at_ < kFirstRequestTime;
+  return phase_ == phase::kServing ||
+         (phase_ == phase::kReading && (reader_.Started() || awaits_first));
+}
+
 void caller_connection::Abort() { PeerGone(); }
 
 bool caller_connection::Serves(std::uint64_t number) const {
@@ -250,7 +261,9 @@
 http_headers caller_connection::WithConnection(http_headers headers) {
   // What the head says is kept to: a caller that was not told sends its next
   // request here, and would find the connection closed.
-  close_after_ = close_after_ || environment_->last_answers;
+  // One whose next request is here already has that one answered, too.
+  close_after_ =
+      close_after_ || (environment_->last_answers && backlog_.empty());
   if (close_after_) {
     headers.push_back({"Connection", "close"});
   }
--- a/src/slatestall/relay/caller_connection.h
+++ b/src/slatestall/relay/caller_connection.h
@@ -38,6 +38,8 @@
   void Start();
   /// @brief Closes at once between two requests.
   void CloseIfIdle();
+  /// @brief Whether a close now would cut an answer or a request.
+  bool IsBusy(time_point now) const;
   /// @brief Closes without an orderly end.
   void Abort();
 
@@ -76,6 +78,7 @@
   asio::steady_timer timer_;
   std::shared_ptr<caller_environment> environment_;
   message_reader reader_;
+  const time_point taken_at_;
   std::array<char, std::size_t{4} << 10U> input_{};
   std::string backlog_;  ///< Read while a request is served.
   std::string queued_;   ///< To be written after `writing_`.
--- a/src/slatestall/relay/caller_listener.cc
+++ b/src/slatestall/relay/caller_listener.cc
@@ -1,5 +1,6 @@
 #include "slatestall/relay/caller_listener.h"
 
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <unordered_set>
@@ -46,26 +47,24 @@
 
   void StopAccepting() {
     stopped_ = true;
+    // First, so that callers that wait behind idle ones find room.
+    for (const auto& connection : Open()) {
+      connection->CloseIfIdle();
+    }
     TakeBacklog();
     asio::error_code ignored;
     acceptor_.close(ignored);
     pause_.cancel();
-    const std::vector<std::shared_ptr<caller_connection>> open(
-        connections_.begin(), connections_.end());
-    for (const auto& connection : open) {
-      connection->CloseIfIdle();
-    }
   }
 
   void Stop() {
     stopped_ = true;
+    ended_ = true;
     asio::error_code ignored;
     acceptor_.close(ignored);
     pause_.cancel();
     environment_->hook = nullptr;
-    const std::vector<std::shared_ptr<caller_connection>> open(
-        connections_.begin(), connections_.end());
-    for (const auto& connection : open) {
+    for (const auto& connection : Open()) {
       connection->Abort();
     }
   }
@@ -75,7 +74,19 @@
   std::shared_ptr<caller_environment> Environment() { return environment_; }
   std::size_t Connections() const { return connections_.size(); }
 
+  std::size_t Busy() const {
+    const auto now = environment_->options.now();
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [now](const auto& one) { return one->IsBusy(now); }));
+  }
+
  private:
+  /// A copy: those that close leave the set.
+  std::vector<std::shared_ptr<caller_connection>> Open() const {
+    return {connections_.begin(), connections_.end()};
+  }
+
   void Accept() {
     if (stopped_ || accepting_ || Full()) {
       return;
@@ -85,13 +96,15 @@
         [this, self = shared_from_this()](const asio::error_code& error,
                                           asio::ip::tcp::socket socket) {
           accepting_ = false;
-          if (stopped_) {
+          if (ended_ || (error && stopped_)) {
             return;
           }
           if (error) {
             PauseAccepting();
             return;
           }
+          // Also when it has stopped meanwhile: the system has made the
+          // connection, and closed now its caller would see a reset.
           Add(std::move(socket));
           Accept();
         });
@@ -146,7 +159,8 @@
   std::shared_ptr<caller_environment> environment_;
   std::unordered_set<std::shared_ptr<caller_connection>> connections_;
   bool accepting_ = false;
-  bool stopped_ = false;
+  bool stopped_ = false;  ///< Takes no new connection.
+  bool ended_ = false;    ///< Its owner is gone.
 };
 
 caller_listener::caller_listener(asio::io_context& context,
@@ -169,6 +183,8 @@
 
 void caller_listener::StopAccepting() { impl_->StopAccepting(); }
 
+std::size_t caller_listener::Busy() const { return impl_->Busy(); }
+
 std::size_t caller_listener::Connections() const {
   return impl_->Connections();
 }
