Soak: stops in series under kept connections and long streams

Hosts that are told to stop are judged, too: what they take after their door has closed, what they cut, how they end. A crashed endpoint runs nothing that was still in its socket; such a request met late_arrivals = None.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that check what they are promised."""
 import asyncio
+import json
 import time
 
 from fakes import Endpoint
@@ -11,13 +12,16 @@
 class Outcome:
     """How one request ended, as its caller saw it."""
 
-    def __init__(self, request, kind, host, sent):
+    def __init__(self, request, kind, host, deadline):
         self.request = request
         self.kind = kind
         self.host = host
-        self.sent = sent
+        self.deadline = deadline  # Seconds that its caller will wait.
+        self.sent = time.monotonic()
         self.ended = None
         self.status = None
+        self.refusal = None  # Why the gateway refused it.
+        self.keeps = False   # Its connection may have idled before.
         self.fault = None  # A broken promise that shows by itself.
         self.cut = False   # The connection ended without a whole answer.
         self.timed_out = False
@@ -26,6 +30,8 @@
 async def read_whole(reader, head, outcome):
     body = await reader.readexactly(int(head.headers["content-length"]))
     if head.status != 200:
+        if head.headers.get("content-type") == "application/problem+json":
+            outcome.refusal = json.loads(body)["type"].split(":")[-1]
         return
     if "stamp" not in head.headers:
         outcome.fault = "a success without proof"
@@ -41,7 +47,9 @@
             break
         text += data
         check_events(text, outcome)
-    if text.count(b"\n\n") != Endpoint.EVENTS:
+    events = Endpoint.LONG_EVENTS if outcome.kind == "long" else \
+        Endpoint.EVENTS
+    if text.count(b"\n\n") != events:
         outcome.fault = f"complete after {text.count(chr(10).encode() * 2)}"
 
 
@@ -57,6 +65,9 @@
     """Sends one request after the other, on one connection while it lasts."""
 
     KINDS = ("once", "safe", "stream", "staged")
+    PAUSE = 0.05
+    PATIENCE = 4.0
+    KEEPS = False  # Whether it stays with a host, and pauses.
 
     def __init__(self, name, random, hosts, outcomes):
         self.name = name
@@ -71,22 +82,31 @@
         host = None
         while not self.stopping:
             number += 1
-            await asyncio.sleep(0.05 * self.random.random())
-            if connection is None:
+            await asyncio.sleep(self.PAUSE * self.random.random())
+            if connection is None or self.has_gone(connection):
                 host = self.random.choice(self.hosts)
                 connection = await self.connect(host)
                 if connection is None:
                     continue
             kind = self.random.choice(self.KINDS)
-            outcome = Outcome(f"{self.name}x{number}", kind, host,
-                              time.monotonic())
+            path, deadline = self.draw(kind)
+            outcome = Outcome(f"{self.name}x{number}", kind, host, deadline)
+            outcome.keeps = self.KEEPS
             self.outcomes.append(outcome)
-            keeps = await self.ask(connection, outcome)
+            keeps = await self.ask(connection, path, outcome)
             outcome.ended = time.monotonic()
-            if not keeps or self.random.random() < 0.1:
+            host.answered = host.answered or outcome.status is not None
+            if not keeps or (not self.KEEPS and self.random.random() < 0.1):
                 connection[1].transport.abort()
                 connection = None
 
+    def has_gone(self, connection):
+        """A close that was not announced is to be seen as a request's fate."""
+        return False
+
+    def draw(self, kind):
+        return f"/{kind}/a", self.PATIENCE
+
     async def connect(self, host):
         try:
             return await asyncio.wait_for(
@@ -94,16 +114,18 @@
         except (OSError, asyncio.TimeoutError):
             return None
 
-    async def ask(self, connection, outcome):
+    async def ask(self, connection, path, outcome):
         reader, writer = connection
         pieces = "Pieces: 1,2\r\nPiece-Key: k\r\n" \
             if outcome.kind == "staged" else ""
-        writer.write((f"POST /{outcome.kind}/a HTTP/1.1\r\nHost: x\r\n"
-                      f"Request-Id: {outcome.request}\r\nDeadline-Ms: 4000\r\n"
+        writer.write((f"POST {path} HTTP/1.1\r\nHost: x\r\n"
+                      f"Request-Id: {outcome.request}\r\n"
+                      f"Deadline-Ms: {int(outcome.deadline * 1000)}\r\n"
                       f"Authorization: Bearer key\r\n{pieces}"
                       "Content-Length: 0\r\n\r\n").encode())
         try:
-            return await asyncio.wait_for(self.read(reader, outcome), 6)
+            return await asyncio.wait_for(self.read(reader, outcome),
+                                          outcome.deadline + 2)
         except asyncio.TimeoutError:
             outcome.cut = True
             outcome.timed_out = True
@@ -119,3 +141,22 @@
         else:
             await read_whole(reader, head, outcome)
         return head.headers.get("connection") != "close"
+
+
+class Keeper(Caller):
+    """Keeps its connection for as long as the host does, with long streams and
+    pauses: its requests reach a host that has closed its door."""
+
+    KINDS = ("once", "safe", "stream", "long", "long", "long")
+    PAUSE = 0.6
+    KEEPS = True
+
+    def has_gone(self, connection):
+        return connection[0].at_eof() or connection[1].is_closing()
+
+    def draw(self, kind):
+        if kind != "long":
+            return f"/{kind}/a", 1 + 3 * self.random.random()
+        length = 1 + 5 * self.random.random()
+        return (f"/long/{int(length * 1000)}",
+                length + 1 + 2 * self.random.random())
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -91,21 +91,26 @@
 class Endpoint:
     """An engine or a stage endpoint, one incarnation.
 
-    `runs` collects the request id of every run of all endpoints, `faults` what
-    no endpoint should ever see.
+    `runs` collects the request id of every run of all endpoints and where it
+    was, `breaks` those that an endpoint broke off by itself, `faults` what no
+    endpoint should ever see.
     """
 
     EVENTS = 6
+    LONG_EVENTS = 20
 
-    def __init__(self, identity, service, random, runs, faults):
+    def __init__(self, identity, service, random, runs, breaks, faults):
         self.identity = identity
         self.service = service
         self.random = random
         self.runs = runs
+        self.breaks = breaks
         self.faults = faults
         self.trouble = 0.0  # Share of calls that go wrong in some way.
         self.left_at = None  # When leaving was acknowledged by the store.
         self.late_arrivals = []
+        self.disturbed = []  # Times of unplanned faults on it.
+        self.crashed = False
         self.port = None
         self.address = None  # As published.
         self.born = int(time.time() * 1000)
@@ -117,6 +122,7 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def crash(self):
+        self.crashed = True
         self.server.close()
         for writer in list(self.open):
             writer.transport.abort()
@@ -126,7 +132,8 @@
         try:
             while True:
                 request = await read_message(reader)
-                if not await self.handle(request, writer):
+                # One that was still in the socket died with the process.
+                if self.crashed or not await self.handle(request, writer):
                     return
         except (EOFError, OSError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
@@ -175,7 +182,7 @@
 
     async def run(self, path, headers, writer, fails):
         request = headers["request-id"]
-        self.runs.append((request, path))
+        self.runs.append((request, path, self))
         if headers.get("tenant") != "w":
             self.faults.append(f"wrong workspace for {request}")
         if path.startswith("/staged/"):
@@ -185,28 +192,40 @@
                     for i in inputs if "/" in i):
                 self.faults.append(f"inputs of {request}: {inputs}")
         head = {"Request-Id": request, "Stamp": self.identity}
-        if path.startswith(("/stream/", "/staged/")):
-            return await self.stream(headers, head, writer, fails)
+        if path.startswith("/long/"):
+            pause = int(path.split("/")[2]) / 1000 / self.LONG_EVENTS
+            kept = await self.stream(headers, head, writer, fails,
+                                     self.LONG_EVENTS, pause)
+        elif path.startswith(("/stream/", "/staged/")):
+            kept = await self.stream(headers, head, writer, fails, self.EVENTS,
+                                     0.03)
+        else:
+            kept = await self.whole(head, writer, fails)
+        if not kept:
+            self.breaks.append(request)
+        return kept
+
+    async def whole(self, head, writer, fails):
         await asyncio.sleep(0.02 * self.random.random())
         if fails:
             if self.random.random() < 0.5:
                 writer.write(answer(500, head, b"own failure"))
                 return True
             return False
-        body = f"answer to {request}".encode()
+        body = f"answer to {head['Request-Id']}".encode()
         writer.write(answer(200, head, body))
         if self.random.random() < self.trouble:
             writer.write(answer(200, head, b"a second answer"))
         return True
 
-    async def stream(self, headers, head, writer, fails):
+    async def stream(self, headers, head, writer, fails, events, pause):
         first = int(headers.get("last-event-id", 0)) + 1
         lines = ["HTTP/1.1 200 OK"] + [f"{k}: {v}" for k, v in head.items()]
         lines.append("Transfer-Encoding: chunked")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        breaks_at = self.random.randint(first, self.EVENTS) if fails else 0
-        for number in range(first, self.EVENTS + 1):
-            await asyncio.sleep(0.03)
+        breaks_at = self.random.randint(first, events) if fails else 0
+        for number in range(first, events + 1):
+            await asyncio.sleep(pause)
             event = f"id: {number}\ndata: {head['Request-Id']}\n\n".encode()
             if number == breaks_at:
                 writer.write(chunk(event[:len(event) // 2]))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,11 +2,12 @@
 """Randomized soak of the gateway: real hosts, faults from outside, promises
 checked from what callers and endpoints see.
 
-    soak/soak.py BINARY [--seed N] [--seeds COUNT] [--seconds S]
+    soak/soak.py BINARY [--seed N] [--seeds COUNT] [--seconds S] [--hosts N]
 
 Each seed starts three hosts as processes, with a store and endpoints of its own
-behind loopback proxies, and prints what was broken. A seed draws the faults and
-their times; the interleaving of processes is the machine's.
+behind loopback proxies, and prints what was broken: first faults for some
+seconds, then planned stops in series without unplanned faults. A seed draws the
+faults and their times; the interleaving of processes is the machine's.
 """
 import argparse
 import asyncio
@@ -17,12 +18,14 @@
 import time
 from pathlib import Path
 
-from callers import PROMISES, Caller
+from callers import PROMISES, Caller, Keeper
 from fakes import Endpoint, Store
 from proxy import Proxy
+from stops import CROSSING, GRACE, Stop
 
 HOSTS = 3
-CALLERS = 8
+# Seconds in which stops begin.
+STOPS = 6.0
 LEAVE_LIMIT = 2.0
 # Time in which a host that was disturbed may still be wrong.
 SETTLE = 3.0
@@ -48,21 +51,31 @@
         self.front, self.status, self.peer = free_ports(3)
         self.settings = Path(folder) / f"{name}.yaml"
         self.log = open(Path(folder) / f"{name}.log", "ab")
-        self.settings.write_text(
-            f'host_name: "{name}"\nfailure_domain: "d"\n'
-            f'front_listen: "127.0.0.1:{self.front}"\n'
-            f'status_listen: "127.0.0.1:{self.status}"\n'
-            f'peer_listen: "127.0.0.1:{self.peer}"\n'
-            f'store_address: "127.0.0.1:{store_port}"\n'
-            f"leave_limit_ms: {int(LEAVE_LIMIT * 1000)}\n"
-            "repeat_reserve: 100\n")
+        self.store_port = store_port
+        self.write_settings(100)
         self.process = None
+        self.answered = False  # This process serves and takes signals.
+        self.stops = []
         self.disturbed = []  # Times of unplanned faults on it.
         self.ends = []       # Ends of its own.
         self.expected_end = False
 
+    def write_settings(self, repeat_reserve):
+        written = self.settings.with_suffix(".new")
+        written.write_text(
+            f'host_name: "{self.name}"\nfailure_domain: "d"\n'
+            f'front_listen: "127.0.0.1:{self.front}"\n'
+            f'status_listen: "127.0.0.1:{self.status}"\n'
+            f'peer_listen: "127.0.0.1:{self.peer}"\n'
+            f'store_address: "127.0.0.1:{self.store_port}"\n'
+            f"leave_limit_ms: {int(LEAVE_LIMIT * 1000)}\n"
+            f"stop_grace_seconds: {int(GRACE)}\n"
+            f"repeat_reserve: {repeat_reserve}\n")
+        written.replace(self.settings)
+
     async def start(self):
         self.expected_end = False
+        self.answered = False
         self.process = await asyncio.create_subprocess_exec(
             self.binary, "gateway", "--settings", str(self.settings),
             stdout=self.log, stderr=self.log)
@@ -71,12 +84,25 @@
         if self.process.returncode is None:
             self.process.send_signal(which)
 
+    def stop(self):
+        """SIGTERM; a second one changes nothing."""
+        if self.process.returncode is None and not self.is_stopping():
+            self.stops.append(Stop(self))
+            asyncio.ensure_future(self.stops[-1].watch_door())
+        self.expected_end = True
+        self.kill(signal.SIGTERM)
+
+    def is_stopping(self):
+        return bool(self.stops) and self.stops[-1].ended_at is None
+
     async def watch(self, stopping):
         while not stopping.is_set():
             await self.process.wait()
             if not self.expected_end:
                 self.ends.append(self.process.returncode)
             if not stopping.is_set():
+                if self.is_stopping():
+                    self.stops[-1].end(self.process.returncode)
                 await asyncio.sleep(0.2)
                 await self.start()
 
@@ -84,15 +110,17 @@
 class Run:
     """One seed."""
 
-    def __init__(self, binary, seed, seconds, times, folder):
-        self.times = times
+    def __init__(self, binary, seed, options, folder):
+        self.times = not options.no_times
+        self.host_count = options.hosts
         self.random = random.Random(seed)
         self.seed = seed
-        self.seconds = seconds
+        self.seconds = options.seconds
         self.folder = folder
         self.binary = binary
         self.store = Store()
         self.runs = []
+        self.breaks = []
         self.faults = []
         self.endpoints = []
         self.proxies = {}
@@ -100,6 +128,7 @@
         self.version = 0
         self.number = 0
         self.events = []
+        self.late = 0
         self.stopping = asyncio.Event()
 
     def note(self, text):
@@ -108,7 +137,7 @@
     async def add_endpoint(self, service):
         self.number += 1
         endpoint = Endpoint(f"i-{self.number}", service, self.random,
-                            self.runs, self.faults)
+                            self.runs, self.breaks, self.faults)
         await endpoint.start()
         proxy = Proxy(endpoint.port)
         await proxy.start()
@@ -121,13 +150,13 @@
     def publish(self, endpoint, state="ready"):
         self.store.put("keyed.servers", endpoint.identity, {
             "service": endpoint.service, "addr": endpoint.address,
-            "zone": "d", "version": "v1", "slots": 4, "state": state,
+            "zone": "d", "version": "v1", "slots": 8, "state": state,
             "coldLeftMs": 0, "seq": self.number, "born": endpoint.born})
 
     def configure(self):
         self.version += 1
         kinds = {"once": "unsafe", "safe": "safe", "stream": "stream",
-                 "staged": "stream"}
+                 "staged": "stream", "long": "stream"}
         routes = [{"name": f"{k}-{self.version}", "host": "x",
                    "pathPrefix": f"/{k}/", "type": t, "timeoutMs": 4000,
                    "sloMs": 800, "service": "s", "attempts": 2,
@@ -135,6 +164,7 @@
                   for k, t in kinds.items()]
         routes[3]["stages"] = [{"service": "t", "after": [], "byteCount": 10},
                                {"service": "t", "after": [0], "byteCount": 10}]
+        routes[4].update(timeoutMs=15000, gapTargetMs=1000)
         self.store.put("keyed.op", "config", {
             "version": self.version, "routes": routes,
             "services": [{"name": "s"}, {"name": "t", "pieces": {
@@ -143,7 +173,8 @@
             "tenants": [{"name": "w", "apiKeys": ["key"]}]})
 
     async def disturb(self):
-        """Faults in series that overlap, until the end of the run."""
+        """Faults in series that overlap."""
+        faults = []
         while time.monotonic() - self.began < self.seconds - 2:
             await asyncio.sleep(0.1 + 0.7 * self.random.random())
             fault = self.random.choice((
@@ -151,7 +182,38 @@
                 self.break_store, self.cut_store, self.crash_endpoint,
                 self.retire_endpoint, self.trouble_endpoint, self.cut_endpoint,
                 self.change_configuration))
-            asyncio.ensure_future(fault())
+            faults.append(asyncio.ensure_future(fault()))
+        await asyncio.sleep(2)
+        await asyncio.gather(*faults)
+
+    async def stop_in_series(self):
+        """Planned changes alone: stops that overlap on all hosts but one."""
+        end = time.monotonic() + STOPS
+        while time.monotonic() < end:
+            change = self.random.choice((
+                self.stop_one_more, self.stop_one_more, self.reload_host,
+                self.change_configuration, self.retire_endpoint,
+                self.trouble_endpoint))
+            asyncio.ensure_future(change())
+            await asyncio.sleep(HOSTS / self.host_count * self.random.random())
+        for _ in range(int(GRACE * 10) + 10):
+            if not any(h.is_stopping() for h in self.hosts):
+                break
+            await asyncio.sleep(0.1)
+
+    async def stop_one_more(self):
+        staying = [h for h in self.hosts if not h.is_stopping()]
+        host = self.random.choice(staying if len(staying) > 1 else
+                                  [h for h in self.hosts if h.is_stopping()])
+        self.note(f"SIGTERM {host.name}")
+        host.stop()
+
+    async def reload_host(self):
+        host = self.random.choice(self.hosts)
+        if host.answered:
+            self.note(f"SIGHUP {host.name}")
+            host.write_settings(self.random.randint(50, 100))
+            host.kill(signal.SIGHUP)
 
     async def kill_host(self):
         host = self.random.choice(self.hosts)
@@ -173,8 +235,7 @@
     async def stop_host(self):
         host = self.random.choice(self.hosts)
         self.note(f"SIGTERM {host.name}")
-        host.expected_end = True
-        host.kill(signal.SIGTERM)
+        host.stop()
 
     async def break_store(self):
         mode = self.random.choice(Store.MODES[1:])
@@ -186,7 +247,7 @@
         self.store_troubles.append(time.monotonic())
 
     async def cut_store(self):
-        index = self.random.randrange(HOSTS)
+        index = self.random.randrange(self.host_count)
         mode = self.random.choice(Proxy.MODES[1:])
         self.note(f"store of {self.hosts[index].name} {mode}")
         self.hosts[index].disturbed.append(time.monotonic())
@@ -205,7 +266,7 @@
         endpoint = self.some_endpoint()
         self.note(f"crash {endpoint.identity}")
         endpoint.left_at = time.monotonic()
-        endpoint.late_arrivals = None
+        endpoint.disturbed.append(endpoint.left_at)
         endpoint.crash()
         self.proxies[endpoint].stop()
         await self.add_endpoint(endpoint.service)
@@ -232,11 +293,13 @@
         proxy = self.proxies[endpoint]
         mode = self.random.choice(Proxy.MODES[1:])
         self.note(f"{mode} {endpoint.identity}")
+        endpoint.disturbed.append(time.monotonic())
         proxy.mode = mode
         if self.random.random() < 0.5:
             proxy.reset_all()
         await asyncio.sleep(0.3 + 1.5 * self.random.random())
         proxy.mode = "pass"
+        endpoint.disturbed.append(time.monotonic())
 
     async def change_configuration(self):
         self.note(f"configuration {self.version + 1}")
@@ -247,9 +310,10 @@
         self.store_troubles = []
         await self.store.start()
         self.configure()
-        for service in ("s", "s", "s", "t", "t"):
+        for service in ("s", "s", "s", "t", "t") * (self.host_count // HOSTS):
             await self.add_endpoint(service)
-        self.store_proxies = [Proxy(self.store.port) for _ in range(HOSTS)]
+        self.store_proxies = [Proxy(self.store.port)
+                              for _ in range(self.host_count)]
         for proxy in self.store_proxies:
             await proxy.start()
         self.hosts = [Host(self.binary, f"h{i}", proxy.port, self.folder)
@@ -259,14 +323,17 @@
         watchers = [asyncio.ensure_future(h.watch(self.stopping))
                     for h in self.hosts]
         await asyncio.sleep(1.5)
-        callers = [Caller(f"{self.seed}c{i}", random.Random(f"{self.seed}.{i}"),
-                          self.hosts, self.outcomes) for i in range(CALLERS)]
+        count = self.host_count
+        kinds = [Caller] * (count + 5) + [Keeper] * (4 * count)
+        callers = [kind(f"{self.seed}c{i}", random.Random(f"{self.seed}.{i}"),
+                        self.hosts, self.outcomes)
+                   for i, kind in enumerate(kinds)]
         tasks = [asyncio.ensure_future(c.run()) for c in callers]
         await self.disturb()
-        await asyncio.sleep(2)
+        await self.stop_in_series()
         for caller in callers:
             caller.stopping = True
-        await asyncio.wait(tasks, timeout=8)
+        await asyncio.wait(tasks, timeout=12)
         self.stopping.set()
         for host in self.hosts:
             host.expected_end = True
@@ -281,28 +348,35 @@
     def judge(self):
         broken = list(self.faults)
         runs = {}
-        for request, path in self.runs:
-            runs[request] = runs.get(request, 0) + 1
+        for request, _, endpoint in self.runs:
+            runs.setdefault(request, []).append(endpoint)
         for one in self.outcomes:
-            ran = runs.get(one.request, 0)
+            ran = len(runs.get(one.request, []))
             name = (f"{one.request} ({one.kind}, {one.host.name}, sent at "
                     f"{one.sent - self.began:.2f}, ran {ran})")
             if one.fault:
                 broken.append(f"{name}: {one.fault}")
             if one.kind == "once" and ran > 1:
                 broken.append(f"{name}: ran {ran} times")
-            if one.kind == "once" and one.status in PROMISES and ran > 0:
+            if ran > 0 and (one.refusal == "draining" or one.kind == "once" and
+                            one.status in PROMISES):
                 broken.append(f"{name}: {one.status}, but it ran")
-            ended = one.ended or time.monotonic()
+            ended = one.ended = one.ended or time.monotonic()
             calm = not self.near(one.host.disturbed, one.sent, ended)
             # A stream whose engine broke off twice ends cut, too.
             cut = one.cut and (self.times or not one.timed_out)
-            if cut and calm and one.kind in ("once", "safe"):
+            stop = next((s for s in one.host.stops if s.brought(one)), None)
+            crossed = one.keeps and stop and stop.crossed(
+                one, ran, CROSSING if self.times else SETTLE)
+            if cut and calm and one.kind in ("once", "safe") and not crossed:
                 broken.append(f"{name}: no answer from a calm host")
-            if self.times and calm and ended - one.sent > 4.6:
+            if stop:
+                broken += [f"{name}: {what}" for what in self.judge_late(
+                    one, stop, runs.get(one.request, []), calm and not crossed)]
+            if self.times and calm and ended - one.sent > one.deadline + 0.6:
                 broken.append(f"{name}: held {ended - one.sent:.1f} s")
         for endpoint in self.endpoints:
-            for late in endpoint.late_arrivals or []:
+            for late in endpoint.late_arrivals:
                 at = endpoint.left_at + late
                 calm = not self.near(self.store_troubles, endpoint.left_at, at)
                 disturbed = any(self.near(h.disturbed, endpoint.left_at, at)
@@ -314,19 +388,43 @@
         for host in self.hosts:
             for code in host.ends:
                 broken.append(f"{host.name} ended by itself with {code}")
+            for stop in host.stops:
+                broken += stop.faults(self.is_calm(stop), self.times)
         served = sum(1 for o in self.outcomes if o.status == 200 and not o.cut)
         if self.times and served * 2 < len(self.outcomes):
             broken.append(f"served only {served} of {len(self.outcomes)}")
         self.served = served
         return broken
 
-
-def play_seed(binary, seed, seconds, times):
+    def is_calm(self, stop):
+        return stop.ended_at is None or not self.near(
+            stop.host.disturbed, stop.told_at, stop.ended_at)
+
+    def judge_late(self, one, stop, ran, calm):
+        """What a host that had closed its door did with a request."""
+        since = f"{one.sent - stop.told_at:.2f} s after SIGTERM"
+        if stop.must_refuse(one) and (ran or one.status == 200):
+            yield f"taken {since}, to end within {one.deadline:.1f} s"
+        if not stop.is_late(one):
+            return
+        self.late += 1
+        # All that the endpoints began they broke off themselves.
+        own = ran and self.breaks.count(one.request) >= len(ran)
+        near = ran if ran and one.kind != "staged" else self.endpoints
+        disturbed = any(self.near(e.disturbed, one.sent, one.ended)
+                        for e in near)
+        if self.times and one.cut and calm and not own and not disturbed:
+            yield f"taken {since} and cut after {one.ended - one.sent:.2f} s"
+
+
+def play_seed(binary, seed, options):
     with tempfile.TemporaryDirectory(prefix="slatestall-soak-") as folder:
-        run = Run(binary, seed, seconds, times, folder)
+        run = Run(binary, seed, options, folder)
         broken = asyncio.run(run.play())
         print(f"seed {seed}: {run.served} of {len(run.outcomes)} served, "
-              f"{len(broken)} broken", flush=True)
+              f"{sum(len(h.stops) for h in run.hosts)} stops, {run.late} "
+              f"requests behind a closed door, {len(broken)} broken",
+              flush=True)
         if broken:
             for line in run.events + [""] + broken[:20]:
                 print("  " + line)
@@ -344,14 +442,15 @@
     parser.add_argument("binary")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--seconds", type=float, default=8,
+                        help="of faults; 0 plays planned stops alone")
+    parser.add_argument("--hosts", type=int, default=HOSTS)
     parser.add_argument("--no-times", action="store_true",
                         help="leave out what a busy machine can break")
     options = parser.parse_args()
     good = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        good += play_seed(options.binary, seed, options.seconds,
-                          not options.no_times)
+        good += play_seed(options.binary, seed, options)
     print(f"soak: {good} of {options.seeds} seeds kept every promise")
     return 0 if good == options.seeds else 1
 
