Soak: hosts listen below the ports of connections; no word at all is judged from SIGTERM on

A connection made while a host was down could hold the host's port, also by connecting to itself: 'bind: Address already in use' without end. Callers that try a closed door again and again made it likely.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -13,6 +13,7 @@
 import asyncio
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -32,13 +33,19 @@
 
 
 def free_ports(count):
-    import socket
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports below those that the system gives to connections: one of them, made
+    while a host is down, would keep the host from its port, and could even
+    connect to itself."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -401,19 +408,21 @@
             stop.host.disturbed, stop.told_at, stop.ended_at)
 
     def judge_late(self, one, stop, ran, calm):
-        """What a host that had closed its door did with a request."""
+        """What a host that had been told to stop did with a request."""
         since = f"{one.sent - stop.told_at:.2f} s after SIGTERM"
         if stop.must_refuse(one) and (ran or one.status == 200):
             yield f"taken {since}, to end within {one.deadline:.1f} s"
-        if not stop.is_late(one):
-            return
-        self.late += 1
+        late = stop.is_late(one)
+        self.late += late
         # All that the endpoints began they broke off themselves.
         own = ran and self.breaks.count(one.request) >= len(ran)
         near = ran if ran and one.kind != "staged" else self.endpoints
         disturbed = any(self.near(e.disturbed, one.sent, one.ended)
                         for e in near)
-        if self.times and one.cut and calm and not own and not disturbed:
+        # One taken before the door closed may be cut by the host's end, but not
+        # left without a word.
+        if (self.times and one.cut and (late or one.status is None) and calm and
+                not own and not disturbed):
             yield f"taken {since} and cut after {one.ended - one.sent:.2f} s"
 
 
