--- a/include/slatestall/dispatch/home_ranking.h
+++ b/include/slatestall/dispatch/home_ranking.h
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/mechanism.h"
+
 namespace slatestall {
 
 /// @brief A host that may be a home.
@@ -13,18 +15,13 @@
   double weight = 1.0;
 };
 
-/// Of the largest weight. A host of a quarter still carries a home's calls; one
-/// on a link of a twentieth made every request of three stages 0.5 s later.
-inline constexpr double kWeakHostPart = 0.25;
-
 /// @brief Hosts in the order in which they are to be the home of a shard, by
 /// rendezvous hashing: all hosts that know the same hosts agree without a word,
 /// and where one goes, only its own shards move. A host of twice the weight is
 /// first for twice as many shards.
-/// @param least_part Hosts with less than this part of the largest weight come
-/// last.
+/// Weak hosts come last unless `kWeakHostsLast` is switched off.
 std::vector<std::string> RankHomes(const std::string& shard,
                                    const std::vector<home_candidate>& hosts,
-                                   double least_part = kWeakHostPart);
+                                   const disabled_mechanisms& disabled = {});
 
 }  // namespace slatestall
--- a/src/slatestall/dispatch/home_ranking.cc
+++ b/src/slatestall/dispatch/home_ranking.cc
@@ -16,6 +16,10 @@
 /// Below one, whose logarithm is no divisor.
 constexpr double kLargestDraw = 1.0 - 1e-12;
 
+/// Of the largest weight. A host of a quarter still carries a home's calls; one
+/// on a link of a twentieth made every request of three stages 0.5 s later.
+constexpr double kWeakHostPart = 0.25;
+
 /// Weighted rendezvous: the draw of a host, stretched by its weight.
 double Score(const std::string& host, std::uint64_t seed, double weight) {
   constexpr double kTwoTo64 = 18446744073709551616.0;
@@ -31,7 +35,9 @@
 /// three stages took 0.5 s longer, all day. So the weak ones come last.
 std::vector<std::string> RankHomes(const std::string& shard,
                                    const std::vector<home_candidate>& hosts,
-                                   double least_part) {
+                                   const disabled_mechanisms& disabled) {
+  const double least_part =
+      disabled.Has(mechanism::kWeakHostsLast) ? 0 : kWeakHostPart;
   const std::uint64_t seed = StableHash(shard);
   double largest = 0;
   for (const auto& candidate : hosts) {
--- a/src/slatestall/dispatch/home_test.cc
+++ b/src/slatestall/dispatch/home_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "slatestall/dispatch/home_health.h"
 #include "slatestall/dispatch/home_ranking.h"
@@ -28,6 +30,7 @@
   CPPUNIT_TEST(AHostThatGoesMovesOnlyItsOwnShards);
   CPPUNIT_TEST(WeightGetsItsShare);
   CPPUNIT_TEST(WeakHostsAreHomesOnlyWhereNoOtherIsLeft);
+  CPPUNIT_TEST(ALastStagesHomeIsAmpleWhateverItsServiceIsCalled);
   CPPUNIT_TEST(AHostIsTrustedOnceItHasAnswered);
   CPPUNIT_TEST(APausedHostIsNoticedThoughItsConnectionsStand);
   CPPUNIT_TEST(ADrainingHostIsNoHome);
@@ -85,6 +88,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{78}, RankHomes("s", hosts).size());
   }
 
+  // Too few chat replies came in time, all day. The name of their last stage's
+  // service drew a host on a link of 10 Mbit/s for its home, since it stands
+  // first by weight alone; bookings and pieces of all hosts queued there. Its
+  // home is an ample host, and when that one stops, another.
+  void ALastStagesHomeIsAmpleWhateverItsServiceIsCalled() {
+    const std::vector<std::pair<std::string, int>> zones = {
+        {"ikeja-a", 15}, {"ikeja-b", 15}, {"lekki-a", 18}, {"lekki-b", 16}};
+    std::vector<home_candidate> hosts;
+    for (const auto& [zone, count] : zones) {
+      for (int i = 1; i <= count; ++i) {
+        hosts.push_back(
+            {"edge-" + zone + "-" + std::to_string(i), i <= 2 ? 0.5 : 0.012});
+      }
+    }
+    disabled_mechanisms by_weight_alone;
+    by_weight_alone.Add(mechanism::kWeakHostsLast);
+    CPPUNIT_ASSERT_EQUAL(std::string("edge-ikeja-a-14"),
+                         RankHomes("leye97e/", hosts, by_weight_alone).front());
+    const auto ranked = RankHomes("leye97e/", hosts);
+    CPPUNIT_ASSERT_EQUAL(std::string("edge-lekki-a-2"), ranked[0]);
+    CPPUNIT_ASSERT_EQUAL(std::string("edge-lekki-b-2"), ranked[1]);
+  }
+
   void AHostIsTrustedOnceItHasAnswered() {
     home_health health;
     CPPUNIT_ASSERT(!health.IsTrusted("h"));
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -98,9 +98,8 @@
   if (found != rankings_.end()) {
     return found->second;
   }
-  const double least_part =
-      environment_.options.Uses(mechanism::kWeakHostsLast) ? kWeakHostPart : 0;
-  return rankings_[shard] = RankHomes(ShardName(shard), hosts_, least_part);
+  return rankings_[shard] =
+             RankHomes(ShardName(shard), hosts_, environment_.options.disabled);
 }
 
 std::string stage_router::HomeOf(const stage_shard& shard) const {
