What was decoded and never used is gone

The rank in dispatch_facts, the output tokens of a request and the token capacity of a service were filled in and read by nobody; a reader had to search for what they decide.

--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -29,7 +29,6 @@
   std::optional<milliseconds> patience;     ///< How long the caller waits.
   std::optional<std::uint64_t> last_event;  ///< The caller resumes after it.
   std::uint32_t prompt_tokens = 0;
-  std::uint32_t output_tokens = 0;
   std::vector<prompt_part> prompt;  ///< In order; the last is its own.
   std::vector<unsigned> pieces;     ///< By stage.
   std::string piece_key;
@@ -43,7 +42,6 @@
   milliseconds time_left{0};
   std::vector<std::string> inputs;  ///< Handles of results of its stages.
   std::optional<std::uint64_t> resume_after;
-  int rank = 0;
 };
 
 /// @brief What the head of an endpoint's answer says.
--- a/include/slatestall/gateway/routing_table.h
+++ b/include/slatestall/gateway/routing_table.h
@@ -71,8 +71,7 @@
 
 struct service_rule {
   std::string name;
-  std::optional<batch_rule> batches;            ///< Set for stage services.
-  std::optional<std::uint64_t> token_capacity;  ///< Of a model engine.
+  std::optional<batch_rule> batches;  ///< Set for stage services.
 };
 
 struct workspace_rule {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -91,7 +91,6 @@
   dispatch_.time_left = TimeLeft();
   dispatch_.inputs = graph_->FinalInputs();
   dispatch_.resume_after = last_event_;
-  dispatch_.rank = rank_;
   auto headers =
       environment_.protocol.write_headers(request_.head.headers, dispatch_);
   if (!request_.body.empty() || request_.head.method == "POST" ||
