--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -7,6 +7,7 @@
 #include "slatestall/config/field_table.h"
 #include "slatestall/config/problem_sink.h"
 #include "slatestall/config/yaml_tree.h"
+#include "slatestall/model/comma_list.h"
 #include "slatestall/model/listen_address.h"
 
 namespace slatestall {
@@ -147,17 +148,14 @@
       std::chrono::duration<double>(seconds));
 }
 
-std::vector<std::string> SplitAtCommas(const std::string& text) {
-  std::vector<std::string> items;
-  std::size_t from = 0;
-  while (from < text.size()) {
-    const auto comma = std::min(text.find(',', from), text.size());
-    if (comma > from) {
-      items.push_back(text.substr(from, comma - from));
+std::vector<std::string> NamesIn(const std::string& text) {
+  std::vector<std::string> names;
+  for (const auto item : SplitAtCommas(text)) {
+    if (!item.empty()) {
+      names.emplace_back(item);
     }
-    from = comma + 1;
   }
-  return items;
+  return names;
 }
 
 std::string AllMechanisms() {
@@ -170,7 +168,7 @@
 
 disabled_mechanisms Disabled(const std::string& names, problem_sink& problems) {
   disabled_mechanisms disabled;
-  for (const auto& name : SplitAtCommas(names)) {
+  for (const auto& name : NamesIn(names)) {
     if (const auto one = ValueIn(kMechanismNames, name)) {
       disabled.Add(*one);
     } else {
@@ -198,7 +196,7 @@
     options.peer_port = ParseListenAddress(written.peer).port;
   }
   options.store_address = written.store;
-  options.seeds = SplitAtCommas(written.seeds);
+  options.seeds = NamesIn(written.seeds);
   options.max_connections = written.max_connections;
   options.processor_share = written.processor_share;
   options.link_mbps = written.link_mbps;
