Two names of the dispatch package say what they are

kHalfRange was 5 and meant quarters of the range on the other side of the median; kBelowToAbove is the ratio itself, 1.25. The type `terms` read like the terms of the fit, whose number is kTerms; term_values is one number for each. The sums are the same.

--- a/include/slatestall/dispatch/first_event_time.h
+++ b/include/slatestall/dispatch/first_event_time.h
@@ -35,16 +35,18 @@
   void Note(const prompt_size& prompt, duration taken);
 
  private:
+  /// The fixed part, own tokens, shared tokens.
   static constexpr std::size_t kTerms = 3;
-  using terms = std::array<double, kTerms>;
+  /// One number for each term.
+  using term_values = std::array<double, kTerms>;
 
-  static terms TermsOf(const prompt_size& prompt);
+  static term_values TermsOf(const prompt_size& prompt);
   double Fitted(const prompt_size& prompt) const;
   void Fit();
 
-  std::array<terms, kTerms> products_{};  ///< Of terms, summed.
-  terms targets_{};                       ///< Terms times seconds, summed.
-  terms factors_{};                       ///< Seconds for each term.
+  std::array<term_values, kTerms> products_{};  ///< Of terms, summed.
+  term_values targets_{};  ///< Terms times seconds, summed.
+  term_values factors_{};  ///< Seconds for each term.
   std::size_t seen_ = 0;
   moving_average deviation_{0.05};  ///< From what was expected, seconds.
 };
--- a/src/slatestall/dispatch/first_event_time.cc
+++ b/src/slatestall/dispatch/first_event_time.cc
@@ -54,13 +54,14 @@
 
 }  // namespace
 
-first_event_time::terms first_event_time::TermsOf(const prompt_size& prompt) {
+first_event_time::term_values first_event_time::TermsOf(
+    const prompt_size& prompt) {
   return {1.0, prompt.own_tokens / kTokensPerTerm,
           prompt.shared_tokens / kTokensPerTerm};
 }
 
 double first_event_time::Fitted(const prompt_size& prompt) const {
-  const terms values = TermsOf(prompt);
+  const term_values values = TermsOf(prompt);
   double seconds = 0;
   for (std::size_t i = 0; i < kTerms; ++i) {
     seconds += values[i] * factors_[i];
@@ -86,7 +87,7 @@
     seconds = std::min(seconds, most);
     deviation_.Add(std::abs(seconds - fitted));
   }
-  const terms values = TermsOf(prompt);
+  const term_values values = TermsOf(prompt);
   for (std::size_t row = 0; row < kTerms; ++row) {
     for (std::size_t column = 0; column < kTerms; ++column) {
       products_[row][column] =
--- a/src/slatestall/dispatch/usual_patience.cc
+++ b/src/slatestall/dispatch/usual_patience.cc
@@ -8,9 +8,9 @@
 
 /// Fewer tell no range.
 constexpr std::size_t kFewest = 16;
-/// Quarters of the range above the median that are taken for the one below:
-/// the median of so few is off by up to a quarter.
-constexpr int kHalfRange = 5;
+/// The range of first attempts below the median, to the one above it: as wide,
+/// and a quarter on top, by which the median of so few may be off.
+constexpr double kBelowToAbove = 1.25;
 /// On top of the range seen: its ends are seldom among the last ones. A return
 /// that comes sooner than that has lost little of its objective.
 constexpr milliseconds kSlack{100};
@@ -37,7 +37,8 @@
   std::vector<duration> sorted(last_.begin(), last_.begin() + known);
   std::sort(sorted.begin(), sorted.end());
   median_ = sorted[sorted.size() / 2];
-  least_ = median_ - kHalfRange * (sorted.back() - median_) / 4;
+  const duration above = sorted.back() - median_;
+  least_ = median_ - Scaled(above, kBelowToAbove);
 }
 
 }  // namespace slatestall
