--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -106,7 +106,7 @@
   options.connect_timeout = kConnectTimeout;
   options.silence_timeout = kEndpointSilence;
 
-  sent_ = environment_.now();
+  spans_.NoteSent(environment_.now());
   answer_ = {};
   answer_body_.clear();
   events_.reset();
@@ -243,8 +243,8 @@
     return;
   }
   stream_begun_ = true;
-  first_event_at_ = environment_.now();
-  const duration taken = environment_.now() - sent_;
+  spans_.NoteFirstEvent(environment_.now());
+  const duration taken = spans_.SinceSent(environment_.now());
   record_->NoteSlowness(static_cast<double>(taken.count()) /
                         static_cast<double>(FirstEventTime().count()));
   if (route_->IsStream() && !facts_.last_event && sends_ == 0) {
@@ -284,7 +284,7 @@
     return;
   }
   record_->NoteSlowness(
-      static_cast<double>((environment_.now() - sent_).count()) /
+      static_cast<double>(spans_.SinceSent(environment_.now()).count()) /
       static_cast<double>(
           std::max<duration>(route_->objective, milliseconds(1)).count()));
   DeliverWhole();
@@ -323,7 +323,8 @@
        {"detail", detail},
        {"attempt", sends_ + moves_},
        {"may_have_run", may_have_run_},
-       {"after_ms", WholeMilliseconds(environment_.now() - sent_).count()},
+       {"after_ms",
+        WholeMilliseconds(spans_.SinceSent(environment_.now())).count()},
        {"left_ms", TimeLeft().count()}});
   environment_.metrics.Count("attempts_failed", service_);
   const bool again = MaySendAgain(failure);
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -25,6 +25,7 @@
       stages_(stages),
       request_(std::move(request)),
       channel_(std::move(channel)),
+      spans_(request_.arrived),
       deadline_timer_(environment.context),
       stall_timer_(environment.context) {}
 
@@ -131,30 +132,8 @@
 /// By what this host has seen: the first event, or the whole answer, against
 /// the objective, and the pauses of a stream.
 bool request_run::IsLate() const {
-  const bool is_stream = first_event_at_ != time_point{};
-  const time_point counts = is_stream ? first_event_at_ : environment_.now();
-  return counts > objective_ || late_pause_;
-}
-
-/// Where the time of a request went, in milliseconds from its arrival.
-nlohmann::json request_run::SpanFields() const {
-  const auto since = [this](time_point at) {
-    return at == time_point{}
-               ? nlohmann::json()
-               : nlohmann::json(
-                     WholeMilliseconds(at - request_.arrived).count());
-  };
-  nlohmann::json stages = nlohmann::json::array();
-  for (const auto& [stage, span] : spans_) {
-    stages.push_back({{"service", route_->stages[stage].service},
-                      {"begun_ms", since(span.begun)},
-                      {"made_ms", since(span.made)}});
-  }
-  return {{"objective_ms", since(objective_)},
-          {"booked_late", booked_ == booking_verdict::kLate},
-          {"stages", std::move(stages)},
-          {"sent_ms", since(sent_)},
-          {"first_event_ms", since(first_event_at_)}};
+  return spans_.FirstEvent().value_or(environment_.now()) > objective_ ||
+         late_pause_;
 }
 
 void request_run::Finish(request_end end) {
@@ -217,7 +196,8 @@
       {"after_ms",
        WholeMilliseconds(environment_.now() - request_.arrived).count()}};
   if (is_late || !ordinary) {
-    fields.update(SpanFields());
+    fields.update(spans_.Fields(route_->stages, objective_));
+    fields["booked_late"] = booked_ == booking_verdict::kLate;
   } else if (sends_ == 0) {
     fields["sampled"] = kLoggedShare;
   }
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -3,13 +3,13 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
-#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/request_end.h"
+#include "slatestall/gateway/request_spans.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/gateway/stage_graph.h"
 #include "slatestall/model/error_kind.h"
@@ -47,12 +47,6 @@
     kOwnError,  ///< It ran and failed; its answer is whole.
   };
 
-  /// When a stage was begun and made, for the log of a late request.
-  struct stage_span {
-    time_point begun{};
-    time_point made{};  ///< Not set: not made.
-  };
-
   /// A refusal, which goes to the caller as it stands.
   struct refusal {
     error_kind kind;
@@ -119,7 +113,6 @@
   void OnCallerGone();
   void OnDeadline();
   bool IsLate() const;
-  nlohmann::json SpanFields() const;
   void LogTakenWhileStopping() const;
   void LogEnd(request_end end) const;
   void Finish(request_end end);
@@ -130,6 +123,7 @@
   inbound_request request_;
   answer_channel_ptr channel_;
   request_facts facts_;
+  request_spans spans_;
   routing_table_ptr table_;  ///< Under which the request was admitted.
   const route* route_ = nullptr;
   std::string service_;
@@ -143,8 +137,6 @@
   std::map<std::size_t, stage_shard> shards_;   ///< By stage.
   bool booked_elsewhere_ = false;               ///< Not only near its bytes.
   unsigned stage_restarts_ = 0;
-  /// Of each stage that was begun, by its number; the last run counts.
-  std::map<std::size_t, stage_span> spans_;
   booking_verdict booked_ = booking_verdict::kInTime;
 
   std::shared_ptr<endpoint_call> call_;
@@ -154,14 +146,12 @@
   unsigned sends_ = 0;
   unsigned moves_ = 0;  ///< Attempts that reached no endpoint of the service.
   bool may_have_run_ = false;
-  time_point sent_{};
   message_head answer_;
   std::string answer_body_;
   std::optional<event_splitter> events_;
   std::optional<std::uint64_t> last_event_;
   bool stream_begun_ = false;
   bool late_pause_ = false;
-  time_point first_event_at_{};
   time_point last_event_at_{};
 
   asio::steady_timer deadline_timer_;
--- a/src/slatestall/gateway/request_stages.cc
+++ b/src/slatestall/gateway/request_stages.cc
@@ -146,7 +146,7 @@
   group.result_bytes = route_->stages[stage].result_bytes;
   group.near = PlaceOf(stage, group);
   bookings_.erase(stage);
-  spans_[stage] = {environment_.now(), {}};
+  spans_.NoteBegun(stage, environment_.now());
   const auto number =
       stages_.submit(shards_.at(stage), std::move(group),
                      [self = shared_from_this(), stage](stage_outcome outcome) {
@@ -226,7 +226,7 @@
                 [&](const auto& running) { return running.first == stage; });
   switch (outcome.end) {
     case stage_end::kMade:
-      spans_[stage].made = environment_.now();
+      spans_.NoteMade(stage, environment_.now());
       graph_->SetDone(stage, std::move(outcome.handles));
       stages_.free(graph_->SpentBy(stage));
       Advance();
