What another host has told becomes a read in one place

ReadAll and ReadDirectly each asked others after a failure of the store, turned what was told into a second-hand read and noted it, alike but for the offset. AskOthers does all of it now, and TakeSecondHand is where a read becomes second hand. The order stays: taken, noted, handed on.

--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -41,21 +41,33 @@
   return read;
 }
 
-/// Asks any other host, since the store has failed to answer.
+/// Takes what another host has told for a read of the topic.
+keyed_read TakeSecondHand(const shared_topic_ptr& topic,
+                          const topic_question& question,
+                          const tail_read& told) {
+  topic->asks.on_taken(question, told);
+  keyed_read read = ReadOf(told);
+  read.second_hand = true;
+  if (question.from) {
+    topic->tail->Note(*question.from, read, told.age);
+  } else {
+    topic->tail->NoteAll(read, told.age);
+  }
+  return read;
+}
+
+/// Asks any other host, since the store has failed to answer. Where none knows
+/// more, the failure is what was read.
 void AskOthers(const shared_topic_ptr& topic, const topic_question& question,
-               const std::function<void(std::optional<tail_read>)>& done) {
-  topic->asks.any(question, [topic, question,
-                             done](std::optional<tail_read> told) {
-    asio::post(topic->context, [topic, question, done, told = std::move(told)] {
-      const std::uint64_t known = question.from.value_or(0);
-      if (!told || told->next <= known) {
-        done(std::nullopt);
-        return;
-      }
-      topic->asks.on_taken(question, *told);
-      done(told);
-    });
-  });
+               const keyed_read& failed, const read_done& done) {
+  topic->asks.any(
+      question, [topic, question, failed, done](std::optional<tail_read> told) {
+        asio::post(topic->context, [topic, question, failed, done,
+                                    told = std::move(told)] {
+          const bool more = told && told->next > question.from.value_or(0);
+          done(more ? TakeSecondHand(topic, question, *told) : failed);
+        });
+      });
 }
 
 void ReadAll(const shared_topic_ptr& topic, const read_done& done) {
@@ -65,18 +77,7 @@
       done(got);
       return;
     }
-    AskOthers(topic, {topic->name, std::nullopt},
-              [topic, done, got](std::optional<tail_read> told) {
-                if (!told) {
-                  done(got);
-                  return;
-                }
-                const milliseconds age = told->age;
-                keyed_read read = ReadOf(std::move(*told));
-                read.second_hand = true;
-                topic->tail->NoteAll(read, age);
-                done(read);
-              });
+    AskOthers(topic, {topic->name, std::nullopt}, got, done);
   });
 }
 
@@ -92,18 +93,7 @@
       read->done(std::move(got));
       return;
     }
-    AskOthers(topic, {topic->name, read->from},
-              [read, got](std::optional<tail_read> told) {
-                if (!told) {
-                  read->done(got);
-                  return;
-                }
-                const milliseconds age = told->age;
-                keyed_read news = ReadOf(std::move(*told));
-                news.second_hand = true;
-                read->topic->tail->Note(read->from, news, age);
-                read->done(news);
-              });
+    AskOthers(topic, {topic->name, read->from}, got, read->done);
   });
 }
 
