--- a/src/slatestall/dispatch/home_test.cc
+++ b/src/slatestall/dispatch/home_test.cc
@@ -93,13 +93,13 @@
   // first by weight alone; bookings and pieces of all hosts queued there. Its
   // home is an ample host, and when that one stops, another.
   void ALastStagesHomeIsAmpleWhateverItsServiceIsCalled() {
-    const std::vector<std::pair<std::string, int>> zones = {
+    const std::vector<std::pair<std::string, int>> domains = {
         {"ikeja-a", 15}, {"ikeja-b", 15}, {"lekki-a", 18}, {"lekki-b", 16}};
     std::vector<home_candidate> hosts;
-    for (const auto& [zone, count] : zones) {
+    for (const auto& [domain, count] : domains) {
       for (int i = 1; i <= count; ++i) {
         hosts.push_back(
-            {"edge-" + zone + "-" + std::to_string(i), i <= 2 ? 0.5 : 0.012});
+            {"edge-" + domain + "-" + std::to_string(i), i <= 2 ? 0.5 : 0.012});
       }
     }
     disabled_mechanisms by_weight_alone;
