--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -1,8 +1,10 @@
 #include "slatestall/gateway/gateway_traffic.h"
 
+#include <memory>
 #include <set>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "slatestall/gateway/request_run.h"
 #include "slatestall/model/new_incarnation.h"
@@ -122,6 +124,7 @@
   listener_.AnnounceClose();
   router_.Drain();
 }
+
 void gateway_traffic::StopAccepting() {
   if (environment_.stop) {
     environment_.stop->likely_until = environment_.now();
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -260,8 +260,8 @@
 
 http_headers caller_connection::WithConnection(http_headers headers) {
   // What the head says is kept to: a caller that was not told sends its next
-  // request here, and would find the connection closed.
-  // One whose next request is here already has that one answered, too.
+  // request here, and would find the connection closed. Where that request has
+  // been read already, it is answered first.
   close_after_ =
       close_after_ || (environment_->last_answers && backlog_.empty());
   if (close_after_) {
