Two properties of the dispatch package decide their tests

Cause: rc::check returns its verdict, and two tests did not look at it, so they passed whatever was found. Found when a broken reserve printed "Falsifiable" under an OK. Change: both verdicts are asserted; every other use in the tree asserts it already.

--- a/src/slatestall/dispatch/repeat_allowance_test.cc
+++ b/src/slatestall/dispatch/repeat_allowance_test.cc
@@ -34,7 +34,7 @@
   // Hosts cannot see one another, and what one of them saw is lost when it is
   // replaced. In no window may the sum pass the share of the requests.
   void HostsTogetherKeepTheLimitInAnyWindow() {
-    rc::check("the sum over hosts keeps the ratio", [] {
+    CPPUNIT_ASSERT(rc::check("the sum over hosts keeps the ratio", [] {
       constexpr std::size_t kHosts = 5;
       const repeat_limits limits{0.2, milliseconds(1000), 0};
       std::vector<repeat_allowance> hosts(kHosts, repeat_allowance(limits));
@@ -66,7 +66,7 @@
         RC_ASSERT(in_window(repeats, limits.window) <=
                   limits.ratio * in_window(requests, limits.window * 2));
       }
-    });
+    }));
   }
 };
 
--- a/src/slatestall/dispatch/stage_admission_test.cc
+++ b/src/slatestall/dispatch/stage_admission_test.cc
@@ -140,7 +140,7 @@
   }
 
   void WhatIsReleasedIsNeitherHeldNorOwed() {
-    rc::check("bookings and releases leave nothing behind", [] {
+    CPPUNIT_ASSERT(rc::check("bookings and releases leave nothing behind", [] {
       stage_admission admission;
       const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
           rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::arbitrary<bool>()));
@@ -158,7 +158,7 @@
         admission.Release(std::to_string(request), 2);
       }
       RC_ASSERT(admission.Booked() == 0U);
-    });
+    }));
   }
 };
 
