--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -180,10 +180,6 @@
   return disabled;
 }
 
-/// Hosts share the reserve without knowing how many they are: this part of it
-/// each keeps the sum under it up to as many hosts.
-constexpr double kReserveHosts = 25;
-
 gateway_options OptionsOf(const written_settings& written) {
   gateway_options options;
   options.host_name = written.host_name;
@@ -205,7 +201,7 @@
   options.stop_grace = FromSeconds(written.stop_grace);
   options.repeats.ratio = written.repeat_ratio;
   options.repeats.window = FromSeconds(written.repeat_window);
-  options.repeats.reserve = written.repeat_reserve / kReserveHosts;
+  options.repeats.reserve = written.repeat_reserve;
   return options;
 }
 
--- a/src/slatestall/gateway/gateway_settings_test.cc
+++ b/src/slatestall/gateway/gateway_settings_test.cc
@@ -36,7 +36,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, options.seeds.size());
     CPPUNIT_ASSERT(options.leave_limit == milliseconds(1500));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.125, options.Weight(), 1e-9);
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, options.repeats.reserve, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, options.repeats.reserve, 1e-9);
   }
 
   void EveryMistakeIsToldWithItsPlace() {
