A home is waited for a moment, not replaced by every host itself

Seen: after all hosts lose power, calls of one piece a call from 195 hosts to endpoints of one slot, turned away four times in 20 ms, and requests that end in "stage 0 could not be made". Cause: until the first question was answered nobody was trusted, so each host took itself for home; and where nobody is trusted, each asked all others at once, 38,000 questions in the first tick of 195 hosts. The same held, for as long as the next in the ranking needs to answer, whenever a home died. Change: home_finder (taken out of the router) says "not known yet" while hosts that come first are being asked, three at a time, more the further a ranking is lost; pieces, bookings and releases wait for it, 0.7 s at most. In its first half second a host waits also for those that refuse connections. Alone is who has lost twelve in a row or all. Refusals of full endpoints no longer use up a piece's tries; their pause doubles. Ruled out and tried before: presuming the listed to live (dead homes cost every booking 120 ms). Without waiting for the first ranked while all start, three to ten hosts were home of a part in turn. The pool of the reserve is asked with the questions that readers get anyway.

--- a/include/slatestall/dispatch/home_health.h
+++ b/include/slatestall/dispatch/home_health.h
@@ -23,6 +23,9 @@
   void NoteFailure(const std::string& host, time_point now);
 
   bool IsTrusted(const std::string& host) const;
+  bool AnyTrusted() const;
+  /// @brief Neither has it answered yet nor failed to.
+  bool IsUnknown(const std::string& host) const;
   /// @brief Whether it is time to ask it again.
   bool IsDue(const std::string& host, time_point now) const;
   /// @brief Hosts whose answer is overdue; each is to be noted as a failure.
--- /dev/null
+++ b/src/slatestall/dispatch/home_finder.cc
@@ -0,0 +1,118 @@
+#include "slatestall/dispatch/home_finder.h"
+
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+/// Hosts asked at once where none is known: one that is dead costs no time, and
+/// a fleet that starts does not connect each to each.
+constexpr std::size_t kAskedAhead = 3;
+/// So many in a row that do not answer are a cut, no chance.
+constexpr std::size_t kMostLost = 12;
+/// Others that start with this host refuse connections until they are up.
+constexpr milliseconds kStartTime{500};
+
+}  // namespace
+
+home_finder::home_finder(home_candidate self, time_point started,
+                         const disabled_mechanisms& disabled)
+    : self_(std::move(self)),
+      started_(started),
+      disabled_(disabled),
+      hosts_({self_}) {}
+
+void home_finder::SetHosts(const std::vector<home_candidate>& others) {
+  listed_ = true;
+  hosts_ = {self_};
+  std::vector<std::string> names;
+  for (const auto& other : others) {
+    if (other.host != self_.host) {
+      hosts_.push_back(other);
+      names.push_back(other.host);
+    }
+  }
+  rankings_.clear();
+  health_.Keep(names);
+}
+
+const std::vector<std::string>& home_finder::Ranked(
+    const std::string& part) const {
+  const auto found = rankings_.find(part);
+  if (found != rankings_.end()) {
+    return found->second;
+  }
+  return rankings_[part] = RankHomes(part, hosts_, disabled_);
+}
+
+bool home_finder::Lives(const std::string& host) const {
+  return host == self_.host ? !draining_ : health_.IsTrusted(host);
+}
+
+std::optional<std::string> home_finder::HomeOf(const std::string& part,
+                                               time_point now) const {
+  const bool others_start = now < started_ + kStartTime;
+  bool may_answer = others_start && !listed_;
+  std::size_t lost = 0;
+  for (const auto& host : Ranked(part)) {
+    if (Lives(host)) {
+      // Where all start, whoever is up first would be home for a moment, and
+      // the endpoints be called by it and by its betters.
+      const bool waits = may_answer && (host == self_.host || others_start);
+      return waits ? std::nullopt : std::optional(host);
+    }
+    if (host == self_.host) {
+      continue;
+    }
+    if (health_.IsUnknown(host) && lost < kMostLost) {
+      may_answer = true;
+    } else if (!health_.IsUnknown(host)) {
+      may_answer = may_answer || others_start;
+      ++lost;
+    }
+  }
+  return may_answer ? std::nullopt : std::optional(self_.host);
+}
+
+std::vector<std::string> home_finder::Living(const std::string& part,
+                                             std::size_t count) const {
+  std::vector<std::string> living;
+  for (const auto& host : Ranked(part)) {
+    if (living.size() == count) {
+      break;
+    }
+    // Also while it drains: this is for reading, which ends with it.
+    if (host == self_.host || health_.IsTrusted(host)) {
+      living.push_back(host);
+    }
+  }
+  return living;
+}
+
+/// Those in use, and all before them that may have come back. The further the
+/// ranking is lost, the more are asked at once, so that the end of it is
+/// reached in a few rounds.
+void home_finder::AddDue(const std::string& part, std::size_t count,
+                         time_point now, std::set<std::string>& due) const {
+  std::size_t ahead = 0;
+  std::size_t lost = 0;
+  for (const auto& host : Ranked(part)) {
+    if (count == 0 || ahead == kAskedAhead + lost) {
+      break;
+    }
+    count -= Lives(host) ? 1 : 0;
+    if (host == self_.host) {
+      continue;
+    }
+    if (health_.IsDue(host, now)) {
+      due.insert(host);
+    }
+    if (health_.IsUnknown(host)) {
+      ++ahead;
+    } else if (!health_.IsTrusted(host)) {
+      ++lost;
+    }
+  }
+}
+
+}  // namespace slatestall
--- a/src/slatestall/dispatch/home_health.cc
+++ b/src/slatestall/dispatch/home_health.cc
@@ -11,8 +11,8 @@
 constexpr milliseconds kInterval{250};
 constexpr milliseconds kOverdue{450};
 /// Between questions to one that does not; doubles up to the longest.
-constexpr milliseconds kFirstRetry{200};
-constexpr unsigned kMaxDoublings = 4;
+constexpr milliseconds kFirstRetry{100};
+constexpr unsigned kMaxDoublings = 5;
 
 }  // namespace
 
@@ -47,6 +47,18 @@
          !found->second.draining;
 }
 
+bool home_health::AnyTrusted() const {
+  return std::any_of(states_.begin(), states_.end(), [](const auto& item) {
+    return item.second.trusted && !item.second.draining;
+  });
+}
+
+bool home_health::IsUnknown(const std::string& host) const {
+  const auto found = states_.find(host);
+  return found == states_.end() ||
+         (!found->second.trusted && found->second.failures == 0);
+}
+
 bool home_health::IsDue(const std::string& host, time_point now) const {
   const auto found = states_.find(host);
   return found == states_.end() ||
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -54,10 +54,12 @@
                       PublishEndpoints();
                     }
                   }}),
-      hosts_(context, options, link_, log_, now_,
-             [this](std::vector<listed_gateway> hosts) {
-               news_.on_hosts(std::move(hosts));
-             }) {}
+      hosts_(
+          context, options, link_, log_, now_,
+          [this](std::vector<listed_gateway> hosts) {
+            news_.on_hosts(std::move(hosts));
+          },
+          [this](const host_census& census) { news_.on_census(census); }) {}
 
 void gateway_control::Start() {
   configuration_.Start();
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -22,6 +22,7 @@
   std::function<void(routing_table_ptr)> on_configuration;
   std::function<void(std::vector<known_endpoint>)> on_endpoints;
   std::function<void(std::vector<listed_gateway>)> on_hosts;
+  std::function<void(const host_census&)> on_census;
   /// What the store holds and nobody can read, to be counted.
   std::function<void(std::string_view what)> on_unreadable;
 };
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -171,6 +171,10 @@
         traffic_.SetHosts(hosts);
       });
     };
+    news.on_census = [this](const host_census& census) {
+      asio::post(traffic_context_,
+                 [this, census] { traffic_.SetCensus(census); });
+    };
     news.on_unreadable = [this](std::string_view what) {
       traffic_.Metrics().Count("unreadable", what);
     };
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -31,6 +31,9 @@
   void SetConfiguration(routing_table_ptr table);
   void SetEndpoints(const std::vector<known_endpoint>& listed);
   void SetHosts(std::vector<listed_gateway> hosts);
+  void SetCensus(const host_census& census) {
+    environment_.repeats.NoteCensus(census, environment_.now());
+  }
   /// @brief Asks the host that reads the store; nothing: this one reads.
   void AskReader(const topic_question& question,
                  topic_exchange::done_hook done);
@@ -38,6 +41,7 @@
   void AskAny(const topic_question& question, topic_exchange::done_hook done);
   void SetRepeatLimits(const repeat_limits& limits) {
     environment_.repeats.SetLimits(limits);
+    router_.RenewPool();
   }
   void AnnounceClose();
   void StopAccepting();
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -19,29 +19,51 @@
 /// A new host takes part in the work of homes that much later at most, and
 /// serves its callers from the start.
 constexpr milliseconds kReadInterval{3000};
+/// Hosts tell the age of what they have read from when it came; the read may
+/// have been under way as long.
+constexpr milliseconds kToldSlack{1000};
 
 }  // namespace
 
 host_directory::host_directory(asio::io_context& context,
                                const gateway_options& options,
                                const platform_link& link, decision_log& log,
-                               now_function now, hosts_hook on_hosts)
+                               now_function now, hosts_hook on_hosts,
+                               census_hook on_census)
     : options_(options),
       announce_(link.announce),
       log_(log),
       now_(std::move(now)),
       on_hosts_(std::move(on_hosts)),
+      on_census_(std::move(on_census)),
       timer_(context),
-      follower_(context, link.hosts, {milliseconds(0), kReadInterval},
+      follower_(context, Timed(link.hosts), {milliseconds(0), kReadInterval},
                 {[this](const auto& records) { Take(records); },
                  [this](const auto& records) { Take(records); },
                  [this](const keyed_read& read) {
                    if (read.outcome == store_outcome::kDone) {
-                     last_read_ = now_();
+                     census_.read_at = read_began_ - read.age - kToldSlack;
                      Publish();
                    }
                  }}) {}
 
+/// The answer holds what was written before the read began; how long it was
+/// under way after that is not known.
+keyed_topic host_directory::Timed(keyed_topic topic) {
+  keyed_topic timed = topic;
+  timed.read_newest = [this, read = topic.read_newest](const auto& done) {
+    read_began_ = now_();
+    read(done);
+  };
+  timed.read_from = [this, read = topic.read_from](std::uint64_t from,
+                                                   milliseconds wait,
+                                                   const auto& done) {
+    read_began_ = now_();
+    read(from, wait, done);
+  };
+  return timed;
+}
+
 void host_directory::Start() { Announce(); }
 
 void host_directory::Announce() {
@@ -49,15 +71,19 @@
       {"peer", options_.address + ":" + std::to_string(options_.peer_port)},
       {"weight", options_.Weight()}};
   announce_(options_.host_name, value.dump(),
-            [this, alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
+            [this, began = now_(),
+             alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
               if (alive.expired()) {
                 return;
               }
               const bool done = outcome == store_outcome::kDone;
-              if (last_read_ == time_point{}) {
+              if (done) {
+                census_.announced_at = began;
+              }
+              if (!follows_) {
                 // The first read follows the own entry, so that hosts that
                 // start together find each other with one read each.
-                last_read_ = now_();
+                follows_ = true;
                 follower_.Start();
               }
               timer_.expires_after(done ? kAnnounceInterval : kAnnounceRetry);
@@ -98,6 +124,8 @@
       listed.push_back(entry.listed);
     }
   }
+  census_.hosts = listed.size();
+  on_census_(census_);
   if (listed == published_) {
     return;
   }
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/repeat_reserve.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/gateway_options.h"
 #include "slatestall/gateway/platform_link.h"
@@ -34,10 +35,11 @@
 class host_directory {
  public:
   using hosts_hook = std::function<void(std::vector<listed_gateway>)>;
+  using census_hook = std::function<void(const host_census&)>;
 
   host_directory(asio::io_context& context, const gateway_options& options,
                  const platform_link& link, decision_log& log, now_function now,
-                 hosts_hook on_hosts);
+                 hosts_hook on_hosts, census_hook on_census);
 
   void Start();
 
@@ -50,6 +52,7 @@
   void Announce();
   void Take(const std::vector<keyed_record>& records);
   void Publish();
+  keyed_topic Timed(keyed_topic topic);
 
   const gateway_options& options_;
   std::function<void(const std::string&, const std::string&,
@@ -58,9 +61,12 @@
   decision_log& log_;
   now_function now_;
   hosts_hook on_hosts_;
+  census_hook on_census_;
   std::map<std::string, entry> entries_;
   std::vector<listed_gateway> published_;
-  time_point last_read_{};
+  bool follows_ = false;
+  time_point read_began_{};
+  host_census census_;
   asio::steady_timer timer_;
   topic_follower follower_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -36,6 +36,7 @@
 keyed_read ReadOf(tail_read told) {
   keyed_read read;
   read.outcome = store_outcome::kDone;
+  read.age = told.age;
   read.next = told.next;
   read.records = std::move(told.records);
   return read;
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -341,7 +341,8 @@
     const bool other_shard =
         !shard.domain.empty() && shard.domain != record->Info().failure_domain;
     const bool full = calls != state.calls.end() && calls->second >= rule.slots;
-    const bool pausing = paused != state.paused.end() && now < paused->second;
+    const bool pausing =
+        paused != state.paused.end() && now < paused->second.until;
     const bool is_slow = IsSlow(state, *record);
     if (other_shard || !record->Usable() || record->Avoided(now) || full ||
         pausing || (is_slow && others_suffice)) {
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -25,8 +25,10 @@
 constexpr milliseconds kShortestGiveUp{1500};
 constexpr milliseconds kConnectTimeout{300};
 /// An endpoint without room or with a full queue is left alone this long:
-/// results are fetched, and calls end, several times a second.
+/// results are fetched, and calls end, several times a second. Doubles with
+/// each refusal in a row, since another host then keeps it busy.
 constexpr milliseconds kFullPause{60};
+constexpr unsigned kMaxPauseDoublings = 3;
 /// The told time of a piece differs by stage, as a rule downwards.
 constexpr double kLeastPart = 0.1;
 constexpr double kMostPart = 1.5;
@@ -171,12 +173,13 @@
       call->record->MarkGone();
       lesson = call_lesson::kRefused;
     } else if (facts.not_run) {
-      shards_[call->shard].paused[call->record->Info().Incarnation()] =
-          now + kFullPause;
+      Pause(*call);
+      ReturnTries(*call);
       lesson = call_lesson::kRefused;
     } else if (result.status == kOk) {
       const auto results = environment_.protocol.read_pieces(result.body);
       if (results.size() == call->pieces.size()) {
+        shards_[call->shard].paused.erase(call->record->Info().Incarnation());
         call->record->NoteSlowness(Ratio(now - call->sent, call->nominal));
         shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
             now;
@@ -196,6 +199,26 @@
   return lesson;
 }
 
+void stage_home::Pause(const call_state& call) {
+  auto& full = shards_[call.shard].paused[call.record->Info().Incarnation()];
+  full.until = environment_.now() +
+               kFullPause * (1U << std::min(full.refusals, kMaxPauseDoublings));
+  ++full.refusals;
+}
+
+/// A full endpoint says nothing of the pieces. Where several hosts call the
+/// same endpoints for a moment, as when a home is replaced, pieces would else
+/// use up their tries within some tens of milliseconds, and their requests be
+/// refused although there is time left.
+void stage_home::ReturnTries(const call_state& call) {
+  for (const auto& piece : call.pieces) {
+    const auto found = groups_.find(piece.group.get());
+    if (found != groups_.end()) {
+      --found->second->tries[piece.piece];
+    }
+  }
+}
+
 void stage_home::NotePieceTime(const call_state& call, duration taken) {
   const batch_rule* rule = Rule(call.shard.service);
   auto& state = shards_[call.shard];
@@ -253,8 +276,7 @@
       Fail(piece.group.get(), stage_end::kInputsGone);
       break;
     case piece_end::kNoRoom:
-      shards_[call->shard].paused[call->record->Info().Incarnation()] =
-          environment_.now() + kFullPause;
+      Pause(*call);
       // Want of room says nothing of the piece, and ends with time.
       --found->second->tries[piece.piece];
       TryAgain(call->shard, piece);
--- a/src/slatestall/gateway/stage_home_state.h
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -40,10 +40,16 @@
   explicit call_state(asio::io_context& context) : overdue(context) {}
 };
 
+/// An endpoint that turned a call away.
+struct full_endpoint {
+  time_point until{};  ///< Left alone until then.
+  unsigned refusals = 0;
+};
+
 struct stage_home::shard_state {
   piece_queue queue;
   std::map<endpoint_incarnation, unsigned> calls;
-  std::map<endpoint_incarnation, time_point> paused;       ///< Full until then.
+  std::map<endpoint_incarnation, full_endpoint> paused;
   std::map<endpoint_incarnation, time_point> slowness_at;  ///< Last observed.
   stage_admission admission;
   /// Seconds that a piece adds to a call, as seen.
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -43,7 +43,9 @@
       home_(home),
       peers_(peers),
       self_(environment.options.host_name),
-      hosts_({{self_, environment.options.Weight()}}),
+      homes_({self_, environment.options.Weight()}, environment.started_at,
+             environment.options.disabled),
+      pool_(environment.repeats.Times(), RandomBits(), environment.started_at),
       tick_(environment.context) {
   ServePeers();
   peers_.SetPeers(Contacts());
@@ -107,31 +109,33 @@
     asked->done(asked->worst);
   };
   for (const auto& need : asked->needs) {
-    const auto host = HomeOf(need.shard);
-    if (host == self_) {
-      take(home_.Book(need));
-      continue;
-    }
-    peers_.Call(host, MakeMessage(ToWire(need, environment_.now())),
-                kBookingTimeout,
-                [take](const peer_reply& reply) { take(AnswerIn(reply)); });
+    WithHome(need.shard, [this, need, take](const std::string& host) {
+      if (host == self_) {
+        take(home_.Book(need));
+        return;
+      }
+      peers_.Call(host, MakeMessage(ToWire(need, environment_.now())),
+                  kBookingTimeout,
+                  [take](const peer_reply& reply) { take(AnswerIn(reply)); });
+    });
   }
   take({});
 }
 
 void stage_router::Release(const std::vector<stage_need>& needs) {
   for (const auto& need : needs) {
-    const auto host = HomeOf(need.shard);
-    if (host == self_) {
-      home_.Release(need);
-      continue;
-    }
-    wire::release_bookingT release;
-    release.service = need.shard.service;
-    release.domain = need.shard.domain;
-    release.request = need.booking.request;
-    release.stage = static_cast<std::uint16_t>(need.booking.stage);
-    peers_.Notify(host, MakeMessage(std::move(release)));
+    WithHome(need.shard, [this, need](const std::string& host) {
+      if (host == self_) {
+        home_.Release(need);
+        return;
+      }
+      wire::release_bookingT release;
+      release.service = need.shard.service;
+      release.domain = need.shard.domain;
+      release.request = need.booking.request;
+      release.stage = static_cast<std::uint16_t>(need.booking.stage);
+      peers_.Notify(host, MakeMessage(std::move(release)));
+    });
   }
 }
 
@@ -150,20 +154,34 @@
 
 void stage_router::Place(const order_ptr& placed) {
   ++placed->placements;
-  placed->host = HomeOf(placed->shard);
+  placed->host.clear();
   placed->local = 0;
-  if (placed->host == self_ || placed->placements > kMaxPlacements) {
-    placed->host = self_;
-    placed->local = home_.Submit(placed->shard, placed->group,
-                                 [this, placed](stage_outcome outcome) {
-                                   OnLocal(placed, std::move(outcome));
-                                 });
+  if (placed->placements > kMaxPlacements) {
+    PlaceHere(placed);
     return;
   }
-  PlaceAt(placed->host, placed);
+  WithHome(placed->shard, [this, placed](const std::string& host) {
+    if (!placed->done) {
+      return;  // Cancelled meanwhile.
+    }
+    if (host == self_) {
+      PlaceHere(placed);
+    } else {
+      PlaceAt(host, placed);
+    }
+  });
+}
+
+void stage_router::PlaceHere(const order_ptr& placed) {
+  placed->host = self_;
+  placed->local = home_.Submit(placed->shard, placed->group,
+                               [this, placed](stage_outcome outcome) {
+                                 OnLocal(placed, std::move(outcome));
+                               });
 }
 
 void stage_router::PlaceAt(const std::string& host, const order_ptr& placed) {
+  placed->host = host;
   const time_point now = environment_.now();
   const auto timeout = std::max(
       kReplySlack,
@@ -245,6 +263,9 @@
     home_.Cancel(placed->local);
     return;
   }
+  if (placed->host.empty()) {
+    return;  // Still waits for its home.
+  }
   wire::cancel_piecesT cancel;
   cancel.request = placed->group.request;
   cancel.stage = static_cast<std::uint16_t>(placed->group.stage);
@@ -253,7 +274,7 @@
 
 /// Results are freed by the home of their maker, which counts the room there.
 void stage_router::Free(const std::vector<std::string>& handles) {
-  std::map<std::string, std::vector<std::string>> by_home;
+  std::map<stage_shard, std::vector<std::string>> by_shard;
   for (const auto& handle : handles) {
     const auto record =
         environment_.roster.FindAt(environment_.protocol.keeper_of(handle));
@@ -262,18 +283,20 @@
     }
     const auto domains = DomainsOf(record->Info().service);
     const bool is_whole = domains.size() < 2;
-    by_home[HomeOf({record->Info().service,
-                    is_whole ? std::string() : record->Info().failure_domain})]
+    by_shard[{record->Info().service,
+              is_whole ? std::string() : record->Info().failure_domain}]
         .push_back(handle);
   }
-  for (auto& [host, freed] : by_home) {
-    if (host == self_) {
-      home_.Free(std::move(freed));
-      continue;
-    }
-    wire::free_resultsT notice;
-    notice.handles = std::move(freed);
-    peers_.Notify(host, MakeMessage(std::move(notice)));
+  for (auto& [shard, freed] : by_shard) {
+    WithHome(shard, [this, freed = std::move(freed)](const std::string& host) {
+      if (host == self_) {
+        home_.Free(freed);
+        return;
+      }
+      wire::free_resultsT notice;
+      notice.handles = freed;
+      peers_.Notify(host, MakeMessage(std::move(notice)));
+    });
   }
 }
 
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -9,8 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "slatestall/dispatch/home_health.h"
-#include "slatestall/dispatch/home_ranking.h"
+#include "slatestall/dispatch/home_finder.h"
 #include "slatestall/dispatch/moving_average.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/host_directory.h"
@@ -40,7 +39,10 @@
   /// @brief Endpoints or the configuration changed.
   void Refresh();
   /// @brief Other hosts are to choose another home.
-  void Drain() { draining_ = true; }
+  void Drain();
+  /// @brief The limits on repeats have changed: nothing that was lent or
+  /// granted under the old ones counts.
+  void RenewPool();
   /// @brief Orders of other hosts that are not yet answered.
   std::size_t Serves() const { return served_.size(); }
   /// @brief The host to read the store through; empty: this one reads itself.
@@ -51,6 +53,13 @@
  private:
   struct order;
   using order_ptr = std::shared_ptr<order>;
+  using home_use = std::function<void(const std::string& home)>;
+  /// Work for a home that is not known yet.
+  struct waiting_use {
+    stage_shard shard;
+    time_point until{};
+    home_use use;
+  };
 
   stage_number Submit(const stage_shard& shard, piece_group group,
                       std::function<void(stage_outcome)> done);
@@ -65,8 +74,11 @@
                        const std::string& near) const;
   std::vector<std::string> DomainsOf(const std::string& service) const;
   double Crowding(const stage_shard& shard) const;
-  std::string HomeOf(const stage_shard& shard) const;
+  std::optional<std::string> HomeOf(const stage_shard& shard) const;
+  void WithHome(const stage_shard& shard, home_use use);
+  void ServeWaiting();
   void Place(const order_ptr& placed);
+  void PlaceHere(const order_ptr& placed);
   void PlaceAt(const std::string& host, const order_ptr& placed);
   void OnReply(const order_ptr& placed, const std::string& host,
                const peer_reply& reply);
@@ -79,22 +91,25 @@
   void TakeSubmit(const wire::submit_piecesT& submit, const std::string& from,
                   const std::function<void(wire::messageUnion)>& reply);
   void Tick();
-  std::vector<std::string> Wanted(const stage_shard& shard,
-                                  std::size_t count) const;
+  void AskDue();
   void Ask(const std::string& host);
+  void TakeStatus(const std::string& host,
+                  const wire::home_status_replyT& status);
+  void AskPool(time_point now);
   void Lose(const std::string& host, const char* why);
-  const std::vector<std::string>& Ranked(const stage_shard& shard) const;
   std::vector<stage_shard> Shards() const;
   std::vector<std::string> Readers() const;
+  std::string Pool() const;
   std::vector<peer_address> Contacts() const;
 
   gateway_environment& environment_;
   stage_home& home_;
   peer_node& peers_;
   const std::string self_;
-  std::vector<home_candidate> hosts_;  ///< With this one.
-  mutable std::map<stage_shard, std::vector<std::string>> rankings_;
-  home_health health_;
+  home_finder homes_;
+  std::vector<waiting_use> waiting_;
+  reserve_pool pool_;
+  time_point own_pool_asked_{};
   std::map<stage_shard, std::pair<std::string, std::size_t>> told_waiting_;
   std::map<std::string, moving_average> usual_times_;  ///< Seconds, by service.
   std::map<stage_number, order_ptr> orders_;
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -17,9 +17,14 @@
 /// Endpoints that one home forms calls for. Up to there one queue for all of a
 /// service keeps them best filled; beyond, each failure domain has its own.
 constexpr std::size_t kMostPerHome = 24;
-/// Named like a shard, so that it has a ranking of its own.
-constexpr const char* kReadersShard = "store readers";
+/// Reading the store for others, and pooling the reserve of repeats.
+constexpr const char* kReadersPart = "store readers/";
 constexpr std::size_t kReaders = 2;
+/// Work waits as long for a home: a host that has not answered by then is
+/// taken for lost, and the next ones have been asked.
+constexpr milliseconds kHomeWait{700};
+/// Between questions to the own pool, as to those of others.
+constexpr milliseconds kPoolInterval{250};
 constexpr std::size_t kNewestSources = 3;
 
 std::string ShardName(const stage_shard& shard) {
@@ -30,20 +35,23 @@
 
 void stage_router::SetHosts(std::vector<listed_gateway> hosts) {
   std::vector<peer_address> others;
-  std::vector<std::string> names{self_};
-  hosts_ = {{self_, environment_.options.Weight()}};
+  std::vector<home_candidate> candidates;
   for (auto& host : hosts) {
     if (host.address.host != self_) {
-      hosts_.push_back({host.address.host, host.weight});
-      names.push_back(host.address.host);
+      candidates.push_back({host.address.host, host.weight});
       others.push_back(std::move(host.address));
     }
   }
-  rankings_.clear();
-  health_.Keep(names);
+  homes_.SetHosts(candidates);
   const auto contacts = Contacts();
   others.insert(others.end(), contacts.begin(), contacts.end());
   peers_.SetPeers(others);
+  AskDue();
+}
+
+void stage_router::Drain() {
+  draining_ = true;
+  homes_.Drain();
 }
 
 /// The addresses of seeds. Only these are known while the store is away, and
@@ -57,8 +65,8 @@
 }
 
 void stage_router::Refresh() {
-  rankings_.clear();
   home_.Refresh();
+  AskDue();
 }
 
 std::vector<std::string> stage_router::DomainsOf(
@@ -92,23 +100,33 @@
   return shards;
 }
 
-const std::vector<std::string>& stage_router::Ranked(
+std::optional<std::string> stage_router::HomeOf(
     const stage_shard& shard) const {
-  const auto found = rankings_.find(shard);
-  if (found != rankings_.end()) {
-    return found->second;
+  return homes_.HomeOf(ShardName(shard), environment_.now());
+}
+
+void stage_router::WithHome(const stage_shard& shard, home_use use) {
+  if (const auto home = HomeOf(shard)) {
+    use(*home);
+    return;
   }
-  return rankings_[shard] =
-             RankHomes(ShardName(shard), hosts_, environment_.options.disabled);
+  waiting_.push_back({shard, environment_.now() + kHomeWait, std::move(use)});
 }
 
-std::string stage_router::HomeOf(const stage_shard& shard) const {
-  for (const auto& host : Ranked(shard)) {
-    if (host == self_ ? !draining_ : health_.IsTrusted(host)) {
-      return host;
+void stage_router::ServeWaiting() {
+  for (auto& one : std::exchange(waiting_, {})) {
+    if (const auto home = HomeOf(one.shard)) {
+      one.use(*home);
+    } else if (environment_.now() < one.until) {
+      waiting_.push_back(std::move(one));
+    } else {
+      environment_.log.Write("home_not_found", {{"service", one.shard.service},
+                                                {"domain", one.shard.domain},
+                                                {"alone", homes_.IsAlone()}});
+      environment_.metrics.Count("homes_not_found", one.shard.service);
+      one.use(self_);
     }
   }
-  return self_;
 }
 
 /// Pieces that wait for each endpoint of a shard.
@@ -178,16 +196,7 @@
 
 /// Two at a time: with one lost, hosts turn to the other within a moment.
 std::vector<std::string> stage_router::Readers() const {
-  std::vector<std::string> readers;
-  for (const auto& host : Ranked({kReadersShard, ""})) {
-    if (host == self_ || health_.IsTrusted(host)) {
-      readers.push_back(host);
-    }
-    if (readers.size() == kReaders) {
-      break;
-    }
-  }
-  return readers;
+  return homes_.Living(kReadersPart, kReaders);
 }
 
 std::string stage_router::Reader() const {
@@ -210,8 +219,8 @@
     return {};
   }
   std::vector<std::string> sources;
-  for (const auto& host : Ranked({kReadersShard, ""})) {
-    if (host != self_ && health_.IsTrusted(host)) {
+  for (const auto& host : homes_.Living(kReadersPart, kNewestSources + 1)) {
+    if (host != self_) {
       sources.push_back(host);
     }
     if (sources.size() == kNewestSources) {
@@ -225,23 +234,12 @@
 
 void stage_router::Tick() {
   const time_point now = environment_.now();
-  for (const auto& host : health_.Overdue(now)) {
+  for (const auto& host : homes_.Health().Overdue(now)) {
     Lose(host, "no answer in time");
   }
-  std::set<std::string> wanted;
-  for (const auto& host : Wanted({kReadersShard, ""}, kReaders)) {
-    wanted.insert(host);
-  }
-  for (const auto& shard : Shards()) {
-    for (const auto& host : Wanted(shard, 1)) {
-      wanted.insert(host);
-    }
-  }
-  for (const auto& host : wanted) {
-    if (health_.IsDue(host, now)) {
-      Ask(host);
-    }
-  }
+  AskDue();
+  AskPool(now);
+  ServeWaiting();
   for (const auto& [shard, pieces] : home_.Waiting()) {
     if (HomeOf(shard) == self_) {
       told_waiting_[shard] = {self_, pieces};
@@ -256,30 +254,28 @@
   });
 }
 
-/// Other hosts to be asked so that `count` usable ones are known of a ranking:
-/// those in use, and all before them that may have come back.
-std::vector<std::string> stage_router::Wanted(const stage_shard& shard,
-                                              std::size_t count) const {
-  std::vector<std::string> wanted;
-  for (const auto& host : Ranked(shard)) {
-    if (count == 0) {
-      break;
-    }
-    const bool is_self = host == self_;
-    if (!is_self) {
-      wanted.push_back(host);
-    }
-    if (is_self ? !draining_ : health_.IsTrusted(host)) {
-      --count;
-    }
+void stage_router::AskDue() {
+  const time_point now = environment_.now();
+  std::set<std::string> due;
+  homes_.AddDue(kReadersPart, kReaders, now, due);
+  for (const auto& shard : Shards()) {
+    homes_.AddDue(ShardName(shard), 1, now, due);
+  }
+  for (const auto& host : due) {
+    Ask(host);
   }
-  return wanted;
 }
 
 void stage_router::Ask(const std::string& host) {
-  health_.NoteAsked(host, environment_.now());
-  peers_.Call(host, MakeMessage(wire::home_status_requestT()), kStatusTimeout,
-              [this, host](const peer_reply& reply) {
+  const time_point asked = environment_.now();
+  homes_.Health().NoteAsked(host, asked);
+  wire::home_status_requestT request;
+  const bool asks_pool = Pool() == host;
+  if (asks_pool) {
+    request = ToWire(environment_.repeats.Question(host, asked));
+  }
+  peers_.Call(host, MakeMessage(std::move(request)), kStatusTimeout,
+              [this, host, asked, asks_pool](const peer_reply& reply) {
                 const auto* status = reply.end == peer_call_end::kReplied
                                          ? reply.body.Ashome_status_reply()
                                          : nullptr;
@@ -287,24 +283,58 @@
                   Lose(host, "no status");
                   return;
                 }
-                health_.NoteAnswer(host, status->draining, environment_.now());
-                for (const auto& load : status->loads) {
-                  const stage_shard shard{load->service, load->domain};
-                  if (HomeOf(shard) == host) {
-                    told_waiting_[shard] = {host, load->pieces};
-                  }
+                TakeStatus(host, *status);
+                if (asks_pool) {
+                  environment_.repeats.NoteAnswer(host, ReserveIn(*status),
+                                                  asked, environment_.now());
                 }
               });
 }
 
+void stage_router::TakeStatus(const std::string& host,
+                              const wire::home_status_replyT& status) {
+  homes_.Health().NoteAnswer(host, status.draining, environment_.now());
+  for (const auto& load : status.loads) {
+    const stage_shard shard{load->service, load->domain};
+    if (HomeOf(shard) == host) {
+      told_waiting_[shard] = {host, load->pieces};
+    }
+  }
+  ServeWaiting();
+}
+
+/// The host that pools the reserve of repeats: a reader, since all hosts ask
+/// the readers whether they live.
+std::string stage_router::Pool() const {
+  const auto readers = homes_.Living(kReadersPart, 1);
+  return readers.empty() ? std::string() : readers.front();
+}
+
+void stage_router::RenewPool() {
+  pool_ = reserve_pool(environment_.repeats.Times(), RandomBits(),
+                       environment_.now());
+}
+
+/// Where this host is the pool itself.
+void stage_router::AskPool(time_point now) {
+  if (Pool() != self_ || now < own_pool_asked_ + kPoolInterval) {
+    return;
+  }
+  own_pool_asked_ = now;
+  auto& repeats = environment_.repeats;
+  const auto answer = pool_.Answer(self_, repeats.Question(self_, now), now);
+  repeats.NoteAnswer(self_, answer, now, now);
+}
+
 void stage_router::Lose(const std::string& host, const char* why) {
-  if (health_.IsTrusted(host)) {
+  if (homes_.Health().IsTrusted(host)) {
     environment_.log.Write("home_lost", {{"home", host}, {"detail", why}});
     environment_.metrics.Count("homes_lost", why);
   }
-  health_.NoteFailure(host, environment_.now());
+  homes_.Health().NoteFailure(host, environment_.now());
   // Ends its calls, whose pieces are then placed elsewhere.
   peers_.Drop(host);
+  AskDue();
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/stage_router_peers.cc
+++ b/src/slatestall/gateway/stage_router_peers.cc
@@ -23,20 +23,26 @@
                        const std::function<void(wire::messageUnion)>& reply) {
                   TakeBooking(*request.Asbook_stage(), reply);
                 });
-  peers_.Handle(wire::message::home_status_request,
-                [this](const wire::messageUnion&, const std::string&,
-                       const std::function<void(wire::messageUnion)>& reply) {
-                  wire::home_status_replyT status;
-                  status.draining = draining_;
-                  for (const auto& [shard, pieces] : home_.Waiting()) {
-                    auto load = std::make_unique<wire::stage_loadT>();
-                    load->service = shard.service;
-                    load->domain = shard.domain;
-                    load->pieces = static_cast<std::uint32_t>(pieces);
-                    status.loads.push_back(std::move(load));
-                  }
-                  reply(MakeMessage(std::move(status)));
-                });
+  peers_.Handle(
+      wire::message::home_status_request,
+      [this](const wire::messageUnion& request, const std::string& from,
+             const std::function<void(wire::messageUnion)>& reply) {
+        const auto& asked = *request.Ashome_status_request();
+        wire::home_status_replyT status;
+        if (asked.asks_pool) {
+          AddTo(status,
+                pool_.Answer(from, FromWire(asked), environment_.now()));
+        }
+        status.draining = draining_;
+        for (const auto& [shard, pieces] : home_.Waiting()) {
+          auto load = std::make_unique<wire::stage_loadT>();
+          load->service = shard.service;
+          load->domain = shard.domain;
+          load->pieces = static_cast<std::uint32_t>(pieces);
+          status.loads.push_back(std::move(load));
+        }
+        reply(MakeMessage(std::move(status)));
+      });
   peers_.HandleNotice(
       wire::message::cancel_pieces,
       [this](const wire::messageUnion& notice, const std::string& from) {
--- a/src/slatestall/gateway/stage_wire.cc
+++ b/src/slatestall/gateway/stage_wire.cc
@@ -1,6 +1,33 @@
 #include "slatestall/gateway/stage_wire.h"
 
+#include <memory>
+#include <utility>
+
 namespace slatestall {
+namespace {
+
+using wire_counts = std::vector<std::unique_ptr<wire::repeat_countT>>;
+
+wire_counts CountsOf(const std::map<std::string, std::size_t>& repeats) {
+  wire_counts counts;
+  for (const auto& [service, number] : repeats) {
+    auto count = std::make_unique<wire::repeat_countT>();
+    count->service = service;
+    count->repeats = static_cast<std::uint32_t>(number);
+    counts.push_back(std::move(count));
+  }
+  return counts;
+}
+
+std::map<std::string, std::size_t> CountsIn(const wire_counts& counts) {
+  std::map<std::string, std::size_t> repeats;
+  for (const auto& count : counts) {
+    repeats[count->service] = count->repeats;
+  }
+  return repeats;
+}
+
+}  // namespace
 
 wire::submit_piecesT ToWire(const stage_shard& shard, const piece_group& group,
                             time_point now) {
@@ -111,4 +138,37 @@
   return stage_end::kFailed;
 }
 
+wire::home_status_requestT ToWire(const reserve_question& question) {
+  wire::home_status_requestT request;
+  request.asks_pool = true;
+  if (question.loan) {
+    request.loan = std::make_unique<wire::repeat_loanT>();
+    request.loan->life = question.loan->stamp.life;
+    request.loan->at_ms = question.loan->stamp.at_ms;
+    request.loan->repeats = question.loan->repeats;
+  }
+  request.wanted = CountsOf(question.wanted);
+  return request;
+}
+
+reserve_question FromWire(const wire::home_status_requestT& request) {
+  reserve_question question;
+  if (request.loan) {
+    question.loan = reserve_loan{{request.loan->life, request.loan->at_ms},
+                                 request.loan->repeats};
+  }
+  question.wanted = CountsIn(request.wanted);
+  return question;
+}
+
+void AddTo(wire::home_status_replyT& reply, const reserve_answer& answer) {
+  reply.pool_life = answer.stamp.life;
+  reply.pool_at_ms = answer.stamp.at_ms;
+  reply.granted = CountsOf(answer.granted);
+}
+
+reserve_answer ReserveIn(const wire::home_status_replyT& reply) {
+  return {{reply.pool_life, reply.pool_at_ms}, CountsIn(reply.granted)};
+}
+
 }  // namespace slatestall
--- a/src/slatestall/gateway/stage_wire.h
+++ b/src/slatestall/gateway/stage_wire.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "slatestall/dispatch/piece_queue.h"
+#include "slatestall/dispatch/repeat_reserve.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/model/time.h"
 #include "slatestall/peer/peer_node.h"
@@ -20,6 +21,13 @@
 wire::pieces_end ToWire(stage_end end);
 stage_end FromWire(wire::pieces_end end);
 
+wire::home_status_requestT ToWire(const reserve_question& question);
+reserve_question FromWire(const wire::home_status_requestT& request);
+
+/// @brief Adds the pool's answer to what is told of a home.
+void AddTo(wire::home_status_replyT& reply, const reserve_answer& answer);
+reserve_answer ReserveIn(const wire::home_status_replyT& reply);
+
 /// @brief A home that cannot be asked is taken to have room.
 booking_answer AnswerIn(const peer_reply& reply);
 
