--- a/include/slatestall/gateway/host_stop.h
+++ b/include/slatestall/gateway/host_stop.h
@@ -15,6 +15,9 @@
   /// Left of the time for a stop: the platform's clock began before this
   /// host's, and last bytes are on their way after the answer's end.
   static constexpr milliseconds kReserve{700};
+  /// For the last bytes of answers: before what is left is refused, and again
+  /// before the process ends. Twice this is less than the reserve.
+  static constexpr milliseconds kLastBytes{300};
   /// Left of the balancer's lag: a busy host hears late that it is to stop, and
   /// the balancer's two questions, a second apart, are over before.
   static constexpr milliseconds kLagReserve{500};
@@ -32,6 +35,9 @@
   static host_stop Begin(time_point now, milliseconds grace,
                          milliseconds balancer_lag);
 
+  /// @brief How long answers are waited for once no connection is taken.
+  static milliseconds AnswerTime(milliseconds grace, milliseconds balancer_lag);
+
   /// @brief Whether a request may be taken.
   /// @param deadline The request has ended by then, served or not.
   /// @param likely_end When answers of its route end at the latest, as seen.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -30,8 +30,6 @@
 /// asks anew each second.
 constexpr milliseconds kConfigurationAge{1400};
 constexpr milliseconds kHostsAge{10'000};
-/// Left of the grace for the process to end in.
-constexpr milliseconds kStopSlack{300};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -194,13 +192,13 @@
   }
 
   void BeginDrain() {
+    log_.Write("stopping", {{"in_hand", traffic_.InHand()}});
     drain_options options;
     options.grace = options_.balancer_lag;
     options.longest_request =
-        std::max(milliseconds(0),
-                 options_.stop_grace - options_.balancer_lag - kStopSlack * 3);
+        host_stop::AnswerTime(options_.stop_grace, options_.balancer_lag);
+    options.answer_slack = host_stop::kLastBytes;
     options.hand_over_timeout = milliseconds(0);
-    log_.Write("stopping", {{"in_hand", traffic_.InHand()}});
     drain_.Begin(options);
   }
 
@@ -222,7 +220,7 @@
       log_.Write("drained", {{"in_hand", traffic_.InHand()},
                              {"connections", traffic_.Connections()}});
       // The last bytes of answers are still on their way to the callers.
-      last_bytes_.expires_after(kStopSlack);
+      last_bytes_.expires_after(host_stop::kLastBytes);
       last_bytes_.async_wait(
           [this](const asio::error_code&) { traffic_context_.stop(); });
     };
--- a/src/slatestall/gateway/host_stop.cc
+++ b/src/slatestall/gateway/host_stop.cc
@@ -14,6 +14,11 @@
   return stop;
 }
 
+milliseconds host_stop::AnswerTime(milliseconds grace,
+                                   milliseconds balancer_lag) {
+  return std::max(milliseconds(0), grace - balancer_lag - kReserve);
+}
+
 /// Until the balancer knows, all that it sends comes here, and many hosts may
 /// be stopping at once: to refuse what would very likely be served costs
 /// callers more than a cut in some hundreds. Later only connections remain that
--- a/src/slatestall/gateway/host_stop_test.cc
+++ b/src/slatestall/gateway/host_stop_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(WhatIsSureToEndInTimeIsTakenLater);
   CPPUNIT_TEST(ATimeTooShortForAnyAnswerAllowsNone);
   CPPUNIT_TEST(NothingIsTakenInTheLastMoment);
+  CPPUNIT_TEST(WhatIsTakenEndsBeforeTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -42,6 +43,18 @@
     CPPUNIT_ASSERT(!stop.Allows(After(0), After(1), After(1)));
   }
 
+  // The door closes, answers in hand are waited for, the rest is refused, and
+  // its last bytes leave: all of it after the last answer that was counted on,
+  // and within the grace.
+  void WhatIsTakenEndsBeforeTheProcess() {
+    const auto stop = host_stop::Begin(kTold, kGrace, kLag);
+    const auto waited_until = kTold + kLag +
+                              host_stop::AnswerTime(kGrace, kLag) +
+                              host_stop::kLastBytes;
+    CPPUNIT_ASSERT(waited_until > stop.last_answer_by);
+    CPPUNIT_ASSERT(waited_until + host_stop::kLastBytes < kTold + kGrace);
+  }
+
   void ATimeTooShortForAnyAnswerAllowsNone() {
     const auto stop = host_stop::Begin(kTold, milliseconds(200), kLag);
     CPPUNIT_ASSERT(!stop.Allows(After(0), After(1), After(1)));
--- a/src/slatestall/serve/drain_sequence.cc
+++ b/src/slatestall/serve/drain_sequence.cc
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr milliseconds kPoll{20};
-/// For the last bytes of answers that end right at their deadline.
-constexpr milliseconds kAnswerSlack{500};
 
 }  // namespace
 
@@ -30,7 +28,7 @@
 void drain_sequence::StopAccepting() {
   hooks_.stop_accepting();
   last_answer_by_ = std::chrono::steady_clock::now() +
-                    options_.longest_request + kAnswerSlack;
+                    options_.longest_request + options_.answer_slack;
   WaitForRequests();
 }
 
--- a/src/slatestall/serve/drain_sequence.h
+++ b/src/slatestall/serve/drain_sequence.h
@@ -27,6 +27,8 @@
   milliseconds grace{5000};
   /// Longest that a request in hand can take.
   milliseconds longest_request{6000};
+  /// For the last bytes of answers that end right at their deadline.
+  milliseconds answer_slack{500};
   milliseconds hand_over_timeout{5000};
 };
 
