Callers wait for a host that starts; few hosts read where readers lost the store

Seen: after all 195 hosts lost power, 744 requests refused with "no configuration yet" within 1.1 s, by hosts that had theirs 0.2 to 1.1 s after their start (1,550 routes). Most callers come back once only. Cause: the balancer has nobody who is ready and uses everybody; a host that is about to know its routes refuses as one that never will. Test first: ARequestThatComesWhileItsHostStartsIsServed fails with the queue switched off. AHostThatCannotLearnItsConfigurationSpendsNoReturn had asked that an early refusal name less than 0.5 s; there is none now, so it asks of the first refusal what it asked of the later one.

Of equally new words the younger counts. Test: WhereAReaderHasLostTheStoreFewReadInItsPlace.

--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -117,7 +117,7 @@
   topic_asks OtherHosts() {
     topic_asks asks;
     asks.reader = [this](const topic_question& question,
-                         topic_asks::done_hook done) {
+                         topic_asks::reader_hook done) {
       asio::post(traffic_context_,
                  [this, question, done = std::move(done)]() mutable {
                    traffic_.AskReader(question, std::move(done));
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -65,9 +65,13 @@
       topics_(peers_, std::move(known_topics)),
       router_(environment_, home_, peers_),
       stages_(router_.Calls()),
-      listener_(context, ListenerOptions(options, now),
+      starting_(context,
                 [this](inbound_request request, answer_channel_ptr channel) {
                   TakeRequest(std::move(request), std::move(channel));
+                }),
+      listener_(context, ListenerOptions(options, now),
+                [this](inbound_request request, answer_channel_ptr channel) {
+                  starting_.Take(std::move(request), std::move(channel));
                 }) {}
 
 gateway_traffic::~gateway_traffic() = default;
@@ -77,6 +81,13 @@
   ForgetOldRoutes();
   listener_.SetLimits(environment_.table->limits);
   router_.Refresh();
+  EndStart();
+}
+
+void gateway_traffic::EndStart() {
+  if (environment_.table && knows_endpoints_) {
+    starting_.End();
+  }
 }
 
 /// Thousands of changes a day name new routes; what was learnt of those that
@@ -95,7 +106,9 @@
 
 void gateway_traffic::SetEndpoints(const std::vector<known_endpoint>& listed) {
   environment_.roster.Replace(listed);
+  knows_endpoints_ = true;
   router_.Refresh();
+  EndStart();
 }
 
 void gateway_traffic::SetHosts(std::vector<listed_gateway> hosts) {
@@ -103,13 +116,16 @@
 }
 
 void gateway_traffic::AskReader(const topic_question& question,
-                                topic_exchange::done_hook done) {
+                                topic_asks::reader_hook done) {
   const auto reader = router_.Reader();
   if (reader.empty()) {
-    done(std::nullopt);
+    done({.reads_itself = true, .told = std::nullopt});
     return;
   }
-  topics_.Ask(reader, question, std::move(done));
+  topics_.Ask(reader, question,
+              [done = std::move(done)](std::optional<tail_read> told) {
+                done({.reads_itself = false, .told = std::move(told)});
+              });
 }
 
 void gateway_traffic::AskAny(const topic_question& question,
@@ -123,6 +139,7 @@
                        environment_.options.balancer_lag);
   listener_.AnnounceClose();
   router_.Drain();
+  starting_.End();
 }
 
 void gateway_traffic::StopAccepting() {
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "slatestall/gateway/gateway_environment.h"
+#include "slatestall/gateway/shared_reading.h"
 #include "slatestall/gateway/stage_home.h"
 #include "slatestall/gateway/stage_router.h"
+#include "slatestall/gateway/start_queue.h"
 #include "slatestall/gateway/topic_exchange.h"
 #include "slatestall/http/http_client.h"
 #include "slatestall/peer/peer_node.h"
@@ -34,9 +36,8 @@
   void SetCensus(const host_census& census) {
     environment_.repeats.NoteCensus(census, environment_.now());
   }
-  /// @brief Asks the host that reads the store; nothing: this one reads.
-  void AskReader(const topic_question& question,
-                 topic_exchange::done_hook done);
+  /// @brief Asks the host that reads the store for others.
+  void AskReader(const topic_question& question, topic_asks::reader_hook done);
   /// @brief Asks some other hosts what they know.
   void AskAny(const topic_question& question, topic_exchange::done_hook done);
   void SetRepeatLimits(const repeat_limits& limits) {
@@ -58,6 +59,7 @@
 
  private:
   void ForgetOldRoutes();
+  void EndStart();
   void TakeRequest(inbound_request request, answer_channel_ptr channel);
 
   gateway_environment environment_;
@@ -67,6 +69,8 @@
   topic_exchange topics_;
   stage_router router_;
   const stage_calls stages_;
+  start_queue starting_;
+  bool knows_endpoints_ = false;
   caller_listener listener_;
 };
 
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -16,10 +16,8 @@
 /// Callers come back at most this part of their time left after a refusal.
 constexpr int kReturnPart = 3;
 constexpr milliseconds kShortestReturn{100};
-/// Some 50 ms pass from the start of a host to its configuration, 300 ms where
-/// the store is slow.
-constexpr milliseconds kUsualStart{600};
-constexpr milliseconds kReturnWhileStarting{300};
+/// Where the caller's patience cannot be read.
+constexpr milliseconds kReturnOtherwise{300};
 /// Other hosts take the request at once: nothing has to pass first. Spread, so
 /// that callers of many hosts that stop together do not meet on the others.
 constexpr milliseconds kReturnFromStop{50};
@@ -84,20 +82,16 @@
   return CheckTime();
 }
 
-/// A host that starts has a configuration within a moment. One that still has
-/// none then waits for the store, whose outages last for seconds: callers who
-/// came back at once would use up their return in the same outage.
+/// Requests wait while a host starts. One that has no configuration after that
+/// waits for the store, whose outages last for seconds: callers who came back
+/// at once would use up their return in the same outage.
 milliseconds request_run::ReturnWithoutConfiguration() const {
-  if (environment_.now() - environment_.started_at < kUsualStart) {
-    return kReturnWhileStarting;
-  }
   try {
     const auto facts = environment_.protocol.read_request(request_.head);
-    const auto most =
-        facts.patience.value_or(kReturnWhileStarting) / kReturnPart;
+    const auto most = facts.patience.value_or(kReturnOtherwise) / kReturnPart;
     return SpreadBetween(most / 2, most, facts.id);
   } catch (const request_error&) {
-    return kReturnWhileStarting;  // It is refused as malformed next time.
+    return kReturnOtherwise;  // It is refused as malformed next time.
   }
 }
 
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -115,12 +115,18 @@
   });
 }
 
-void ReadNext(const next_read_ptr& read) {
+bool IsFresh(const next_read_ptr& read, const std::optional<tail_read>& told) {
+  return told && told->age <= read->topic->max_age;
+}
+
+/// The reader has lost the store, or is lost itself. Others may already read in
+/// its place.
+void AskForAReader(const next_read_ptr& read) {
   const auto& topic = read->topic;
-  topic->asks.reader(
+  topic->asks.any(
       {topic->name, read->from}, [read](std::optional<tail_read> told) {
         asio::post(read->topic->context, [read, told = std::move(told)] {
-          if (told && told->age <= read->topic->max_age) {
+          if (IsFresh(read, told)) {
             Deliver(read, *told);
           } else {
             ReadDirectly(read);
@@ -129,6 +135,21 @@
       });
 }
 
+void ReadNext(const next_read_ptr& read) {
+  const auto& topic = read->topic;
+  topic->asks.reader({topic->name, read->from}, [read](reader_answer answer) {
+    asio::post(read->topic->context, [read, answer = std::move(answer)] {
+      if (IsFresh(read, answer.told)) {
+        Deliver(read, *answer.told);
+      } else if (answer.reads_itself) {
+        ReadDirectly(read);
+      } else {
+        AskForAReader(read);
+      }
+    });
+  });
+}
+
 }  // namespace
 
 shared_reading::shared_reading(asio::io_context& context, topic_asks asks,
--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -13,6 +13,12 @@
 
 namespace slatestall {
 
+/// @brief What comes of asking the host that reads the store for others.
+struct reader_answer {
+  bool reads_itself = false;      ///< This host is the one to read the store.
+  std::optional<tail_read> told;  ///< Nothing: no answer, or it cannot tell.
+};
+
 /// @brief How a host learns from others what they have read of a topic.
 /// Called on the control thread; `done` may come on any. It gets nothing where
 /// none can tell.
@@ -20,9 +26,10 @@
 struct topic_asks {
   using done_hook = std::function<void(std::optional<tail_read>)>;
 
-  /// Asks the host that reads the store for others; nothing, too, where this
-  /// host is to read the store itself.
-  std::function<void(const topic_question&, done_hook done)> reader;
+  using reader_hook = std::function<void(reader_answer)>;
+
+  /// Asks the host that reads the store for others.
+  std::function<void(const topic_question&, reader_hook done)> reader;
   /// Asks some that may know; the most recent answer counts.
   std::function<void(const topic_question&, done_hook done)> any;
   /// Something was taken from other hosts since the store did not answer.
@@ -34,8 +41,10 @@
 /// what all of them learn alike.
 ///
 /// What a reader tells counts only while it has itself read the store just
-/// now. Else, and where no reader answers, a host reads the store as if it were
-/// alone, so that no reader's fault can make others older than that limit.
+/// now. Else, and where no reader answers, a host asks some others, and reads
+/// the store only where none of them has read it just now either: no reader's
+/// fault can make others older than that limit, and where the store turns
+/// readers away, some hosts read in their place, not all.
 ///
 /// Where the store does not answer either, what any other host knows counts:
 /// a host that starts meanwhile would else refuse every caller until the store
--- a/src/slatestall/gateway/topic_exchange.cc
+++ b/src/slatestall/gateway/topic_exchange.cc
@@ -48,6 +48,10 @@
   return read;
 }
 
+bool IsNewer(const tail_read& a, const tail_read& b) {
+  return a.next != b.next ? a.next > b.next : a.age < b.age;
+}
+
 /// Answers of several hosts, of which the most recent counts.
 struct collected_answers {
   std::size_t awaited = 0;
@@ -55,7 +59,7 @@
   topic_exchange::done_hook done;
 
   void Take(std::optional<tail_read> told) {
-    if (told && (!best || told->next > best->next)) {
+    if (told && (!best || IsNewer(*told, *best))) {
       best = std::move(told);
     }
     if (--awaited == 0) {
