Hosts announce themselves every 30 to 40 s; a repeat that is lacking is told

Change: an interval of 40 s less up to a quarter, entries live 130 s, and the share of the reserve counts an own entry for 90 s. The property of the reserve plays up to four minutes, so that entries lapse in it. A request that ends for want of a repeat says so; repeats refused and granted are counted by service.

--- a/include/slatestall/dispatch/repeat_reserve.h
+++ b/include/slatestall/dispatch/repeat_reserve.h
@@ -23,7 +23,7 @@
   milliseconds list_age{10'000};
   /// A host that has not renewed its entry for so long stops: a while later
   /// others leave it out of their count.
-  milliseconds entry_age{30'000};
+  milliseconds entry_age{90'000};
   milliseconds loan{2'000};   ///< How long a pool may grant what it was lent.
   milliseconds grant{2'000};  ///< How long a host may use what it was granted.
 
--- a/src/slatestall/dispatch/repeat_reserve_test.cc
+++ b/src/slatestall/dispatch/repeat_reserve_test.cc
@@ -21,8 +21,8 @@
 constexpr double kReserve = 430;
 constexpr milliseconds kStep{250};
 constexpr milliseconds kListRead{3'000};
-constexpr milliseconds kAnnounce{15'000};
-constexpr milliseconds kEntryLife{50'000};
+constexpr milliseconds kAnnounce{40'000};
+constexpr milliseconds kEntryLife{130'000};
 const repeat_limits kLimits{0, milliseconds(10'000), kReserve};
 
 /// Small numbers from a seed, the same on every machine.
@@ -266,7 +266,9 @@
     fleet played(hosts, seed);
     random_numbers random(seed);
     std::size_t most = 0;
-    for (int step = 0; step < kSettlingSteps * 2; ++step) {
+    // Long enough for entries to lapse, where that costs little time.
+    const int steps = kSettlingSteps * (hosts <= 7 ? 8 : 2);
+    for (int step = 0; step < steps; ++step) {
       if (random.OneIn(4)) {
         played.Trouble();
       }
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -4,18 +4,22 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "slatestall/model/ids.h"
+
 namespace slatestall {
 namespace {
 
-/// How often a host announces itself, and after what time without it is left
-/// out. Hosts that are gone are noticed by asking them; the list only has to
-/// lose them some day.
-constexpr milliseconds kAnnounceInterval{15'000};
+/// How often a host announces itself, up to a quarter less, so that hosts that
+/// started together do not go on writing together; and after what time without
+/// it is left out. Hosts that are gone are noticed by asking them; the list
+/// only has to lose them some day.
+constexpr milliseconds kAnnounceInterval{40'000};
+constexpr int kIntervalSpread = 4;
 /// What an entry may say of its weight; a wrong one must not take all work.
 constexpr double kLeastWeight = 0.01;
 constexpr double kMostWeight = 64.0;
 constexpr milliseconds kAnnounceRetry{700};
-constexpr milliseconds kEntryLife{50'000};
+constexpr milliseconds kEntryLife{130'000};
 /// A new host takes part in the work of homes that much later at most, and
 /// serves its callers from the start.
 constexpr milliseconds kReadInterval{3000};
@@ -23,6 +27,13 @@
 /// have been under way as long.
 constexpr milliseconds kToldSlack{1000};
 
+milliseconds NextInterval() {
+  const auto spread = kAnnounceInterval / kIntervalSpread;
+  return kAnnounceInterval -
+         milliseconds(RandomBits() %
+                      static_cast<std::uint64_t>(spread.count()));
+}
+
 }  // namespace
 
 host_directory::host_directory(asio::io_context& context,
@@ -86,7 +97,7 @@
                 follows_ = true;
                 follower_.Start();
               }
-              timer_.expires_after(done ? kAnnounceInterval : kAnnounceRetry);
+              timer_.expires_after(done ? NextInterval() : kAnnounceRetry);
               timer_.async_wait([this](const asio::error_code& error) {
                 if (!error) {
                   Announce();
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -346,11 +346,15 @@
   }
   // A connection that was never made is no call that the endpoint got.
   const bool counts = failure != attempt_failure::kNotSent;
-  if (!again ||
-      (counts && !environment_.repeats.Take(service_, environment_.now()))) {
+  if (!again) {
     GiveUp(failure, detail);
     return;
   }
+  if (counts && !environment_.repeats.Take(service_, environment_.now())) {
+    environment_.metrics.Count("repeats_refused", service_);
+    GiveUp(failure, detail + ", and no repeat is left");
+    return;
+  }
   tried_.push_back(record_->Info().Incarnation());
   if (failure == attempt_failure::kNotSent ||
       failure == attempt_failure::kMoved) {
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -96,6 +96,8 @@
   void TakeStatus(const std::string& host,
                   const wire::home_status_replyT& status);
   void AskPool(time_point now);
+  void TakeGrants(const std::string& pool, const reserve_answer& answer,
+                  time_point asked);
   void Lose(const std::string& host, const char* why);
   std::vector<stage_shard> Shards() const;
   std::vector<std::string> Readers() const;
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -285,8 +285,7 @@
                 }
                 TakeStatus(host, *status);
                 if (asks_pool) {
-                  environment_.repeats.NoteAnswer(host, ReserveIn(*status),
-                                                  asked, environment_.now());
+                  TakeGrants(host, ReserveIn(*status), asked);
                 }
               });
 }
@@ -321,9 +320,17 @@
     return;
   }
   own_pool_asked_ = now;
-  auto& repeats = environment_.repeats;
-  const auto answer = pool_.Answer(self_, repeats.Question(self_, now), now);
-  repeats.NoteAnswer(self_, answer, now, now);
+  TakeGrants(
+      self_,
+      pool_.Answer(self_, environment_.repeats.Question(self_, now), now), now);
+}
+
+void stage_router::TakeGrants(const std::string& pool,
+                              const reserve_answer& answer, time_point asked) {
+  for (const auto& [service, repeats] : answer.granted) {
+    environment_.metrics.Count("repeats_granted", service, repeats);
+  }
+  environment_.repeats.NoteAnswer(pool, answer, asked, environment_.now());
 }
 
 void stage_router::Lose(const std::string& host, const char* why) {
