--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -60,7 +60,7 @@
 
 /// The answer holds what was written before the read began; how long it was
 /// under way after that is not known.
-keyed_topic host_directory::Timed(keyed_topic topic) {
+keyed_topic host_directory::Timed(const keyed_topic& topic) {
   keyed_topic timed = topic;
   timed.read_newest = [this, read = topic.read_newest](const auto& done) {
     read_began_ = now_();
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -52,7 +52,7 @@
   void Announce();
   void Take(const std::vector<keyed_record>& records);
   void Publish();
-  keyed_topic Timed(keyed_topic topic);
+  keyed_topic Timed(const keyed_topic& topic);
 
   const gateway_options& options_;
   std::function<void(const std::string&, const std::string&,
