--- a/include/slatestall/dispatch/longest_answer.h
+++ b/include/slatestall/dispatch/longest_answer.h
@@ -26,8 +26,8 @@
  private:
   /// Answers of a few seconds on a busy host, and of any size among them.
   static constexpr std::size_t kKept = 64;
-  /// A host that started seconds ago has seen few. Asking for sixteen refused
-  /// 248 requests in 65 stops in series, asking for four refused 186.
+  /// A host that started seconds ago has seen few; where it asked for more, it
+  /// would refuse most of what it could still answer.
   static constexpr std::size_t kFewest = 4;
   /// Fewer miss the large ones of a route.
   static constexpr std::size_t kEnough = 16;
--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -63,14 +63,12 @@
 /// little time they have, then those that are late anyhow. A late piece never
 /// delays one that can be in time, and fills calls that would go half empty.
 /// One that was passed over for some calls is given up, so that its caller is
-/// told while there is time to come back: 0.018 of the credit more on heavy
-/// days (20 days of six hosts), where it had waited until its deadline.
+/// told while there is time to come back.
 ///
 /// What a call ends in time is told by the time of a call as full as the queue
 /// makes it. By the time of an almost empty one the most pressing pieces went
 /// first although their calls ended too late, and those behind them became
-/// late in turn: 0.024 of the credit in bursts over three stages (86 hosts,
-/// four days).
+/// late in turn.
 ///
 /// A piece waits a little for an endpoint in the failure domain where it saves
 /// bytes, never so long that this makes it late.
--- a/include/slatestall/dispatch/repeat_reserve.h
+++ b/include/slatestall/dispatch/repeat_reserve.h
@@ -15,7 +15,8 @@
 /// @brief How long the parts of a reserve of repeats last.
 ///
 /// Each is counted by two clocks, of which neither is trusted to run as fast
-/// as the other; `Outlasting` is what the one that must wait longer waits.
+/// as the other (2 in 100 at most); `Outlasting` is what the one that must wait
+/// longer waits.
 /// @ingroup dispatch
 struct reserve_times {
   milliseconds window{10'000};  ///< In which the reserve is counted.
@@ -27,7 +28,10 @@
   milliseconds loan{2'000};   ///< How long a pool may grant what it was lent.
   milliseconds grant{2'000};  ///< How long a host may use what it was granted.
 
-  static duration Outlasting(duration time) { return time + time / 50; }
+  static duration Outlasting(duration time) {
+    constexpr int kClockErrorPart = 50;
+    return time + time / kClockErrorPart;
+  }
   /// From a host's first entry on: lists without it are no longer used, and
   /// what was drawn by them is out of the window.
   duration Settling() const {
--- a/include/slatestall/dispatch/usual_patience.h
+++ b/include/slatestall/dispatch/usual_patience.h
@@ -13,10 +13,9 @@
 /// Answers callers that return after a refusal: objectives count from the
 /// first attempt, and the only trace of it is that less patience is left.
 /// First attempts differ too. Taking the longest patience for everybody's made
-/// first attempts with a deadline 15 % shorter pass for returns that had
-/// already missed their objective: they waited behind all others. Told apart by
-/// the usual range, 0.016 of the credit more is earned on heavy days (20 days
-/// of six hosts).
+/// first attempts with a shorter deadline pass for returns that had already
+/// missed their objective: they waited behind all others. So they are told apart
+/// by the usual range.
 ///
 /// The range is taken as symmetric around the median of the last ones; a
 /// minority of returns moves the median little. Pure state.
--- a/src/slatestall/dispatch/home_ranking.cc
+++ b/src/slatestall/dispatch/home_ranking.cc
@@ -16,8 +16,7 @@
 /// Below one, whose logarithm is no divisor.
 constexpr double kLargestDraw = 1.0 - 1e-12;
 
-/// Of the largest weight. A host of a quarter still carries a home's calls; one
-/// on a link of a twentieth made every request of three stages 0.5 s later.
+/// Of the largest weight: below it, a home's calls wait for its link.
 constexpr double kWeakHostPart = 0.25;
 
 /// Weighted rendezvous: the draw of a host, stretched by its weight.
@@ -31,8 +30,8 @@
 }  // namespace
 
 /// Each weak host is seldom drawn, but where most hosts are weak some shard has
-/// one for its home, and all its calls queue on that host's link: requests of
-/// three stages took 0.5 s longer, all day. So the weak ones come last.
+/// one for its home, and all its calls queue on that host's link. So the weak
+/// ones come last.
 std::vector<std::string> RankHomes(const std::string& shard,
                                    const std::vector<home_candidate>& hosts,
                                    const disabled_mechanisms& disabled) {
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -15,8 +15,7 @@
 
 /// Part of the room for results that is used. Sizes are told roughly, and a
 /// piece that finds no room has to be made again; that costs less than room
-/// left empty: against 0.85 it earns 0.013 of the credit more on heavy days (20
-/// days of six hosts).
+/// left empty.
 constexpr double kRoomPart = 0.95;
 /// While pieces wait and no call is under way that would end.
 constexpr milliseconds kLookAgain{20};
--- a/src/slatestall/gateway/start_queue.h
+++ b/src/slatestall/gateway/start_queue.h
@@ -20,8 +20,8 @@
 /// @ingroup gateway
 class start_queue {
  public:
-  /// A configuration of thousands of routes on a twentieth of the usual link
-  /// and an eighth of a core, where all hosts read at once.
+  /// A configuration of thousands of routes on a narrow link and a small part
+  /// of a core, where all hosts read at once.
   static constexpr milliseconds kUsualStart{1200};
 
   using begin_hook = std::function<void(inbound_request, answer_channel_ptr)>;
