--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -28,7 +28,7 @@
 /// results are fetched, and calls end, several times a second. Doubles with
 /// each refusal in a row, since another host then keeps it busy.
 constexpr milliseconds kFullPause{60};
-constexpr unsigned kMaxPauseDoublings = 3;
+constexpr unsigned kMaxPauseDoublings = 2;
 /// The told time of a piece differs by stage, as a rule downwards.
 constexpr double kLeastPart = 0.1;
 constexpr double kMostPart = 1.5;
