--- a/include/slatestall/dispatch/usual_patience.h
+++ b/include/slatestall/dispatch/usual_patience.h
@@ -14,8 +14,8 @@
 /// first attempt, and the only trace of it is that less patience is left.
 /// First attempts differ too. Taking the longest patience for everybody's made
 /// first attempts with a shorter deadline pass for returns that had already
-/// missed their objective: they waited behind all others. So they are told apart
-/// by the usual range.
+/// missed their objective: they waited behind all others. So they are told
+/// apart by the usual range.
 ///
 /// The range is taken as symmetric around the median of the last ones; a
 /// minority of returns moves the median little. Pure state.
