Whether a host drains is home_finder's to say; one branch less in its choice

Found in the last read: the router kept a second copy of the flag, and the choice of a home asked twice whether a host is unknown. Behaviour as it was.

--- a/include/slatestall/dispatch/home_finder.h
+++ b/include/slatestall/dispatch/home_finder.h
@@ -32,6 +32,7 @@
   void SetHosts(const std::vector<home_candidate>& others);
   /// @brief This host is to be home to nothing new.
   void Drain() { draining_ = true; }
+  bool IsDraining() const { return draining_; }
 
   /// @return Nothing: hosts that come first are being asked, or the list of
   /// hosts is about to come.
--- a/src/slatestall/dispatch/home_finder.cc
+++ b/src/slatestall/dispatch/home_finder.cc
@@ -67,9 +67,9 @@
     if (host == self_.host) {
       continue;
     }
-    if (health_.IsUnknown(host) && lost < kMostLost) {
-      may_answer = true;
-    } else if (!health_.IsUnknown(host)) {
+    if (health_.IsUnknown(host)) {
+      may_answer = may_answer || lost < kMostLost;
+    } else {
       may_answer = may_answer || others_start;
       ++lost;
     }
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -39,7 +39,7 @@
   /// @brief Endpoints or the configuration changed.
   void Refresh();
   /// @brief Other hosts are to choose another home.
-  void Drain();
+  void Drain() { homes_.Drain(); }
   /// @brief The limits on repeats have changed: nothing that was lent or
   /// granted under the old ones counts.
   void RenewPool();
@@ -119,7 +119,6 @@
   /// Of other hosts' orders, so that they can be cancelled.
   std::map<std::tuple<std::string, std::string, unsigned>, stage_number>
       served_;
-  bool draining_ = false;
   asio::steady_timer tick_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -49,11 +49,6 @@
   AskDue();
 }
 
-void stage_router::Drain() {
-  draining_ = true;
-  homes_.Drain();
-}
-
 /// The addresses of seeds. Only these are known while the store is away, and
 /// whoever answers there can tell the rest.
 std::vector<peer_address> stage_router::Contacts() const {
--- a/src/slatestall/gateway/stage_router_peers.cc
+++ b/src/slatestall/gateway/stage_router_peers.cc
@@ -33,7 +33,7 @@
           AddTo(status,
                 pool_.Answer(from, FromWire(asked), environment_.now()));
         }
-        status.draining = draining_;
+        status.draining = homes_.IsDraining();
         for (const auto& [shard, pieces] : home_.Waiting()) {
           auto load = std::make_unique<wire::stage_loadT>();
           load->service = shard.service;
