Logs tell equal requests, and a crash from a broken connection

attempt_failed names the request's content (hash of host, method, target, workspace and body, the same on all hosts). A call that breaks off is followed by one connection to the endpoint: where it is refused, endpoint_crashed names the contents of all calls that this host lost there.

--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -12,6 +12,7 @@
 #include "slatestall/dispatch/first_event_time.h"
 #include "slatestall/dispatch/longest_answer.h"
 #include "slatestall/dispatch/repeat_allowance.h"
+#include "slatestall/dispatch/request_digest.h"
 #include "slatestall/dispatch/usual_patience.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/endpoint_protocol.h"
@@ -43,6 +44,8 @@
   time_point started_at{};
   std::optional<host_stop> stop{};      ///< Not set: goes on.
   std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
+  /// A call broke off at an endpoint, which may have crashed.
+  std::function<void(const known_endpoint&, request_digest)> on_broken{};
 
   /// @brief Whether a request with that limit may use a failure domain.
   bool Allows(const region_limit& regions, const std::string& domain) const {
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -1,6 +1,7 @@
 #include "slatestall/gateway/gateway_traffic.h"
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -59,6 +60,7 @@
                    {},
                    now(),
                    std::nullopt,
+                   {},
                    {}},
       client_(context),
       home_(environment_, client_),
@@ -66,6 +68,8 @@
       topics_(peers_, std::move(known_topics)),
       router_(environment_, home_, peers_),
       stages_(router_.Calls()),
+      crashes_(context,
+               [this](const endpoint_crash& crash) { OnCrash(crash); }),
       starting_(context,
                 [this](inbound_request request, answer_channel_ptr channel) {
                   TakeRequest(std::move(request), std::move(channel));
@@ -73,7 +77,12 @@
       listener_(context, ListenerOptions(options, now),
                 [this](inbound_request request, answer_channel_ptr channel) {
                   starting_.Take(std::move(request), std::move(channel));
-                }) {}
+                }) {
+  environment_.on_broken = [this](const known_endpoint& endpoint,
+                                  request_digest running) {
+    crashes_.NoteBroken(endpoint, running);
+  };
+}
 
 gateway_traffic::~gateway_traffic() = default;
 
@@ -140,6 +149,17 @@
   topics_.AskAll(router_.Sources(), question, std::move(done));
 }
 
+void gateway_traffic::OnCrash(const endpoint_crash& crash) {
+  nlohmann::json running = nlohmann::json::array();
+  for (const auto digest : crash.running) {
+    running.push_back(DigestText(digest));
+  }
+  environment_.log.Write("endpoint_crashed", {{"endpoint", crash.endpoint},
+                                              {"service", crash.service},
+                                              {"running", running}});
+  environment_.metrics.Count("endpoints_crashed", crash.service);
+}
+
 void gateway_traffic::AnnounceClose() {
   environment_.stop =
       host_stop::Begin(environment_.now(), environment_.options.stop_grace,
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "slatestall/gateway/crash_watch.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/shared_reading.h"
 #include "slatestall/gateway/stage_home.h"
@@ -59,6 +60,7 @@
 
  private:
   void ForgetOldRoutes();
+  void OnCrash(const endpoint_crash& crash);
   void EndStart();
   void TakeRequest(inbound_request request, answer_channel_ptr channel);
 
@@ -69,6 +71,7 @@
   topic_exchange topics_;
   stage_router router_;
   const stage_calls stages_;
+  crash_watch crashes_;
   start_queue starting_;
   bool knows_endpoints_ = false;
   caller_listener listener_;
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -52,6 +52,15 @@
   return std::nullopt;
 }
 
+request_digest request_run::Digest() const {
+  if (!digest_) {
+    const auto host = RouteHost(FindHeader(request_.head.headers, "Host"));
+    digest_ = DigestOf({host, request_.head.method, request_.head.target,
+                        workspace_, request_.body});
+  }
+  return *digest_;
+}
+
 std::uint64_t request_run::SharedPrompt() const {
   if (facts_.prompt.size() < 2 ||
       !environment_.options.Uses(mechanism::kPromptHomes)) {
@@ -318,6 +327,9 @@
                      !(events_ && events_->InsideEvent());
   if (!whole) {
     const bool unsent = outcome == call_outcome::kNotConnected;
+    if (outcome == call_outcome::kBroken) {
+      environment_.on_broken(record_->Info(), Digest());
+    }
     EndAttempt(unsent ? call_lesson::kUnreachable : call_lesson::kFailed);
     FailAttempt(unsent ? attempt_failure::kNotSent : attempt_failure::kUnknown,
                 unsent ? "not connected" : "broken off");
@@ -374,6 +386,7 @@
   environment_.log.Write(
       "attempt_failed",
       {{"request", facts_.id},
+       {"content", DigestText(Digest())},
        {"endpoint", dispatch_.endpoint_id},
        {"detail", detail},
        {"attempt", sends_ + moves_},
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "slatestall/dispatch/endpoint_pick.h"
+#include "slatestall/dispatch/request_digest.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/request_end.h"
 #include "slatestall/gateway/request_spans.h"
@@ -121,6 +122,7 @@
   void GiveUp(attempt_failure failure, const std::string& detail);
   void ArmStallTimer(duration limit);
   std::uint64_t SharedPrompt() const;
+  request_digest Digest() const;
   bool IsSuccess() const;
 
   // The end.
@@ -173,6 +175,7 @@
 
   asio::steady_timer deadline_timer_;
   asio::steady_timer stall_timer_;
+  mutable std::optional<request_digest> digest_;  ///< Once it was asked for.
   bool finished_ = false;
 };
 
