--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -58,6 +58,8 @@
   milliseconds leave_limit{2000};
   /// No new work may reach a failure domain that long after its evacuation.
   milliseconds evacuation_limit{5000};
+  /// All hosts act within it on what one of them has learnt of endpoints.
+  milliseconds settle_limit{3000};
   cold_terms cold;
   /// How long endpoints and the operator take to write again what a store that
   /// came back from an older copy has lost.
--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -54,6 +54,12 @@
       read_from;
 };
 
+/// @brief Sets the value of a key of a compacted topic; an empty value deletes
+/// it.
+using keyed_writer =
+    std::function<void(const std::string& key, const std::string& value,
+                       std::function<void(store_outcome)> done)>;
+
 /// @brief An entry of the list of endpoints as it was written.
 struct listed_endpoint {
   known_endpoint endpoint;
@@ -64,11 +70,10 @@
 struct platform_link {
   keyed_topic configuration;  ///< And evacuations, by the operator.
   keyed_topic endpoints;
-  keyed_topic hosts;  ///< Of this system; written by themselves.
-  /// Sets the value of a key among `hosts`.
-  std::function<void(const std::string& key, const std::string& value,
-                     std::function<void(store_outcome)> done)>
-      announce;
+  keyed_topic hosts;      ///< Of this system; written by themselves.
+  keyed_writer announce;  ///< Into `hosts`.
+  keyed_topic crashes;    ///< Of endpoints; written by hosts of this system.
+  keyed_writer write_crash;
   /// Decoders: null where the record is not for this system.
   /// @throws std::exception where it cannot be read.
   std::function<routing_table_ptr(const keyed_record&)> read_configuration;
--- a/include/slatestall/model/error_kind.h
+++ b/include/slatestall/model/error_kind.h
@@ -26,6 +26,7 @@
   kDraining,
   kNoConfiguration,
   kNoEndpoint,
+  kQuarantined,
   kClaimUnavailable,
   kStageFailed,
   kDeadlineExceeded,
--- a/programs/slatestall/loss_report.cc
+++ b/programs/slatestall/loss_report.cc
@@ -24,8 +24,9 @@
 constexpr std::array<std::string_view, 4> kCallersOwn{
     "not-found", "unauthorized", "invalid-request", "payload-too-large"};
 /// Refusals that say that the request has not run.
-constexpr std::array<std::string_view, 4> kNotRun{
-    "overloaded", "no-configuration", "deadline-unreachable", "no-endpoint"};
+constexpr std::array<std::string_view, 5> kNotRun{
+    "overloaded", "no-configuration", "deadline-unreachable", "no-endpoint",
+    "quarantined"};
 
 template <std::size_t N>
 bool IsOneOf(const std::array<std::string_view, N>& all,
--- /dev/null
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -0,0 +1,228 @@
+#include "slatestall/dispatch/content_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace slatestall {
+namespace {
+
+constexpr std::size_t kCrashesToQuarantine = 3;
+/// Reports of one crash come from all hosts that had calls there. Judged
+/// sooner, endpoints that crash together would look like one content's doing.
+constexpr milliseconds kReportTime{300};
+/// A request that was served longer ago says little: its endpoints may run
+/// other software by now.
+constexpr milliseconds kServedLife{60'000};
+constexpr milliseconds kCrashLife{600'000};
+constexpr milliseconds kQuarantineLife{3'600'000};
+/// Endpoints whose crash is remembered.
+constexpr std::size_t kMostCrashes = 1024;
+/// Contents of served requests that are remembered; a newer one takes the place
+/// of an older one with the same remainder.
+constexpr std::size_t kServedPlaces = 4096;
+/// Where one endpoint in so many crashed without a content, three that crashed
+/// with it are no evidence.
+constexpr std::size_t kChancePart = 2;
+
+}  // namespace
+
+content_quarantine::content_quarantine(size_hook listed)
+    : listed_(std::move(listed)), served_(kServedPlaces) {}
+
+void content_quarantine::NoteServed(request_digest content, time_point now) {
+  served_[content % kServedPlaces] = {content, now};
+}
+
+bool content_quarantine::WasServed(request_digest content,
+                                   time_point now) const {
+  const auto& last = served_[content % kServedPlaces];
+  return last.content == content && last.at != time_point{} &&
+         now - last.at < kServedLife;
+}
+
+void content_quarantine::NoteCrash(const endpoint_crash& crash,
+                                   crash_source source, time_point now) {
+  Forget(now);
+  const auto [entry, is_new] = crashes_.try_emplace(crash.endpoint);
+  auto& known = entry->second;
+  if (is_new) {
+    known.service = crash.service;
+    known.learnt = now;
+    known.is_timed = source != crash_source::kHistory;
+  }
+  for (const auto content : crash.running) {
+    known.running.insert(content);
+    if (source == crash_source::kOwnCalls) {
+      known.own.insert(content);
+    }
+    auto& endpoints = endpoints_of_[content];
+    endpoints.insert(crash.endpoint);
+    if (endpoints.size() >= kCrashesToQuarantine &&
+        !quarantined_.contains(content)) {
+      judged_at_.try_emplace(content, now + kReportTime);
+    }
+  }
+}
+
+void content_quarantine::NoteVerdict(request_digest content,
+                                     std::optional<content_verdict> verdict,
+                                     time_point now) {
+  if (verdict == content_verdict::kQuarantined) {
+    if (WasServed(content, now)) {
+      notices_.push_back({content, content_verdict::kCleared});
+      judged_at_.emplace(content, now);
+    } else {
+      quarantined_[content] = now + kQuarantineLife;
+    }
+    return;
+  }
+  quarantined_.erase(content);
+  ForgetCrashesOf(content);
+}
+
+bool content_quarantine::Refuses(request_digest content, time_point now) const {
+  const auto found = quarantined_.find(content);
+  return found != quarantined_.end() && now < found->second;
+}
+
+std::optional<time_point> content_quarantine::JudgesAt() const {
+  const auto first = std::min_element(
+      judged_at_.begin(), judged_at_.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return first == judged_at_.end() ? std::nullopt
+                                   : std::optional(first->second);
+}
+
+std::vector<content_notice> content_quarantine::Judge(time_point now) {
+  for (auto due = judged_at_.begin(); due != judged_at_.end();) {
+    const auto [content, at] = *due;
+    if (at > now) {
+      ++due;
+      continue;
+    }
+    due = judged_at_.erase(due);
+    if (!Crashes(content)) {
+      continue;
+    }
+    const bool tells = HasLost(content);
+    const bool served = WasServed(content, now);
+    if (served) {
+      ForgetCrashesOf(content);
+    } else {
+      quarantined_[content] = now + kQuarantineLife;
+    }
+    if (tells) {
+      notices_.push_back({content, served ? content_verdict::kCleared
+                                          : content_verdict::kQuarantined});
+    }
+  }
+  return std::exchange(notices_, {});
+}
+
+/// Whether three crashes in a row, with nothing in between that makes them
+/// likely without it, had this content running.
+bool content_quarantine::Crashes(request_digest content) const {
+  const auto crashes = CrashesOf(content);
+  for (std::size_t i = 0; i + kCrashesToQuarantine <= crashes.size(); ++i) {
+    const auto& first = *crashes[i];
+    const auto& last = *crashes[i + kCrashesToQuarantine - 1];
+    const auto others =
+        CrashesWithout(content, last.service, first.learnt - kReportTime,
+                       last.learnt + kReportTime);
+    if (others * kChancePart < listed_(last.service) || others == 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+content_quarantine::crash_list content_quarantine::CrashesOf(
+    request_digest content) const {
+  crash_list crashes;
+  const auto found = endpoints_of_.find(content);
+  if (found == endpoints_of_.end()) {
+    return crashes;
+  }
+  for (const auto& endpoint : found->second) {
+    crashes.push_back(&crashes_.at(endpoint));
+  }
+  std::stable_sort(
+      crashes.begin(), crashes.end(),
+      [](const auto* a, const auto* b) { return a->learnt < b->learnt; });
+  return crashes;
+}
+
+std::size_t content_quarantine::CrashesWithout(request_digest content,
+                                               const std::string& service,
+                                               time_point from,
+                                               time_point to) const {
+  const auto count =
+      std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
+        const auto& crash = entry.second;
+        return crash.is_timed && crash.service == service &&
+               crash.learnt >= from && crash.learnt <= to &&
+               !crash.running.contains(content) && !IsExplained(crash);
+      });
+  return static_cast<std::size_t>(count);
+}
+
+/// A content that is quarantined already has crashed it.
+bool content_quarantine::IsExplained(const known_crash& crash) const {
+  return std::any_of(
+      quarantined_.begin(), quarantined_.end(),
+      [&crash](const auto& one) { return crash.running.contains(one.first); });
+}
+
+bool content_quarantine::HasLost(request_digest content) const {
+  const auto found = endpoints_of_.find(content);
+  return found != endpoints_of_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const auto& endpoint) {
+                       return crashes_.at(endpoint).own.contains(content);
+                     });
+}
+
+void content_quarantine::ForgetCrashesOf(request_digest content) {
+  const auto found = endpoints_of_.find(content);
+  if (found == endpoints_of_.end()) {
+    return;
+  }
+  for (const auto& endpoint : found->second) {
+    auto& crash = crashes_.at(endpoint);
+    crash.running.erase(content);
+    crash.own.erase(content);
+  }
+  endpoints_of_.erase(found);
+}
+
+void content_quarantine::Drop(
+    std::map<std::string, known_crash>::iterator crash) {
+  for (const auto content : crash->second.running) {
+    const auto found = endpoints_of_.find(content);
+    found->second.erase(crash->first);
+    if (found->second.empty()) {
+      endpoints_of_.erase(found);
+    }
+  }
+  crashes_.erase(crash);
+}
+
+void content_quarantine::Forget(time_point now) {
+  std::erase_if(quarantined_,
+                [now](const auto& one) { return one.second <= now; });
+  for (auto crash = crashes_.begin(); crash != crashes_.end();) {
+    const auto next = std::next(crash);
+    if (now - crash->second.learnt >= kCrashLife) {
+      Drop(crash);
+    }
+    crash = next;
+  }
+  if (crashes_.size() >= kMostCrashes) {
+    Drop(std::min_element(crashes_.begin(), crashes_.end(),
+                          [](const auto& a, const auto& b) {
+                            return a.second.learnt < b.second.learnt;
+                          }));
+  }
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -0,0 +1,420 @@
+#include "slatestall/dispatch/content_quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "slatestall/model/ids.h"
+
+namespace slatestall {
+namespace {
+
+constexpr request_digest kContent = 0xc0;
+constexpr request_digest kOther = 0x07;
+constexpr std::size_t kListed = 18;
+/// In which reports of one crash come together.
+constexpr milliseconds kReports{300};
+
+time_point At(std::int64_t ms) {
+  return time_point{} + std::chrono::hours(24) + milliseconds(ms);
+}
+
+content_quarantine Quarantine(std::size_t listed = kListed) {
+  return content_quarantine([listed](const std::string&) { return listed; });
+}
+
+endpoint_crash Crash(int endpoint, std::vector<request_digest> running) {
+  return {"i-" + std::to_string(endpoint), "s", std::move(running)};
+}
+
+/// Three crashes a second apart.
+void CrashThree(content_quarantine& quarantine, crash_source source) {
+  for (int i = 0; i < 3; ++i) {
+    quarantine.NoteCrash(Crash(i, {kContent}), source, At(1000 * i));
+  }
+}
+
+class content_quarantine_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(content_quarantine_test);
+  CPPUNIT_TEST(DigestsTellContentsApart);
+  CPPUNIT_TEST(TheThirdCrashQuarantinesAndTheHostThatLostACallTells);
+  CPPUNIT_TEST(AHostThatLostNoCallJudgesAndTellsNobody);
+  CPPUNIT_TEST(TwoCrashesDoNot);
+  CPPUNIT_TEST(SeveralHostsReportsOfOneCrashCountOnce);
+  CPPUNIT_TEST(AContentThatWasServedOfLateIsClearedInstead);
+  CPPUNIT_TEST(OneThatWasServedLongAgoIsNot);
+  CPPUNIT_TEST(AHostThatServedItClearsAnothersQuarantine);
+  CPPUNIT_TEST(EndpointsThatCrashTogetherQuarantineNothing);
+  CPPUNIT_TEST(LateReportsOfOtherCrashesCount);
+  CPPUNIT_TEST(TwoContentsThatCrashEndpointsByTurnsAreBothQuarantined);
+  CPPUNIT_TEST(CrashesOfBeforeTheStartCount);
+  CPPUNIT_TEST(AToldQuarantineHoldsUntilItIsWithdrawn);
+  CPPUNIT_TEST(AQuarantineEnds);
+  CPPUNIT_TEST(AFleetSendsFewMoreAfterTheThirdCrash);
+  CPPUNIT_TEST(EqualRequestsAreServedWhileEndpointsCrashForAnotherReason);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DigestsTellContentsApart() {
+    const request_content content{"h", "GET", "/a", "w", "body"};
+    const auto digest = DigestOf(content);
+    CPPUNIT_ASSERT_EQUAL(digest, DigestOf({"h", "GET", "/a", "w", "body"}));
+    CPPUNIT_ASSERT(digest != DigestOf({"h", "GET", "/a", "v", "body"}));
+    CPPUNIT_ASSERT(digest != DigestOf({"h", "GET", "/aw", "", "body"}));
+    CPPUNIT_ASSERT(digest != DigestOf({"h", "GET", "/a", "w", "bodz"}));
+    CPPUNIT_ASSERT_EQUAL(std::string("000000000000000a"), DigestText(10));
+    CPPUNIT_ASSERT(DigestIn(DigestText(digest)) == digest);
+    CPPUNIT_ASSERT(!DigestIn("a"));
+    CPPUNIT_ASSERT(!DigestIn("00000000000000xa"));
+  }
+
+  void TheThirdCrashQuarantinesAndTheHostThatLostACallTells() {
+    auto quarantine = Quarantine();
+    quarantine.NoteCrash(Crash(0, {kContent, kOther}), crash_source::kOtherHost,
+                         At(0));
+    quarantine.NoteCrash(Crash(1, {kContent}), crash_source::kOtherHost,
+                         At(700));
+    quarantine.NoteCrash(Crash(2, {kContent}), crash_source::kOwnCalls,
+                         At(1400));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(1400)));
+    CPPUNIT_ASSERT(quarantine.JudgesAt() == At(1400) + kReports);
+    const auto told = quarantine.Judge(At(1700));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(1700)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kOther, At(1700)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+    CPPUNIT_ASSERT(told[0].content == kContent &&
+                   told[0].verdict == content_verdict::kQuarantined);
+    CPPUNIT_ASSERT(!quarantine.JudgesAt());
+  }
+
+  void AHostThatLostNoCallJudgesAndTellsNobody() {
+    auto quarantine = Quarantine();
+    CrashThree(quarantine, crash_source::kOtherHost);
+    CPPUNIT_ASSERT(quarantine.Judge(At(2300)).empty());
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(2300)));
+  }
+
+  void TwoCrashesDoNot() {
+    auto quarantine = Quarantine();
+    quarantine.NoteCrash(Crash(0, {kContent}), crash_source::kOwnCalls, At(0));
+    quarantine.NoteCrash(Crash(1, {kContent}), crash_source::kOwnCalls, At(9));
+    CPPUNIT_ASSERT(!quarantine.JudgesAt());
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+  }
+
+  void SeveralHostsReportsOfOneCrashCountOnce() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 5; ++i) {
+      quarantine.NoteCrash(Crash(1, {kContent}), crash_source::kOtherHost,
+                           At(i));
+    }
+    CPPUNIT_ASSERT(!quarantine.JudgesAt());
+  }
+
+  void AContentThatWasServedOfLateIsClearedInstead() {
+    auto quarantine = Quarantine();
+    quarantine.NoteServed(kContent, At(-1000));
+    CrashThree(quarantine, crash_source::kOwnCalls);
+    const auto told = quarantine.Judge(At(2300));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(2300)));
+    CPPUNIT_ASSERT(told.size() == 1 &&
+                   told[0].verdict == content_verdict::kCleared);
+    // The same three are not judged again.
+    quarantine.NoteCrash(Crash(3, {kContent}), crash_source::kOwnCalls,
+                         At(2400));
+    CPPUNIT_ASSERT(!quarantine.JudgesAt());
+  }
+
+  void OneThatWasServedLongAgoIsNot() {
+    auto quarantine = Quarantine();
+    quarantine.NoteServed(kContent, At(-70'000));
+    CrashThree(quarantine, crash_source::kOwnCalls);
+    quarantine.Judge(At(2300));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(2300)));
+  }
+
+  void AHostThatServedItClearsAnothersQuarantine() {
+    auto server = Quarantine();
+    auto third = Quarantine();
+    server.NoteServed(kContent, At(0));
+    server.NoteVerdict(kContent, content_verdict::kQuarantined, At(10));
+    third.NoteVerdict(kContent, content_verdict::kQuarantined, At(10));
+    CPPUNIT_ASSERT(!server.Refuses(kContent, At(10)));
+    CPPUNIT_ASSERT(third.Refuses(kContent, At(10)));
+    const auto told = server.Judge(At(10));
+    CPPUNIT_ASSERT(told.size() == 1 &&
+                   told[0].verdict == content_verdict::kCleared);
+    third.NoteVerdict(kContent, told[0].verdict, At(20));
+    CPPUNIT_ASSERT(!third.Refuses(kContent, At(20)));
+  }
+
+  // A popular request is on many endpoints of a domain that loses power.
+  void EndpointsThatCrashTogetherQuarantineNothing() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 12; ++i) {
+      quarantine.NoteCrash(
+          Crash(i, {i < 3 ? kContent : request_digest(100 + i)}),
+          crash_source::kOwnCalls, At(10 * i));
+    }
+    quarantine.Judge(At(600));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(600)));
+  }
+
+  void LateReportsOfOtherCrashesCount() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent}), crash_source::kOwnCalls,
+                           At(0));
+    }
+    for (int i = 3; i < 12; ++i) {
+      quarantine.NoteCrash(Crash(i, {kOther}), crash_source::kOtherHost,
+                           At(250));
+    }
+    quarantine.Judge(At(300));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(300)));
+  }
+
+  void TwoContentsThatCrashEndpointsByTurnsAreBothQuarantined() {
+    auto quarantine = Quarantine();
+    int endpoint = 0;
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(endpoint++, {kContent, 1}),
+                           crash_source::kOwnCalls, At(1000 * i));
+      quarantine.NoteCrash(Crash(endpoint++, {kOther, 2}),
+                           crash_source::kOwnCalls, At(1000 * i + 500));
+    }
+    quarantine.Judge(At(2800));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(2800)));
+    CPPUNIT_ASSERT(quarantine.Refuses(kOther, At(2800)));
+  }
+
+  void CrashesOfBeforeTheStartCount() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 2; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent}), crash_source::kHistory, At(0));
+    }
+    for (int i = 10; i < 25; ++i) {
+      quarantine.NoteCrash(Crash(i, {kOther}), crash_source::kHistory, At(0));
+    }
+    quarantine.NoteCrash(Crash(2, {kContent}), crash_source::kOwnCalls, At(50));
+    quarantine.Judge(At(400));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(400)));
+  }
+
+  void AToldQuarantineHoldsUntilItIsWithdrawn() {
+    auto quarantine = Quarantine();
+    quarantine.NoteVerdict(kContent, content_verdict::kQuarantined, At(0));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(1)));
+    quarantine.NoteVerdict(kContent, std::nullopt, At(2));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(2)));
+  }
+
+  void AQuarantineEnds() {
+    auto quarantine = Quarantine();
+    quarantine.NoteVerdict(kContent, content_verdict::kQuarantined, At(0));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(3'599'000)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(3'600'000)));
+  }
+
+  void AFleetSendsFewMoreAfterTheThirdCrash();
+  void EqualRequestsAreServedWhileEndpointsCrashForAnotherReason();
+};
+
+/// Hosts that learn of each other's reports with a delay, from 1 to hundreds.
+/// Some start later and read what was reported before; some lose touch for a
+/// while and read all of it afterwards.
+class fleet {
+ public:
+  struct message {
+    time_point written{};
+    std::size_t from = 0;
+    std::optional<endpoint_crash> crash;
+    std::optional<content_notice> notice;
+  };
+  struct member {
+    content_quarantine quarantine = Quarantine();
+    time_point started{};
+    std::size_t read = 0;  ///< Of the log.
+    time_point parted_from{};
+    time_point parted_until{};
+
+    bool IsParted(time_point now) const {
+      return now >= parted_from && now < parted_until;
+    }
+  };
+
+  explicit fleet(std::size_t hosts) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      hosts_.emplace_back();
+      hosts_.back().started = At(0);
+    }
+  }
+
+  member& Host(std::size_t index) { return hosts_[index]; }
+  std::size_t Size() const { return hosts_.size(); }
+
+  /// A new host knows what was reported before it started.
+  void Join(time_point now) {
+    hosts_.emplace_back();
+    hosts_.back().started = now;
+    Read(hosts_.size() - 1, now, crash_source::kHistory, milliseconds(0));
+  }
+
+  /// All that can read do so, up to what is older than the delay.
+  void Tick(time_point now, milliseconds delay) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (!hosts_[i].IsParted(now)) {
+        Read(i, now, crash_source::kOtherHost, delay);
+        Judge(i, now);
+      }
+    }
+  }
+
+  void Crash(std::size_t index, const endpoint_crash& crash, time_point now) {
+    hosts_[index].quarantine.NoteCrash(crash, crash_source::kOwnCalls, now);
+    outbox_.push_back({now, index, crash, std::nullopt});
+    Flush(now);
+  }
+
+ private:
+  void Judge(std::size_t index, time_point now) {
+    for (const auto& notice : hosts_[index].quarantine.Judge(now)) {
+      outbox_.push_back({now, index, std::nullopt, notice});
+    }
+    Flush(now);
+  }
+
+  /// What a parted host has to tell waits.
+  void Flush(time_point now) {
+    for (auto one = outbox_.begin(); one != outbox_.end();) {
+      if (hosts_[one->from].IsParted(now)) {
+        ++one;
+        continue;
+      }
+      one->written = now;
+      log_.push_back(*one);
+      one = outbox_.erase(one);
+    }
+  }
+
+  void Read(std::size_t index, time_point now, crash_source source,
+            milliseconds delay) {
+    auto& reader = hosts_[index];
+    while (reader.read < log_.size() &&
+           log_[reader.read].written + delay <= now) {
+      const auto& next = log_[reader.read++];
+      if (next.crash) {
+        reader.quarantine.NoteCrash(*next.crash, source, now);
+      } else {
+        reader.quarantine.NoteVerdict(next.notice->content,
+                                      next.notice->verdict, now);
+      }
+    }
+  }
+
+  std::vector<member> hosts_;
+  std::vector<message> log_;
+  std::vector<message> outbox_;
+};
+
+constexpr milliseconds kStep{50};
+/// All hosts in touch act within it.
+constexpr milliseconds kSettle{3000};
+/// Reports and verdicts take up to it from host to host.
+constexpr int kLongestDelay = 1100;
+constexpr std::size_t kMoreAllowed = 3;
+
+// The whole fleet goes on sending a request that crashes endpoints, each host
+// as long as it has not heard of three.
+void content_quarantine_test::AFleetSendsFewMoreAfterTheThirdCrash() {
+  CPPUNIT_ASSERT(rc::check("few more are sent after the third crash", [] {
+    fleet hosts(*rc::gen::oneOf(rc::gen::inRange<std::size_t>(1, 12),
+                                rc::gen::inRange<std::size_t>(12, 391)));
+    const milliseconds delay(*rc::gen::inRange(0, kLongestDelay));
+    const int pause = *rc::gen::inRange(1, 40);  // Steps between two requests.
+    const int joins_every = *rc::gen::inRange(10, 100);
+    for (int i = 0, parted = *rc::gen::inRange(0, 4); i < parted; ++i) {
+      auto& host = hosts.Host(*rc::gen::inRange<std::size_t>(0, hosts.Size()));
+      host.parted_from = At(*rc::gen::inRange(0, 10'000));
+      host.parted_until =
+          host.parted_from + milliseconds(*rc::gen::inRange(0, 20'000));
+    }
+    std::uint64_t draw = *rc::gen::arbitrary<std::uint64_t>();
+    int crashed = 0;
+    time_point third = time_point::max();
+    std::size_t more = 0;
+    for (int step = 0; step < 600; ++step) {
+      const auto now = At(0) + step * kStep;
+      hosts.Tick(now, delay);
+      if (step % joins_every == joins_every - 1) {
+        hosts.Join(now);
+      }
+      if (step % pause != 0) {
+        continue;
+      }
+      draw = StableHash(std::to_string(draw));
+      const auto index = draw % hosts.Size();
+      auto& host = hosts.Host(index);
+      if (host.quarantine.Refuses(kContent, now)) {
+        continue;
+      }
+      const bool in_touch =
+          now - host.started > kSettle &&
+          (now < host.parted_from || now >= host.parted_until + kSettle);
+      if (third != time_point::max() && now > third + kSettle && in_touch) {
+        ++more;
+      }
+      hosts.Crash(index, Crash(crashed, {kContent, draw}), now);
+      if (++crashed == 3) {
+        third = now;
+      }
+    }
+    RC_ASSERT(more <= kMoreAllowed);
+  }));
+}
+
+// A request that many send runs on endpoints that crash by turns or together,
+// for a reason of their own.
+void content_quarantine_test::
+    EqualRequestsAreServedWhileEndpointsCrashForAnotherReason() {
+  CPPUNIT_ASSERT(rc::check("equal requests go on", [] {
+    fleet hosts(*rc::gen::inRange<std::size_t>(1, 12));
+    const milliseconds delay(*rc::gen::inRange(0, kLongestDelay));
+    const int pause = *rc::gen::inRange(1, 8);
+    const auto crash_share = *rc::gen::inRange<std::uint64_t>(0, 60);
+    std::uint64_t draw = *rc::gen::arbitrary<std::uint64_t>();
+    int crashed = 0;
+    std::size_t sent = 0;
+    std::size_t refused = 0;
+    for (int step = 0; step < 1200; ++step) {
+      const auto now = At(0) + step * kStep;
+      hosts.Tick(now, delay);
+      if (step % pause != 0) {
+        continue;
+      }
+      draw = StableHash(std::to_string(draw));
+      const auto index = draw % hosts.Size();
+      auto& quarantine = hosts.Host(index).quarantine;
+      ++sent;
+      if (quarantine.Refuses(kContent, now)) {
+        ++refused;
+      } else if (draw / 1000 % 100 < crash_share) {
+        hosts.Crash(index, Crash(crashed++, {kContent, draw}), now);
+      } else {
+        quarantine.NoteServed(kContent, now);
+      }
+    }
+    RC_ASSERT(refused * 10 <= sent);
+  }));
+}
+
+CPPUNIT_TEST_SUITE_REGISTRATION(content_quarantine_test);
+
+}  // namespace
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -0,0 +1,211 @@
+#include "slatestall/gateway/crash_feed.h"
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+#include "slatestall/model/ids.h"
+
+namespace slatestall {
+namespace {
+
+using nlohmann::json;
+
+/// Keys: crash/ENDPOINT/HOST, content/DIGEST.
+constexpr std::string_view kCrashPrefix = "crash/";
+constexpr std::string_view kContentPrefix = "content/";
+constexpr milliseconds kRetryPause{300};
+/// Of the time in which all hosts are to act on a crash, the rest is for
+/// telling it on and judging it.
+constexpr int kWaitPart = 3;
+/// Between two reads while reports come in series.
+constexpr milliseconds kReadPause{100};
+constexpr milliseconds kCrashRecordLife{600'000};
+constexpr milliseconds kContentRecordLife{3'600'000};
+constexpr milliseconds kDeleteInterval{30'000};
+/// Hosts delete spread over this part of a record's life, so that as a rule
+/// one of them writes.
+constexpr int kSpreadPart = 4;
+/// A host has at most as many calls at one endpoint as matter here.
+constexpr std::size_t kMostContents = 256;
+
+milliseconds SpreadLife(milliseconds life) {
+  const auto spread = static_cast<std::uint64_t>((life / kSpreadPart).count());
+  return life + milliseconds(RandomBits() % spread);
+}
+
+json ContentsAsJson(const std::vector<request_digest>& contents) {
+  json texts = json::array();
+  for (const auto content : contents) {
+    if (texts.size() < kMostContents) {
+      texts.push_back(DigestText(content));
+    }
+  }
+  return texts;
+}
+
+std::optional<endpoint_crash> CrashIn(std::string_view key,
+                                      const std::string& value) {
+  const auto document = json::parse(value, nullptr, false);
+  const auto slash = key.rfind('/');
+  if (!document.is_object() || slash == std::string_view::npos ||
+      !document.value("running", json()).is_array()) {
+    return std::nullopt;
+  }
+  endpoint_crash crash;
+  crash.endpoint = key.substr(0, slash);
+  if (document.contains("service") && document["service"].is_string()) {
+    crash.service = document["service"].get<std::string>();
+  }
+  for (const auto& text : document["running"]) {
+    const auto digest = text.is_string() ? DigestIn(text.get<std::string>())
+                                         : std::optional<request_digest>();
+    if (digest) {
+      crash.running.push_back(*digest);
+    }
+  }
+  return crash;
+}
+
+}  // namespace
+
+crash_feed::crash_feed(asio::io_context& context,
+                       const gateway_options& options,
+                       const platform_link& link, decision_log& log,
+                       now_function now, crash_news news)
+    : self_(options.host_name),
+      write_(link.write_crash),
+      log_(log),
+      now_(std::move(now)),
+      news_(std::move(news)),
+      write_timer_(context),
+      delete_timer_(context),
+      follower_(
+          context, link.crashes,
+          {options.settle_limit / kWaitPart, kReadPause, options.restore_time},
+          {.on_all =
+               [this](const auto& records) {
+                 Take(records, crash_source::kHistory);
+               },
+           .on_changes =
+               [this](const auto& records) {
+                 Take(records, crash_source::kOtherHost);
+               },
+           .on_read = [](const keyed_read&) {},
+           .on_restored =
+               [this](const auto& records) {
+                 Take(records, crash_source::kHistory);
+               }}) {
+  DeleteOutlived();
+}
+
+void crash_feed::Report(const endpoint_crash& crash) {
+  const json value = {{"service", crash.service},
+                      {"running", ContentsAsJson(crash.running)}};
+  Write(std::string(kCrashPrefix) + crash.endpoint + "/" + self_, value.dump());
+}
+
+void crash_feed::Tell(const content_notice& notice) {
+  const json value = {
+      {"verdict", NameIn(kContentVerdictNames, notice.verdict)}};
+  Write(std::string(kContentPrefix) + DigestText(notice.content), value.dump());
+}
+
+void crash_feed::Write(const std::string& key, const std::string& value) {
+  unwritten_[key] = value;
+  WriteNext();
+}
+
+void crash_feed::WriteNext() {
+  if (writes_ || unwritten_.empty()) {
+    return;
+  }
+  writes_ = true;
+  const auto [key, value] = *unwritten_.begin();
+  write_(
+      key, value,
+      [this, key = key, value = value,
+       alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
+        if (alive.expired()) {
+          return;
+        }
+        const bool done = outcome == store_outcome::kDone;
+        const auto written = unwritten_.find(key);
+        if (done && written != unwritten_.end() && written->second == value) {
+          unwritten_.erase(written);
+        }
+        WriteAfter(done ? milliseconds(0) : kRetryPause);
+      });
+}
+
+void crash_feed::WriteAfter(milliseconds delay) {
+  write_timer_.expires_after(delay);
+  write_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      writes_ = false;
+      WriteNext();
+    }
+  });
+}
+
+void crash_feed::Take(const std::vector<keyed_record>& records,
+                      crash_source source) {
+  for (const auto& record : records) {
+    NoteLife(record);
+    TakeOne(record, source);
+  }
+}
+
+void crash_feed::TakeOne(const keyed_record& record, crash_source source) {
+  const std::string_view key = record.key;
+  if (key.starts_with(kContentPrefix)) {
+    const auto content = DigestIn(key.substr(kContentPrefix.size()));
+    const auto value = json::parse(record.value.value_or("{}"), nullptr, false);
+    const auto name =
+        value.is_object() ? value.value("verdict", json()) : json();
+    if (content) {
+      news_.on_verdict(
+          *content, name.is_string()
+                        ? ValueIn(kContentVerdictNames, name.get<std::string>())
+                        : std::nullopt);
+    }
+    return;
+  }
+  if (!key.starts_with(kCrashPrefix) || !record.value) {
+    return;
+  }
+  if (const auto crash =
+          CrashIn(key.substr(kCrashPrefix.size()), *record.value)) {
+    news_.on_crash(*crash, source);
+  } else {
+    log_.Write("crash_unreadable", {{"record", record.key}});
+  }
+}
+
+void crash_feed::NoteLife(const keyed_record& record) {
+  if (!record.value) {
+    outlived_at_.erase(record.key);
+    return;
+  }
+  const bool is_crash = record.key.starts_with(kCrashPrefix);
+  outlived_at_[record.key] =
+      now_() + SpreadLife(is_crash ? kCrashRecordLife : kContentRecordLife);
+}
+
+void crash_feed::DeleteOutlived() {
+  const time_point now = now_();
+  for (auto& [key, at] : outlived_at_) {
+    if (now >= at) {
+      at = now + kDeleteInterval;
+      Write(key, "");
+    }
+  }
+  delete_timer_.expires_after(kDeleteInterval);
+  delete_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      DeleteOutlived();
+    }
+  });
+}
+
+}  // namespace slatestall
--- /dev/null
+++ b/src/slatestall/gateway/crash_feed_test.cc
@@ -0,0 +1,162 @@
+#include "slatestall/gateway/crash_feed.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <asio/io_context.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "slatestall/relay/boot_time.h"
+
+namespace slatestall {
+namespace {
+
+constexpr request_digest kContent = 0xc0;
+const std::string kContentKey = "content/00000000000000c0";
+
+/// A topic that a test answers by hand, and a clock that it sets.
+class crash_feed_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(crash_feed_test);
+  CPPUNIT_TEST(AReportIsWrittenUntilTheStoreHasTakenIt);
+  CPPUNIT_TEST(OneWriteIsUnderWayAtATime);
+  CPPUNIT_TEST(WhatOneHostWritesAnotherReads);
+  CPPUNIT_TEST(WhatWasWrittenBeforeTheStartIsHistory);
+  CPPUNIT_TEST(ADeletedVerdictIsWithdrawn);
+  CPPUNIT_TEST(RecordsThatCannotBeReadChangeNothing);
+  CPPUNIT_TEST(AVerdictThatIsNotKnownIsTakenForNone);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    platform_link link;
+    link.crashes.read_newest = [this](auto done) { newest_ = std::move(done); };
+    link.crashes.read_from = [this](std::uint64_t, milliseconds, auto done) {
+      next_ = std::move(done);
+    };
+    link.write_crash = [this](const auto& key, const auto& value, auto done) {
+      writes_.push_back({key, value});
+      written_ = std::move(done);
+    };
+    options_.host_name = "h1";
+    crash_news news;
+    news.on_crash = [this](const endpoint_crash& crash, crash_source source) {
+      crashes_.emplace_back(crash, source);
+    };
+    news.on_verdict = [this](request_digest content, auto verdict) {
+      verdicts_.emplace_back(content, verdict);
+    };
+    feed_.emplace(context_, options_, link, log_, BootTimeNow, news);
+    feed_->Start();
+  }
+
+  void tearDown() override { feed_.reset(); }
+
+ private:
+  using done_hook = std::function<void(keyed_read)>;
+
+  void Answer(done_hook& hook, std::vector<keyed_record> records) {
+    keyed_read read;
+    read.outcome = store_outcome::kDone;
+    read.records = std::move(records);
+    std::exchange(hook, nullptr)(read);
+  }
+
+  void RunUntil(const std::function<bool()>& holds) {
+    const auto end = BootTimeNow() + std::chrono::seconds(10);
+    while (!holds() && BootTimeNow() < end) {
+      context_.run_for(milliseconds(1));
+      context_.restart();
+    }
+    CPPUNIT_ASSERT(holds());
+  }
+
+  void Read(std::vector<keyed_record> records) {
+    Answer(newest_, {});
+    RunUntil([this] { return next_ != nullptr; });
+    Answer(next_, std::move(records));
+  }
+
+  void AReportIsWrittenUntilTheStoreHasTakenIt() {
+    feed_->Report({"i-1", "s", {kContent}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, writes_.size());
+    std::exchange(written_, nullptr)(store_outcome::kNoAnswer);
+    RunUntil([this] { return writes_.size() == 2; });
+    CPPUNIT_ASSERT(writes_[0] == writes_[1]);
+    std::exchange(written_, nullptr)(store_outcome::kDone);
+    feed_->Tell({kContent, content_verdict::kQuarantined});
+    RunUntil([this] { return writes_.size() == 3; });
+    CPPUNIT_ASSERT_EQUAL(kContentKey, writes_[2].first);
+  }
+
+  void OneWriteIsUnderWayAtATime() {
+    feed_->Report({"i-1", "s", {kContent}});
+    feed_->Report({"i-2", "s", {kContent}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, writes_.size());
+    std::exchange(written_, nullptr)(store_outcome::kDone);
+    RunUntil([this] { return writes_.size() == 2; });
+    CPPUNIT_ASSERT_EQUAL(std::string("crash/i-2/h1"), writes_[1].first);
+  }
+
+  void WhatOneHostWritesAnotherReads() {
+    feed_->Report({"i-1", "s", {kContent, 7}});
+    std::exchange(written_, nullptr)(store_outcome::kDone);
+    feed_->Tell({kContent, content_verdict::kCleared});
+    RunUntil([this] { return writes_.size() == 2; });
+    Read({{writes_[0].first, writes_[0].second},
+          {writes_[1].first, writes_[1].second}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes_.size());
+    const auto& [crash, source] = crashes_[0];
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), crash.endpoint);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), crash.service);
+    CPPUNIT_ASSERT((crash.running == std::vector<request_digest>{kContent, 7}));
+    CPPUNIT_ASSERT(source == crash_source::kOtherHost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, verdicts_.size());
+    CPPUNIT_ASSERT(verdicts_[0].first == kContent &&
+                   verdicts_[0].second == content_verdict::kCleared);
+  }
+
+  void WhatWasWrittenBeforeTheStartIsHistory() {
+    Answer(newest_, {{"crash/i-1/h2", R"({"service":"s","running":[]})"}});
+    CPPUNIT_ASSERT(crashes_.size() == 1 &&
+                   crashes_[0].second == crash_source::kHistory);
+  }
+
+  void ADeletedVerdictIsWithdrawn() {
+    Read({{kContentKey, std::nullopt}});
+    CPPUNIT_ASSERT(verdicts_.size() == 1 && !verdicts_[0].second);
+  }
+
+  void RecordsThatCannotBeReadChangeNothing() {
+    Read({{"crash/i-1/h2", "no json"},
+          {"crash/i-1", R"({"service":"s","running":[]})"},
+          {"crash/i-1/h2", R"({"service":"s"})"},
+          {"crash/i-1/h2", R"([1])"},
+          {"content/xyz", R"({"verdict":"quarantined"})"},
+          {"other", "{}"}});
+    CPPUNIT_ASSERT(crashes_.empty() && verdicts_.empty());
+  }
+
+  void AVerdictThatIsNotKnownIsTakenForNone() {
+    Read({{kContentKey, R"({"verdict":7})"}, {kContentKey, "no json"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, verdicts_.size());
+    CPPUNIT_ASSERT(!verdicts_[0].second && !verdicts_[1].second);
+  }
+
+  asio::io_context context_;
+  gateway_options options_;
+  decision_log log_{"test", 0, BootTimeNow};
+  done_hook newest_;
+  done_hook next_;
+  std::function<void(store_outcome)> written_;
+  std::vector<std::pair<std::string, std::string>> writes_;
+  std::vector<std::pair<endpoint_crash, crash_source>> crashes_;
+  std::vector<std::pair<request_digest, std::optional<content_verdict>>>
+      verdicts_;
+  std::optional<crash_feed> feed_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_feed_test);
+
+}  // namespace
+}  // namespace slatestall
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -75,12 +75,14 @@
           [this](std::vector<listed_gateway> hosts) {
             news_.on_hosts(std::move(hosts));
           },
-          [this](const host_census& census) { news_.on_census(census); }) {}
+          [this](const host_census& census) { news_.on_census(census); }),
+      crashes_(context, options, link_, log_, now_, news_.crashes) {}
 
 void gateway_control::Start() {
   configuration_.Start();
   endpoints_.Start();
   hosts_.Start();
+  crashes_.Start();
 }
 
 void gateway_control::OnRead(const char* what, bool& reachable,
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "slatestall/gateway/crash_feed.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/endpoint_listing.h"
 #include "slatestall/gateway/gateway_options.h"
@@ -24,6 +25,7 @@
   std::function<void(std::vector<known_endpoint>)> on_endpoints;
   std::function<void(std::vector<listed_gateway>)> on_hosts;
   std::function<void(const host_census&)> on_census;
+  crash_news crashes;
   /// What the store holds and nobody can read, to be counted.
   std::function<void(std::string_view what)> on_unreadable;
 };
@@ -41,6 +43,9 @@
                   control_news news);
 
   void Start();
+  /// @brief Other hosts are to know.
+  void Report(const endpoint_crash& crash) { crashes_.Report(crash); }
+  void Tell(const content_notice& notice) { crashes_.Tell(notice); }
 
  private:
   void TakeAllOfOperator(const std::vector<keyed_record>& records);
@@ -74,6 +79,7 @@
   topic_follower configuration_;
   topic_follower endpoints_;
   host_directory hosts_;
+  crash_feed crashes_;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_control_test.cc
+++ b/src/slatestall/gateway/gateway_control_test.cc
@@ -47,6 +47,7 @@
   link.configuration = operator_topic.Topic();
   link.endpoints = endpoints.Topic();
   link.hosts = fake_topic().Topic();
+  link.crashes = fake_topic().Topic();
   link.announce = [](const auto&, const auto&, const auto&) {};
   link.read_configuration = [](const keyed_record& record) {
     if (record.key.starts_with(kEvacuate)) {
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "slatestall/dispatch/cold_limit.h"
+#include "slatestall/dispatch/content_quarantine.h"
 #include "slatestall/dispatch/endpoint_roster.h"
 #include "slatestall/dispatch/first_event_time.h"
 #include "slatestall/dispatch/longest_answer.h"
@@ -36,6 +37,7 @@
   endpoint_roster roster;
   repeat_allowance repeats;
   cold_limit cold;
+  content_quarantine quarantine;
   gateway_metrics metrics;
   routing_table_ptr table;                         ///< Null until one is known.
   std::map<std::string, usual_patience> patience;  ///< By route.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -52,11 +52,12 @@
       : options_(options),
         adapter_(std::move(adapter)),
         log_(options.host_name, kMaxLinesPerSecond, BootTimeNow),
-        traffic_(traffic_context_, options_, adapter_.protocol, log_,
-                 BootTimeNow,
-                 [this](const topic_question& question) {
-                   return reading_.Answer(question);
-                 }),
+        traffic_(
+            traffic_context_, options_, adapter_.protocol, log_, BootTimeNow,
+            [this](const topic_question& question) {
+              return reading_.Answer(question);
+            },
+            ToOthers()),
         control_client_(control_context_),
         reading_(control_context_, OtherHosts(), BootTimeNow),
         control_(control_context_, options_, Link(), log_, BootTimeNow, News()),
@@ -150,9 +151,38 @@
     link.endpoints =
         reading_.Share("endpoints", link.endpoints, options_.leave_limit / 2);
     link.hosts = reading_.Share("hosts", link.hosts, kHostsAge);
+    link.crashes =
+        reading_.Share("crashes", link.crashes, options_.settle_limit / 2);
     return link;
   }
 
+  /// What this host's calls have shown, by way of the store.
+  traffic_news ToOthers() {
+    traffic_news news;
+    news.on_crash = [this](const endpoint_crash& crash) {
+      asio::post(control_context_, [this, crash] { control_.Report(crash); });
+    };
+    news.on_verdict = [this](const content_notice& notice) {
+      asio::post(control_context_, [this, notice] { control_.Tell(notice); });
+    };
+    return news;
+  }
+
+  crash_news Crashes() {
+    crash_news news;
+    news.on_crash = [this](const endpoint_crash& crash, crash_source source) {
+      asio::post(traffic_context_,
+                 [this, crash, source] { traffic_.NoteCrash(crash, source); });
+    };
+    news.on_verdict = [this](request_digest content,
+                             std::optional<content_verdict> verdict) {
+      asio::post(traffic_context_, [this, content, verdict] {
+        traffic_.NoteVerdict(content, verdict);
+      });
+    };
+    return news;
+  }
+
   control_news News() {
     control_news news;
     news.on_configuration = [this](routing_table_ptr table) {
@@ -176,6 +206,7 @@
       asio::post(traffic_context_,
                  [this, census] { traffic_.SetCensus(census); });
     };
+    news.crashes = Crashes();
     news.on_unreadable = [this](std::string_view what) {
       traffic_.Metrics().Count("unreadable", what);
     };
--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -33,6 +33,7 @@
   double link_mbps = 1000.0;
   std::uint32_t leave_limit = 2000;
   std::uint32_t evacuation_limit = 5000;
+  std::uint32_t settle_limit = 3000;
   double cold_rate_factor = 1;
   double cold_rate_extra = 0;
   double stop_grace = 8;
@@ -134,6 +135,14 @@
                    .maximum = 3600000,
                    .meaning = "No new work may reach a failure domain that "
                               "long after its evacuation"}),
+      MemberField(&s::settle_limit,
+                  {.name = "settle_limit_ms",
+                   .type = type::kWhole,
+                   .unit = "milliseconds",
+                   .minimum = 100,
+                   .maximum = 3600000,
+                   .meaning = "All hosts act within it on what one of them "
+                              "has learnt of endpoints"}),
       MemberField(&s::cold_rate_factor,
                   {.name = "cold_rate_factor",
                    .type = type::kNumber,
@@ -250,6 +259,7 @@
   options.memory_bytes = std::size_t{written.max_memory_mb} << 20U;
   options.leave_limit = milliseconds(written.leave_limit);
   options.evacuation_limit = milliseconds(written.evacuation_limit);
+  options.settle_limit = milliseconds(written.settle_limit);
   options.cold = {written.cold_rate_factor, written.cold_rate_extra};
   options.stop_grace = FromSeconds(written.stop_grace);
   options.repeats.ratio = written.repeat_ratio;
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -44,8 +44,9 @@
                                  const gateway_options& options,
                                  const endpoint_protocol& protocol,
                                  decision_log& log, const now_function& now,
-                                 topic_source known_topics)
-    : environment_{context,
+                                 topic_source known_topics, traffic_news news)
+    : news_(std::move(news)),
+      environment_{context,
                    options,
                    protocol,
                    log,
@@ -53,6 +54,9 @@
                    endpoint_roster(options.Uses(mechanism::kAvoidance)),
                    repeat_allowance(options.repeats),
                    cold_limit(options.host_name),
+                   content_quarantine([this](const std::string& service) {
+                     return environment_.roster.Of(service).size();
+                   }),
                    {},
                    nullptr,
                    {},
@@ -70,6 +74,7 @@
       stages_(router_.Calls()),
       crashes_(context,
                [this](const endpoint_crash& crash) { OnCrash(crash); }),
+      judge_timer_(context),
       starting_(context,
                 [this](inbound_request request, answer_channel_ptr channel) {
                   TakeRequest(std::move(request), std::move(channel));
@@ -158,6 +163,44 @@
                                               {"service", crash.service},
                                               {"running", running}});
   environment_.metrics.Count("endpoints_crashed", crash.service);
+  news_.on_crash(crash);
+  NoteCrash(crash, crash_source::kOwnCalls);
+}
+
+void gateway_traffic::NoteCrash(const endpoint_crash& crash,
+                                crash_source source) {
+  environment_.quarantine.NoteCrash(crash, source, environment_.now());
+  JudgeSoon();
+}
+
+void gateway_traffic::NoteVerdict(request_digest content,
+                                  std::optional<content_verdict> verdict) {
+  environment_.quarantine.NoteVerdict(content, verdict, environment_.now());
+  JudgeSoon();
+}
+
+void gateway_traffic::JudgeSoon() {
+  const auto at = environment_.quarantine.JudgesAt();
+  if (!at) {
+    return;
+  }
+  judge_timer_.expires_after(*at - environment_.now());
+  judge_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Judge();
+    }
+  });
+}
+
+void gateway_traffic::Judge() {
+  for (const auto& notice : environment_.quarantine.Judge(environment_.now())) {
+    environment_.log.Write(
+        "content_judged",
+        {{"content", DigestText(notice.content)},
+         {"verdict", NameIn(kContentVerdictNames, notice.verdict)}});
+    news_.on_verdict(notice);
+  }
+  JudgeSoon();
 }
 
 void gateway_traffic::AnnounceClose() {
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "slatestall/gateway/crash_watch.h"
@@ -18,6 +21,14 @@
 
 namespace slatestall {
 
+/// @brief What the traffic thread learns that other hosts are to know; called
+/// on it.
+/// @ingroup gateway
+struct traffic_news {
+  std::function<void(const endpoint_crash&)> on_crash;
+  std::function<void(const content_notice&)> on_verdict;
+};
+
 /// @brief The traffic thread's part of a gateway host: callers' connections,
 /// the requests in hand, the stage calls.
 /// @ingroup gateway
@@ -25,7 +36,8 @@
  public:
   gateway_traffic(asio::io_context& context, const gateway_options& options,
                   const endpoint_protocol& protocol, decision_log& log,
-                  const now_function& now, topic_source known_topics);
+                  const now_function& now, topic_source known_topics,
+                  traffic_news news);
   ~gateway_traffic();
   gateway_traffic(const gateway_traffic&) = delete;
   gateway_traffic& operator=(const gateway_traffic&) = delete;
@@ -41,6 +53,10 @@
   void AskReader(const topic_question& question, topic_asks::reader_hook done);
   /// @brief Asks some other hosts what they know.
   void AskAny(const topic_question& question, topic_exchange::done_hook done);
+  /// @brief Other hosts have reported a crash, or told of a content.
+  void NoteCrash(const endpoint_crash& crash, crash_source source);
+  void NoteVerdict(request_digest content,
+                   std::optional<content_verdict> verdict);
   void SetRepeatLimits(const repeat_limits& limits) {
     environment_.repeats.SetLimits(limits);
     router_.RenewPool();
@@ -61,9 +77,12 @@
  private:
   void ForgetOldRoutes();
   void OnCrash(const endpoint_crash& crash);
+  void JudgeSoon();
+  void Judge();
   void EndStart();
   void TakeRequest(inbound_request request, answer_channel_ptr channel);
 
+  traffic_news news_;
   gateway_environment environment_;
   http_client client_;
   stage_home home_;
@@ -72,6 +91,7 @@
   stage_router router_;
   const stage_calls stages_;
   crash_watch crashes_;
+  asio::steady_timer judge_timer_;
   start_queue starting_;
   bool knows_endpoints_ = false;
   caller_listener listener_;
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -57,9 +57,7 @@
   keyed_topic Timed(const keyed_topic& topic);
 
   const gateway_options& options_;
-  std::function<void(const std::string&, const std::string&,
-                     std::function<void(store_outcome)>)>
-      announce_;
+  keyed_writer announce_;
   decision_log& log_;
   now_function now_;
   hosts_hook on_hosts_;
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -74,6 +74,9 @@
   if (auto refused = FindWorkspace()) {
     return refused;
   }
+  if (auto refused = CheckQuarantine()) {
+    return refused;
+  }
   last_event_ = facts_.last_event;
   SetTimes();
   if (auto refused = CheckStop()) {
@@ -128,6 +131,19 @@
   return std::nullopt;
 }
 
+/// It would meet the same answer wherever it came again, so that no time to
+/// come back is told.
+std::optional<request_run::refusal> request_run::CheckQuarantine() const {
+  const auto& quarantine = environment_.quarantine;
+  if (quarantine.IsEmpty() ||
+      !quarantine.Refuses(Digest(), environment_.now())) {
+    return std::nullopt;
+  }
+  return refusal{
+      error_kind::kQuarantined,
+      "endpoints have crashed under content " + DigestText(Digest())};
+}
+
 void request_run::SetTimes() {
   milliseconds limit = route_->timeout;
   if (facts_.patience) {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -114,6 +114,14 @@
 }
 
 void request_run::Dispatch() {
+  if (const auto refused = CheckQuarantine()) {
+    if (may_have_run_ || stream_begun_) {
+      GiveUp(attempt_failure::kUnknown, refused->detail);
+    } else {
+      Refuse(*refused);
+    }
+    return;
+  }
   if (sends_ == 0) {
     if (const auto refused = StillAllowed()) {
       Refuse(*refused);
@@ -342,6 +350,9 @@
     return;
   }
   EndAttempt(call_lesson::kAnswered);
+  if (IsSuccess()) {
+    environment_.quarantine.NoteServed(Digest(), environment_.now());
+  }
   if (events_) {
     BeginStream();
     if (!finished_) {
@@ -369,6 +380,9 @@
 }
 
 bool request_run::MaySendAgain(attempt_failure failure) const {
+  if (CheckQuarantine()) {
+    return false;
+  }
   const bool unharmed = failure == attempt_failure::kNotSent ||
                         failure == attempt_failure::kMoved;
   if (unharmed) {
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -71,6 +71,7 @@
   std::optional<refusal> FindRoute();
   std::optional<refusal> FindWorkspace();
   void SetTimes();
+  std::optional<refusal> CheckQuarantine() const;
   std::optional<refusal> CheckEndpoints() const;
   std::optional<refusal> CheckTime() const;
   std::optional<refusal> CheckStop() const;
--- a/src/slatestall/gateway/settings_reload.cc
+++ b/src/slatestall/gateway/settings_reload.cc
@@ -57,6 +57,7 @@
   Note("leave_limit_ms", loaded.leave_limit, current.leave_limit, later);
   Note("evacuation_limit_ms", loaded.evacuation_limit, current.evacuation_limit,
        later);
+  Note("settle_limit_ms", loaded.settle_limit, current.settle_limit, later);
   return change;
 }
 
--- a/src/slatestall/model/error_kind.cc
+++ b/src/slatestall/model/error_kind.cc
@@ -7,7 +7,7 @@
 namespace slatestall {
 namespace {
 
-constexpr std::array<error_answer, 20> kAnswers{{
+constexpr std::array<error_answer, 21> kAnswers{{
     {error_kind::kInvalidRequest, "invalid-request",
      "The request is not well formed", 400, ran::kNo, true},
     {error_kind::kUnauthorized, "unauthorized",
@@ -38,6 +38,8 @@
      "No configuration is in force yet", 503, ran::kNo, true},
     {error_kind::kNoEndpoint, "no-endpoint", "No endpoint can take the request",
      503, ran::kNo, true},
+    {error_kind::kQuarantined, "quarantined",
+     "Endpoints have crashed under equal requests", 503, ran::kNo, true},
     {error_kind::kClaimUnavailable, "claim-unavailable",
      "The key could not be claimed; nothing was run now", 503, ran::kNo, true},
     {error_kind::kStageFailed, "stage-failed", "A stage failed", 502,
--- a/src/slatestall/report/report_collector.cc
+++ b/src/slatestall/report/report_collector.cc
@@ -25,6 +25,7 @@
     case error_kind::kDraining:
     case error_kind::kNoConfiguration:
     case error_kind::kNoEndpoint:
+    case error_kind::kQuarantined:
     case error_kind::kClaimUnavailable:
       return request_outcome::kRefused;
     case error_kind::kDeadlineExceeded:
