Pieces that crash stage endpoints count against their request's content

The same cause elsewhere: a request whose pieces crash endpoints was given anew to stage endpoints each time it came, up to four of them at a time.

A group of pieces carries its request's content to its home, which reports the contents of calls that broke off and gives up pieces of a quarantined content. Results that were made clear nothing: the request may still crash a later service.

--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/request_digest.h"
 #include "slatestall/model/region_limit.h"
 #include "slatestall/model/time.h"
 
@@ -15,6 +16,7 @@
 /// @ingroup dispatch
 struct piece_group {
   std::string request;
+  request_digest content = 0;  ///< Of the request; 0: not told.
   unsigned stage = 0;
   unsigned pieces = 0;
   std::string key;                  ///< Of stages without inputs.
--- a/src/slatestall/gateway/request_stages.cc
+++ b/src/slatestall/gateway/request_stages.cc
@@ -132,6 +132,7 @@
 void request_run::BeginStage(std::size_t stage) {
   piece_group group;
   group.request = facts_.id;
+  group.content = Digest();
   group.stage = static_cast<unsigned>(stage);
   group.pieces = graph_->Pieces(stage);
   group.inputs = graph_->InputsOf(stage);
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -192,6 +192,9 @@
       }
     }
   }
+  if (result.end == call_end::kTruncated) {
+    NoteBroken(*call);
+  }
   if (!call->pieces_released) {
     for (const auto& piece : call->pieces) {
       TryAgain(call->shard, piece);
@@ -200,6 +203,15 @@
   return lesson;
 }
 
+void stage_home::NoteBroken(const call_state& call) {
+  for (const auto& piece : call.pieces) {
+    if (piece.group->content == 0) {
+      continue;
+    }
+    environment_.on_broken(call.record->Info(), piece.group->content);
+  }
+}
+
 void stage_home::Pause(const call_state& call) {
   auto& full = shards_[call.shard].paused[call.record->Info().Incarnation()];
   full.until = environment_.now() +
@@ -297,7 +309,9 @@
   if (found == groups_.end()) {
     return;
   }
-  if (found->second->tries[piece.piece] >= kMaxTries) {
+  if (found->second->tries[piece.piece] >= kMaxTries ||
+      environment_.quarantine.Refuses(piece.group->content,
+                                      environment_.now())) {
     Fail(piece.group.get(), stage_end::kFailed);
     return;
   }
--- a/src/slatestall/gateway/stage_wire.cc
+++ b/src/slatestall/gateway/stage_wire.cc
@@ -46,6 +46,7 @@
       WholeMilliseconds(group.worthless_after - now).count());
   submit.near = group.near;
   submit.result_bytes = group.result_bytes;
+  submit.content = group.content;
   return submit;
 }
 
@@ -107,6 +108,7 @@
   group.worthless_after = now + milliseconds(submit.worthless_ms);
   group.near = submit.near;
   group.result_bytes = submit.result_bytes;
+  group.content = submit.content;
   return group;
 }
 
