Soak: a request that crashes endpoints comes again at any host

A replacement for each endpoint comes at once. Judged: requests that calm hosts send on later than 3 s after the third crash, three at most; and that no more than a tenth of the other requests, all with one of a few contents, are quarantined while endpoints crash for other reasons.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -143,6 +143,17 @@
         return head.headers.get("connection") != "close"
 
 
+class Crasher(Caller):
+    """Sends one request that crashes the endpoints that run it, again and
+    again, at any host."""
+
+    KINDS = ("crash",)
+    PAUSE = 0.8
+
+    def draw(self, kind):
+        return "/once/crash", self.PATIENCE
+
+
 class Keeper(Caller):
     """Keeps its connection for as long as the host does, with long streams and
     pauses: its requests reach a host that has closed its door."""
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -135,6 +135,7 @@
         self.late_arrivals = []
         self.disturbed = []  # Times of unplanned faults on it.
         self.crashed = False
+        self.on_crash = None  # A request crashes it.
         self.port = None
         self.address = None  # As published.
         self.born = int(time.time() * 1000)
@@ -208,6 +209,9 @@
     async def run(self, path, headers, writer, fails):
         request = headers["request-id"]
         self.runs.append((request, path, self))
+        if path == "/once/crash":
+            self.on_crash()
+            return False
         if headers.get("tenant") != "w":
             self.faults.append(f"wrong workspace for {request}")
         if path.startswith("/staged/"):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -19,7 +19,7 @@
 import time
 from pathlib import Path
 
-from callers import PROMISES, Caller, Keeper
+from callers import PROMISES, Caller, Crasher, Keeper
 from fakes import Endpoint, Store
 from proxy import Proxy
 from stops import CROSSING, GRACE, Stop
@@ -31,6 +31,9 @@
 EVACUATION_LIMIT = 2.0
 # Failure domains of endpoints, by turns.
 DOMAINS = ("d", "e")
+# How often a request is sent to endpoints after it has crashed three and all
+# hosts had the time to learn of it.
+MORE_CRASHES = 3
 # Time in which a host that was disturbed may still be wrong.
 SETTLE = 3.0
 
@@ -155,6 +158,8 @@
         endpoint.address = f"127.0.0.1:{proxy.port}"
         self.proxies[endpoint] = proxy
         endpoint.domain = DOMAINS[self.number % len(DOMAINS)]
+        endpoint.on_crash = lambda: asyncio.ensure_future(
+            self.crash(endpoint, "a request crashes"))
         self.endpoints.append(endpoint)
         self.publish(endpoint)
         return endpoint
@@ -317,8 +322,12 @@
                                    if e.left_at is None])
 
     async def crash_endpoint(self):
-        endpoint = self.some_endpoint()
-        self.note(f"crash {endpoint.identity}")
+        await self.crash(self.some_endpoint(), "crash")
+
+    async def crash(self, endpoint, why):
+        if endpoint.crashed:
+            return
+        self.note(f"{why} {endpoint.identity}")
         endpoint.left_at = time.monotonic()
         endpoint.disturbed.append(endpoint.left_at)
         endpoint.crash()
@@ -378,7 +387,7 @@
                     for h in self.hosts]
         await asyncio.sleep(1.5)
         count = self.host_count
-        kinds = [Caller] * (count + 5) + [Keeper] * (4 * count)
+        kinds = [Caller] * (count + 5) + [Keeper] * (4 * count) + [Crasher]
         callers = [kind(f"{self.seed}c{i}", random.Random(f"{self.seed}.{i}"),
                         self.hosts, self.outcomes)
                    for i, kind in enumerate(kinds)]
@@ -404,17 +413,21 @@
         runs = {}
         for request, _, endpoint in self.runs:
             runs.setdefault(request, []).append(endpoint)
+        broken += self.judge_crashes(runs)
         for one in self.outcomes:
             ran = len(runs.get(one.request, []))
             name = (f"{one.request} ({one.kind}, {one.host.name}, sent at "
                     f"{one.sent - self.began:.2f}, ran {ran})")
             if one.fault:
                 broken.append(f"{name}: {one.fault}")
-            if one.kind == "once" and ran > 1:
+            if one.kind in ("once", "crash") and ran > 1:
                 broken.append(f"{name}: ran {ran} times")
-            if ran > 0 and (one.refusal == "draining" or one.kind == "once" and
+            if ran > 0 and (one.refusal == "draining" or
+                            one.kind in ("once", "crash") and
                             one.status in PROMISES):
                 broken.append(f"{name}: {one.status}, but it ran")
+            if one.kind == "crash":
+                continue  # Nobody misses its answer.
             ended = one.ended = one.ended or time.monotonic()
             calm = not self.near(one.host.disturbed, one.sent, ended)
             # A stream whose engine broke off twice ends cut, too.
@@ -445,12 +458,36 @@
                 broken.append(f"{host.name} ended by itself with {code}")
             for stop in host.stops:
                 broken += stop.faults(self.is_calm(stop), self.times)
-        served = sum(1 for o in self.outcomes if o.status == 200 and not o.cut)
-        if self.times and served * 2 < len(self.outcomes):
-            broken.append(f"served only {served} of {len(self.outcomes)}")
+        owed = [o for o in self.outcomes if o.kind != "crash"]
+        served = sum(1 for o in owed if o.status == 200 and not o.cut)
+        if self.times and served * 2 < len(owed):
+            broken.append(f"served only {served} of {len(owed)}")
+        wrongly = [o for o in owed if o.refusal == "quarantined"]
+        if len(wrongly) * 10 > len(owed):
+            broken.append(f"{len(wrongly)} of {len(owed)} quarantined")
+        self.quarantined = sum(1 for o in self.outcomes
+                               if o.refusal == "quarantined") - len(wrongly)
         self.served = served
         return broken
 
+    def judge_crashes(self, runs):
+        """A request that crashes endpoints reaches few once three are gone."""
+        crashed = sorted((one for one in self.outcomes if one.kind == "crash"
+                          and one.ended and runs.get(one.request)),
+                         key=lambda one: one.sent)
+        self.crashed = len(crashed)
+        if len(crashed) < 3:
+            return
+        known = crashed[2].ended + SETTLE
+        more = [one for one in crashed if one.sent > known and
+                not self.near(one.host.disturbed, one.sent, one.ended) and
+                not self.near([s.told_at for s in one.host.stops], one.sent,
+                              one.ended) and
+                not self.near(self.store_troubles, one.sent, one.ended)]
+        if len(more) > MORE_CRASHES:
+            yield (f"a request that had crashed 3 endpoints was sent to "
+                   f"{len(more)} more, {len(crashed)} in all")
+
     def judge_evacuations(self):
         for domain, begin, end in self.evacuations:
             bound = begin + EVACUATION_LIMIT
@@ -493,7 +530,8 @@
         broken = asyncio.run(run.play())
         print(f"seed {seed}: {run.served} of {len(run.outcomes)} served, "
               f"{sum(len(h.stops) for h in run.hosts)} stops, {run.late} "
-              f"requests behind a closed door, {len(broken)} broken",
+              f"requests behind a closed door, {run.crashed} crashes by a "
+              f"request, {run.quarantined} times refused, {len(broken)} broken",
               flush=True)
         if broken:
             for line in run.events + [""] + broken[:20]:
