Logs tell the quota that an endpoint names

endpoint_quota tells when a host hears of a quota, of another one, or of none any more; calls_under_quota counts what it sends there. The answer of another incarnation (421) tells nothing of the endpoint that was meant, of its load neither.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -3,6 +3,7 @@
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -73,6 +74,11 @@
   void NoteEnd(call_lesson lesson, time_point now);
   /// @brief Load that an answer told; it counts this host's calls, too.
   void NoteLoad(const told_load& load);
+  /// @brief Calls a second that it takes from all hosts together; nothing: as
+  /// many as it has places for.
+  /// @returns whether that is news.
+  bool NoteQuota(std::optional<double> per_second);
+  const std::optional<double>& Quota() const { return quota_; }
   /// @param relative Time that an answer took against what was expected.
   void NoteSlowness(double relative) { slowness_.Add(relative); }
 
@@ -99,6 +105,7 @@
   bool may_avoid_;
   std::uint32_t in_flight_ = 0;
   told_load told_;
+  std::optional<double> quota_;
   std::uint32_t in_flight_when_told_ = 0;
   unsigned failures_in_row_ = 0;
   time_point avoid_until_{};
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -53,6 +53,8 @@
   bool inputs_gone = false;        ///< Not run: results were dropped.
   bool encoded = false;  ///< Its body is not the endpoint's plain bytes.
   std::optional<told_load> load;
+  /// Calls a second that the endpoint takes from all hosts together.
+  std::optional<double> quota;
 };
 
 enum class piece_end {
--- a/src/slatestall/dispatch/endpoint_record.cc
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace slatestall {
 namespace {
@@ -51,6 +52,10 @@
   in_flight_when_told_ = in_flight_;
 }
 
+bool endpoint_record::NoteQuota(std::optional<double> per_second) {
+  return std::exchange(quota_, per_second) != per_second;
+}
+
 double endpoint_record::OthersBusy(time_point now) const {
   if (told_.at == time_point{}) {
     return 0;
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -1,5 +1,7 @@
 #include "slatestall/gateway/gateway_environment.h"
 
+#include <nlohmann/json.hpp>
+
 namespace slatestall {
 
 std::optional<std::size_t> gateway_environment::ColdCalls(
@@ -18,7 +20,26 @@
          cold.Allows(record.Info().Incarnation(), calls_in_a_second, now());
 }
 
+void gateway_environment::NoteAnswer(endpoint_record& record,
+                                     const answer_facts& facts, bool ran) {
+  if (facts.other_incarnation) {
+    return;  // It speaks of itself.
+  }
+  if (facts.load) {
+    record.NoteLoad(*facts.load);
+  }
+  if ((facts.quota || ran) && record.NoteQuota(facts.quota)) {
+    log.Write("endpoint_quota", {{"endpoint", record.Info().id},
+                                 {"service", record.Info().service},
+                                 {"per_second", facts.quota.value_or(0)},
+                                 {"named", facts.quota.has_value()}});
+  }
+}
+
 void gateway_environment::NoteSent(const endpoint_record& record) {
+  if (record.Quota()) {
+    metrics.Count("calls_under_quota", record.Info().service);
+  }
   if (record.Cold(now())) {
     cold.NoteSent(record.Info().Incarnation(), now());
   }
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -58,6 +58,10 @@
   std::optional<std::size_t> ColdCalls(const std::string& service) const;
   /// @brief Whether this host may send one more call to a cold endpoint now.
   bool MayUseCold(const endpoint_record& record, std::size_t calls_in_a_second);
+  /// @brief What an answer tells of its endpoint.
+  /// @param ran Whether it is the answer to a call that ran. Only such a one
+  /// that names no quota says that there is none.
+  void NoteAnswer(endpoint_record& record, const answer_facts& facts, bool ran);
   /// @brief A call goes to an endpoint, which may be cold.
   void NoteSent(const endpoint_record& record);
 };
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -233,9 +233,7 @@
 void request_run::OnHead(message_head& head) {
   const auto facts =
       environment_.protocol.read_answer(head, dispatch_, environment_.now());
-  if (facts.load) {
-    record_->NoteLoad(*facts.load);
-  }
+  environment_.NoteAnswer(*record_, facts, facts.proven);
   if (!facts.is_to_this_request) {
     EndAttempt(call_lesson::kFailed);
     FailAttempt(attempt_failure::kUnknown, "an answer to another request");
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -167,9 +167,7 @@
   } else if (result.end == call_end::kComplete) {
     const auto facts = environment_.protocol.read_stage_answer(
         result.status, result.headers, now);
-    if (facts.load) {
-      call->record->NoteLoad(*facts.load);
-    }
+    environment_.NoteAnswer(*call->record, facts, result.status == kOk);
     if (facts.other_incarnation) {
       call->record->MarkGone();
       lesson = call_lesson::kRefused;
