A mistaken quarantine is found out by a trial

The host whose verdict is the last in the topic, so that all agree which one it is, lets one request through after 30 s and one more after ten minutes: two of the three that are allowed after the third crash. One that is served clears the content for all.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -39,6 +39,8 @@
   kHistory,  ///< It happened before this host followed the reports.
 };
 
+enum class verdict_teller { kThisHost, kOtherHost };
+
 /// @brief Requests that crash the endpoints that run them.
 ///
 /// All hosts report the endpoints that crashed and the contents of the calls
@@ -48,8 +50,9 @@
 ///
 /// Each host judges by all reports. A host that lost such a call itself also
 /// tells its verdict, for those that start later; one that has served such a
-/// request answers a quarantine by clearing the content. Pure state; the time
-/// comes in.
+/// request answers a quarantine by clearing the content. The host whose verdict
+/// stands lets one request through after a while, and one more much later:
+/// three crashes may still have been chance. Pure state; the time comes in.
 class content_quarantine {
  public:
   /// @param listed Endpoints of a service that are known.
@@ -62,10 +65,15 @@
   void NoteCrash(const endpoint_crash& crash, crash_source source,
                  time_point now);
   /// @param verdict Nothing: what was told of it is withdrawn.
+  /// @param teller Who told what stands now.
   void NoteVerdict(request_digest content,
-                   std::optional<content_verdict> verdict, time_point now);
+                   std::optional<content_verdict> verdict,
+                   verdict_teller teller, time_point now);
 
   bool Refuses(request_digest content, time_point now) const;
+  /// @brief Whether one request of a quarantined content may go through now;
+  /// it is the only one for a while.
+  bool TakeTrial(request_digest content, time_point now);
   bool IsEmpty() const { return quarantined_.empty(); }
 
   /// @brief When `Judge` has something to do; nothing: with the next report.
@@ -81,6 +89,12 @@
     std::set<request_digest> running;
     std::set<request_digest> own;  ///< Of `running`: of this host's calls.
   };
+  struct quarantined_content {
+    time_point until{};
+    verdict_teller teller = verdict_teller::kOtherHost;
+    time_point trial_at{};  ///< Where this host is the teller.
+    unsigned trials = 0;
+  };
   struct served_content {
     request_digest content = 0;
     time_point at{};
@@ -102,7 +116,7 @@
   std::map<std::string, known_crash> crashes_;  ///< By endpoint.
   std::map<request_digest, std::set<std::string>> endpoints_of_;
   std::map<request_digest, time_point> judged_at_;
-  std::map<request_digest, time_point> quarantined_;  ///< Until.
+  std::map<request_digest, quarantined_content> quarantined_;
   std::vector<served_content> served_;
   std::vector<content_notice> notices_;
 };
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -15,6 +15,11 @@
 constexpr milliseconds kServedLife{60'000};
 constexpr milliseconds kCrashLife{600'000};
 constexpr milliseconds kQuarantineLife{3'600'000};
+/// From a verdict to its first trial, which ends a mistaken one, and to the
+/// second.
+constexpr milliseconds kFirstTrial{30'000};
+constexpr milliseconds kSecondTrial{600'000};
+constexpr unsigned kMostTrials = 2;
 /// Endpoints whose crash is remembered.
 constexpr std::size_t kMostCrashes = 1024;
 /// Contents of served requests that are remembered; a newer one takes the place
@@ -30,6 +35,10 @@
     : listed_(std::move(listed)), served_(kServedPlaces) {}
 
 void content_quarantine::NoteServed(request_digest content, time_point now) {
+  if (quarantined_.contains(content)) {
+    notices_.push_back({content, content_verdict::kCleared});
+    judged_at_.emplace(content, now);
+  }
   served_[content % kServedPlaces] = {content, now};
 }
 
@@ -66,13 +75,16 @@
 
 void content_quarantine::NoteVerdict(request_digest content,
                                      std::optional<content_verdict> verdict,
-                                     time_point now) {
+                                     verdict_teller teller, time_point now) {
   if (verdict == content_verdict::kQuarantined) {
     if (WasServed(content, now)) {
       notices_.push_back({content, content_verdict::kCleared});
       judged_at_.emplace(content, now);
     } else {
-      quarantined_[content] = now + kQuarantineLife;
+      auto& known = quarantined_[content];
+      known.until = now + kQuarantineLife;
+      known.teller = teller;
+      known.trial_at = now + kFirstTrial;
     }
     return;
   }
@@ -82,7 +94,22 @@
 
 bool content_quarantine::Refuses(request_digest content, time_point now) const {
   const auto found = quarantined_.find(content);
-  return found != quarantined_.end() && now < found->second;
+  return found != quarantined_.end() && now < found->second.until;
+}
+
+bool content_quarantine::TakeTrial(request_digest content, time_point now) {
+  const auto found = quarantined_.find(content);
+  if (found == quarantined_.end()) {
+    return false;
+  }
+  auto& known = found->second;
+  if (known.teller != verdict_teller::kThisHost || now < known.trial_at ||
+      known.trials >= kMostTrials) {
+    return false;
+  }
+  ++known.trials;
+  known.trial_at = now + kSecondTrial;
+  return true;
 }
 
 std::optional<time_point> content_quarantine::JudgesAt() const {
@@ -104,12 +131,12 @@
     if (!Crashes(content)) {
       continue;
     }
-    const bool tells = HasLost(content);
+    const bool tells = HasLost(content) && !quarantined_.contains(content);
     const bool served = WasServed(content, now);
     if (served) {
       ForgetCrashesOf(content);
     } else {
-      quarantined_[content] = now + kQuarantineLife;
+      quarantined_[content].until = now + kQuarantineLife;
     }
     if (tells) {
       notices_.push_back({content, served ? content_verdict::kCleared
@@ -209,7 +236,7 @@
 
 void content_quarantine::Forget(time_point now) {
   std::erase_if(quarantined_,
-                [now](const auto& one) { return one.second <= now; });
+                [now](const auto& one) { return one.second.until <= now; });
   for (auto crash = crashes_.begin(); crash != crashes_.end();) {
     const auto next = std::next(crash);
     if (now - crash->second.learnt >= kCrashLife) {
--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -106,8 +106,8 @@
 }
 
 void crash_feed::Tell(const content_notice& notice) {
-  const json value = {
-      {"verdict", NameIn(kContentVerdictNames, notice.verdict)}};
+  const json value = {{"verdict", NameIn(kContentVerdictNames, notice.verdict)},
+                      {"by", self_}};
   Write(std::string(kContentPrefix) + DigestText(notice.content), value.dump());
 }
 
@@ -159,15 +159,8 @@
 void crash_feed::TakeOne(const keyed_record& record, crash_source source) {
   const std::string_view key = record.key;
   if (key.starts_with(kContentPrefix)) {
-    const auto content = DigestIn(key.substr(kContentPrefix.size()));
-    const auto value = json::parse(record.value.value_or("{}"), nullptr, false);
-    const auto name =
-        value.is_object() ? value.value("verdict", json()) : json();
-    if (content) {
-      news_.on_verdict(
-          *content, name.is_string()
-                        ? ValueIn(kContentVerdictNames, name.get<std::string>())
-                        : std::nullopt);
+    if (const auto content = DigestIn(key.substr(kContentPrefix.size()))) {
+      TakeVerdict(*content, record.value.value_or("{}"));
     }
     return;
   }
@@ -182,6 +175,20 @@
   }
 }
 
+/// One that cannot be read is as good as deleted.
+void crash_feed::TakeVerdict(request_digest content, const std::string& value) {
+  const auto document = json::parse(value, nullptr, false);
+  const auto text = [&document](const char* field) {
+    return document.is_object() && document.contains(field) &&
+                   document[field].is_string()
+               ? document[field].get<std::string>()
+               : std::string();
+  };
+  news_.on_verdict(content, ValueIn(kContentVerdictNames, text("verdict")),
+                   text("by") == self_ ? verdict_teller::kThisHost
+                                       : verdict_teller::kOtherHost);
+}
+
 void crash_feed::NoteLife(const keyed_record& record) {
   if (!record.value) {
     outlived_at_.erase(record.key);
--- a/src/slatestall/gateway/crash_feed.h
+++ b/src/slatestall/gateway/crash_feed.h
@@ -22,7 +22,8 @@
 struct crash_news {
   std::function<void(const endpoint_crash&, crash_source)> on_crash;
   /// The verdict is nothing where it was withdrawn.
-  std::function<void(request_digest, std::optional<content_verdict>)>
+  std::function<void(request_digest, std::optional<content_verdict>,
+                     verdict_teller)>
       on_verdict;
 };
 
@@ -49,6 +50,7 @@
   void WriteAfter(milliseconds delay);
   void Take(const std::vector<keyed_record>& records, crash_source source);
   void TakeOne(const keyed_record& record, crash_source source);
+  void TakeVerdict(request_digest content, const std::string& value);
   void NoteLife(const keyed_record& record);
   void DeleteOutlived();
 
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -48,6 +48,8 @@
   std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
   /// A call broke off at an endpoint, which may have crashed.
   std::function<void(const known_endpoint&, request_digest)> on_broken{};
+  /// An endpoint has answered a request with that content to the end.
+  std::function<void(request_digest)> on_served{};
 
   /// @brief Whether a request with that limit may use a failure domain.
   bool Allows(const region_limit& regions, const std::string& domain) const {
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -175,9 +175,10 @@
                  [this, crash, source] { traffic_.NoteCrash(crash, source); });
     };
     news.on_verdict = [this](request_digest content,
-                             std::optional<content_verdict> verdict) {
-      asio::post(traffic_context_, [this, content, verdict] {
-        traffic_.NoteVerdict(content, verdict);
+                             std::optional<content_verdict> verdict,
+                             verdict_teller teller) {
+      asio::post(traffic_context_, [this, content, verdict, teller] {
+        traffic_.NoteVerdict(content, verdict, teller);
       });
     };
     return news;
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -68,6 +68,7 @@
                    {}},
       client_(context),
       home_(environment_, client_),
+                   {},
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
       topics_(peers_, std::move(known_topics)),
       router_(environment_, home_, peers_),
@@ -86,6 +87,10 @@
   environment_.on_broken = [this](const known_endpoint& endpoint,
                                   request_digest running) {
     crashes_.NoteBroken(endpoint, running);
+  environment_.on_served = [this](request_digest content) {
+    environment_.quarantine.NoteServed(content, environment_.now());
+    JudgeSoon();
+  };
   };
 }
 
@@ -174,8 +179,10 @@
 }
 
 void gateway_traffic::NoteVerdict(request_digest content,
-                                  std::optional<content_verdict> verdict) {
-  environment_.quarantine.NoteVerdict(content, verdict, environment_.now());
+                                  std::optional<content_verdict> verdict,
+                                  verdict_teller teller) {
+  environment_.quarantine.NoteVerdict(content, verdict, teller,
+                                      environment_.now());
   JudgeSoon();
 }
 
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -56,7 +56,8 @@
   /// @brief Other hosts have reported a crash, or told of a content.
   void NoteCrash(const endpoint_crash& crash, crash_source source);
   void NoteVerdict(request_digest content,
-                   std::optional<content_verdict> verdict);
+                   std::optional<content_verdict> verdict,
+                   verdict_teller teller);
   void SetRepeatLimits(const repeat_limits& limits) {
     environment_.repeats.SetLimits(limits);
     router_.RenewPool();
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -74,8 +74,11 @@
   if (auto refused = FindWorkspace()) {
     return refused;
   }
-  if (auto refused = CheckQuarantine()) {
-    return refused;
+  if (IsQuarantined()) {
+    is_trial_ = environment_.quarantine.TakeTrial(Digest(), environment_.now());
+    if (!is_trial_) {
+      return Quarantined();
+    }
   }
   last_event_ = facts_.last_event;
   SetTimes();
@@ -131,17 +134,17 @@
   return std::nullopt;
 }
 
+bool request_run::IsQuarantined() const {
+  const auto& quarantine = environment_.quarantine;
+  return !quarantine.IsEmpty() &&
+         quarantine.Refuses(Digest(), environment_.now());
+}
+
 /// It would meet the same answer wherever it came again, so that no time to
 /// come back is told.
-std::optional<request_run::refusal> request_run::CheckQuarantine() const {
-  const auto& quarantine = environment_.quarantine;
-  if (quarantine.IsEmpty() ||
-      !quarantine.Refuses(Digest(), environment_.now())) {
-    return std::nullopt;
-  }
-  return refusal{
-      error_kind::kQuarantined,
-      "endpoints have crashed under content " + DigestText(Digest())};
+request_run::refusal request_run::Quarantined() const {
+  return {error_kind::kQuarantined,
+          "endpoints have crashed under content " + DigestText(Digest())};
 }
 
 void request_run::SetTimes() {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -114,9 +114,10 @@
 }
 
 void request_run::Dispatch() {
-  if (const auto refused = CheckQuarantine()) {
+  if (IsQuarantined() && !is_trial_) {
+    const auto why = Quarantined();
     if (may_have_run_ || stream_begun_) {
-      GiveUp(attempt_failure::kUnknown, refused->detail);
+      GiveUp(attempt_failure::kUnknown, why.detail);
     } else {
       Refuse(*refused);
     }
@@ -124,7 +125,7 @@
   }
   if (sends_ == 0) {
     if (const auto refused = StillAllowed()) {
-      Refuse(*refused);
+      Refuse(why);
       return;
     }
     // It waited for its stages longer than expected. Begun now, it would be
@@ -349,7 +350,7 @@
   }
   EndAttempt(call_lesson::kAnswered);
   if (IsSuccess()) {
-    environment_.quarantine.NoteServed(Digest(), environment_.now());
+    environment_.on_served(Digest());
   }
   if (events_) {
     BeginStream();
@@ -378,7 +379,7 @@
 }
 
 bool request_run::MaySendAgain(attempt_failure failure) const {
-  if (CheckQuarantine()) {
+  if (IsQuarantined()) {
     return false;
   }
   const bool unharmed = failure == attempt_failure::kNotSent ||
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -71,7 +71,8 @@
   std::optional<refusal> FindRoute();
   std::optional<refusal> FindWorkspace();
   void SetTimes();
-  std::optional<refusal> CheckQuarantine() const;
+  bool IsQuarantined() const;
+  refusal Quarantined() const;
   std::optional<refusal> CheckEndpoints() const;
   std::optional<refusal> CheckTime() const;
   std::optional<refusal> CheckStop() const;
@@ -177,6 +178,7 @@
   asio::steady_timer deadline_timer_;
   asio::steady_timer stall_timer_;
   mutable std::optional<request_digest> digest_;  ///< Once it was asked for.
+  bool is_trial_ = false;  ///< Tells whether its quarantine is mistaken.
   bool finished_ = false;
 };
 
