Endpoints that name a quota get no more than that from all hosts

Callers saw late answers of an endpoint in need, which went on getting what all others get.

Cause: what an endpoint takes from all hosts together was read by nobody; the one limit of that kind (cold endpoints) stood for itself.

cold_limit becomes call_limit, with the window as a parameter, and serves both. A quota is kept by a few hosts, by rendezvous; hosts that have just started or hold an old list choose among themselves and use a quarter of it; the others send one call once in a while, all together a quarter of the quota at most, and learn by its answer whether it still holds. Calls to stage endpoints go through one home, which has three quarters of it. Where no endpoint of a service is open to a host, it refuses at once, before stages.

--- a/include/slatestall/dispatch/endpoint_pick.h
+++ b/include/slatestall/dispatch/endpoint_pick.h
@@ -21,6 +21,8 @@
   std::string near;  ///< Failure domain where the inputs lie; may be empty.
   /// Whether an endpoint may have the request at all; not set: each may.
   std::function<bool(const known_endpoint&)> may_use;
+  /// Whether one more call may go to an endpoint now; not set: to each.
+  std::function<bool(const endpoint_record&)> may_call;
   /// Whether one more call may go to a cold endpoint; asked only where the warm
   /// ones are full. Not set: cold endpoints are like others.
   std::function<bool(const endpoint_record&)> may_use_cold;
--- a/include/slatestall/dispatch/mechanism.h
+++ b/include/slatestall/dispatch/mechanism.h
@@ -19,6 +19,7 @@
   kPromptHomes,     ///< A shared prompt goes to the endpoints that keep it.
   kSecondHome,      ///< A prompt has two homes.
   kColdLimit,       ///< Cold endpoints get what they bear, and only if needed.
+  kEndpointQuota,   ///< Endpoints in need get no more than they take.
   kAvoidance,       ///< Endpoints that failed are left alone for a while.
   kSlowEndpoints,   ///< Slow stage endpoints are used only when needed.
   kOverdueCalls,    ///< Pieces of an overdue call are made again elsewhere.
@@ -32,7 +33,7 @@
   kTopicExchange,     ///< Hosts ask each other while the store is away.
 };
 
-inline constexpr std::size_t kMechanisms = 20;
+inline constexpr std::size_t kMechanisms = 21;
 
 inline constexpr name_table<mechanism, kMechanisms> kMechanismNames{{
     {mechanism::kBookings, "bookings"},
@@ -44,6 +45,7 @@
     {mechanism::kPromptHomes, "prompt_homes"},
     {mechanism::kSecondHome, "second_home"},
     {mechanism::kColdLimit, "cold_limit"},
+    {mechanism::kEndpointQuota, "endpoint_quota"},
     {mechanism::kAvoidance, "avoidance"},
     {mechanism::kSlowEndpoints, "slow_endpoints"},
     {mechanism::kOverdueCalls, "overdue_calls"},
--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "slatestall/dispatch/cold_limit.h"
+#include "slatestall/dispatch/cold_terms.h"
 #include "slatestall/dispatch/mechanism.h"
 #include "slatestall/dispatch/repeat_allowance.h"
 #include "slatestall/model/time.h"
--- a/src/slatestall/dispatch/cold_limit_test.cc
+++ b/src/slatestall/dispatch/call_limit_test.cc
@@ -1,4 +1,4 @@
-#include "slatestall/dispatch/cold_limit.h"
+#include "slatestall/dispatch/call_limit.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/cold_terms.h"
+
 namespace slatestall {
 namespace {
 
@@ -32,7 +34,7 @@
 
   void Join() {
     const std::string name = "h" + std::to_string(hosts_.size());
-    hosts_.push_back({cold_limit(name), name, now_});
+    hosts_.push_back({call_limit(name, std::chrono::seconds(1)), name, now_});
   }
 
   void Step() {
@@ -64,7 +66,7 @@
 
  private:
   struct host {
-    cold_limit limit;
+    call_limit limit;
     std::string name;
     duration joined{0};
     duration read_at{0};
@@ -97,8 +99,8 @@
   std::deque<duration> sent_;
 };
 
-class cold_limit_test : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(cold_limit_test);
+class call_limit_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(call_limit_test);
   CPPUNIT_TEST(NoSecondGetsMoreThanTheLimitWhoeverSeesWhom);
   CPPUNIT_TEST(WithEverythingColdMostOfTheLimitIsUsed);
   CPPUNIT_TEST(TheOperatorsTermsAreRoundedDown);
@@ -160,7 +162,7 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(cold_limit_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(call_limit_test);
 
 }  // namespace
 }  // namespace slatestall
--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -59,7 +59,8 @@
     candidates_.reserve(all.size());
     for (const auto& record : all) {
       if (!record->Usable() || Tried(request, *record) ||
-          (request.may_use && !request.may_use(record->Info()))) {
+          (request.may_use && !request.may_use(record->Info())) ||
+          (request.may_call && !request.may_call(*record))) {
         continue;
       }
       const bool is_cold = request.may_use_cold && record->Cold(request.now);
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -20,6 +20,31 @@
          cold.Allows(record.Info().Incarnation(), calls_in_a_second, now());
 }
 
+bool gateway_environment::HasQuota(const endpoint_record& record) const {
+  return record.Quota() && options.Uses(mechanism::kEndpointQuota);
+}
+
+quota_share gateway_environment::Share() const {
+  return repeats.IsCounted(now()) ? quota_share::kCounted
+                                  : quota_share::kUncounted;
+}
+
+bool gateway_environment::MayCall(const endpoint_record& record) {
+  return !HasQuota(record) || quota.Allows(record.Info().Incarnation(),
+                                           *record.Quota(), Share(), now());
+}
+
+bool gateway_environment::MayCallAsHome(const endpoint_record& record) {
+  return !HasQuota(record) ||
+         quota.Allows(record.Info().Incarnation(), *record.Quota(),
+                      quota_share::kHome, now());
+}
+
+bool gateway_environment::MayCallSoon(const endpoint_record& record) {
+  return !HasQuota(record) || quota.HasPart(record.Info().Incarnation(),
+                                            *record.Quota(), Share(), now());
+}
+
 void gateway_environment::NoteAnswer(endpoint_record& record,
                                      const answer_facts& facts, bool ran) {
   if (facts.other_incarnation) {
@@ -39,6 +64,7 @@
 void gateway_environment::NoteSent(const endpoint_record& record) {
   if (record.Quota()) {
     metrics.Count("calls_under_quota", record.Info().service);
+    quota.NoteSent(record.Info().Incarnation(), *record.Quota(), now());
   }
   if (record.Cold(now())) {
     cold.NoteSent(record.Info().Incarnation(), now());
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -7,8 +7,9 @@
 #include <set>
 #include <string>
 
-#include "slatestall/dispatch/cold_limit.h"
+#include "slatestall/dispatch/call_limit.h"
 #include "slatestall/dispatch/content_quarantine.h"
+#include "slatestall/dispatch/endpoint_quota.h"
 #include "slatestall/dispatch/endpoint_roster.h"
 #include "slatestall/dispatch/first_event_time.h"
 #include "slatestall/dispatch/longest_answer.h"
@@ -36,7 +37,8 @@
   now_function now;
   endpoint_roster roster;
   repeat_allowance repeats;
-  cold_limit cold;
+  call_limit cold;
+  endpoint_quota quota;
   content_quarantine quarantine;
   gateway_metrics metrics;
   routing_table_ptr table;                         ///< Null until one is known.
@@ -46,10 +48,10 @@
   time_point started_at{};
   std::optional<host_stop> stop{};      ///< Not set: goes on.
   std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
-  /// A call broke off at an endpoint, which may have crashed.
-  std::function<void(const known_endpoint&, request_digest)> on_broken{};
   /// An endpoint has answered a request with that content to the end.
   std::function<void(request_digest)> on_served{};
+  /// A call broke off at an endpoint, which may have crashed.
+  std::function<void(const known_endpoint&, request_digest)> on_broken{};
 
   /// @brief Whether a request with that limit may use a failure domain.
   bool Allows(const region_limit& regions, const std::string& domain) const {
@@ -60,12 +62,21 @@
   std::optional<std::size_t> ColdCalls(const std::string& service) const;
   /// @brief Whether this host may send one more call to a cold endpoint now.
   bool MayUseCold(const endpoint_record& record, std::size_t calls_in_a_second);
+  /// @brief Whether an endpoint is used only as far as its quota goes.
+  bool HasQuota(const endpoint_record& record) const;
+  /// @brief Whether this host may send one more call now.
+  bool MayCall(const endpoint_record& record);
+  /// @brief The same for the host through which all calls there go.
+  bool MayCallAsHome(const endpoint_record& record);
+  /// @brief Whether this host may send calls now or within a few seconds.
+  bool MayCallSoon(const endpoint_record& record);
   /// @brief What an answer tells of its endpoint.
   /// @param ran Whether it is the answer to a call that ran. Only such a one
   /// that names no quota says that there is none.
   void NoteAnswer(endpoint_record& record, const answer_facts& facts, bool ran);
-  /// @brief A call goes to an endpoint, which may be cold.
+  /// @brief A call goes to an endpoint, which may be cold or in need.
   void NoteSent(const endpoint_record& record);
+  quota_share Share() const;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -26,6 +26,8 @@
 /// A connection that is not made within it is as good as none: hosts are a
 /// few milliseconds apart.
 constexpr milliseconds kPeerConnectTime{600};
+/// In which calls to cold endpoints are bounded.
+constexpr milliseconds kColdWindow{1000};
 /// A configuration of some thousand routes passes from host to host.
 constexpr std::size_t kMaxPeerFrame = std::size_t{4} << 20U;
 
@@ -53,7 +55,8 @@
                    now,
                    endpoint_roster(options.Uses(mechanism::kAvoidance)),
                    repeat_allowance(options.repeats),
-                   cold_limit(options.host_name),
+                   call_limit(options.host_name, kColdWindow),
+                   endpoint_quota(options.host_name),
                    content_quarantine([this](const std::string& service) {
                      return environment_.roster.Of(service).size();
                    }),
@@ -65,10 +68,10 @@
                    now(),
                    std::nullopt,
                    {},
+                   {},
                    {}},
       client_(context),
       home_(environment_, client_),
-                   {},
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
       topics_(peers_, std::move(known_topics)),
       router_(environment_, home_, peers_),
@@ -84,13 +87,13 @@
                 [this](inbound_request request, answer_channel_ptr channel) {
                   starting_.Take(std::move(request), std::move(channel));
                 }) {
-  environment_.on_broken = [this](const known_endpoint& endpoint,
-                                  request_digest running) {
-    crashes_.NoteBroken(endpoint, running);
   environment_.on_served = [this](request_digest content) {
     environment_.quarantine.NoteServed(content, environment_.now());
     JudgeSoon();
   };
+  environment_.on_broken = [this](const known_endpoint& endpoint,
+                                  request_digest running) {
+    crashes_.NoteBroken(endpoint, running);
   };
 }
 
@@ -138,6 +141,7 @@
     names.push_back(host.address.host);
   }
   environment_.cold.SetHosts(names);
+  environment_.quota.SetHosts(names);
   router_.SetHosts(std::move(hosts));
 }
 
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -169,7 +169,13 @@
         "service \"" + service + "\" has no endpoint that may take it",
         ReturnTime()};
   };
-  if (lacks(service_)) {
+  const auto& engines = environment_.roster.Of(service_);
+  const bool may_be_sent =
+      std::any_of(engines.begin(), engines.end(), [this](const auto& record) {
+        return record->Usable() && MayUse(record->Info()) &&
+               environment_.MayCallSoon(*record);
+      });
+  if (!may_be_sent) {
     return refused(service_);
   }
   for (std::size_t i = 0; i < graph_->Size(); ++i) {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -27,7 +27,7 @@
 constexpr milliseconds kShortestFirstEventStall{1800};
 constexpr int kPauseStallFactor = 3;
 constexpr milliseconds kShortestPauseStall{1000};
-constexpr milliseconds kColdWait{50};
+constexpr milliseconds kShareWait{50};
 constexpr int kFirstFailure = 400;
 constexpr int kFirstServerFailure = 500;
 
@@ -78,6 +78,14 @@
       return MayUse(endpoint);
     };
   }
+  const auto& all = environment_.roster.Of(service_);
+  if (std::any_of(all.begin(), all.end(), [this](const auto& record) {
+        return environment_.HasQuota(*record);
+      })) {
+    pick.may_call = [this](const endpoint_record& record) {
+      return environment_.MayCall(record);
+    };
+  }
   if (const auto calls = environment_.ColdCalls(service_)) {
     pick.may_use_cold = [this, calls = *calls](const endpoint_record& record) {
       return environment_.MayUseCold(record, calls);
@@ -90,20 +98,23 @@
   return environment_.Allows(regions_, endpoint.failure_domain);
 }
 
-/// Where all endpoints are cold, this host's part of what they bear comes back
-/// each second. The more urgent ask more often.
-bool request_run::AwaitColdEndpoint() {
+/// Where all endpoints are cold or in need, this host's part of what they take
+/// comes back within seconds. The more urgent ask more often.
+bool request_run::AwaitShare() {
   const auto& all = environment_.roster.Of(service_);
-  const bool some_cold =
-      std::any_of(all.begin(), all.end(), [this](const auto& record) {
-        return record->Usable() && record->Cold(environment_.now()) &&
-               MayUse(record->Info());
+  const bool bounds_cold = environment_.ColdCalls(service_).has_value();
+  const bool has_share =
+      std::any_of(all.begin(), all.end(), [&](const auto& record) {
+        const bool is_cold = bounds_cold && record->Cold(environment_.now());
+        const bool in_need = environment_.HasQuota(*record);
+        return record->Usable() && MayUse(record->Info()) &&
+               (is_cold || (in_need && environment_.MayCallSoon(*record)));
       });
   const bool in_time = environment_.now() + FirstEventTime() < objective_;
-  if (!some_cold || !in_time || !environment_.ColdCalls(service_)) {
+  if (!has_share || !in_time) {
     return false;
   }
-  stall_timer_.expires_after(kColdWait * (1 + std::max(0, rank_)));
+  stall_timer_.expires_after(kShareWait * (1 + std::max(0, rank_)));
   stall_timer_.async_wait(
       [self = shared_from_this()](const asio::error_code& error) {
         if (!error && !self->finished_) {
@@ -119,13 +130,13 @@
     if (may_have_run_ || stream_begun_) {
       GiveUp(attempt_failure::kUnknown, why.detail);
     } else {
-      Refuse(*refused);
+      Refuse(why);
     }
     return;
   }
   if (sends_ == 0) {
     if (const auto refused = StillAllowed()) {
-      Refuse(why);
+      Refuse(*refused);
       return;
     }
     // It waited for its stages longer than expected. Begun now, it would be
@@ -145,7 +156,7 @@
     pick.near = DomainOf(graph_->FinalInputs());
   }
   const auto record = PickEndpoint(environment_.roster.Of(service_), pick);
-  if (!record && AwaitColdEndpoint()) {
+  if (!record && AwaitShare()) {
     return;
   }
   if (!record) {
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -112,7 +112,7 @@
   std::optional<refusal> StillAllowed() const;
   pick_request NewPick() const;
   bool MayUse(const known_endpoint& endpoint) const;
-  bool AwaitColdEndpoint();
+  bool AwaitShare();
   void Send(const endpoint_record_ptr& record);
   void OnHead(message_head& head);
   void OnBody(const std::string& bytes);
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -151,8 +151,12 @@
     }
     const bool is_slow =
         found != shards_.end() && IsSlow(found->second, *record);
-    capacity.pieces_per_second += rule->slots * rule->most_pieces / full_call /
-                                  (is_slow ? record->Slowness() : 1.0);
+    double calls =
+        rule->slots / full_call / (is_slow ? record->Slowness() : 1.0);
+    if (environment_.HasQuota(*record)) {
+      calls = std::min(calls, *record->Quota());
+    }
+    capacity.pieces_per_second += calls * rule->most_pieces;
   }
   return capacity;
 }
@@ -351,7 +355,8 @@
       continue;
     }
     if (other_shard || !record->Usable() || record->Avoided(now) || full ||
-        pausing || (is_slow && others_suffice)) {
+        pausing || (is_slow && others_suffice) ||
+        !environment_.MayCallAsHome(*record)) {
       continue;
     }
     // Hosts that know equally little are not all to take the same one.
