--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -134,6 +134,11 @@
         self.arrivals = []  # Times at which work came.
         self.late_arrivals = []
         self.disturbed = []  # Times of unplanned faults on it.
+        self.quota = None  # Calls a second that it says it takes.
+        self.quota_since = None
+        self.quotas = []  # Each that has ended: number, begin, end.
+        self.told = []  # Host, time: answers that named the quota.
+        self.asked = []  # Host, time: requests while it named one.
         self.crashed = False
         self.on_crash = None  # A request crashes it.
         self.port = None
@@ -167,6 +172,20 @@
             self.open.discard(writer)
             writer.transport.abort()
 
+    def name_quota(self, per_second):
+        if self.quota is not None:
+            self.quotas.append((self.quota, self.quota_since,
+                                time.monotonic()))
+        self.quota = per_second
+        self.quota_since = time.monotonic()
+
+    def quota_headers(self, request):
+        """The host is known by a request's id where its caller asked one."""
+        if self.quota is None:
+            return {}
+        self.told.append((request, time.monotonic()))
+        return {"Server-Limit": f"{self.quota:.2f}"}
+
     async def handle(self, request, writer):
         headers = request.headers
         path = request.first.split(" ")[1]
@@ -177,6 +196,8 @@
             writer.write(answer(200, {}))
             return True
         self.arrivals.append(time.monotonic())
+        if path != "/stage-run":
+            self.asked.append((headers.get("request-id"), time.monotonic()))
         if self.left_at is not None:
             self.late_arrivals.append(time.monotonic() - self.left_at)
         fails = self.random.random() < self.trouble
@@ -220,7 +241,8 @@
                     i.split("/")[1].split(".")[:2] != [request, "1"]
                     for i in inputs if "/" in i):
                 self.faults.append(f"inputs of {request}: {inputs}")
-        head = {"Request-Id": request, "Stamp": self.identity}
+        head = {"Request-Id": request, "Stamp": self.identity,
+                **self.quota_headers(request)}
         if path.startswith("/long/"):
             pause = int(path.split("/")[2]) / 1000 / self.LONG_EVENTS
             kept = await self.stream(headers, head, writer, fails,
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -34,6 +34,10 @@
 # How often a request is sent to endpoints after it has crashed three and all
 # hosts had the time to learn of it.
 MORE_CRASHES = 3
+# In which calls to an endpoint with a quota are counted, from hosts that were
+# told of it that long before.
+QUOTA_WINDOW = 4.0
+QUOTA_HEARD = 0.5
 # Time in which a host that was disturbed may still be wrong.
 SETTLE = 3.0
 
@@ -204,7 +208,7 @@
                 self.break_store, self.cut_store, self.crash_endpoint,
                 self.retire_endpoint, self.trouble_endpoint, self.cut_endpoint,
                 self.change_configuration, self.restore_store,
-                self.evacuate_domain))
+                self.evacuate_domain, self.limit_endpoint))
             faults.append(asyncio.ensure_future(fault()))
         await asyncio.sleep(2)
         await asyncio.gather(*faults)
@@ -344,6 +348,18 @@
         self.publish(endpoint, "draining")
         endpoint.left_at = time.monotonic()
 
+    async def limit_endpoint(self):
+        engines = [e for e in self.endpoints if e.left_at is None and
+                   e.service == "s" and e.quota is None]
+        if len(engines) < 2:
+            return  # One at least takes what the others do not.
+        endpoint = self.random.choice(engines)
+        per_second = 0.5 + 2 * self.random.random()
+        self.note(f"{endpoint.identity} takes {per_second:.2f} a second")
+        endpoint.name_quota(per_second)
+        await asyncio.sleep(SETTLE + 4 + 4 * self.random.random())
+        endpoint.name_quota(None)
+
     async def trouble_endpoint(self):
         endpoint = self.some_endpoint()
         self.note(f"trouble {endpoint.identity}")
@@ -453,6 +469,7 @@
                     broken.append(f"{endpoint.identity} got work {late:.1f} s "
                                   "after it began to leave")
         broken += self.judge_evacuations()
+        broken += self.judge_quotas()
         for host in self.hosts:
             for code in host.ends:
                 broken.append(f"{host.name} ended by itself with {code}")
@@ -501,6 +518,32 @@
                     yield (f"{endpoint.identity} got work {late[-1] - begin:.1f}"
                            f" s after {domain} was evacuated")
 
+    def judge_quotas(self):
+        """What calm hosts that were told send an endpoint in any 4 s."""
+        hosts = {one.request: one.host for one in self.outcomes}
+        for endpoint in self.endpoints:
+            endpoint.name_quota(None)
+            for quota, begin, end in endpoint.quotas:
+                if quota is None:
+                    continue
+                told = {}
+                for request, at in endpoint.told:
+                    if begin <= at <= end:
+                        told.setdefault(hosts.get(request), at)
+                counted = [
+                    at for request, at in endpoint.asked
+                    if begin + SETTLE < at <= end and
+                    told.get(hosts.get(request), at) + QUOTA_HEARD <= at and
+                    not self.near(hosts[request].disturbed, begin, at) and
+                    not any(s.told_at < at for s in hosts[request].stops)]
+                most = max((sum(1 for at in counted
+                                if first <= at < first + QUOTA_WINDOW)
+                            for first in counted), default=0)
+                allowed = 1.5 * quota * QUOTA_WINDOW + 5
+                if self.times and most > allowed:
+                    yield (f"{endpoint.identity} takes {quota:.2f} a second "
+                           f"and got {most} in {QUOTA_WINDOW:.0f} s")
+
     def is_calm(self, stop):
         return stop.ended_at is None or not self.near(
             stop.host.disturbed, stop.told_at, stop.ended_at)
