Soak names quotas in a calm phase as well

Faults excuse the hosts that they meet, and engines that a request crashes name quotas for a second only, so that the code as it landed kept those of before.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -213,6 +213,17 @@
         await asyncio.sleep(2)
         await asyncio.gather(*faults)
 
+    async def limit_in_calm(self):
+        """Engines but one name quotas while nothing is disturbed: faults excuse
+        the hosts that they meet."""
+        engines = [e for e in self.endpoints if e.service == "s"]
+        for endpoint in engines[1:]:
+            endpoint.name_quota(0.5 + 2 * self.random.random())
+            self.note(f"{endpoint.identity} takes {endpoint.quota:.2f} a second")
+        await asyncio.sleep(SETTLE + QUOTA_WINDOW + 2)
+        for endpoint in engines[1:]:
+            endpoint.name_quota(None)
+
     async def stop_in_series(self):
         """Planned changes alone: stops that overlap on all hosts but one."""
         end = time.monotonic() + STOPS
@@ -404,10 +415,16 @@
         await asyncio.sleep(1.5)
         count = self.host_count
         kinds = [Caller] * (count + 5) + [Keeper] * (4 * count) + [Crasher]
+        started = time.monotonic()
         callers = [kind(f"{self.seed}c{i}", random.Random(f"{self.seed}.{i}"),
                         self.hosts, self.outcomes)
                    for i, kind in enumerate(kinds)]
-        tasks = [asyncio.ensure_future(c.run()) for c in callers]
+        crasher = callers[-1]
+        tasks = [asyncio.ensure_future(c.run()) for c in callers[:-1]]
+        if self.times:
+            await self.limit_in_calm()
+            self.began += time.monotonic() - started
+        tasks.append(asyncio.ensure_future(crasher.run()))
         await self.disturb()
         await self.stop_in_series()
         for caller in callers:
