--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -36,7 +36,8 @@
 /// Three crashes a second apart.
 void CrashThree(content_quarantine& quarantine, crash_source source) {
   for (int i = 0; i < 3; ++i) {
-    quarantine.NoteCrash(Crash(i, {kContent}), source, At(1000 * i));
+    quarantine.NoteCrash(Crash(i, {kContent}), source,
+                         At(std::int64_t{1000} * i));
   }
 }
 
@@ -164,8 +165,8 @@
     auto quarantine = Quarantine();
     for (int i = 0; i < 12; ++i) {
       quarantine.NoteCrash(
-          Crash(i, {i < 3 ? kContent : request_digest(100 + i)}),
-          crash_source::kOwnCalls, At(10 * i));
+          Crash(i, {i < 3 ? kContent : static_cast<request_digest>(100 + i)}),
+          crash_source::kOwnCalls, At(std::int64_t{10} * i));
     }
     quarantine.Judge(At(600));
     CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(600)));
@@ -190,9 +191,10 @@
     int endpoint = 0;
     for (int i = 0; i < 3; ++i) {
       quarantine.NoteCrash(Crash(endpoint++, {kContent, 1}),
-                           crash_source::kOwnCalls, At(1000 * i));
+                           crash_source::kOwnCalls, At(std::int64_t{1000} * i));
       quarantine.NoteCrash(Crash(endpoint++, {kOther, 2}),
-                           crash_source::kOwnCalls, At(1000 * i + 500));
+                           crash_source::kOwnCalls,
+                           At(std::int64_t{1000} * i + 500));
     }
     quarantine.Judge(At(2800));
     CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(2800)));
