Failed writes of crash reports back off

In an outage of the store each host with a report to write tried three times a second; the pause doubles now up to 1.2 s, which leaves the reports in time for the hosts that are in touch again. Found in the last read of the change; not measured.

--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -1,5 +1,6 @@
 #include "slatestall/gateway/crash_feed.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
@@ -14,7 +15,9 @@
 /// Keys: crash/ENDPOINT/HOST, content/DIGEST.
 constexpr std::string_view kCrashPrefix = "crash/";
 constexpr std::string_view kContentPrefix = "content/";
+/// After a failed write; doubles up to four times as much.
 constexpr milliseconds kRetryPause{300};
+constexpr unsigned kMaxDoublings = 2;
 /// Of the time in which all hosts are to act on a crash, the rest is for
 /// telling it on and judging it.
 constexpr int kWaitPart = 3;
@@ -134,7 +137,9 @@
         if (done && written != unwritten_.end() && written->second == value) {
           unwritten_.erase(written);
         }
-        WriteAfter(done ? milliseconds(0) : kRetryPause);
+        const auto doublings = std::min(failures_, kMaxDoublings);
+        failures_ = done ? 0 : failures_ + 1;
+        WriteAfter(done ? milliseconds(0) : kRetryPause * (1U << doublings));
       });
 }
 
--- a/src/slatestall/gateway/crash_feed.h
+++ b/src/slatestall/gateway/crash_feed.h
@@ -61,6 +61,7 @@
   crash_news news_;
   std::map<std::string, std::string> unwritten_;  ///< By key.
   bool writes_ = false;
+  unsigned failures_ = 0;                          ///< To write, in a row.
   std::map<std::string, time_point> outlived_at_;  ///< By key.
   asio::steady_timer write_timer_;
   asio::steady_timer delete_timer_;
