--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -265,9 +265,8 @@
   void EqualRequestsAreServedWhileEndpointsCrashForAnotherReason();
 };
 
-/// Hosts that learn of each other's reports with a delay, from 1 to hundreds.
-/// Some start later and read what was reported before; some lose touch for a
-/// while and read all of it afterwards.
+/// Hosts that hear late of each other's reports; some join, some lose touch
+/// for a while and read all of it afterwards.
 class fleet {
  public:
   struct message {
@@ -308,7 +307,9 @@
   /// All that can read do so, up to what is older than the delay.
   void Tick(time_point now, milliseconds delay) {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (!hosts_[i].IsParted(now)) {
+      const bool idles =
+          hosts_[i].read == log_.size() && !hosts_[i].quarantine.JudgesAt();
+      if (!idles && !hosts_[i].IsParted(now)) {
         Read(i, now, crash_source::kOtherHost, delay);
         Judge(i, now);
       }
--- a/src/slatestall/dispatch/endpoint_quota_test.cc
+++ b/src/slatestall/dispatch/endpoint_quota_test.cc
@@ -81,6 +81,7 @@
     duration read_at{0};
     duration parted_until{0};
     duration told_at{0};
+    std::size_t listed = 0;
     bool is_told = false;
     bool freed = false;
     bool dead = false;
@@ -114,6 +115,10 @@
       return;
     }
     one.read_at = now_;
+    if (one.listed == hosts_.size()) {
+      return;
+    }
+    one.listed = hosts_.size();
     std::vector<std::string> names;
     for (const auto& other : hosts_) {
       names.push_back(other.name);
