A host that starts again makes no trials by its earlier verdict

A host takes a verdict in its own name for its own, and counts its trials in memory: started again, it began them anew. Callers would see nothing; a request that crashes endpoints would reach one more with each restart of that host, beyond the three that are allowed after the third crash.

A verdict that was written before this host followed the topic gives no trials.

--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -165,7 +165,7 @@
   const std::string_view key = record.key;
   if (key.starts_with(kContentPrefix)) {
     if (const auto content = DigestIn(key.substr(kContentPrefix.size()))) {
-      TakeVerdict(*content, record.value.value_or("{}"));
+      TakeVerdict(*content, record.value.value_or("{}"), source);
     }
     return;
   }
@@ -180,8 +180,10 @@
   }
 }
 
-/// One that cannot be read is as good as deleted.
-void crash_feed::TakeVerdict(request_digest content, const std::string& value) {
+/// One that cannot be read is as good as deleted. One of the past may be of an
+/// earlier life of this host, whose trials are not known.
+void crash_feed::TakeVerdict(request_digest content, const std::string& value,
+                             crash_source source) {
   const auto document = json::parse(value, nullptr, false);
   const auto text = [&document](const char* field) {
     return document.is_object() && document.contains(field) &&
@@ -189,9 +191,10 @@
                ? document[field].get<std::string>()
                : std::string();
   };
-  news_.on_verdict(content, ValueIn(kContentVerdictNames, text("verdict")),
-                   text("by") == self_ ? verdict_teller::kThisHost
-                                       : verdict_teller::kOtherHost);
+  const bool is_own = text("by") == self_ && source != crash_source::kHistory;
+  news_.on_verdict(
+      content, ValueIn(kContentVerdictNames, text("verdict")),
+      is_own ? verdict_teller::kThisHost : verdict_teller::kOtherHost);
 }
 
 void crash_feed::NoteLife(const keyed_record& record) {
--- a/src/slatestall/gateway/crash_feed.h
+++ b/src/slatestall/gateway/crash_feed.h
@@ -50,7 +50,8 @@
   void WriteAfter(milliseconds delay);
   void Take(const std::vector<keyed_record>& records, crash_source source);
   void TakeOne(const keyed_record& record, crash_source source);
-  void TakeVerdict(request_digest content, const std::string& value);
+  void TakeVerdict(request_digest content, const std::string& value,
+                   crash_source source);
   void NoteLife(const keyed_record& record);
   void DeleteOutlived();
 
--- a/src/slatestall/gateway/crash_feed_test.cc
+++ b/src/slatestall/gateway/crash_feed_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(OneWriteIsUnderWayAtATime);
   CPPUNIT_TEST(WhatOneHostWritesAnotherReads);
   CPPUNIT_TEST(WhatWasWrittenBeforeTheStartIsHistory);
+  CPPUNIT_TEST(AVerdictOfAnEarlierLifeIsNotThisOnes);
   CPPUNIT_TEST(ADeletedVerdictIsWithdrawn);
   CPPUNIT_TEST(RecordsThatCannotBeReadChangeNothing);
   CPPUNIT_TEST(AVerdictThatIsNotKnownIsTakenForNone);
@@ -125,6 +126,14 @@
                    crashes_[0].second == crash_source::kHistory);
   }
 
+  // A host that restarts in series would begin its trials anew each time.
+  void AVerdictOfAnEarlierLifeIsNotThisOnes() {
+    Answer(newest_, {{kContentKey, R"({"verdict":"quarantined","by":"h1"})"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tellers_.size());
+    CPPUNIT_ASSERT(verdicts_[0].second == content_verdict::kQuarantined);
+    CPPUNIT_ASSERT(tellers_[0] == verdict_teller::kOtherHost);
+  }
+
   void ADeletedVerdictIsWithdrawn() {
     Read({{kContentKey, std::nullopt}});
     CPPUNIT_ASSERT(verdicts_.size() == 1 && !verdicts_[0].second);
