Logs tell that an endpoint leaves, and that it named a time to come back

Answers of requests, of stage calls (also of those whose body broke off) and of calls that free results are read for both statements; `endpoint_leaving`, `endpoint_backs_off` and the counts `calls_to_leaving` and `calls_in_back_off` tell of them. Values that cannot be read change nothing. No choice changes. A free that names no quota does not end one: it is no call that ran.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -79,6 +79,15 @@
   /// @returns whether that is news.
   bool NoteQuota(std::optional<double> per_second);
   const std::optional<double>& Quota() const { return quota_; }
+  /// @brief An answer says that the endpoint leaves; it stays so.
+  /// @returns whether that is new.
+  bool NoteLeaving() { return !std::exchange(says_it_leaves_, true); }
+  bool SaysItLeaves() const { return says_it_leaves_; }
+  /// @brief It takes no call of this host until then.
+  /// @returns whether that is later than known.
+  bool NoteBackOff(time_point until);
+  time_point BackOffUntil() const { return back_off_until_; }
+  bool BacksOff(time_point now) const { return now < back_off_until_; }
   /// @param relative Time that an answer took against what was expected.
   void NoteSlowness(double relative) { slowness_.Add(relative); }
 
@@ -110,6 +119,8 @@
   unsigned failures_in_row_ = 0;
   time_point avoid_until_{};
   bool gone_ = false;
+  bool says_it_leaves_ = false;
+  time_point back_off_until_{};
   /// Five calls make two thirds of it: a slow or failing endpoint is known
   /// after few calls, and forgiven after as many.
   static constexpr double kLearningWeight = 0.2;
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -55,6 +55,10 @@
   std::optional<told_load> load;
   /// Calls a second that the endpoint takes from all hosts together.
   std::optional<double> quota;
+  bool leaving = false;  ///< The endpoint takes no new work.
+  /// Of an endpoint that turns a call away: how long it takes no other call of
+  /// this host.
+  std::optional<milliseconds> retry_after;
 };
 
 enum class piece_end {
--- a/src/slatestall/dispatch/endpoint_record.cc
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -56,6 +56,11 @@
   return std::exchange(quota_, per_second) != per_second;
 }
 
+bool endpoint_record::NoteBackOff(time_point until) {
+  return std::exchange(back_off_until_, std::max(back_off_until_, until)) <
+         until;
+}
+
 double endpoint_record::OthersBusy(time_point now) const {
   if (told_.at == time_point{}) {
     return 0;
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -50,6 +50,12 @@
   if (facts.other_incarnation) {
     return;  // It speaks of itself.
   }
+  if (facts.leaving) {
+    NoteLeaving(record, "answer");
+  }
+  if (facts.retry_after) {
+    NoteBackOff(record, *facts.retry_after);
+  }
   if (facts.load) {
     record.NoteLoad(*facts.load);
   }
@@ -61,7 +67,33 @@
   }
 }
 
+void gateway_environment::NoteLeaving(endpoint_record& record,
+                                      const char* source) {
+  if (record.NoteLeaving()) {
+    log.Write("endpoint_leaving", {{"endpoint", record.Info().id},
+                                   {"service", record.Info().service},
+                                   {"listed_leaving", record.Info().leaving},
+                                   {"source", source}});
+  }
+}
+
+void gateway_environment::NoteBackOff(endpoint_record& record,
+                                      milliseconds retry_after) {
+  const bool backed_off = record.BacksOff(now());
+  if (record.NoteBackOff(now() + retry_after) && !backed_off) {
+    log.Write("endpoint_backs_off", {{"endpoint", record.Info().id},
+                                     {"service", record.Info().service},
+                                     {"for_ms", retry_after.count()}});
+  }
+}
+
 void gateway_environment::NoteSent(const endpoint_record& record) {
+  if (record.SaysItLeaves()) {
+    metrics.Count("calls_to_leaving", record.Info().service);
+  }
+  if (record.BacksOff(now())) {
+    metrics.Count("calls_in_back_off", record.Info().service);
+  }
   if (record.Quota()) {
     metrics.Count("calls_under_quota", record.Info().service);
     quota.NoteSent(record.Info().Incarnation(), *record.Quota(), now());
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -74,6 +74,9 @@
   /// @param ran Whether it is the answer to a call that ran. Only such a one
   /// that names no quota says that there is none.
   void NoteAnswer(endpoint_record& record, const answer_facts& facts, bool ran);
+  /// @param source Where that is known from, for the log.
+  void NoteLeaving(endpoint_record& record, const char* source);
+  void NoteBackOff(endpoint_record& record, milliseconds retry_after);
   /// @brief A call goes to an endpoint, which may be cold or in need.
   void NoteSent(const endpoint_record& record);
   quota_share Share() const;
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -74,6 +74,8 @@
   void OnOverdue(const call_state_ptr& call);
   void OnCallEnd(const call_state_ptr& call, const http_result& result);
   call_lesson TakeAnswer(const call_state_ptr& call, const http_result& result);
+  answer_facts ReadAnswer(endpoint_record& record, const http_result& result,
+                          bool ran);
   void NoteBroken(const call_state& call);
   void Pause(const call_state& call);
   void ReturnTries(const call_state& call);
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -162,12 +162,10 @@
                                    const http_result& result) {
   const time_point now = environment_.now();
   call_lesson lesson = call_lesson::kFailed;
+  const auto facts = ReadAnswer(*call->record, result, result.status == kOk);
   if (result.end == call_end::kConnectFailed) {
     lesson = call_lesson::kUnreachable;
   } else if (result.end == call_end::kComplete) {
-    const auto facts = environment_.protocol.read_stage_answer(
-        result.status, result.headers, now);
-    environment_.NoteAnswer(*call->record, facts, result.status == kOk);
     if (facts.other_incarnation) {
       call->record->MarkGone();
       lesson = call_lesson::kRefused;
@@ -201,6 +199,18 @@
   return lesson;
 }
 
+/// A head says what it says of its endpoint, whether or not its body comes.
+answer_facts stage_home::ReadAnswer(endpoint_record& record,
+                                    const http_result& result, bool ran) {
+  if (result.status == 0) {
+    return {};
+  }
+  auto facts = environment_.protocol.read_stage_answer(
+      result.status, result.headers, environment_.now());
+  environment_.NoteAnswer(record, facts, ran);
+  return facts;
+}
+
 void stage_home::NoteBroken(const call_state& call) {
   for (const auto& piece : call.pieces) {
     if (piece.group->content == 0) {
@@ -382,22 +392,23 @@
     call.body = environment_.protocol.write_free(handles);
     call.connect_timeout = kConnectTimeout;
     call.timeout = kFreeTimeout;
-    client_.Start(
-        std::move(call),
-        [this, service = record->Info().service, handles = std::move(handles),
-         alive = std::weak_ptr<int>(alive_)](const http_result& result) {
-          if (alive.expired()) {
-            return;
-          }
-          // Results that are not freed expire by themselves.
-          if (result.status != kOk) {
-            environment_.metrics.Count("stage_frees_failed", service);
-            return;
-          }
-          for (const auto& handle : handles) {
-            room_.NoteFreed(handle);
-          }
-        });
+    client_.Start(std::move(call), [this, record, handles = std::move(handles),
+                                    alive = std::weak_ptr<int>(alive_)](
+                                       const http_result& result) {
+      if (alive.expired()) {
+        return;
+      }
+      ReadAnswer(*record, result, false);
+      // Results that are not freed expire by themselves.
+      if (result.status != kOk) {
+        environment_.metrics.Count("stage_frees_failed",
+                                   record->Info().service);
+        return;
+      }
+      for (const auto& handle : handles) {
+        room_.NoteFreed(handle);
+      }
+    });
   }
 }
 
