An endpoint whose answer says that it leaves gets no more work

Cause: only the entry in the store took an endpoint out; nobody read what the endpoint says of itself in its answers.

Whoever chooses an endpoint asks Usable() at that moment; a new run under the same id is used.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -79,7 +79,8 @@
   /// @returns whether that is news.
   bool NoteQuota(std::optional<double> per_second);
   const std::optional<double>& Quota() const { return quota_; }
-  /// @brief An answer says that the endpoint leaves; it stays so.
+  /// @brief The endpoint says in an answer that it leaves. No list takes that
+  /// back: it may be older than the answer.
   /// @returns whether that is new.
   bool NoteLeaving() { return !std::exchange(says_it_leaves_, true); }
   bool SaysItLeaves() const { return says_it_leaves_; }
@@ -107,7 +108,9 @@
   bool Cold(time_point now) const { return now < info_.cold_until; }
   /// @brief Takes it out for good: another incarnation has its address.
   void MarkGone() { gone_ = true; }
-  bool Usable() const { return !gone_ && !info_.leaving && !info_.evacuated; }
+  bool Usable() const {
+    return !gone_ && !says_it_leaves_ && !info_.leaving && !info_.evacuated;
+  }
 
  private:
   known_endpoint info_;
--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -10,8 +11,10 @@
 
 namespace slatestall {
 
-/// @brief All endpoints by service, with what was learned of each; a new list
-/// keeps what is known of the incarnations that stay.
+/// @brief All endpoints by service, with what was learned of each.
+///
+/// What is known of an incarnation outlives its entry: a store that was down or
+/// came back from a copy lists an endpoint anew that has said it leaves.
 /// @ingroup dispatch
 class endpoint_roster {
  public:
@@ -20,6 +23,10 @@
 
   void Replace(const std::vector<known_endpoint>& listed);
 
+  /// @brief The endpoint says in an answer that it leaves.
+  /// @returns whether that is new; null where it was known, or never listed.
+  endpoint_record_ptr NoteLeaving(const endpoint_incarnation& run);
+
   /// @brief Endpoints of a service, leaving ones included.
   const std::vector<endpoint_record_ptr>& Of(const std::string& service) const;
   using endpoint_filter = std::function<bool(const known_endpoint&)>;
@@ -34,10 +41,17 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
+  endpoint_record_ptr RecordOf(const known_endpoint& endpoint);
+  endpoint_record_ptr TakeUnlisted(const endpoint_incarnation& run);
+  std::deque<endpoint_record_ptr>::const_iterator Unlisted(
+      const endpoint_incarnation& run) const;
+  void KeepUnlisted(const endpoint_record_ptr& record);
+
   bool may_avoid_;
   std::map<std::string, endpoint_record_ptr> by_id_;
   std::map<std::string, std::vector<endpoint_record_ptr>> by_service_;
   std::unordered_map<std::string, endpoint_record_ptr> by_address_;
+  std::deque<endpoint_record_ptr> unlisted_;  ///< Oldest first.
 };
 
 }  // namespace slatestall
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -4,30 +4,84 @@
 #include <utility>
 
 namespace slatestall {
+namespace {
+
+/// Endpoints that are listed no more and still known.
+constexpr std::size_t kMostUnlisted = 2048;
+
+}  // namespace
 
 void endpoint_roster::Replace(const std::vector<known_endpoint>& listed) {
   std::map<std::string, endpoint_record_ptr> by_id;
   by_service_.clear();
   by_address_.clear();
   for (const auto& endpoint : listed) {
-    auto record = Find(endpoint.id);
-    if (record && record->Info().started_ms != endpoint.started_ms) {
-      // What was learnt, and what lies there, is of a run that has ended.
-      record->MarkGone();
-      record = nullptr;
-    }
-    if (record) {
-      record->Update(endpoint);
-    } else {
-      record = std::make_shared<endpoint_record>(endpoint, may_avoid_);
-    }
+    auto record = RecordOf(endpoint);
     by_service_[endpoint.service].push_back(record);
     if (record->Usable()) {
       by_address_[AddressText(endpoint)] = record;
     }
     by_id[endpoint.id] = std::move(record);
   }
-  by_id_ = std::move(by_id);
+  by_id_.swap(by_id);
+  for (const auto& [id, record] : by_id) {
+    if (!by_id_.contains(id)) {
+      KeepUnlisted(record);
+    }
+  }
+}
+
+endpoint_record_ptr endpoint_roster::RecordOf(const known_endpoint& endpoint) {
+  auto record = Find(endpoint.id);
+  if (record && record->Info().started_ms != endpoint.started_ms) {
+    // What was learnt, and what lies there, is of a run that has ended.
+    record->MarkGone();
+    record = nullptr;
+  }
+  if (!record) {
+    record = TakeUnlisted(endpoint.Incarnation());
+  }
+  if (!record) {
+    return std::make_shared<endpoint_record>(endpoint, may_avoid_);
+  }
+  record->Update(endpoint);
+  return record;
+}
+
+endpoint_record_ptr endpoint_roster::TakeUnlisted(
+    const endpoint_incarnation& run) {
+  const auto found = Unlisted(run);
+  if (found == unlisted_.end()) {
+    return nullptr;
+  }
+  auto record = *found;
+  unlisted_.erase(found);
+  return record;
+}
+
+std::deque<endpoint_record_ptr>::const_iterator endpoint_roster::Unlisted(
+    const endpoint_incarnation& run) const {
+  return std::find_if(unlisted_.begin(), unlisted_.end(),
+                      [&run](const auto& record) {
+                        return record->Info().Incarnation() == run;
+                      });
+}
+
+void endpoint_roster::KeepUnlisted(const endpoint_record_ptr& record) {
+  unlisted_.push_back(record);
+  if (unlisted_.size() > kMostUnlisted) {
+    unlisted_.pop_front();
+  }
+}
+
+endpoint_record_ptr endpoint_roster::NoteLeaving(
+    const endpoint_incarnation& run) {
+  auto record = Find(run.id);
+  if (!record || record->Info().Incarnation() != run) {
+    const auto unlisted = Unlisted(run);
+    record = unlisted == unlisted_.end() ? nullptr : *unlisted;
+  }
+  return record && record->NoteLeaving() ? record : nullptr;
 }
 
 const std::vector<endpoint_record_ptr>& endpoint_roster::Of(
@@ -47,7 +101,8 @@
 
 endpoint_record_ptr endpoint_roster::FindAt(const std::string& address) const {
   const auto found = by_address_.find(address);
-  return found == by_address_.end() ? nullptr : found->second;
+  return found == by_address_.end() || !found->second->Usable() ? nullptr
+                                                                : found->second;
 }
 
 endpoint_record_ptr endpoint_roster::Find(const std::string& id) const {
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -51,7 +51,7 @@
     return;  // It speaks of itself.
   }
   if (facts.leaving) {
-    NoteLeaving(record, "answer");
+    NoteLeaving(record.Info().Incarnation(), "answer");
   }
   if (facts.retry_after) {
     NoteBackOff(record, *facts.retry_after);
@@ -67,13 +67,18 @@
   }
 }
 
-void gateway_environment::NoteLeaving(endpoint_record& record,
-                                      const char* source) {
-  if (record.NoteLeaving()) {
-    log.Write("endpoint_leaving", {{"endpoint", record.Info().id},
-                                   {"service", record.Info().service},
-                                   {"listed_leaving", record.Info().leaving},
-                                   {"source", source}});
+void gateway_environment::NoteLeaving(const endpoint_incarnation& run,
+                                      const std::string& source) {
+  const auto record = roster.NoteLeaving(run);
+  if (!record) {
+    return;
+  }
+  log.Write("endpoint_leaving", {{"endpoint", run.id},
+                                 {"service", record->Info().service},
+                                 {"listed_leaving", record->Info().leaving},
+                                 {"source", source}});
+  if (on_endpoint_leaving) {
+    on_endpoint_leaving();
   }
 }
 
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -52,6 +52,8 @@
   std::function<void(request_digest)> on_served{};
   /// A call broke off at an endpoint, which may have crashed.
   std::function<void(const known_endpoint&, request_digest)> on_broken{};
+  /// Work that waits for an endpoint may have to go elsewhere.
+  std::function<void()> on_endpoint_leaving{};
 
   /// @brief Whether a request with that limit may use a failure domain.
   bool Allows(const region_limit& regions, const std::string& domain) const {
@@ -75,7 +77,7 @@
   /// that names no quota says that there is none.
   void NoteAnswer(endpoint_record& record, const answer_facts& facts, bool ran);
   /// @param source Where that is known from, for the log.
-  void NoteLeaving(endpoint_record& record, const char* source);
+  void NoteLeaving(const endpoint_incarnation& run, const std::string& source);
   void NoteBackOff(endpoint_record& record, milliseconds retry_after);
   /// @brief A call goes to an endpoint, which may be cold or in need.
   void NoteSent(const endpoint_record& record);
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -1,5 +1,6 @@
 #include "slatestall/gateway/gateway_traffic.h"
 
+#include <asio/post.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -69,6 +70,7 @@
                    std::nullopt,
                    {},
                    {},
+                   {},
                    {}},
       client_(context),
       home_(environment_, client_),
@@ -95,6 +97,10 @@
                                   request_digest running) {
     crashes_.NoteBroken(endpoint, running);
   };
+  // Never from inside the call whose answer says so.
+  environment_.on_endpoint_leaving = [this] {
+    asio::post(environment_.context, [this] { router_.Refresh(); });
+  };
 }
 
 gateway_traffic::~gateway_traffic() = default;
