Endpoints that name a time to come back get no call before it

Cause: the time that an endpoint names in its refusal was not read, and a refusal says nothing against choosing the endpoint again; its load is small, since it refuses.

Change: the latest end that an incarnation has named is kept in its record, which outlives its entry in the list. It is asked for at each choice: of an endpoint for a request, by a stage's home, for calls that free results, and once more when a connection has been made. Where all endpoints of a service are closed, requests are refused at once with the time at which the first opens; bookings are too, unless it opens in time, and pieces that would be too late by then are given up. A caller is not sent back before there is room any more, also where that is later than a third of its time.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -111,6 +111,8 @@
   bool Usable() const {
     return !gone_ && !says_it_leaves_ && !info_.leaving && !info_.evacuated;
   }
+  /// @brief Usable, and has not turned calls away until later.
+  bool TakesCalls(time_point now) const { return Usable() && !BacksOff(now); }
 
  private:
   known_endpoint info_;
--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,10 @@
   /// @param may_use Which of them count; not set: all.
   bool HasUsable(const std::string& service,
                  const endpoint_filter& may_use = {}) const;
+  /// @brief When the first endpoint of a service takes calls of this host.
+  /// @returns nothing where no endpoint takes work.
+  std::optional<time_point> OpensAt(const std::string& service,
+                                    const endpoint_filter& may_use) const;
   /// @returns null where the incarnation is not listed.
   endpoint_record_ptr Find(const std::string& id) const;
   /// @brief The usable endpoint at "IP:port", or null.
--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -86,6 +86,10 @@
   void Remove(const piece_group* group);
 
   piece_batch Take(const batch_terms& terms);
+  /// @brief Drops groups that are too late for any use where no call ends
+  /// before `done_by`, and late ones that have waited for long.
+  std::vector<piece_group_ptr> DropExpired(time_point now, duration late_wait,
+                                           time_point done_by);
 
   std::size_t Pieces() const { return entries_.size(); }
   /// @brief Those that are in time if a call made now has them.
@@ -97,9 +101,6 @@
     time_point anywhere_from{};  ///< From then on, the domain matters no more.
   };
 
-  std::vector<piece_group_ptr> DropExpired(const batch_terms& terms,
-                                           time_point done_by);
-
   std::vector<entry> entries_;
 };
 
--- a/include/slatestall/dispatch/stage_admission.h
+++ b/include/slatestall/dispatch/stage_admission.h
@@ -24,6 +24,7 @@
 struct stage_capacity {
   double pieces_per_second = 0;  ///< With full calls, at all its endpoints.
   duration call_time{0};         ///< Of a full call.
+  time_point opens_at{};         ///< No endpoint takes calls before.
 };
 
 enum class booking_verdict {
--- a/include/slatestall/relay/endpoint_call.h
+++ b/include/slatestall/relay/endpoint_call.h
@@ -18,6 +18,7 @@
 enum class call_outcome {
   kComplete,      ///< A whole answer, of any status.
   kNotConnected,  ///< No connection was made: no byte left this host.
+  kWithdrawn,     ///< `may_send` said no: no byte left this host.
   kBroken,        ///< Reset or closed before the answer was whole.
   kMalformed,     ///< The bytes are no answer.
 };
@@ -36,6 +37,9 @@
 };
 
 struct endpoint_call_hooks {
+  /// Whether the request may still be sent, once the connection is made. Not
+  /// set: it may.
+  std::function<bool()> may_send;
   std::function<void(message_head&)> on_head;
   std::function<void(std::string)> on_body;
   /// Once, unless cancelled; nothing follows.
--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -58,7 +58,7 @@
       : request_(request) {
     candidates_.reserve(all.size());
     for (const auto& record : all) {
-      if (!record->Usable() || Tried(request, *record) ||
+      if (!record->TakesCalls(request.now) || Tried(request, *record) ||
           (request.may_use && !request.may_use(record->Info())) ||
           (request.may_call && !request.may_call(*record))) {
         continue;
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -99,6 +99,18 @@
   });
 }
 
+std::optional<time_point> endpoint_roster::OpensAt(
+    const std::string& service, const endpoint_filter& may_use) const {
+  std::optional<time_point> opens;
+  for (const auto& record : Of(service)) {
+    if (record->Usable() && (!may_use || may_use(record->Info()))) {
+      opens =
+          std::min(opens.value_or(time_point::max()), record->BackOffUntil());
+    }
+  }
+  return opens;
+}
+
 endpoint_record_ptr endpoint_roster::FindAt(const std::string& address) const {
   const auto found = by_address_.find(address);
   return found == by_address_.end() || !found->second->Usable() ? nullptr
--- a/src/slatestall/dispatch/endpoint_roster_test.cc
+++ b/src/slatestall/dispatch/endpoint_roster_test.cc
@@ -8,10 +8,13 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/endpoint_pick.h"
+
 namespace slatestall {
 namespace {
 
 constexpr int kIds = 4;
+constexpr time_point kStart{std::chrono::seconds(1000)};
 
 known_endpoint Listed(const std::string& id, std::int64_t started_ms = 1) {
   known_endpoint endpoint;
@@ -74,6 +77,9 @@
   CPPUNIT_TEST(AnAnswerAfterTheEntryHasGoneCounts);
   CPPUNIT_TEST(ANewRunUnderTheSameIdIsUsed);
   CPPUNIT_TEST(NoOrderOfListsAndAnswersBringsALeavingEndpointBack);
+  CPPUNIT_TEST(AServiceOpensWithItsFirstEndpoint);
+  CPPUNIT_TEST(NoListEndsABackOff);
+  CPPUNIT_TEST(NoEndpointIsChosenBeforeTheTimeThatItNamed);
   CPPUNIT_TEST_SUITE_END();
 
   // The store lags behind the endpoint's answer and lists it as ready.
@@ -138,6 +144,63 @@
     }));
   }
 
+  // Callers would be sent back before or long after there is an endpoint.
+  void AServiceOpensWithItsFirstEndpoint() {
+    roster_.Replace({Listed("i-1"), Listed("i-2"), Listed("i-3")});
+    CPPUNIT_ASSERT(*roster_.OpensAt("s", {}) <= kStart);
+    roster_.Find("i-1")->NoteBackOff(kStart + std::chrono::seconds(3));
+    roster_.Find("i-2")->NoteBackOff(kStart + std::chrono::seconds(2));
+    roster_.NoteLeaving({"i-3", 1});
+    CPPUNIT_ASSERT(*roster_.OpensAt("s", {}) ==
+                   kStart + std::chrono::seconds(2));
+    CPPUNIT_ASSERT(!roster_.OpensAt("s", [](const auto&) { return false; }));
+    CPPUNIT_ASSERT(!roster_.OpensAt("other", {}));
+  }
+
+  // Its entry changes, lapses and comes back within the time.
+  void NoListEndsABackOff() {
+    roster_.Replace({Listed("i-1")});
+    roster_.Find("i-1")->NoteBackOff(kStart + std::chrono::seconds(3));
+    roster_.Find("i-1")->NoteBackOff(kStart + std::chrono::seconds(1));
+    roster_.Replace({Listed("i-1"), Listed("i-2")});
+    roster_.Replace({});
+    roster_.Replace({Listed("i-1")});
+    const auto record = roster_.Find("i-1");
+    CPPUNIT_ASSERT(!record->TakesCalls(kStart + milliseconds(2999)));
+    CPPUNIT_ASSERT(record->TakesCalls(kStart + std::chrono::seconds(3)));
+  }
+
+  // Any order of refusals, choices and lists.
+  void NoEndpointIsChosenBeforeTheTimeThatItNamed() {
+    CPPUNIT_ASSERT(rc::check("a back-off holds to its end", [] {
+      listed_world world;
+      world.Relist();
+      std::map<endpoint_incarnation, time_point> until;
+      time_point now = kStart;
+      const int steps = *rc::gen::inRange(1, 60);
+      for (int i = 0; i < steps; ++i) {
+        now += milliseconds(*rc::gen::inRange(0, 1500));
+        if (*rc::gen::inRange(0, 3) == 0) {
+          world.Relist();
+        }
+        pick_request request;
+        request.now = now;
+        const auto picked = PickEndpoint(world.roster.Of("s"), request);
+        const auto opens = world.roster.OpensAt("s", {});
+        RC_ASSERT((picked != nullptr) == (opens && *opens <= now));
+        if (!picked) {
+          continue;
+        }
+        auto& named = until[picked->Info().Incarnation()];
+        RC_ASSERT(now >= named);
+        if (*rc::gen::arbitrary<bool>()) {
+          named = now + milliseconds(*rc::gen::inRange(1, 5000));
+          picked->NoteBackOff(named);
+        }
+      }
+    }));
+  }
+
   endpoint_roster roster_;
 };
 
--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -60,11 +60,10 @@
 /// Too late for any use, or late and passed over for long: while pieces that
 /// can be in time fill the calls, a late one would wait until its deadline, and
 /// its caller with it.
-bool IsHopeless(const piece_group& group, const batch_terms& terms,
+bool IsHopeless(const piece_group& group, time_point now, duration late_wait,
                 time_point done_by) {
   return group.worthless_after < done_by ||
-         (group.useful_by < done_by &&
-          group.came + terms.late_wait < terms.now);
+         (group.useful_by < done_by && group.came + late_wait < now);
 }
 
 }  // namespace
@@ -87,12 +86,13 @@
   });
 }
 
-std::vector<piece_group_ptr> piece_queue::DropExpired(const batch_terms& terms,
+std::vector<piece_group_ptr> piece_queue::DropExpired(time_point now,
+                                                      duration late_wait,
                                                       time_point done_by) {
   std::vector<piece_group_ptr> expired;
   for (const auto& one : entries_) {
     const auto& group = one.piece.group;
-    if (IsHopeless(*group, terms, done_by) &&
+    if (IsHopeless(*group, now, late_wait, done_by) &&
         std::find(expired.begin(), expired.end(), group) == expired.end()) {
       expired.push_back(group);
     }
@@ -114,7 +114,7 @@
   const auto fill = std::min<std::size_t>(entries_.size(), terms.most);
   batch.done_by = terms.now + terms.call_time +
                   terms.piece_time * static_cast<duration::rep>(fill);
-  batch.expired = DropExpired(terms, batch.done_by);
+  batch.expired = DropExpired(terms.now, terms.late_wait, batch.done_by);
   const pressing_order order{batch.done_by,
                              Scaled(batch.done_by - terms.now, kRankStepPart)};
   // Within a class those near their bytes go first: with all endpoints busy,
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -46,7 +46,7 @@
   const auto start = [&](std::size_t ahead) {
     const duration busy = Seconds(static_cast<double>(ahead) /
                                   (capacity.pieces_per_second * confidence_));
-    return std::max(booking.due, now + busy);
+    return std::max(booking.due, std::max(now, capacity.opens_at) + busy);
   };
   booking_answer answer;
   const time_point in_time =
@@ -61,7 +61,8 @@
                            capacity.call_time * kLateCalls);
     const auto most = booking.due + patience;
     if (late > most) {
-      return {booking_verdict::kRefused, in_time - limit};
+      return {booking_verdict::kRefused,
+              std::max(in_time - limit, capacity.opens_at - now)};
     }
     answer.verdict = booking_verdict::kLate;
   }
--- a/src/slatestall/dispatch/stage_admission_test.cc
+++ b/src/slatestall/dispatch/stage_admission_test.cc
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(ABurstIsTakenUpToWhatCanBeMadeInTime);
   CPPUNIT_TEST(UnderOverloadTheMoreUrgentKeepTheirPlaces);
   CPPUNIT_TEST(AShardWithoutEndpointsRefuses);
+  CPPUNIT_TEST(AShardThatIsClosedForTooLongSaysUntilWhen);
+  CPPUNIT_TEST(AShardThatOpensInTimeTakesWhatComes);
   CPPUNIT_TEST(BookingsThatNeverComeAreForgotten);
   CPPUNIT_TEST(LatePiecesLowerWhatIsCountedOn);
   CPPUNIT_TEST(WhatIsReleasedIsNeitherHeldNorOwed);
@@ -50,6 +52,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{16}, admission.Booked());
   }
 
+  // All endpoints have turned calls away: requests were taken that could only
+  // wait for their deadline.
+  void AShardThatIsClosedForTooLongSaysUntilWhen() {
+    stage_admission admission;
+    auto capacity = Capacity(1000);
+    capacity.opens_at = kStart + milliseconds(3000);
+    const auto answer =
+        admission.Book(Booking("r", kStart), capacity, 0, 0, kStart);
+    CPPUNIT_ASSERT(answer.verdict == booking_verdict::kRefused);
+    CPPUNIT_ASSERT(answer.room_after >= milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, admission.Booked());
+  }
+
+  void AShardThatOpensInTimeTakesWhatComes() {
+    stage_admission admission;
+    auto capacity = Capacity(1000);
+    capacity.opens_at = kStart + milliseconds(700);
+    const auto answer =
+        admission.Book(Booking("r", kStart), capacity, 0, 0, kStart);
+    CPPUNIT_ASSERT(answer.verdict == booking_verdict::kInTime);
+  }
+
   // The load: for five seconds twice as many requests come as the shard can
   // make. Half of them must be taken in time, no more than can be; the others
   // are told when there may be room.
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -1,5 +1,6 @@
 #include "slatestall/gateway/gateway_environment.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace slatestall {
@@ -85,7 +86,9 @@
 void gateway_environment::NoteBackOff(endpoint_record& record,
                                       milliseconds retry_after) {
   const bool backed_off = record.BacksOff(now());
-  if (record.NoteBackOff(now() + retry_after) && !backed_off) {
+  const time_point until = now() + retry_after;
+  back_offs_end = std::max(back_offs_end, until);
+  if (record.NoteBackOff(until) && !backed_off) {
     log.Write("endpoint_backs_off", {{"endpoint", record.Info().id},
                                      {"service", record.Info().service},
                                      {"for_ms", retry_after.count()}});
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -46,6 +46,7 @@
   std::map<std::string, longest_answer> answers;   ///< By route.
   std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
+  time_point back_offs_end{};           ///< Of all endpoints; may be over.
   std::optional<host_stop> stop{};      ///< Not set: goes on.
   std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
   /// An endpoint has answered a request with that content to the end.
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -163,25 +163,25 @@
     return !environment_.roster.HasUsable(
         service, [this](const auto& endpoint) { return MayUse(endpoint); });
   };
-  const auto refused = [this](const std::string& service) {
+  const auto refused = [](const std::string& service, milliseconds back) {
     return refusal{
         error_kind::kNoEndpoint,
-        "service \"" + service + "\" has no endpoint that may take it",
-        ReturnTime()};
+        "service \"" + service + "\" has no endpoint that may take it", back};
   };
   const auto& engines = environment_.roster.Of(service_);
+  const time_point sent_at = environment_.now() + TimeOfStages();
   const bool may_be_sent =
-      std::any_of(engines.begin(), engines.end(), [this](const auto& record) {
-        return record->Usable() && MayUse(record->Info()) &&
+      std::any_of(engines.begin(), engines.end(), [&](const auto& record) {
+        return record->TakesCalls(sent_at) && MayUse(record->Info()) &&
                environment_.MayCallSoon(*record);
       });
   if (!may_be_sent) {
-    return refused(service_);
+    return refused(service_, ReturnToService());
   }
   for (std::size_t i = 0; i < graph_->Size(); ++i) {
     const auto& service = route_->stages[i].service;
     if (graph_->Pieces(i) > 0 && lacks(service)) {
-      return refused(service);
+      return refused(service, ReturnTime());
     }
   }
   return std::nullopt;
@@ -303,20 +303,26 @@
   return longest;
 }
 
+/// Until the request is sent to an endpoint of its service.
+duration request_run::TimeOfStages() const {
+  return route_->IsStream() ? PathTime() - FirstEventTime() : duration(0);
+}
+
 milliseconds request_run::TimeLeft() const {
   return std::max(milliseconds(0),
                   WholeMilliseconds(deadline_ - environment_.now()));
 }
 
 /// Returns are spread over the allowed time, so that those refused in one
-/// burst do not make the next.
+/// burst do not make the next. A caller is never sent back before there is
+/// room: it would be refused again.
 milliseconds request_run::ReturnTime(milliseconds earliest) const {
   const auto most = TimeLeft() / kReturnPart;
   if (!environment_.options.Uses(mechanism::kSpreadReturns)) {
-    return std::min(most, std::max(earliest, kShortestReturn));
+    return std::max(std::min(most, kShortestReturn), earliest);
   }
   if (most <= std::max(earliest, kShortestReturn)) {
-    return most;
+    return std::max(most, earliest);
   }
   if (earliest > milliseconds(0)) {
     return SpreadBetween(earliest, earliest + (most - earliest) / 2, facts_.id);
@@ -324,4 +330,13 @@
   return SpreadBetween(kShortestReturn, most, facts_.id);
 }
 
+/// Not before an endpoint of the service takes calls.
+milliseconds request_run::ReturnToService() const {
+  const auto opens = environment_.roster.OpensAt(
+      service_, [this](const auto& endpoint) { return MayUse(endpoint); });
+  const auto wait = opens ? *opens - environment_.now() : duration(0);
+  return ReturnTime(
+      std::max(std::chrono::ceil<milliseconds>(wait), milliseconds(0)));
+}
+
 }  // namespace slatestall
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -107,7 +107,8 @@
       std::any_of(all.begin(), all.end(), [&](const auto& record) {
         const bool is_cold = bounds_cold && record->Cold(environment_.now());
         const bool in_need = environment_.HasQuota(*record);
-        return record->Usable() && MayUse(record->Info()) &&
+        return record->TakesCalls(environment_.now()) &&
+               MayUse(record->Info()) &&
                (is_cold || (in_need && environment_.MayCallSoon(*record)));
       });
   const bool in_time = environment_.now() + FirstEventTime() < objective_;
@@ -196,6 +197,10 @@
   record->NoteStart();
   environment_.NoteSent(*record);
   endpoint_call_hooks hooks;
+  // Another answer may have come while the connection was made.
+  hooks.may_send = [self = shared_from_this(), record] {
+    return record->TakesCalls(self->environment_.now());
+  };
   hooks.on_head = [self = shared_from_this()](message_head& head) {
     self->OnHead(head);
   };
@@ -345,6 +350,11 @@
                      !(events_ && events_->InsideEvent());
   if (!whole) {
     const bool unsent = outcome == call_outcome::kNotConnected;
+    if (outcome == call_outcome::kWithdrawn) {
+      EndAttempt(call_lesson::kNothing);
+      FailAttempt(attempt_failure::kNotSent, "the endpoint takes no calls");
+      return;
+    }
     if (outcome == call_outcome::kBroken) {
       environment_.on_broken(record_->Info(), Digest());
     }
@@ -464,7 +474,7 @@
   if (may_have_run_) {
     Refuse({error_kind::kStageFailed, detail});
   } else {
-    Refuse({error_kind::kNoEndpoint, detail, ReturnTime()});
+    Refuse({error_kind::kNoEndpoint, detail, ReturnToService()});
   }
 }
 
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -78,12 +78,14 @@
   std::optional<refusal> CheckStop() const;
   refusal HostStops() const;
   duration PathTime() const;
+  duration TimeOfStages() const;
   duration StageTime(std::size_t stage) const;
   duration Elapsed() const;
   duration TimeAfter(std::size_t stage) const;
   duration FirstEventTime() const;
   prompt_size PromptSize() const;
   milliseconds ReturnTime(milliseconds earliest = milliseconds(0)) const;
+  milliseconds ReturnToService() const;
   milliseconds TimeLeft() const;
 
   // Stages.
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -139,6 +139,8 @@
   }
   const auto found = shards_.find(shard);
   stage_capacity capacity;
+  double backed_off = 0;  // Pieces a second of endpoints that take none now.
+  time_point opens_at = time_point::max();
   capacity.call_time = FullCallTime(shard);
   const double full_call =
       std::chrono::duration<double>(capacity.call_time).count();
@@ -156,7 +158,17 @@
     if (environment_.HasQuota(*record)) {
       calls = std::min(calls, *record->Quota());
     }
-    capacity.pieces_per_second += calls * rule->most_pieces;
+    const double pieces = calls * rule->most_pieces;
+    if (record->BacksOff(now)) {
+      backed_off += pieces;
+      opens_at = std::min(opens_at, record->BackOffUntil());
+    } else {
+      capacity.pieces_per_second += pieces;
+    }
+  }
+  if (capacity.pieces_per_second <= 0 && backed_off > 0) {
+    capacity.pieces_per_second = backed_off;
+    capacity.opens_at = opens_at;
   }
   return capacity;
 }
@@ -218,6 +230,7 @@
       sent = PumpOnce(shard, *rule, record) || sent;
     }
   }
+  DropUntilOpen(shard);
   if (state.queue.Pieces() > 0 && !state.wake) {
     // Pieces that wait for a place near their bytes, and endpoints that pause,
     // end no call that would wake this.
@@ -225,6 +238,30 @@
   }
 }
 
+/// While no endpoint takes calls, what will be too late by then is given up at
+/// once: its caller has more time left for another way.
+void stage_home::DropUntilOpen(const stage_shard& shard) {
+  auto& queue = shards_[shard].queue;
+  const time_point now = environment_.now();
+  if (queue.Pieces() == 0 || now >= environment_.back_offs_end) {
+    return;
+  }
+  const auto capacity = Capacity(shard);
+  if (capacity.opens_at <= now) {
+    return;
+  }
+  for (const auto& group : queue.DropExpired(
+           now, LateWait(shard), capacity.opens_at + capacity.call_time)) {
+    Fail(group.get(), stage_end::kTooLate);
+  }
+}
+
+duration stage_home::LateWait(const stage_shard& shard) const {
+  return environment_.options.Uses(mechanism::kLateGiveUp)
+             ? FullCallTime(shard) * kLateWaitCalls
+             : kNoLimit;
+}
+
 bool stage_home::PumpOnce(const stage_shard& shard, const batch_rule& rule,
                           const endpoint_record_ptr& record) {
   auto& state = shards_[shard];
@@ -233,17 +270,16 @@
   const double slowness = IsSlow(state, *record) ? record->Slowness() : 1.0;
   terms.call_time = Scaled(rule.call_time, slowness);
   terms.piece_time = Scaled(PieceTime(shard, rule), slowness);
-  terms.late_wait = environment_.options.Uses(mechanism::kLateGiveUp)
-                        ? FullCallTime(shard) * kLateWaitCalls
-                        : kNoLimit;
+  terms.late_wait = LateWait(shard);
   terms.most = rule.most_pieces;
   terms.domain = record->Info().failure_domain;
   terms.room = RoomAt(*record, rule);
   terms.has_endpoint = [&](const std::string& domain) {
     const auto& all = environment_.roster.Of(shard.service);
     return std::any_of(all.begin(), all.end(), [&](const auto& one) {
-      return one->Info().failure_domain == domain && one->Usable() &&
-             !one->Avoided(terms.now) && !IsSlow(state, *one);
+      return one->Info().failure_domain == domain &&
+             one->TakesCalls(terms.now) && !one->Avoided(terms.now) &&
+             !IsSlow(state, *one);
     });
   };
   auto batch = state.queue.Take(terms);
@@ -354,8 +390,8 @@
     if (is_cold && !environment_.MayUseCold(*record, *cold_calls)) {
       continue;
     }
-    if (other_shard || !record->Usable() || record->Avoided(now) || full ||
-        pausing || (is_slow && others_suffice) ||
+    if (other_shard || !record->TakesCalls(now) || record->Avoided(now) ||
+        full || pausing || (is_slow && others_suffice) ||
         !environment_.MayCallAsHome(*record)) {
       continue;
     }
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -59,6 +59,8 @@
                                                  const batch_rule& rule) const;
   bool PumpOnce(const stage_shard& shard, const batch_rule& rule,
                 const endpoint_record_ptr& record);
+  void DropUntilOpen(const stage_shard& shard);
+  duration LateWait(const stage_shard& shard) const;
   duration FullCallTime(const stage_shard& shard) const;
   duration PieceTime(const stage_shard& shard, const batch_rule& rule) const;
   void LogRefusal(const stage_need& need, const shard_state& state,
@@ -88,6 +90,7 @@
   void Fail(const piece_group* group, stage_end end);
   void Conclude(const group_state_ptr& ended, stage_outcome outcome);
   void PumpSoon(const stage_shard& shard, duration delay);
+  void PlanFrees();
   void FlushFrees();
   const batch_rule* Rule(const std::string& service) const;
   stage_capacity Capacity(const stage_shard& shard) const;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -361,6 +361,10 @@
       frees_[std::move(keeper)].push_back(std::move(handle));
     }
   }
+  PlanFrees();
+}
+
+void stage_home::PlanFrees() {
   if (frees_.empty() || free_planned_) {
     return;
   }
@@ -384,6 +388,10 @@
     if (!record || Rule(record->Info().service) == nullptr) {
       continue;
     }
+    if (record->BacksOff(environment_.now())) {
+      frees_[keeper] = std::move(handles);
+      continue;
+    }
     handles.resize(std::min(handles.size(), kMaxHandlesPerFree));
     http_call call;
     call.method = "POST";
@@ -410,6 +418,7 @@
       }
     });
   }
+  PlanFrees();
 }
 
 std::map<stage_shard, std::size_t> stage_home::Waiting() const {
--- a/src/slatestall/relay/endpoint_call.cc
+++ b/src/slatestall/relay/endpoint_call.cc
@@ -71,6 +71,10 @@
     }
     connected_ = true;
     connect_timer_.cancel();
+    if (hooks_.may_send && !hooks_.may_send()) {
+      End(call_outcome::kWithdrawn);
+      return;
+    }
     may_have_left_ = true;
     asio::async_write(
         socket_, asio::buffer(options_.request),
