Soak plays endpoints that leave or turn calls away by their answers alone

Endpoints say that they leave while the store lists them as ready, and name times in 503; in a calm phase all engines do so together. Checked: nothing is sent by a host 2 s after a caller had an answer of its that said so (also with --no-times); at most 2 requests of a host within a named time; while all are closed, callers are refused within 0.5 s with a time not before the first engine opens.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,7 @@
         self.ended = None
         self.status = None
         self.refusal = None  # Why the gateway refused it.
+        self.retry_after = None  # Seconds.
         self.keeps = False   # Its connection may have idled before.
         self.fault = None  # A broken promise that shows by itself.
         self.cut = False   # The connection ended without a whole answer.
@@ -136,6 +137,8 @@
     async def read(self, reader, outcome):
         head = await read_head(reader)
         outcome.status = head.status
+        if "retry-after" in head.headers:
+            outcome.retry_after = float(head.headers["retry-after"])
         if head.headers.get("transfer-encoding") == "chunked":
             await read_stream(reader, outcome)
         else:
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -138,7 +138,11 @@
         self.quota_since = None
         self.quotas = []  # Each that has ended: number, begin, end.
         self.told = []  # Host, time: answers that named the quota.
-        self.asked = []  # Host, time: requests while it named one.
+        self.asked = []  # Request, time: all but stage calls.
+        self.leaves = False  # It says so in its answers.
+        self.said_leaving = []  # Requests whose answers said so.
+        self.retry_after = None  # Seconds that it names to all it turns away.
+        self.turned_away = []  # Request, time, seconds.
         self.crashed = False
         self.on_crash = None  # A request crashes it.
         self.port = None
@@ -186,6 +190,15 @@
         self.told.append((request, time.monotonic()))
         return {"Server-Limit": f"{self.quota:.2f}"}
 
+    def statements(self):
+        return {"Server-Leaving": "1"} if self.leaves else {}
+
+    def turn_away(self, request, writer):
+        self.turned_away.append((request, time.monotonic(), self.retry_after))
+        writer.write(answer(503, {
+            "Not-Run": "1", "Request-Id": request, **self.statements(),
+            "Retry-After": f"{self.retry_after:.2f}"}))
+
     async def handle(self, request, writer):
         headers = request.headers
         path = request.first.split(" ")[1]
@@ -193,17 +206,21 @@
             writer.write(answer(421, {"Instance": self.identity}))
             return True
         if path == "/stage-free":
-            writer.write(answer(200, {}))
+            writer.write(answer(200, self.statements()))
             return True
         self.arrivals.append(time.monotonic())
         if path != "/stage-run":
             self.asked.append((headers.get("request-id"), time.monotonic()))
         if self.left_at is not None:
             self.late_arrivals.append(time.monotonic() - self.left_at)
+        if self.retry_after is not None:
+            self.turn_away(headers.get("request-id", ""), writer)
+            return True
         fails = self.random.random() < self.trouble
         if fails and self.random.random() < 0.3:
             writer.write(answer(503, {"Not-Run": "1", "Request-Id":
-                                      headers.get("request-id", "")}))
+                                      headers.get("request-id", ""),
+                                      **self.statements()}))
             return True
         if path == "/stage-run":
             return await self.make_pieces(request, writer, fails)
@@ -224,7 +241,7 @@
         if fails:
             return False
         body = json.dumps({"entries": results}).encode()
-        writer.write(answer(200, {"Load": "0,0,1"}, body))
+        writer.write(answer(200, {"Load": "0,0,1", **self.statements()}, body))
         return True
 
     async def run(self, path, headers, writer, fails):
@@ -242,7 +259,9 @@
                     for i in inputs if "/" in i):
                 self.faults.append(f"inputs of {request}: {inputs}")
         head = {"Request-Id": request, "Stamp": self.identity,
-                **self.quota_headers(request)}
+                **self.quota_headers(request), **self.statements()}
+        if self.leaves:
+            self.said_leaving.append(request)
         if path.startswith("/long/"):
             pause = int(path.split("/")[2]) / 1000 / self.LONG_EVENTS
             kept = await self.stream(headers, head, writer, fails,
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -38,6 +38,12 @@
 # told of it that long before.
 QUOTA_WINDOW = 4.0
 QUOTA_HEARD = 0.5
+# An endpoint that turned a host away with a time gets no more requests of it
+# than these, from that many seconds later to the end of that time.
+MOST_IN_BACK_OFF = 2
+BACK_OFF_HEARD = 0.5
+# Refusals that nothing has to be waited for end within these seconds.
+AT_ONCE = 0.5
 # Time in which a host that was disturbed may still be wrong.
 SETTLE = 3.0
 
@@ -147,6 +153,9 @@
         self.events = []
         self.evacuations = []  # Domain, begin, end.
         self.late = 0
+        self.closed = []  # Engines that turned all calls away in calm,
+        self.closed_until = 0.0  # and until when.
+        self.refused_closed = 0
         self.stopping = asyncio.Event()
 
     def note(self, text):
@@ -208,7 +217,8 @@
                 self.break_store, self.cut_store, self.crash_endpoint,
                 self.retire_endpoint, self.trouble_endpoint, self.cut_endpoint,
                 self.change_configuration, self.restore_store,
-                self.evacuate_domain, self.limit_endpoint))
+                self.evacuate_domain, self.limit_endpoint,
+                self.leave_without_a_record, self.turn_away_for_a_while))
             faults.append(asyncio.ensure_future(fault()))
         await asyncio.sleep(2)
         await asyncio.gather(*faults)
@@ -224,6 +234,20 @@
         for endpoint in engines[1:]:
             endpoint.name_quota(None)
 
+    async def close_in_calm(self):
+        """All engines turn calls away, and name times, while nothing is
+        disturbed."""
+        engines = [e for e in self.endpoints if e.service == "s"]
+        self.note("all engines turn away")
+        self.closed = engines
+        self.closed_until = time.monotonic() + 2.0
+        for endpoint in engines:
+            endpoint.retry_after = 2.0
+        await asyncio.sleep(1.0)
+        for endpoint in engines:
+            endpoint.retry_after = None
+        await asyncio.sleep(2.0)
+
     async def stop_in_series(self):
         """Planned changes alone: stops that overlap on all hosts but one."""
         end = time.monotonic() + STOPS
@@ -359,6 +383,26 @@
         self.publish(endpoint, "draining")
         endpoint.left_at = time.monotonic()
 
+    async def leave_without_a_record(self):
+        """Says so in its answers; the store does not take its record."""
+        endpoint = self.some_endpoint()
+        if endpoint.leaves:
+            return
+        await self.add_endpoint(endpoint.service)
+        await asyncio.sleep(1.5)
+        self.note(f"{endpoint.identity} says that it leaves")
+        endpoint.leaves = True
+
+    async def turn_away_for_a_while(self):
+        endpoint = self.some_endpoint()
+        if endpoint.retry_after is not None:
+            return
+        seconds = 0.7 + 2.5 * self.random.random()
+        self.note(f"{endpoint.identity} turns away for {seconds:.1f} s")
+        endpoint.retry_after = seconds
+        await asyncio.sleep(1 + 2 * self.random.random())
+        endpoint.retry_after = None
+
     async def limit_endpoint(self):
         engines = [e for e in self.endpoints if e.left_at is None and
                    e.service == "s" and e.quota is None]
@@ -422,6 +466,7 @@
         crasher = callers[-1]
         tasks = [asyncio.ensure_future(c.run()) for c in callers[:-1]]
         if self.times:
+            await self.close_in_calm()
             await self.limit_in_calm()
             self.began += time.monotonic() - started
         tasks.append(asyncio.ensure_future(crasher.run()))
@@ -487,6 +532,10 @@
                                   "after it began to leave")
         broken += self.judge_evacuations()
         broken += self.judge_quotas()
+        broken += self.judge_leaving()
+        if self.times:
+            broken += self.judge_back_offs()
+            broken += self.judge_closed()
         for host in self.hosts:
             for code in host.ends:
                 broken.append(f"{host.name} ended by itself with {code}")
@@ -561,6 +610,67 @@
                     yield (f"{endpoint.identity} takes {quota:.2f} a second "
                            f"and got {most} in {QUOTA_WINDOW:.0f} s")
 
+    def same_process(self, host, start, end):
+        return not self.near(host.disturbed, start, end) and not self.near(
+            [s.told_at for s in host.stops], start, end)
+
+    def judge_leaving(self):
+        """A host that has passed on that an endpoint leaves sends it nothing,
+        whatever the store lists."""
+        outcomes = {one.request: one for one in self.outcomes}
+        for endpoint in self.endpoints:
+            known = {}
+            for request in endpoint.said_leaving:
+                one = outcomes.get(request)
+                if one and one.status == 200 and not one.cut and one.ended:
+                    at = known.get(one.host, one.ended)
+                    known[one.host] = min(at, one.ended)
+            for request, _ in endpoint.asked:
+                one = outcomes.get(request)
+                at = known.get(one.host) if one else None
+                if at and one.sent > at + LEAVE_LIMIT and \
+                        self.same_process(one.host, at, one.sent):
+                    yield (f"{endpoint.identity} got {request} of "
+                           f"{one.host.name} {one.sent - at:.1f} s after an "
+                           "answer that said it leaves")
+
+    def judge_back_offs(self):
+        hosts = {one.request: one.host for one in self.outcomes}
+        for endpoint in self.endpoints:
+            for request, at, seconds in endpoint.turned_away:
+                host = hosts.get(request)
+                more = [t for r, t in endpoint.asked if hosts.get(r) is host and
+                        at + BACK_OFF_HEARD < t < at + seconds]
+                if host and len(more) > MOST_IN_BACK_OFF and \
+                        self.same_process(host, at, more[-1]) and \
+                        not self.near(endpoint.disturbed, at, more[-1]):
+                    yield (f"{endpoint.identity} named {seconds:.1f} s and got "
+                           f"{len(more)} requests of {host.name} in them")
+                    break
+
+    def judge_closed(self):
+        """While all engines have turned a calm host away, it refuses at once
+        and names a time at which the first takes calls."""
+        hosts = {one.request: one.host for one in self.outcomes}
+        for host in self.hosts:
+            named = [[at for r, at, _ in e.turned_away if hosts.get(r) is host
+                      and at < self.closed_until] for e in self.closed]
+            if not named or not all(named) or \
+                    min(host.disturbed, default=self.closed_until) < \
+                    self.closed_until:
+                continue
+            begin = max(min(times) for times in named) + 0.1
+            end = min(min(times) for times in named) + 2.0 - 0.1
+            for one in self.outcomes:
+                if one.host is not host or not begin < one.sent < end:
+                    continue
+                self.refused_closed += 1
+                name = f"{one.request} ({one.kind}, {host.name}), all closed"
+                if one.status != 503 or one.ended - one.sent > AT_ONCE:
+                    yield f"{name}: {one.status} {one.ended - one.sent:.2f} s"
+                elif (one.retry_after or 0) < end - one.ended:
+                    yield f"{name}: told to return in {one.retry_after} s"
+
     def is_calm(self, stop):
         return stop.ended_at is None or not self.near(
             stop.host.disturbed, stop.told_at, stop.ended_at)
@@ -591,7 +701,8 @@
         print(f"seed {seed}: {run.served} of {len(run.outcomes)} served, "
               f"{sum(len(h.stops) for h in run.hosts)} stops, {run.late} "
               f"requests behind a closed door, {run.crashed} crashes by a "
-              f"request, {run.quarantined} times refused, {len(broken)} broken",
+              f"request, {run.quarantined} times refused, "
+              f"{run.refused_closed} while closed, {len(broken)} broken",
               flush=True)
         if broken:
             for line in run.events + [""] + broken[:20]:
