Wording: answers report, endpoints back off

Names and comments of the two fixes use the field's terms; the log event `endpoint_leaving` loses a field that had one value only.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -79,13 +79,14 @@
   /// @returns whether that is news.
   bool NoteQuota(std::optional<double> per_second);
   const std::optional<double>& Quota() const { return quota_; }
-  /// @brief The endpoint says in an answer that it leaves. No list takes that
-  /// back: it may be older than the answer.
+  /// @brief An answer reported that the endpoint is leaving. Final for this
+  /// incarnation: a later list may be older than the answer.
   /// @returns whether that is new.
-  bool NoteLeaving() { return !std::exchange(says_it_leaves_, true); }
-  bool SaysItLeaves() const { return says_it_leaves_; }
-  /// @brief It takes no call of this host until then.
-  /// @returns whether that is later than known.
+  bool NoteLeaving() { return !std::exchange(reported_leaving_, true); }
+  bool ReportedLeaving() const { return reported_leaving_; }
+  /// @brief A refusal asked for no calls of this host until then; the latest
+  /// such time counts.
+  /// @returns whether it has moved.
   bool NoteBackOff(time_point until);
   time_point BackOffUntil() const { return back_off_until_; }
   bool BacksOff(time_point now) const { return now < back_off_until_; }
@@ -109,9 +110,9 @@
   /// @brief Takes it out for good: another incarnation has its address.
   void MarkGone() { gone_ = true; }
   bool Usable() const {
-    return !gone_ && !says_it_leaves_ && !info_.leaving && !info_.evacuated;
+    return !gone_ && !reported_leaving_ && !info_.leaving && !info_.evacuated;
   }
-  /// @brief Usable, and has not turned calls away until later.
+  /// @brief Usable, and not in a back-off.
   bool TakesCalls(time_point now) const { return Usable() && !BacksOff(now); }
 
  private:
@@ -124,7 +125,7 @@
   unsigned failures_in_row_ = 0;
   time_point avoid_until_{};
   bool gone_ = false;
-  bool says_it_leaves_ = false;
+  bool reported_leaving_ = false;
   time_point back_off_until_{};
   /// Five calls make two thirds of it: a slow or failing endpoint is known
   /// after few calls, and forgiven after as many.
--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -14,8 +14,8 @@
 
 /// @brief All endpoints by service, with what was learned of each.
 ///
-/// What is known of an incarnation outlives its entry: a store that was down or
-/// came back from a copy lists an endpoint anew that has said it leaves.
+/// Records outlive their entries: a store that was down, or was restored from a
+/// copy, may list a leaving endpoint as ready again.
 /// @ingroup dispatch
 class endpoint_roster {
  public:
@@ -24,8 +24,8 @@
 
   void Replace(const std::vector<known_endpoint>& listed);
 
-  /// @brief The endpoint says in an answer that it leaves.
-  /// @returns whether that is new; null where it was known, or never listed.
+  /// @brief An answer reported that the endpoint is leaving.
+  /// @returns its record; null if that was known, or it was never listed.
   endpoint_record_ptr NoteLeaving(const endpoint_incarnation& run);
 
   /// @brief Endpoints of a service, leaving ones included.
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -56,8 +56,7 @@
   /// Calls a second that the endpoint takes from all hosts together.
   std::optional<double> quota;
   bool leaving = false;  ///< The endpoint takes no new work.
-  /// Of an endpoint that turns a call away: how long it takes no other call of
-  /// this host.
+  /// From a refusal: how long the endpoint takes no other call of this host.
   std::optional<milliseconds> retry_after;
 };
 
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -6,7 +6,7 @@
 namespace slatestall {
 namespace {
 
-/// Endpoints that are listed no more and still known.
+/// Records kept of endpoints that are no longer listed.
 constexpr std::size_t kMostUnlisted = 2048;
 
 }  // namespace
--- a/src/slatestall/dispatch/endpoint_roster_test.cc
+++ b/src/slatestall/dispatch/endpoint_roster_test.cc
@@ -79,7 +79,7 @@
   CPPUNIT_TEST(NoOrderOfListsAndAnswersBringsALeavingEndpointBack);
   CPPUNIT_TEST(AServiceOpensWithItsFirstEndpoint);
   CPPUNIT_TEST(NoListEndsABackOff);
-  CPPUNIT_TEST(NoEndpointIsChosenBeforeTheTimeThatItNamed);
+  CPPUNIT_TEST(NoEndpointIsChosenBeforeItsRetryAfter);
   CPPUNIT_TEST_SUITE_END();
 
   // The store lags behind the endpoint's answer and lists it as ready.
@@ -102,7 +102,7 @@
     CPPUNIT_ASSERT(!roster_.HasUsable("s"));
   }
 
-  // A call outlasts the entry, and its answer says that the endpoint leaves.
+  // A call outlasts the entry, and its answer reports that the endpoint leaves.
   void AnAnswerAfterTheEntryHasGoneCounts() {
     roster_.Replace({Listed("i-1")});
     roster_.Replace({});
@@ -171,7 +171,7 @@
   }
 
   // Any order of refusals, choices and lists.
-  void NoEndpointIsChosenBeforeTheTimeThatItNamed() {
+  void NoEndpointIsChosenBeforeItsRetryAfter() {
     CPPUNIT_ASSERT(rc::check("a back-off holds to its end", [] {
       listed_world world;
       world.Relist();
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -52,7 +52,7 @@
     return;  // It speaks of itself.
   }
   if (facts.leaving) {
-    NoteLeaving(record.Info().Incarnation(), "answer");
+    NoteLeaving(record.Info().Incarnation());
   }
   if (facts.retry_after) {
     NoteBackOff(record, *facts.retry_after);
@@ -68,16 +68,14 @@
   }
 }
 
-void gateway_environment::NoteLeaving(const endpoint_incarnation& run,
-                                      const std::string& source) {
+void gateway_environment::NoteLeaving(const endpoint_incarnation& run) {
   const auto record = roster.NoteLeaving(run);
   if (!record) {
     return;
   }
   log.Write("endpoint_leaving", {{"endpoint", run.id},
                                  {"service", record->Info().service},
-                                 {"listed_leaving", record->Info().leaving},
-                                 {"source", source}});
+                                 {"listed_leaving", record->Info().leaving}});
   if (on_endpoint_leaving) {
     on_endpoint_leaving();
   }
@@ -96,7 +94,7 @@
 }
 
 void gateway_environment::NoteSent(const endpoint_record& record) {
-  if (record.SaysItLeaves()) {
+  if (record.ReportedLeaving()) {
     metrics.Count("calls_to_leaving", record.Info().service);
   }
   if (record.BacksOff(now())) {
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -46,14 +46,14 @@
   std::map<std::string, longest_answer> answers;   ///< By route.
   std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
-  time_point back_offs_end{};           ///< Of all endpoints; may be over.
+  time_point back_offs_end{};           ///< The latest of all endpoints.
   std::optional<host_stop> stop{};      ///< Not set: goes on.
   std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
   /// An endpoint has answered a request with that content to the end.
   std::function<void(request_digest)> on_served{};
   /// A call broke off at an endpoint, which may have crashed.
   std::function<void(const known_endpoint&, request_digest)> on_broken{};
-  /// Work that waits for an endpoint may have to go elsewhere.
+  /// An endpoint was reported as leaving; work that waits for it has to move.
   std::function<void()> on_endpoint_leaving{};
 
   /// @brief Whether a request with that limit may use a failure domain.
@@ -77,8 +77,7 @@
   /// @param ran Whether it is the answer to a call that ran. Only such a one
   /// that names no quota says that there is none.
   void NoteAnswer(endpoint_record& record, const answer_facts& facts, bool ran);
-  /// @param source Where that is known from, for the log.
-  void NoteLeaving(const endpoint_incarnation& run, const std::string& source);
+  void NoteLeaving(const endpoint_incarnation& run);
   void NoteBackOff(endpoint_record& record, milliseconds retry_after);
   /// @brief A call goes to an endpoint, which may be cold or in need.
   void NoteSent(const endpoint_record& record);
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -98,7 +98,7 @@
                                   request_digest running) {
     crashes_.NoteBroken(endpoint, running);
   };
-  // Never from inside the call whose answer says so.
+  // Posted, since calls are in the middle of reading the answer.
   environment_.on_endpoint_leaving = [this] {
     asio::post(environment_.context, [this] { router_.Refresh(); });
   };
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -230,7 +230,7 @@
       sent = PumpOnce(shard, *rule, record) || sent;
     }
   }
-  DropUntilOpen(shard);
+  ExpireWhileClosed(shard);
   if (state.queue.Pieces() > 0 && !state.wake) {
     // Pieces that wait for a place near their bytes, and endpoints that pause,
     // end no call that would wake this.
@@ -238,9 +238,9 @@
   }
 }
 
-/// While no endpoint takes calls, what will be too late by then is given up at
-/// once: its caller has more time left for another way.
-void stage_home::DropUntilOpen(const stage_shard& shard) {
+/// While no endpoint takes calls, pieces that would be too late once one does
+/// fail at once, so that their callers have time left.
+void stage_home::ExpireWhileClosed(const stage_shard& shard) {
   auto& queue = shards_[shard].queue;
   const time_point now = environment_.now();
   if (queue.Pieces() == 0 || now >= environment_.back_offs_end) {
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -59,7 +59,7 @@
                                                  const batch_rule& rule) const;
   bool PumpOnce(const stage_shard& shard, const batch_rule& rule,
                 const endpoint_record_ptr& record);
-  void DropUntilOpen(const stage_shard& shard);
+  void ExpireWhileClosed(const stage_shard& shard);
   duration LateWait(const stage_shard& shard) const;
   duration FullCallTime(const stage_shard& shard) const;
   duration PieceTime(const stage_shard& shard, const batch_rule& rule) const;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -199,7 +199,7 @@
   return lesson;
 }
 
-/// A head says what it says of its endpoint, whether or not its body comes.
+/// Reads what a head reports about its endpoint, also if the body was cut off.
 answer_facts stage_home::ReadAnswer(endpoint_record& record,
                                     const http_result& result, bool ran) {
   if (result.status == 0) {
