Soak: no two hosts of a run draw one port

A port was looked for by binding it, and two hosts that had not started yet could draw the same one.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -51,8 +51,12 @@
 SETTLE = 3.0
 
 
+drawn_ports = set()
+
+
 def free_ports(count):
-    """Ports below those that the system gives to connections: one of them, made
+    """Ports that no other host of this run has, though it may not listen yet,
+    below those that the system gives to connections: one of them, made
     while a host is down, would keep the host from its port, and could even
     connect to itself."""
     ports = []
@@ -63,7 +67,8 @@
                 one.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in drawn_ports:
+            drawn_ports.add(port)
             ports.append(port)
     return ports
 
