--- a/soak/soak.py
+++ b/soak/soak.py
@@ -163,7 +163,7 @@
         self.late = 0
         self.closed = []  # Engines that turned all calls away in calm,
         self.closed_until = 0.0  # and until when.
-        self.refused_closed = 0
+        self.refused_closed = set()  # Rightly; no engine took a call.
         self.stopping = asyncio.Event()
 
     def note(self, text):
@@ -549,7 +549,8 @@
                 broken.append(f"{host.name} ended by itself with {code}")
             for stop in host.stops:
                 broken += stop.faults(self.is_calm(stop), self.times)
-        owed = [o for o in self.outcomes if o.kind != "crash"]
+        owed = [o for o in self.outcomes if o.kind != "crash" and
+                o.request not in self.refused_closed]
         served = sum(1 for o in owed if o.status == 200 and not o.cut)
         if self.times and served * 2 < len(owed):
             broken.append(f"served only {served} of {len(owed)}")
@@ -672,12 +673,13 @@
             for one in self.outcomes:
                 if one.host is not host or not begin < one.sent < end:
                     continue
-                self.refused_closed += 1
                 name = f"{one.request} ({one.kind}, {host.name}), all closed"
                 if one.status != 503 or one.ended - one.sent > AT_ONCE:
                     yield f"{name}: {one.status} {one.ended - one.sent:.2f} s"
                 elif (one.retry_after or 0) < end - one.ended:
                     yield f"{name}: told to return in {one.retry_after} s"
+                else:
+                    self.refused_closed.add(one.request)
 
     def is_calm(self, stop):
         return stop.ended_at is None or not self.near(
@@ -723,7 +725,7 @@
               f"{sum(len(h.stops) for h in run.hosts)} stops, {run.late} "
               f"requests behind a closed door, {run.crashed} crashes by a "
               f"request, {run.quarantined} times refused, "
-              f"{run.refused_closed} while closed, {len(broken)} broken",
+              f"{len(run.refused_closed)} while closed, {len(broken)} broken",
               flush=True)
         if broken:
             for line in run.events + [""] + broken[:20]:
