A restored store gets verdicts on crashing requests again

Cause: the store came back from a copy older than the verdict, and nobody wrote it again. Hosts kept what they knew, but one that started afterwards read a store without verdict and reports, and needed three crashes of its own.

Change: crash_feed keeps the records that it knows. What a restored store lacks is written again by its writer at once, and verdicts by others 1.5 to 3.5 s later where they are still missing. A copy's older verdict or a deleted one is not taken. Found on the way: reading all once more took a verdict for another host's, so that a mistaken one had no trial; a deletion came back with the copy.

Where more than two contents that were never served ran at all three endpoints, they have a second to be served.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -46,7 +46,8 @@
 /// All hosts report the endpoints that crashed and the contents of the calls
 /// that were cut. A content is quarantined once three endpoints have crashed
 /// under it, unless one such request has been served of late, or so many
-/// endpoints crashed without it that chance explains those three.
+/// endpoints crashed without it that chance explains those three. Where many
+/// contents ran at all three they have a moment to be served before that.
 ///
 /// Each host judges by all reports. A host that lost such a call itself also
 /// tells its verdict, for those that start later; one that has served such a
@@ -108,7 +109,8 @@
   bool IsExplained(const known_crash& crash) const;
   std::size_t CrashesWithout(request_digest content, const std::string& service,
                              time_point from, time_point to) const;
-  bool Crashes(request_digest content) const;
+  crash_list EvidenceAgainst(request_digest content) const;
+  bool IsShared(const crash_list& crashes, time_point now) const;
   bool WasServed(request_digest content, time_point now) const;
   bool HasLost(request_digest content) const;
 
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -10,6 +10,10 @@
 /// Reports of one crash come from all hosts that had calls there. Judged
 /// sooner, endpoints that crash together would look like one content's doing.
 constexpr milliseconds kReportTime{300};
+/// Where more contents than these ran at all three endpoints, and none is known
+/// to have been served, most are harmless, and are served within this time.
+constexpr std::ptrdiff_t kMostSuspects = 2;
+constexpr milliseconds kSharedTime{1000};
 /// A request that was served longer ago says little: its endpoints may run
 /// other software by now.
 constexpr milliseconds kServedLife{60'000};
@@ -35,7 +39,8 @@
     : listed_(std::move(listed)), served_(kServedPlaces) {}
 
 void content_quarantine::NoteServed(request_digest content, time_point now) {
-  if (quarantined_.contains(content)) {
+  if (quarantined_.erase(content) > 0) {
+    ForgetCrashesOf(content);
     notices_.push_back({content, content_verdict::kCleared});
     judged_at_.emplace(content, now);
   }
@@ -128,11 +133,17 @@
       continue;
     }
     due = judged_at_.erase(due);
-    if (!Crashes(content)) {
+    const auto evidence = EvidenceAgainst(content);
+    if (evidence.empty()) {
       continue;
     }
-    const bool tells = HasLost(content) && !quarantined_.contains(content);
     const bool served = WasServed(content, now);
+    const auto settled = evidence.back()->learnt + kSharedTime;
+    if (!served && now < settled && IsShared(evidence, now)) {
+      judged_at_.emplace(content, std::min(now + kReportTime, settled));
+      continue;
+    }
+    const bool tells = HasLost(content) && !quarantined_.contains(content);
     if (served) {
       ForgetCrashesOf(content);
     } else {
@@ -146,9 +157,10 @@
   return std::exchange(notices_, {});
 }
 
-/// Whether three crashes in a row, with nothing in between that makes them
-/// likely without it, had this content running.
-bool content_quarantine::Crashes(request_digest content) const {
+/// Three crashes in a row, with nothing in between that makes them likely
+/// without it, that had this content running.
+content_quarantine::crash_list content_quarantine::EvidenceAgainst(
+    request_digest content) const {
   const auto crashes = CrashesOf(content);
   for (std::size_t i = 0; i + kCrashesToQuarantine <= crashes.size(); ++i) {
     const auto& first = *crashes[i];
@@ -157,10 +169,26 @@
         CrashesWithout(content, last.service, first.learnt - kReportTime,
                        last.learnt + kReportTime);
     if (others * kChancePart < listed_(last.service) || others == 0) {
-      return true;
+      const auto begin = crashes.begin() + static_cast<std::ptrdiff_t>(i);
+      return {begin, begin + kCrashesToQuarantine};
     }
   }
-  return false;
+  return {};
+}
+
+/// Whether many contents may have caused these crashes.
+bool content_quarantine::IsShared(const crash_list& crashes,
+                                  time_point now) const {
+  const auto& running = crashes.front()->running;
+  const auto suspects =
+      std::count_if(running.begin(), running.end(), [&](auto content) {
+        return !quarantined_.contains(content) && !WasServed(content, now) &&
+               std::all_of(crashes.begin(), crashes.end(),
+                           [content](const auto* crash) {
+                             return crash->running.contains(content);
+                           });
+      });
+  return suspects > kMostSuspects;
 }
 
 content_quarantine::crash_list content_quarantine::CrashesOf(
--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -17,6 +17,7 @@
 
 constexpr request_digest kContent = 0xc0;
 constexpr request_digest kOther = 0x07;
+constexpr request_digest kThird = 0x33;
 constexpr std::size_t kListed = 18;
 /// In which reports of one crash come together.
 constexpr milliseconds kReports{300};
@@ -54,11 +55,14 @@
   CPPUNIT_TEST(EndpointsThatCrashTogetherQuarantineNothing);
   CPPUNIT_TEST(LateReportsOfOtherCrashesCount);
   CPPUNIT_TEST(TwoContentsThatCrashEndpointsByTurnsAreBothQuarantined);
+  CPPUNIT_TEST(ContentsThatShareCrashesHaveAMomentToBeServed);
+  CPPUNIT_TEST(ContentsThatShareCrashesAndAreNotServedAreQuarantined);
   CPPUNIT_TEST(CrashesOfBeforeTheStartCount);
   CPPUNIT_TEST(AToldQuarantineHoldsUntilItIsWithdrawn);
   CPPUNIT_TEST(AQuarantineEnds);
   CPPUNIT_TEST(TheHostWhoseVerdictStandsTriesOnceInAWhile);
   CPPUNIT_TEST(ATrialThatIsServedClearsTheContent);
+  CPPUNIT_TEST(AHostTakesWhatItServedBeforeTheStoreKnows);
   CPPUNIT_TEST(AFleetSendsFewMoreAfterTheThirdCrash);
   CPPUNIT_TEST(EqualRequestsAreServedWhileEndpointsCrashForAnotherReason);
   CPPUNIT_TEST_SUITE_END();
@@ -201,6 +205,41 @@
     CPPUNIT_ASSERT(quarantine.Refuses(kOther, At(2800)));
   }
 
+  // A host that had served none of a popular content yet refused it together
+  // with the one that crashed its endpoints.
+  void ContentsThatShareCrashesHaveAMomentToBeServed() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
+                           crash_source::kOwnCalls, At(std::int64_t{400} * i));
+    }
+    CPPUNIT_ASSERT(quarantine.Judge(At(1100)).empty());
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+    CPPUNIT_ASSERT(quarantine.JudgesAt() == At(1100) + kReports);
+    quarantine.NoteServed(kOther, At(1200));
+    quarantine.NoteServed(kThird, At(1300));
+    const auto told = quarantine.Judge(At(1400));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(1400)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kOther, At(1400)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kThird, At(1400)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, told.size());
+  }
+
+  void ContentsThatShareCrashesAndAreNotServedAreQuarantined() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
+                           crash_source::kOwnCalls, At(std::int64_t{400} * i));
+    }
+    while (const auto at = quarantine.JudgesAt()) {
+      CPPUNIT_ASSERT(*at <= At(1800));
+      quarantine.Judge(*at);
+    }
+    for (const auto content : {kContent, kOther, kThird}) {
+      CPPUNIT_ASSERT(quarantine.Refuses(content, At(1800)));
+    }
+  }
+
   void CrashesOfBeforeTheStartCount() {
     auto quarantine = Quarantine();
     for (int i = 0; i < 2; ++i) {
@@ -261,6 +300,17 @@
     CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(31'100)));
   }
 
+  // Without the store, a host refused what it had just served.
+  void AHostTakesWhatItServedBeforeTheStoreKnows() {
+    auto quarantine = Quarantine();
+    CrashThree(quarantine, crash_source::kOwnCalls);
+    quarantine.Judge(At(2300));
+    quarantine.NoteServed(kContent, At(2400));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(2400)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, quarantine.Judge(At(2400)).size());
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(2400)));
+  }
+
   void AFleetSendsFewMoreAfterTheThirdCrash();
   void EqualRequestsAreServedWhileEndpointsCrashForAnotherReason();
 };
--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -29,12 +29,48 @@
 /// Hosts delete spread over this part of a record's life, so that as a rule
 /// one of them writes.
 constexpr int kSpreadPart = 4;
+/// Hosts write another's lost verdicts after the first, spread over the second,
+/// so that as a rule its writer does so alone, or one of them.
+constexpr milliseconds kRewritePause{1500};
+constexpr milliseconds kRewriteSpread{2000};
 /// A host has at most as many calls at one endpoint as matter here.
 constexpr std::size_t kMostContents = 256;
 
+milliseconds RandomUpTo(milliseconds most) {
+  return milliseconds(RandomBits() %
+                      static_cast<std::uint64_t>(most.count() + 1));
+}
+
 milliseconds SpreadLife(milliseconds life) {
-  const auto spread = static_cast<std::uint64_t>((life / kSpreadPart).count());
-  return life + milliseconds(RandomBits() % spread);
+  return life + RandomUpTo(life / kSpreadPart);
+}
+
+struct told_verdict {
+  std::optional<content_verdict> verdict;  ///< Nothing: none, or unreadable.
+  std::string by;
+};
+
+told_verdict VerdictIn(const std::optional<std::string>& value) {
+  const auto document = json::parse(value.value_or("{}"), nullptr, false);
+  const auto text = [&document](const char* field) {
+    return document.is_object() && document.contains(field) &&
+                   document[field].is_string()
+               ? document[field].get<std::string>()
+               : std::string();
+  };
+  return {ValueIn(kContentVerdictNames, text("verdict")), text("by")};
+}
+
+std::optional<request_digest> VerdictKey(std::string_view key) {
+  return key.starts_with(kContentPrefix)
+             ? DigestIn(key.substr(kContentPrefix.size()))
+             : std::nullopt;
+}
+
+/// Of two verdicts whose order is not known, the one that refuses nothing.
+bool Clears(const keyed_record& record) {
+  return VerdictKey(record.key) &&
+         VerdictIn(record.value).verdict == content_verdict::kCleared;
 }
 
 json ContentsAsJson(const std::vector<request_digest>& contents) {
@@ -82,6 +118,7 @@
       now_(std::move(now)),
       news_(std::move(news)),
       write_timer_(context),
+      lost_timer_(context),
       delete_timer_(context),
       follower_(
           context, link.crashes,
@@ -96,9 +133,7 @@
                },
            .on_read = [](const keyed_read&) {},
            .on_restored =
-               [this](const auto& records) {
-                 Take(records, crash_source::kHistory);
-               }}) {
+               [this](const auto& records) { TakeRestored(records); }}) {
   DeleteOutlived();
 }
 
@@ -133,6 +168,9 @@
           return;
         }
         const bool done = outcome == store_outcome::kDone;
+        if (done) {
+          Remember({key, value.empty() ? std::nullopt : std::optional(value)});
+        }
         const auto written = unwritten_.find(key);
         if (done && written != unwritten_.end() && written->second == value) {
           unwritten_.erase(written);
@@ -156,17 +194,77 @@
 void crash_feed::Take(const std::vector<keyed_record>& records,
                       crash_source source) {
   for (const auto& record : records) {
-    NoteLife(record);
-    TakeOne(record, source);
+    const auto known = known_.find(record.key);
+    const bool is_known =
+        known != known_.end() && known->second.value == record.value;
+    Remember(record);
+    // Reading all once more says nothing new of it.
+    if (!is_known || source != crash_source::kHistory) {
+      TakeOne(record, source);
+    }
+  }
+}
+
+/// The copy adds to what is known. Where it differs it is older, and what it
+/// lost is written again.
+void crash_feed::TakeRestored(const std::vector<keyed_record>& records) {
+  for (auto& [key, record] : known_) {
+    record.lost = true;
+  }
+  std::vector<keyed_record> taken;
+  for (const auto& record : records) {
+    const auto known = known_.find(record.key);
+    if (known == known_.end() || known->second.value == record.value ||
+        Clears(record)) {
+      taken.push_back(record);
+    }
+  }
+  Take(taken, crash_source::kHistory);
+  WriteLostOwn();
+  lost_timer_.expires_after(kRewritePause + RandomUpTo(kRewriteSpread));
+  lost_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      WriteLostVerdicts();
+    }
+  });
+}
+
+bool crash_feed::IsOwn(const std::string& key,
+                       const known_record& record) const {
+  if (VerdictKey(key)) {
+    return VerdictIn(record.value).by == self_;
+  }
+  return record.value && key.ends_with("/" + self_);
+}
+
+void crash_feed::WriteLostOwn() {
+  for (const auto& [key, record] : known_) {
+    if (record.lost && IsOwn(key, record)) {
+      unwritten_.emplace(key, record.value.value_or(""));
+    }
+  }
+  WriteNext();
+}
+
+/// Their writers may be gone. A verdict needs one that lives, for its trials.
+void crash_feed::WriteLostVerdicts() {
+  for (const auto& [key, record] : known_) {
+    const auto content = VerdictKey(key);
+    if (!record.lost || !content || unwritten_.contains(key)) {
+      continue;
+    }
+    if (const auto verdict = VerdictIn(record.value).verdict) {
+      Tell({*content, *verdict});
+    } else {
+      Write(key, "");
+    }
   }
 }
 
 void crash_feed::TakeOne(const keyed_record& record, crash_source source) {
   const std::string_view key = record.key;
-  if (key.starts_with(kContentPrefix)) {
-    if (const auto content = DigestIn(key.substr(kContentPrefix.size()))) {
-      TakeVerdict(*content, record.value.value_or("{}"), source);
-    }
+  if (const auto content = VerdictKey(key)) {
+    TakeVerdict(*content, record.value, source);
     return;
   }
   if (!key.starts_with(kCrashPrefix) || !record.value) {
@@ -182,36 +280,31 @@
 
 /// One that cannot be read is as good as deleted. One of the past may be of an
 /// earlier life of this host, whose trials are not known.
-void crash_feed::TakeVerdict(request_digest content, const std::string& value,
+void crash_feed::TakeVerdict(request_digest content,
+                             const std::optional<std::string>& value,
                              crash_source source) {
-  const auto document = json::parse(value, nullptr, false);
-  const auto text = [&document](const char* field) {
-    return document.is_object() && document.contains(field) &&
-                   document[field].is_string()
-               ? document[field].get<std::string>()
-               : std::string();
-  };
-  const bool is_own = text("by") == self_ && source != crash_source::kHistory;
+  const auto told = VerdictIn(value);
+  const bool is_own = told.by == self_ && source != crash_source::kHistory;
   news_.on_verdict(
-      content, ValueIn(kContentVerdictNames, text("verdict")),
+      content, told.verdict,
       is_own ? verdict_teller::kThisHost : verdict_teller::kOtherHost);
 }
 
-void crash_feed::NoteLife(const keyed_record& record) {
-  if (!record.value) {
-    outlived_at_.erase(record.key);
-    return;
-  }
+void crash_feed::Remember(const keyed_record& record) {
   const bool is_crash = record.key.starts_with(kCrashPrefix);
-  outlived_at_[record.key] =
-      now_() + SpreadLife(is_crash ? kCrashRecordLife : kContentRecordLife);
+  known_[record.key] = {
+      record.value,
+      now_() + SpreadLife(is_crash ? kCrashRecordLife : kContentRecordLife)};
 }
 
 void crash_feed::DeleteOutlived() {
   const time_point now = now_();
-  for (auto& [key, at] : outlived_at_) {
-    if (now >= at) {
-      at = now + kDeleteInterval;
+  std::erase_if(known_, [now](const auto& one) {
+    return !one.second.value && now >= one.second.outlived_at;
+  });
+  for (auto& [key, record] : known_) {
+    if (now >= record.outlived_at) {
+      record.outlived_at = now + kDeleteInterval;
       Write(key, "");
     }
   }
--- a/src/slatestall/gateway/crash_feed.h
+++ b/src/slatestall/gateway/crash_feed.h
@@ -32,7 +32,8 @@
 ///
 /// A report is one record for each endpoint and host, so that none overwrites
 /// another's. Whoever is first to see that a record has outlived its use
-/// deletes it: its writer may be gone.
+/// deletes it: its writer may be gone. What a store has lost that came back
+/// from an older copy is written again.
 class crash_feed {
  public:
   crash_feed(asio::io_context& context, const gateway_options& options,
@@ -45,14 +46,25 @@
   void Tell(const content_notice& notice);
 
  private:
+  struct known_record {
+    std::optional<std::string> value;  ///< Nothing: it was deleted.
+    time_point outlived_at{};
+    bool lost = false;  ///< The store came back without it.
+  };
+
   void Write(const std::string& key, const std::string& value);
   void WriteNext();
   void WriteAfter(milliseconds delay);
   void Take(const std::vector<keyed_record>& records, crash_source source);
+  void TakeRestored(const std::vector<keyed_record>& records);
   void TakeOne(const keyed_record& record, crash_source source);
-  void TakeVerdict(request_digest content, const std::string& value,
+  bool IsOwn(const std::string& key, const known_record& record) const;
+  void WriteLostOwn();
+  void WriteLostVerdicts();
+  void TakeVerdict(request_digest content,
+                   const std::optional<std::string>& value,
                    crash_source source);
-  void NoteLife(const keyed_record& record);
+  void Remember(const keyed_record& record);
   void DeleteOutlived();
 
   const std::string self_;
@@ -62,9 +74,10 @@
   crash_news news_;
   std::map<std::string, std::string> unwritten_;  ///< By key.
   bool writes_ = false;
-  unsigned failures_ = 0;                          ///< To write, in a row.
-  std::map<std::string, time_point> outlived_at_;  ///< By key.
+  unsigned failures_ = 0;                      ///< To write, in a row.
+  std::map<std::string, known_record> known_;  ///< By key.
   asio::steady_timer write_timer_;
+  asio::steady_timer lost_timer_;
   asio::steady_timer delete_timer_;
   topic_follower follower_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/slatestall/gateway/crash_feed_test.cc
+++ b/src/slatestall/gateway/crash_feed_test.cc
@@ -2,11 +2,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "slatestall/gateway/fake_topic.h"
 #include "slatestall/relay/boot_time.h"
 
 namespace slatestall {
@@ -14,6 +16,8 @@
 
 constexpr request_digest kContent = 0xc0;
 const std::string kContentKey = "content/00000000000000c0";
+const keyed_record kByOther{kContentKey,
+                            R"({"verdict":"quarantined","by":"h2"})"};
 
 /// A topic that a test answers by hand, and a clock that it sets.
 class crash_feed_test : public CppUnit::TestFixture {
@@ -26,15 +30,18 @@
   CPPUNIT_TEST(ADeletedVerdictIsWithdrawn);
   CPPUNIT_TEST(RecordsThatCannotBeReadChangeNothing);
   CPPUNIT_TEST(AVerdictThatIsNotKnownIsTakenForNone);
+  CPPUNIT_TEST(WhatAHostWroteIsWrittenToAStoreThatLostIt);
+  CPPUNIT_TEST(AVerdictWhoseWriterIsGoneIsWrittenByAnother);
+  CPPUNIT_TEST(AVerdictThatItsWriterWroteAgainIsNotWrittenByAnother);
+  CPPUNIT_TEST(AnOlderVerdictOfACopyIsNotTaken);
+  CPPUNIT_TEST(ADeletionThatACopyLacksIsWrittenAgain);
+  CPPUNIT_TEST(AVerdictThatIsReadOnceMoreKeepsItsTeller);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     platform_link link;
-    link.crashes.read_newest = [this](auto done) { newest_ = std::move(done); };
-    link.crashes.read_from = [this](std::uint64_t, milliseconds, auto done) {
-      next_ = std::move(done);
-    };
+    link.crashes = topic_.Topic();
     link.write_crash = [this](const auto& key, const auto& value, auto done) {
       writes_.push_back({key, value});
       written_ = std::move(done);
@@ -56,15 +63,6 @@
   void tearDown() override { feed_.reset(); }
 
  private:
-  using done_hook = std::function<void(keyed_read)>;
-
-  void Answer(done_hook& hook, std::vector<keyed_record> records) {
-    keyed_read read;
-    read.outcome = store_outcome::kDone;
-    read.records = std::move(records);
-    std::exchange(hook, nullptr)(read);
-  }
-
   void RunUntil(const std::function<bool()>& holds) {
     const auto end = BootTimeNow() + std::chrono::seconds(10);
     while (!holds() && BootTimeNow() < end) {
@@ -75,9 +73,27 @@
   }
 
   void Read(std::vector<keyed_record> records) {
-    Answer(newest_, {});
-    RunUntil([this] { return next_ != nullptr; });
-    Answer(next_, std::move(records));
+    fake_topic::Answer(topic_.newest, {});
+    ReadNext(std::move(records));
+  }
+
+  void ReadNext(std::vector<keyed_record> records) {
+    RunUntil([this] { return topic_.next != nullptr; });
+    fake_topic::Answer(topic_.next, std::move(records), era_);
+  }
+
+  /// The store comes back from an older copy.
+  void Restore(std::vector<keyed_record> records) {
+    ++era_;
+    ReadNext({});
+    RunUntil([this] { return topic_.newest != nullptr; });
+    fake_topic::Answer(topic_.newest, std::move(records), era_);
+  }
+
+  /// All the time that a host leaves to another to write what was lost.
+  void WaitForOthers() {
+    context_.restart();
+    context_.run_for(milliseconds(3600));
   }
 
   void AReportIsWrittenUntilTheStoreHasTakenIt() {
@@ -121,14 +137,17 @@
   }
 
   void WhatWasWrittenBeforeTheStartIsHistory() {
-    Answer(newest_, {{"crash/i-1/h2", R"({"service":"s","running":[]})"}});
+    fake_topic::Answer(topic_.newest,
+                       {{"crash/i-1/h2", R"({"service":"s","running":[]})"}});
     CPPUNIT_ASSERT(crashes_.size() == 1 &&
                    crashes_[0].second == crash_source::kHistory);
   }
 
   // A host that restarts in series would begin its trials anew each time.
   void AVerdictOfAnEarlierLifeIsNotThisOnes() {
-    Answer(newest_, {{kContentKey, R"({"verdict":"quarantined","by":"h1"})"}});
+    fake_topic::Answer(
+        topic_.newest,
+        {{kContentKey, R"({"verdict":"quarantined","by":"h1"})"}});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tellers_.size());
     CPPUNIT_ASSERT(verdicts_[0].second == content_verdict::kQuarantined);
     CPPUNIT_ASSERT(tellers_[0] == verdict_teller::kOtherHost);
@@ -157,11 +176,75 @@
     CPPUNIT_ASSERT(!verdicts_[0].second && !verdicts_[1].second);
   }
 
+  // A host that started after the copy was in place sent a request that had
+  // crashed three endpoints to three more.
+  void WhatAHostWroteIsWrittenToAStoreThatLostIt() {
+    feed_->Report({"i-1", "s", {kContent}});
+    std::exchange(written_, nullptr)(store_outcome::kDone);
+    feed_->Tell({kContent, content_verdict::kQuarantined});
+    RunUntil([this] { return writes_.size() == 2; });
+    std::exchange(written_, nullptr)(store_outcome::kDone);
+    const auto before = writes_;
+    fake_topic::Answer(topic_.newest, {});
+    Restore({});
+    RunUntil([this] { return writes_.size() == 3; });
+    std::exchange(written_, nullptr)(store_outcome::kDone);
+    RunUntil([this] { return writes_.size() == 4; });
+    CPPUNIT_ASSERT(
+        std::is_permutation(before.begin(), before.end(), writes_.begin() + 2));
+  }
+
+  void AVerdictWhoseWriterIsGoneIsWrittenByAnother() {
+    Read({{"crash/i-1/h2", R"({"service":"s","running":[]})"}, kByOther});
+    Restore({});
+    CPPUNIT_ASSERT(writes_.empty());
+    RunUntil([this] { return writes_.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(kContentKey, writes_[0].first);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"by":"h1","verdict":"quarantined"})"),
+                         writes_[0].second);
+  }
+
+  void AVerdictThatItsWriterWroteAgainIsNotWrittenByAnother() {
+    Read({kByOther});
+    Restore({});
+    ReadNext({kByOther});
+    WaitForOthers();
+    CPPUNIT_ASSERT(writes_.empty());
+  }
+
+  // A content that was cleared was refused again for an hour.
+  void AnOlderVerdictOfACopyIsNotTaken() {
+    Read({kByOther, {kContentKey, R"({"verdict":"cleared","by":"h3"})"}});
+    Restore({kByOther});
+    CPPUNIT_ASSERT(verdicts_.back().second == content_verdict::kCleared);
+    RunUntil([this] { return writes_.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"by":"h1","verdict":"cleared"})"),
+                         writes_[0].second);
+  }
+
+  void ADeletionThatACopyLacksIsWrittenAgain() {
+    Read({kByOther, {kContentKey, std::nullopt}});
+    Restore({kByOther});
+    CPPUNIT_ASSERT(!verdicts_.back().second);
+    RunUntil([this] { return writes_.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::string(), writes_[0].second);
+  }
+
+  // A mistaken quarantine had no trial once its writer had read all again.
+  void AVerdictThatIsReadOnceMoreKeepsItsTeller() {
+    const keyed_record own{kContentKey,
+                           R"({"verdict":"quarantined","by":"h1"})"};
+    Read({own});
+    Restore({own});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tellers_.size());
+    CPPUNIT_ASSERT(tellers_[0] == verdict_teller::kThisHost);
+  }
+
   asio::io_context context_;
   gateway_options options_;
+  std::uint64_t era_ = 1;
   decision_log log_{"test", 0, BootTimeNow};
-  done_hook newest_;
-  done_hook next_;
+  fake_topic topic_;
   std::function<void(store_outcome)> written_;
   std::vector<std::pair<std::string, std::string>> writes_;
   std::vector<std::pair<endpoint_crash, crash_source>> crashes_;
