--- a/src/slatestall/gateway/endpoint_listing_test.cc
+++ b/src/slatestall/gateway/endpoint_listing_test.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/gateway/forgetful_store.h"
+
 namespace slatestall {
 namespace {
 
@@ -33,82 +35,38 @@
   return endpoint;
 }
 
-/// Endpoints that start, say that they leave, and are gone, before a store that
-/// loses what they wrote of late; each writes its own again later.
-class forgetful_store {
- public:
-  enum class state { kReady, kLeaving, kGone };
-
-  struct record {
-    std::string id;
-    state written = state::kReady;
-  };
-
-  void Advance(const std::string& id) {
-    const auto known = truth_.find(id);
-    if (known == truth_.end()) {
-      truth_[id] = state::kReady;
-    } else if (known->second == state::kReady) {
-      known->second = state::kLeaving;
-    } else {
-      known->second = state::kGone;
-    }
-    log_.push_back({id, truth_.at(id)});
-  }
-
-  /// Comes back from a copy that lacks the last records.
-  void Restore(std::size_t lost) {
-    log_.resize(log_.size() - std::min(lost, log_.size()));
-    ++era_;
-    to_write_.clear();
-    for (const auto& [id, written] : truth_) {
-      to_write_.push_back(id);
-    }
-  }
-
-  void WriteAgain(std::size_t which) {
-    if (to_write_.empty()) {
-      return;
-    }
-    const auto at = to_write_.begin() +
-                    static_cast<std::ptrdiff_t>(which % to_write_.size());
-    log_.push_back({*at, truth_.at(*at)});
-    to_write_.erase(at);
+/// Endpoints start, leave, and are gone.
+enum class endpoint_state { kReady, kLeaving, kGone };
+using endpoint_store = forgetful_store<endpoint_state>;
+
+void Advance(endpoint_store& store, const std::string& id) {
+  const auto known = store.Truth().find(id);
+  if (known == store.Truth().end()) {
+    store.Write(id, endpoint_state::kReady);
+  } else {
+    store.Write(id, known->second == endpoint_state::kReady
+                        ? endpoint_state::kLeaving
+                        : endpoint_state::kGone);
   }
+}
 
-  bool IsWhole() const { return to_write_.empty(); }
-  std::uint64_t Era() const { return era_; }
-  const std::vector<record>& Log() const { return log_; }
-  const std::map<std::string, state>& Truth() const { return truth_; }
-
-  std::vector<known_endpoint> Newest() const {
-    std::map<std::string, state> newest;
-    for (const auto& one : log_) {
-      newest[one.id] = one.written;
+std::vector<known_endpoint> ListedIn(const endpoint_store& store) {
+  std::vector<known_endpoint> listed;
+  for (const auto& [id, state] : store.Newest()) {
+    if (state != endpoint_state::kGone) {
+      listed.push_back(Endpoint(id, state == endpoint_state::kLeaving));
     }
-    std::vector<known_endpoint> listed;
-    for (const auto& [id, written] : newest) {
-      if (written != state::kGone) {
-        listed.push_back(Endpoint(id, written == state::kLeaving));
-      }
-    }
-    return listed;
   }
-
- private:
-  std::vector<record> log_;
-  std::map<std::string, state> truth_;
-  std::vector<std::string> to_write_;
-  std::uint64_t era_ = 1;
-};
+  return listed;
+}
 
 /// Follows such a store as a host does.
 class listing_reader {
  public:
-  void Read(const forgetful_store& store) {
+  void Read(const endpoint_store& store) {
     if (store.Era() != era_) {
       era_ = store.Era();
-      listing_.AddRestored(store.Newest());
+      listing_.AddRestored(ListedIn(store));
     } else {
       for (auto at = next_; at < store.Log().size(); ++at) {
         Take(store.Log()[at]);
@@ -118,8 +76,8 @@
   }
 
   /// What was lost is written again: the store is believed.
-  void ReadAll(const forgetful_store& store) {
-    listing_.ReplaceAll(store.Newest(), kStart);
+  void ReadAll(const endpoint_store& store) {
+    listing_.ReplaceAll(ListedIn(store), kStart);
   }
 
   /// Endpoints that take work.
@@ -134,12 +92,12 @@
   }
 
  private:
-  void Take(const forgetful_store::record& one) {
-    if (one.written == forgetful_store::state::kGone) {
-      listing_.Drop(one.id, kStart);
+  void Take(const endpoint_store::record& one) {
+    const auto& [id, state] = one;
+    if (state == endpoint_state::kGone) {
+      listing_.Drop(id, kStart);
     } else {
-      listing_.Put(
-          Endpoint(one.id, one.written == forgetful_store::state::kLeaving));
+      listing_.Put(Endpoint(id, state == endpoint_state::kLeaving));
     }
   }
 
@@ -189,7 +147,7 @@
   // One that has left gets work again, or one whose entry was lost none.
   void NothingGoesBackWhileAStoreIsWrittenToAgain() {
     CPPUNIT_ASSERT(rc::check("what has left stays so, and all is known", [] {
-      forgetful_store store;
+      endpoint_store store;
       listing_reader reader;
       std::set<std::string> left;
       const auto steps = *rc::gen::inRange(5, 40);
@@ -204,7 +162,7 @@
             store.WriteAgain(which);
             break;
           default:
-            store.Advance("e" + std::to_string(which));
+            Advance(store, "e" + std::to_string(which));
             break;
         }
         if (*rc::gen::inRange(0, 3) == 0) {
@@ -226,7 +184,7 @@
       reader.ReadAll(store);
       std::set<std::string> alive;
       for (const auto& [id, state] : store.Truth()) {
-        if (state == forgetful_store::state::kReady) {
+        if (state == endpoint_state::kReady) {
           alive.insert(id);
         }
       }
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -1,7 +1,6 @@
 #include "slatestall/gateway/gateway_control.h"
 
 #include <algorithm>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -41,16 +40,23 @@
           context, link_.configuration,
           {kConfigurationWait, kConfigurationPause, options.restore_time},
           {.on_all =
-               [this](const auto& records) { TakeAllOfOperator(records); },
+               [this](const auto& records) {
+                 TakeOfOperator(records, evacuations_.ReplaceAll(
+                                             DecodeEvacuations(records)));
+               },
            .on_changes =
-               [this](const auto& records) { TakeChangesOfOperator(records); },
+               [this](const auto& records) {
+                 TakeOfOperator(
+                     records, evacuations_.Change(DecodeEvacuations(records)));
+               },
            .on_read =
                [this](const keyed_read& read) {
                  OnRead("configuration", configuration_reachable_, read);
                },
            .on_restored =
                [this](const auto& records) {
-                 TakeRestoredOfOperator(records);
+                 TakeOfOperator(records, evacuations_.AddRestored(
+                                             DecodeEvacuations(records)));
                }}),
       endpoints_(
           context, link_.endpoints, EndpointPace(options),
@@ -102,58 +108,27 @@
              {{"reads", what}, {"detail", read.detail}});
 }
 
-void gateway_control::TakeAllOfOperator(
-    const std::vector<keyed_record>& records) {
-  TakeEvacuations({}, records);
-  TakeConfiguration(records);
-}
-
-void gateway_control::TakeChangesOfOperator(
-    const std::vector<keyed_record>& records) {
-  TakeEvacuations(evacuated_, records);
-  TakeConfiguration(records);
-}
-
-/// An evacuation that the copy lacks may have come since it was made, and one
-/// that it holds may have ended since. So none ends here, and none that was
-/// seen to end begins again.
-void gateway_control::TakeRestoredOfOperator(
-    const std::vector<keyed_record>& records) {
-  std::vector<keyed_record> added;
-  std::copy_if(records.begin(), records.end(), std::back_inserter(added),
-               [this](const keyed_record& record) {
-                 const auto domain = link_.read_evacuation(record);
-                 return domain && !taken_back_.contains(*domain);
-               });
-  TakeEvacuations(evacuated_, added);
-  TakeConfiguration(records);
-}
-
-/// @param evacuated What was evacuated before the records.
-void gateway_control::TakeEvacuations(
-    std::set<std::string> evacuated, const std::vector<keyed_record>& records) {
+std::vector<evacuation_record> gateway_control::DecodeEvacuations(
+    const std::vector<keyed_record>& records) const {
+  std::vector<evacuation_record> evacuations;
   for (const auto& record : records) {
-    const auto domain = link_.read_evacuation(record);
-    if (domain && record.value) {
-      evacuated.insert(*domain);
-    } else if (domain) {
-      evacuated.erase(*domain);
+    if (auto domain = link_.read_evacuation(record)) {
+      evacuations.push_back({std::move(*domain), record.value.has_value()});
     }
   }
-  if (evacuated == evacuated_) {
-    return;
-  }
-  std::set_difference(evacuated_.begin(), evacuated_.end(), evacuated.begin(),
-                      evacuated.end(),
-                      std::inserter(taken_back_, taken_back_.end()));
-  for (const auto& domain : evacuated) {
-    taken_back_.erase(domain);
-  }
-  evacuated_ = std::move(evacuated);
-  log_.Write("evacuations_changed", {{"failure_domains", evacuated_}});
-  if (has_published_) {
-    PublishEndpoints();
+  return evacuations;
+}
+
+void gateway_control::TakeOfOperator(const std::vector<keyed_record>& records,
+                                     bool evacuations_changed) {
+  if (evacuations_changed) {
+    log_.Write("evacuations_changed",
+               {{"failure_domains", evacuations_.Domains()}});
+    if (has_published_) {
+      PublishEndpoints();
+    }
   }
+  TakeConfiguration(records);
 }
 
 void gateway_control::TakeConfiguration(
@@ -237,7 +212,7 @@
 void gateway_control::PublishEndpoints() {
   auto listed = listing_.Listed();
   for (auto& endpoint : listed) {
-    endpoint.evacuated = evacuated_.contains(endpoint.failure_domain);
+    endpoint.evacuated = evacuations_.Contains(endpoint.failure_domain);
   }
   if (has_published_ && listed == published_) {
     return;
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -3,7 +3,6 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +10,7 @@
 #include "slatestall/gateway/crash_feed.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/endpoint_listing.h"
+#include "slatestall/gateway/evacuation_list.h"
 #include "slatestall/gateway/gateway_options.h"
 #include "slatestall/gateway/host_directory.h"
 #include "slatestall/gateway/platform_link.h"
@@ -48,12 +48,11 @@
   void Tell(const content_notice& notice) { crashes_.Tell(notice); }
 
  private:
-  void TakeAllOfOperator(const std::vector<keyed_record>& records);
-  void TakeChangesOfOperator(const std::vector<keyed_record>& records);
-  void TakeRestoredOfOperator(const std::vector<keyed_record>& records);
+  std::vector<evacuation_record> DecodeEvacuations(
+      const std::vector<keyed_record>& records) const;
+  void TakeOfOperator(const std::vector<keyed_record>& records,
+                      bool evacuations_changed);
   void TakeConfiguration(const std::vector<keyed_record>& records);
-  void TakeEvacuations(std::set<std::string> evacuated,
-                       const std::vector<keyed_record>& records);
   void TakeAllEndpoints(const std::vector<keyed_record>& records);
   void TakeRestoredEndpoints(const std::vector<keyed_record>& records);
   std::vector<known_endpoint> DecodeAll(
@@ -69,8 +68,7 @@
   now_function now_;
   control_news news_;
   endpoint_listing listing_;
-  std::set<std::string> evacuated_;   ///< Failure domains.
-  std::set<std::string> taken_back_;  ///< Whose evacuation was seen to end.
+  evacuation_list evacuations_;
   std::vector<known_endpoint> published_;
   bool has_published_ = false;
   std::int64_t version_ = -1;
