Hosts tell each other which endpoints are leaving

What callers saw: where all endpoints of a stage's home report in their answers that they are leaving and the list does not say so, other hosts' pieces waited there until the list did, or until their deadline.

Cause: only the host that had such an answer knew it.

Change: the status that homes and readers give several times a second names the runs that are leaving by answers alone; a host that reads it notes it as if the answer had been its own, and moves what waits there.

--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -28,6 +28,9 @@
   /// @returns its record; null if that was known, or it was never listed.
   endpoint_record_ptr NoteLeaving(const endpoint_incarnation& run);
 
+  /// @brief Listed endpoints that are leaving by their answers alone.
+  std::vector<endpoint_incarnation> ReportedLeaving() const;
+
   /// @brief Endpoints of a service, leaving ones included.
   const std::vector<endpoint_record_ptr>& Of(const std::string& service) const;
   using endpoint_filter = std::function<bool(const known_endpoint&)>;
@@ -57,6 +60,8 @@
   std::map<std::string, std::vector<endpoint_record_ptr>> by_service_;
   std::unordered_map<std::string, endpoint_record_ptr> by_address_;
   std::deque<endpoint_record_ptr> unlisted_;  ///< Oldest first.
+  /// Listed, and leaving by an answer.
+  std::vector<endpoint_record_ptr> reported_leaving_;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -29,6 +29,12 @@
       KeepUnlisted(record);
     }
   }
+  reported_leaving_.clear();
+  for (const auto& [id, record] : by_id_) {
+    if (record->ReportedLeaving()) {
+      reported_leaving_.push_back(record);
+    }
+  }
 }
 
 endpoint_record_ptr endpoint_roster::RecordOf(const known_endpoint& endpoint) {
@@ -81,7 +87,23 @@
     const auto unlisted = Unlisted(run);
     record = unlisted == unlisted_.end() ? nullptr : *unlisted;
   }
-  return record && record->NoteLeaving() ? record : nullptr;
+  if (!record || !record->NoteLeaving()) {
+    return nullptr;
+  }
+  if (Find(run.id) == record) {
+    reported_leaving_.push_back(record);
+  }
+  return record;
+}
+
+std::vector<endpoint_incarnation> endpoint_roster::ReportedLeaving() const {
+  std::vector<endpoint_incarnation> runs;
+  for (const auto& record : reported_leaving_) {
+    if (!record->Info().leaving) {
+      runs.push_back(record->Info().Incarnation());
+    }
+  }
+  return runs;
 }
 
 const std::vector<endpoint_record_ptr>& endpoint_roster::Of(
--- a/src/slatestall/dispatch/endpoint_roster_test.cc
+++ b/src/slatestall/dispatch/endpoint_roster_test.cc
@@ -76,12 +76,30 @@
   CPPUNIT_TEST(AnEntryThatComesBackIsStillOfALeavingEndpoint);
   CPPUNIT_TEST(AnAnswerAfterTheEntryHasGoneCounts);
   CPPUNIT_TEST(ANewRunUnderTheSameIdIsUsed);
+  CPPUNIT_TEST(WhatOnlyAnswersReportedIsKnownAsSuch);
   CPPUNIT_TEST(NoOrderOfListsAndAnswersBringsALeavingEndpointBack);
   CPPUNIT_TEST(AServiceOpensWithItsFirstEndpoint);
   CPPUNIT_TEST(NoListEndsABackOff);
   CPPUNIT_TEST(NoEndpointIsChosenBeforeItsRetryAfter);
   CPPUNIT_TEST_SUITE_END();
 
+  // Hosts that had no such answer learn it from others until the list says so.
+  void WhatOnlyAnswersReportedIsKnownAsSuch() {
+    using runs = std::vector<endpoint_incarnation>;
+    roster_.Replace({Listed("i-1"), Listed("i-2")});
+    roster_.NoteLeaving({"i-1", 1});
+    CPPUNIT_ASSERT((roster_.ReportedLeaving() == runs{{"i-1", 1}}));
+    roster_.Replace({Listed("i-2")});
+    CPPUNIT_ASSERT(roster_.ReportedLeaving().empty());
+    roster_.NoteLeaving({"i-2", 1});
+    roster_.Replace({Listed("i-1"), Listed("i-2")});
+    CPPUNIT_ASSERT((roster_.ReportedLeaving() == runs{{"i-1", 1}, {"i-2", 1}}));
+    auto leaving = Listed("i-1");
+    leaving.leaving = true;
+    roster_.Replace({leaving, Listed("i-2", 2)});
+    CPPUNIT_ASSERT(roster_.ReportedLeaving().empty());
+  }
+
   // The store lags behind the endpoint's answer and lists it as ready.
   void AnOlderListDoesNotBringALeavingEndpointBack() {
     roster_.Replace({Listed("i-1")});
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -73,6 +73,7 @@
   std::size_t Connections() const { return listener_.Connections(); }
 
   std::uint16_t Port() const { return listener_.Port(); }
+  std::uint16_t PeerPort() const { return peers_.Port(); }
   gateway_metrics& Metrics() { return environment_.metrics; }
 
  private:
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -306,6 +306,9 @@
       told_waiting_[shard] = {host, load->pieces};
     }
   }
+  for (const auto& endpoint : status.leaving) {
+    environment_.NoteLeaving({endpoint->id, endpoint->started_ms});
+  }
   ServeWaiting();
 }
 
--- a/src/slatestall/gateway/stage_router_peers.cc
+++ b/src/slatestall/gateway/stage_router_peers.cc
@@ -41,6 +41,9 @@
           load->pieces = static_cast<std::uint32_t>(pieces);
           status.loads.push_back(std::move(load));
         }
+        for (const auto& run : environment_.roster.ReportedLeaving()) {
+          status.leaving.push_back(ToWire(run));
+        }
         reply(MakeMessage(std::move(status)));
       });
   peers_.HandleNotice(
--- a/src/slatestall/gateway/stage_wire.cc
+++ b/src/slatestall/gateway/stage_wire.cc
@@ -163,6 +163,14 @@
   return question;
 }
 
+std::unique_ptr<wire::leaving_endpointT> ToWire(
+    const endpoint_incarnation& run) {
+  auto endpoint = std::make_unique<wire::leaving_endpointT>();
+  endpoint->id = run.id;
+  endpoint->started_ms = run.started_ms;
+  return endpoint;
+}
+
 void AddTo(wire::home_status_replyT& reply, const reserve_answer& answer) {
   reply.pool_life = answer.stamp.life;
   reply.pool_at_ms = answer.stamp.at_ms;
--- a/src/slatestall/gateway/stage_wire.h
+++ b/src/slatestall/gateway/stage_wire.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <memory>
+
+#include "slatestall/dispatch/endpoint_record.h"
 #include "slatestall/dispatch/piece_queue.h"
 #include "slatestall/dispatch/repeat_reserve.h"
 #include "slatestall/gateway/stage_calls.h"
@@ -24,6 +27,9 @@
 wire::home_status_requestT ToWire(const reserve_question& question);
 reserve_question FromWire(const wire::home_status_requestT& request);
 
+std::unique_ptr<wire::leaving_endpointT> ToWire(
+    const endpoint_incarnation& run);
+
 /// @brief Adds the pool's answer to what is told of a home.
 void AddTo(wire::home_status_replyT& reply, const reserve_answer& answer);
 reserve_answer ReserveIn(const wire::home_status_replyT& reply);
--- a/src/slatestall/peer/frame_codec.cc
+++ b/src/slatestall/peer/frame_codec.cc
@@ -42,6 +42,10 @@
   return LengthOf(load->service()) + LengthOf(load->domain());
 }
 
+std::size_t TextBytes(const wire::leaving_endpoint* endpoint) {
+  return LengthOf(endpoint->id());
+}
+
 using text_list = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
 
 std::size_t TextBytes(const text_list* texts) {
@@ -91,7 +95,7 @@
     text = TextBytes(read->records());
   }
   if (const auto* status = frame.body_as_home_status_reply()) {
-    text = TextBytes(status->loads());
+    text = TextBytes(status->loads()) + TextBytes(status->leaving());
   }
   return text > payload_bytes;
 }
