--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -10,8 +10,8 @@
 /// Reports of one crash come from all hosts that had calls there. Judged
 /// sooner, endpoints that crash together would look like one content's doing.
 constexpr milliseconds kReportTime{300};
-/// Where more contents than these ran at all three endpoints, and none is known
-/// to have been served, most are harmless, and are served within this time.
+/// With more suspects than this most are harmless: they have some time to be
+/// served before the verdict.
 constexpr std::ptrdiff_t kMostSuspects = 2;
 constexpr milliseconds kSharedTime{1000};
 /// A request that was served longer ago says little: its endpoints may run
--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -29,8 +29,8 @@
 /// Hosts delete spread over this part of a record's life, so that as a rule
 /// one of them writes.
 constexpr int kSpreadPart = 4;
-/// Hosts write another's lost verdicts after the first, spread over the second,
-/// so that as a rule its writer does so alone, or one of them.
+/// Hosts write another's lost verdicts after this pause, spread so that as a
+/// rule one of them does, or the writer alone.
 constexpr milliseconds kRewritePause{1500};
 constexpr milliseconds kRewriteSpread{2000};
 /// A host has at most as many calls at one endpoint as matter here.
@@ -45,12 +45,12 @@
   return life + RandomUpTo(life / kSpreadPart);
 }
 
-struct told_verdict {
+struct verdict_record {
   std::optional<content_verdict> verdict;  ///< Nothing: none, or unreadable.
   std::string by;
 };
 
-told_verdict VerdictIn(const std::optional<std::string>& value) {
+verdict_record VerdictIn(const std::optional<std::string>& value) {
   const auto document = json::parse(value.value_or("{}"), nullptr, false);
   const auto text = [&document](const char* field) {
     return document.is_object() && document.contains(field) &&
@@ -67,7 +67,8 @@
              : std::nullopt;
 }
 
-/// Of two verdicts whose order is not known, the one that refuses nothing.
+/// Where the order of two verdicts is unknown, the one that refuses nothing
+/// counts.
 bool Clears(const keyed_record& record) {
   return VerdictKey(record.key) &&
          VerdictIn(record.value).verdict == content_verdict::kCleared;
@@ -198,7 +199,7 @@
     const bool is_known =
         known != known_.end() && known->second.value == record.value;
     Remember(record);
-    // Reading all once more says nothing new of it.
+    // A full read repeats what is known.
     if (!is_known || source != crash_source::kHistory) {
       TakeOne(record, source);
     }
@@ -246,7 +247,7 @@
   WriteNext();
 }
 
-/// Their writers may be gone. A verdict needs one that lives, for its trials.
+/// Their writers may be gone. The trials of a verdict need one that is running.
 void crash_feed::WriteLostVerdicts() {
   for (const auto& [key, record] : known_) {
     const auto content = VerdictKey(key);
@@ -283,10 +284,10 @@
 void crash_feed::TakeVerdict(request_digest content,
                              const std::optional<std::string>& value,
                              crash_source source) {
-  const auto told = VerdictIn(value);
-  const bool is_own = told.by == self_ && source != crash_source::kHistory;
+  const auto read = VerdictIn(value);
+  const bool is_own = read.by == self_ && source != crash_source::kHistory;
   news_.on_verdict(
-      content, told.verdict,
+      content, read.verdict,
       is_own ? verdict_teller::kThisHost : verdict_teller::kOtherHost);
 }
 
--- a/src/slatestall/gateway/evacuation_list_test.cc
+++ b/src/slatestall/gateway/evacuation_list_test.cc
@@ -146,8 +146,8 @@
 };
 
 // Evacuations and their ends, a store that loses some, hosts that start again
-// and read through others. What both a host and the store know for evacuated
-// stays out, and all agree once the store is whole.
+// and read through others: a later era ends no evacuation, and a host that has
+// read a whole store agrees with it.
 void evacuation_list_test::HostsAgreeWithTheStoreAfterAnyOrderOfChanges() {
   CPPUNIT_ASSERT(rc::check("hosts agree with the store", [] {
     operator_store store;
