Hosts that start take no cleared content for one that crashes endpoints

Cause 1: a full read comes in the order of the keys, and a verdict's key stands before the reports it is about. A host that starts counted all reports of the last ten minutes after the content had been cleared, and refused it for an hour without any other host knowing. Reports are now taken before verdicts in a full read and written before them; one read again after its content was cleared does not count; a verdict that no host has reported ends after 30 s.

Cause 2: all engines of a service crashed together, and the store was silent, so that no suspect could be served in the second before the verdict. With more than two suspects each now has a trial 2 s after the verdict is reported, before the two others.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -47,13 +47,15 @@
 /// that were cut. A content is quarantined once three endpoints have crashed
 /// under it, unless one such request has been served of late, or so many
 /// endpoints crashed without it that chance explains those three. Where many
-/// contents ran at all three they have a moment to be served before that.
+/// contents ran at all three they have a moment to be served before that, and
+/// an early trial after it.
 ///
 /// Each host judges by all reports. A host that lost such a call itself also
-/// tells its verdict, for those that start later; one that has served such a
-/// request answers a quarantine by clearing the content. The host whose verdict
-/// stands lets one request through after a while, and one more much later:
-/// three crashes may still have been chance. Pure state; the time comes in.
+/// reports its verdict; one that no host reports ends soon. A host that has
+/// served such a request answers a quarantine by clearing the content. The host
+/// whose verdict stands lets one request through after a while, and one more
+/// much later: three crashes may still have been chance. Pure state; the time
+/// comes in.
 class content_quarantine {
  public:
   /// @param listed Endpoints of a service that are known.
@@ -88,13 +90,15 @@
     time_point learnt{};
     bool is_timed = true;  ///< `learnt` is about when it happened.
     std::set<request_digest> running;
-    std::set<request_digest> own;  ///< Of `running`: of this host's calls.
+    std::set<request_digest> own;      ///< Of `running`: of this host's calls.
+    std::set<request_digest> cleared;  ///< Ran there and did not crash it.
   };
   struct quarantined_content {
     time_point until{};
     verdict_teller teller = verdict_teller::kOtherHost;
     time_point trial_at{};  ///< Where this host is the teller.
     unsigned trials = 0;
+    bool shared = false;  ///< Other contents may as well have been the cause.
   };
   struct served_content {
     request_digest content = 0;
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -19,11 +19,16 @@
 constexpr milliseconds kServedLife{60'000};
 constexpr milliseconds kCrashLife{600'000};
 constexpr milliseconds kQuarantineLife{3'600'000};
+/// Of a verdict that no host has reported. One that lost such a call does so
+/// within a few seconds, unless it cannot reach the store.
+constexpr milliseconds kUnreportedLife{30'000};
 /// From a verdict to its first trial, which ends a mistaken one, and to the
 /// second.
 constexpr milliseconds kFirstTrial{30'000};
 constexpr milliseconds kSecondTrial{600'000};
 constexpr unsigned kMostTrials = 2;
+/// First trial of a verdict on one of many suspects, before those two.
+constexpr milliseconds kSharedTrial{2'000};
 /// Endpoints whose crash is remembered.
 constexpr std::size_t kMostCrashes = 1024;
 /// Contents of served requests that are remembered; a newer one takes the place
@@ -65,6 +70,9 @@
     known.is_timed = source != crash_source::kHistory;
   }
   for (const auto content : crash.running) {
+    if (source != crash_source::kOwnCalls && known.cleared.contains(content)) {
+      continue;  // The report is older than the verdict.
+    }
     known.running.insert(content);
     if (source == crash_source::kOwnCalls) {
       known.own.insert(content);
@@ -89,7 +97,7 @@
       auto& known = quarantined_[content];
       known.until = now + kQuarantineLife;
       known.teller = teller;
-      known.trial_at = now + kFirstTrial;
+      known.trial_at = now + (known.shared ? kSharedTrial : kFirstTrial);
     }
     return;
   }
@@ -112,6 +120,10 @@
       known.trials >= kMostTrials) {
     return false;
   }
+  if (std::exchange(known.shared, false)) {
+    known.trial_at = now + kFirstTrial;
+    return true;
+  }
   ++known.trials;
   known.trial_at = now + kSecondTrial;
   return true;
@@ -139,15 +151,20 @@
     }
     const bool served = WasServed(content, now);
     const auto settled = evidence.back()->learnt + kSharedTime;
-    if (!served && now < settled && IsShared(evidence, now)) {
+    const bool shared = IsShared(evidence, now);
+    if (!served && shared && now < settled) {
       judged_at_.emplace(content, std::min(now + kReportTime, settled));
       continue;
     }
-    const bool tells = HasLost(content) && !quarantined_.contains(content);
+    const bool has_lost = HasLost(content);
+    const bool tells = has_lost && !quarantined_.contains(content);
     if (served) {
       ForgetCrashesOf(content);
     } else {
-      quarantined_[content].until = now + kQuarantineLife;
+      auto& known = quarantined_[content];
+      known.shared = shared;
+      known.until = std::max(
+          known.until, now + (has_lost ? kQuarantineLife : kUnreportedLife));
     }
     if (tells) {
       notices_.push_back({content, served ? content_verdict::kCleared
@@ -182,7 +199,9 @@
   const auto& running = crashes.front()->running;
   const auto suspects =
       std::count_if(running.begin(), running.end(), [&](auto content) {
-        return !quarantined_.contains(content) && !WasServed(content, now) &&
+        const auto known = quarantined_.find(content);
+        return (known == quarantined_.end() || known->second.shared) &&
+               !WasServed(content, now) &&
                std::all_of(crashes.begin(), crashes.end(),
                            [content](const auto* crash) {
                              return crash->running.contains(content);
@@ -246,6 +265,7 @@
     auto& crash = crashes_.at(endpoint);
     crash.running.erase(content);
     crash.own.erase(content);
+    crash.cleared.insert(content);
   }
   endpoints_of_.erase(found);
 }
--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -57,12 +57,15 @@
   CPPUNIT_TEST(TwoContentsThatCrashEndpointsByTurnsAreBothQuarantined);
   CPPUNIT_TEST(ContentsThatShareCrashesHaveAMomentToBeServed);
   CPPUNIT_TEST(ContentsThatShareCrashesAndAreNotServedAreQuarantined);
+  CPPUNIT_TEST(EachOfManySuspectsHasAnEarlyTrial);
   CPPUNIT_TEST(CrashesOfBeforeTheStartCount);
   CPPUNIT_TEST(AToldQuarantineHoldsUntilItIsWithdrawn);
   CPPUNIT_TEST(AQuarantineEnds);
   CPPUNIT_TEST(TheHostWhoseVerdictStandsTriesOnceInAWhile);
   CPPUNIT_TEST(ATrialThatIsServedClearsTheContent);
   CPPUNIT_TEST(AHostTakesWhatItServedBeforeTheStoreKnows);
+  CPPUNIT_TEST(AVerdictThatNoHostReportsEnds);
+  CPPUNIT_TEST(ReportsThatAreReadAgainAfterAContentWasClearedDoNotCount);
   CPPUNIT_TEST(AFleetSendsFewMoreAfterTheThirdCrash);
   CPPUNIT_TEST(EqualRequestsAreServedWhileEndpointsCrashForAnotherReason);
   CPPUNIT_TEST_SUITE_END();
@@ -240,6 +243,27 @@
     }
   }
 
+  // All endpoints of a service had crashed, so that no suspect could be served
+  // in time, and all stayed out for half a minute.
+  void EachOfManySuspectsHasAnEarlyTrial() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
+                           crash_source::kOwnCalls, At(0));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, quarantine.Judge(At(1000)).size());
+    for (const auto content : {kContent, kOther, kThird}) {
+      quarantine.NoteVerdict(content, content_verdict::kQuarantined,
+                             verdict_teller::kThisHost, At(1000));
+      CPPUNIT_ASSERT(!quarantine.TakeTrial(content, At(2999)));
+      CPPUNIT_ASSERT(quarantine.TakeTrial(content, At(3000)));
+      CPPUNIT_ASSERT(!quarantine.TakeTrial(content, At(32'999)));
+      CPPUNIT_ASSERT(quarantine.TakeTrial(content, At(33'000)));
+      CPPUNIT_ASSERT(quarantine.TakeTrial(content, At(633'000)));
+      CPPUNIT_ASSERT(!quarantine.TakeTrial(content, At(3'000'000)));
+    }
+  }
+
   void CrashesOfBeforeTheStartCount() {
     auto quarantine = Quarantine();
     for (int i = 0; i < 2; ++i) {
@@ -311,6 +335,30 @@
     CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(2400)));
   }
 
+  // A host that had just started refused a popular content for an hour, by
+  // reports that every other host had answered by serving it.
+  void AVerdictThatNoHostReportsEnds() {
+    auto quarantine = Quarantine();
+    CrashThree(quarantine, crash_source::kHistory);
+    quarantine.Judge(At(2300));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(32'299)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(32'300)));
+    quarantine.NoteVerdict(kContent, content_verdict::kQuarantined,
+                           verdict_teller::kOtherHost, At(2400));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(3'602'399)));
+  }
+
+  // A restored store gets reports and verdicts again in any order.
+  void ReportsThatAreReadAgainAfterAContentWasClearedDoNotCount() {
+    auto quarantine = Quarantine();
+    CrashThree(quarantine, crash_source::kOtherHost);
+    quarantine.NoteVerdict(kContent, content_verdict::kCleared,
+                           verdict_teller::kOtherHost, At(2100));
+    CrashThree(quarantine, crash_source::kOtherHost);
+    quarantine.Judge(At(60'000));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(60'000)));
+  }
+
   void AFleetSendsFewMoreAfterTheThirdCrash();
   void EqualRequestsAreServedWhileEndpointsCrashForAnotherReason();
 };
--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -124,14 +124,8 @@
       follower_(
           context, link.crashes,
           {options.settle_limit / kWaitPart, kReadPause, options.restore_time},
-          {.on_all =
-               [this](const auto& records) {
-                 Take(records, crash_source::kHistory);
-               },
-           .on_changes =
-               [this](const auto& records) {
-                 Take(records, crash_source::kOtherHost);
-               },
+          {.on_all = [this](const auto& records) { TakeAll(records); },
+           .on_changes = [this](const auto& records) { TakeChanges(records); },
            .on_read = [](const keyed_read&) {},
            .on_restored =
                [this](const auto& records) { TakeRestored(records); }}) {
@@ -155,12 +149,13 @@
   WriteNext();
 }
 
+/// The last key first: reports come before the verdicts on them.
 void crash_feed::WriteNext() {
   if (writes_ || unwritten_.empty()) {
     return;
   }
   writes_ = true;
-  const auto [key, value] = *unwritten_.begin();
+  const auto [key, value] = *unwritten_.rbegin();
   write_(
       key, value,
       [this, key = key, value = value,
@@ -192,20 +187,30 @@
   });
 }
 
-void crash_feed::Take(const std::vector<keyed_record>& records,
-                      crash_source source) {
+/// A full read repeats what is known, and its order is that of the keys: a
+/// verdict follows the reports it is about.
+void crash_feed::TakeAll(std::vector<keyed_record> records) {
+  std::stable_partition(
+      records.begin(), records.end(),
+      [](const keyed_record& record) { return !VerdictKey(record.key); });
   for (const auto& record : records) {
     const auto known = known_.find(record.key);
     const bool is_known =
         known != known_.end() && known->second.value == record.value;
     Remember(record);
-    // A full read repeats what is known.
-    if (!is_known || source != crash_source::kHistory) {
-      TakeOne(record, source);
+    if (!is_known) {
+      TakeOne(record, crash_source::kHistory);
     }
   }
 }
 
+void crash_feed::TakeChanges(const std::vector<keyed_record>& records) {
+  for (const auto& record : records) {
+    Remember(record);
+    TakeOne(record, crash_source::kOtherHost);
+  }
+}
+
 /// The copy adds to what is known. Where it differs it is older, and what it
 /// lost is written again.
 void crash_feed::TakeRestored(const std::vector<keyed_record>& records) {
@@ -220,7 +225,7 @@
       taken.push_back(record);
     }
   }
-  Take(taken, crash_source::kHistory);
+  TakeAll(std::move(taken));
   WriteLostOwn();
   lost_timer_.expires_after(kRewritePause + RandomUpTo(kRewriteSpread));
   lost_timer_.async_wait([this](const asio::error_code& error) {
--- a/src/slatestall/gateway/crash_feed.h
+++ b/src/slatestall/gateway/crash_feed.h
@@ -55,7 +55,8 @@
   void Write(const std::string& key, const std::string& value);
   void WriteNext();
   void WriteAfter(milliseconds delay);
-  void Take(const std::vector<keyed_record>& records, crash_source source);
+  void TakeAll(std::vector<keyed_record> records);
+  void TakeChanges(const std::vector<keyed_record>& records);
   void TakeRestored(const std::vector<keyed_record>& records);
   void TakeOne(const keyed_record& record, crash_source source);
   bool IsOwn(const std::string& key, const known_record& record) const;
--- a/src/slatestall/gateway/crash_feed_test.cc
+++ b/src/slatestall/gateway/crash_feed_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(OneWriteIsUnderWayAtATime);
   CPPUNIT_TEST(WhatOneHostWritesAnotherReads);
   CPPUNIT_TEST(WhatWasWrittenBeforeTheStartIsHistory);
+  CPPUNIT_TEST(AVerdictFollowsTheReportsItIsAbout);
   CPPUNIT_TEST(AVerdictOfAnEarlierLifeIsNotThisOnes);
   CPPUNIT_TEST(ADeletedVerdictIsWithdrawn);
   CPPUNIT_TEST(RecordsThatCannotBeReadChangeNothing);
@@ -50,10 +51,12 @@
     crash_news news;
     news.on_crash = [this](const endpoint_crash& crash, crash_source source) {
       crashes_.emplace_back(crash, source);
+      taken_.emplace_back("crash");
     };
     news.on_verdict = [this](request_digest content, auto verdict,
                              verdict_teller teller) {
       verdicts_.emplace_back(content, verdict);
+      taken_.emplace_back("verdict");
       tellers_.push_back(teller);
     };
     feed_.emplace(context_, options_, link, log_, BootTimeNow, news);
@@ -143,6 +146,15 @@
                    crashes_[0].second == crash_source::kHistory);
   }
 
+  // Read in the order of their keys, a host that started took cleared contents
+  // for those that crash endpoints.
+  void AVerdictFollowsTheReportsItIsAbout() {
+    fake_topic::Answer(topic_.newest,
+                       {{kContentKey, R"({"verdict":"cleared","by":"h2"})"},
+                        {"crash/i-1/h2", R"({"service":"s","running":[]})"}});
+    CPPUNIT_ASSERT((taken_ == std::vector<std::string>{"crash", "verdict"}));
+  }
+
   // A host that restarts in series would begin its trials anew each time.
   void AVerdictOfAnEarlierLifeIsNotThisOnes() {
     fake_topic::Answer(
@@ -251,6 +263,7 @@
   std::vector<std::pair<request_digest, std::optional<content_verdict>>>
       verdicts_;
   std::vector<verdict_teller> tellers_;
+  std::vector<std::string> taken_;  ///< In which order.
   std::optional<crash_feed> feed_;
 };
 
