--- a/src/slatestall/dispatch/endpoint_roster_test.cc
+++ b/src/slatestall/dispatch/endpoint_roster_test.cc
@@ -83,7 +83,7 @@
   CPPUNIT_TEST(NoEndpointIsChosenBeforeItsRetryAfter);
   CPPUNIT_TEST_SUITE_END();
 
-  // Hosts that had no such answer learn it from others until the list says so.
+  // Other hosts kept using an endpoint whose answer only one had received.
   void WhatOnlyAnswersReportedIsKnownAsSuch() {
     using runs = std::vector<endpoint_incarnation>;
     roster_.Replace({Listed("i-1"), Listed("i-2")});
--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <utility>
 
-#include "slatestall/model/ids.h"
+#include "slatestall/gateway/random_time.h"
 
 namespace slatestall {
 namespace {
@@ -36,13 +36,8 @@
 /// A host has at most as many calls at one endpoint as matter here.
 constexpr std::size_t kMostContents = 256;
 
-milliseconds RandomUpTo(milliseconds most) {
-  return milliseconds(RandomBits() %
-                      static_cast<std::uint64_t>(most.count() + 1));
-}
-
 milliseconds SpreadLife(milliseconds life) {
-  return life + RandomUpTo(life / kSpreadPart);
+  return life + RandomBelow(life / kSpreadPart);
 }
 
 struct verdict_record {
@@ -227,7 +222,7 @@
   }
   TakeAll(std::move(taken));
   WriteLostOwn();
-  lost_timer_.expires_after(kRewritePause + RandomUpTo(kRewriteSpread));
+  lost_timer_.expires_after(kRewritePause + RandomBelow(kRewriteSpread));
   lost_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
       WriteLostVerdicts();
--- a/src/slatestall/gateway/evacuation_list_test.cc
+++ b/src/slatestall/gateway/evacuation_list_test.cc
@@ -145,9 +145,7 @@
   void HostsAgreeWithTheStoreAfterAnyOrderOfChanges();
 };
 
-// Evacuations and their ends, a store that loses some, hosts that start again
-// and read through others: a later era ends no evacuation, and a host that has
-// read a whole store agrees with it.
+// A host drops an evacuation that stands, or keeps one that is over.
 void evacuation_list_test::HostsAgreeWithTheStoreAfterAnyOrderOfChanges() {
   CPPUNIT_ASSERT(rc::check("hosts agree with the store", [] {
     operator_store store;
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "slatestall/model/ids.h"
+#include "slatestall/gateway/random_time.h"
 
 namespace slatestall {
 namespace {
@@ -32,9 +32,7 @@
 
 milliseconds NextInterval() {
   const auto spread = kAnnounceInterval / kIntervalSpread;
-  return kAnnounceInterval -
-         milliseconds(RandomBits() %
-                      static_cast<std::uint64_t>(spread.count()));
+  return kAnnounceInterval - RandomBelow(spread);
 }
 
 }  // namespace
@@ -96,8 +94,7 @@
     return;
   }
   log_.Write("store_restored", {{"era", era}});
-  AnnounceAfter(milliseconds(
-      RandomBits() % static_cast<std::uint64_t>(kAnnounceAgain.count())));
+  AnnounceAfter(RandomBelow(kAnnounceAgain));
 }
 
 void host_directory::AnnounceAfter(milliseconds delay) {
--- a/src/slatestall/gateway/topic_follower.cc
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "slatestall/model/ids.h"
+#include "slatestall/gateway/random_time.h"
 
 namespace slatestall {
 namespace {
@@ -19,8 +19,7 @@
   const auto doubled = std::min(
       kFirstRetry * (1U << std::min(failures, kMaxDoublings)), kLongestRetry);
   const auto half = doubled / 2;
-  return half + milliseconds(RandomBits() %
-                             static_cast<std::uint64_t>(half.count() + 1));
+  return half + RandomBelow(half + milliseconds(1));
 }
 
 }  // namespace
