--- a/src/slatestall/gateway/crash_feed_test.cc
+++ b/src/slatestall/gateway/crash_feed_test.cc
@@ -69,7 +69,7 @@
   void RunUntil(const std::function<bool()>& holds) {
     const auto end = BootTimeNow() + std::chrono::seconds(10);
     while (!holds() && BootTimeNow() < end) {
-      context_.run_for(milliseconds(1));
+      context_.run_one_for(milliseconds(1));
       context_.restart();
     }
     CPPUNIT_ASSERT(holds());
