Many suspects of a crash are judged once their service answers again

Cause: where all endpoints of a service crash together, every content that ran on three of them is a suspect, and the second that suspects have to be served passes while nothing can serve them.

Change: with more than two suspects the second begins with the service's next answer to this host, or after three more crashes under the content without one: a request that crashes each endpoint before it answers is still found. Nothing is lost by waiting while no endpoint is up. Answers of stage calls count for their service.

Two tests of such verdicts now report an answer of the service first, since their crashes left it silent for good; what they assert is as before.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -47,8 +47,8 @@
 /// that were cut. A content is quarantined once three endpoints have crashed
 /// under it, unless one such request has been served of late, or so many
 /// endpoints crashed without it that chance explains those three. Where many
-/// contents ran at all three they have a moment to be served before that, and
-/// an early trial after it.
+/// contents ran at all three they have a moment to be served before that, once
+/// the service answers again, and an early trial after it.
 ///
 /// Each host judges by all reports. A host that lost such a call itself also
 /// reports its verdict; one that no host reports ends soon. A host that has
@@ -65,6 +65,8 @@
 
   /// @brief An endpoint has answered such a request to the end.
   void NoteServed(request_digest content, time_point now);
+  /// @brief An endpoint of the service has answered some call of this host.
+  void NoteAnswer(const std::string& service, time_point now);
   void NoteCrash(const endpoint_crash& crash, crash_source source,
                  time_point now);
   /// @param verdict Nothing: what was told of it is withdrawn.
@@ -89,6 +91,7 @@
     std::string service;
     time_point learnt{};
     bool is_timed = true;  ///< `learnt` is about when it happened.
+    std::optional<time_point> answered;  ///< When its service did after that.
     std::set<request_digest> running;
     std::set<request_digest> own;      ///< Of `running`: of this host's calls.
     std::set<request_digest> cleared;  ///< Ran there and did not crash it.
@@ -115,11 +118,14 @@
                              time_point from, time_point to) const;
   crash_list EvidenceAgainst(request_digest content) const;
   bool IsShared(const crash_list& crashes, time_point now) const;
+  std::optional<time_point> SettledAt(request_digest content,
+                                      const crash_list& evidence) const;
   bool WasServed(request_digest content, time_point now) const;
   bool HasLost(request_digest content) const;
 
   size_hook listed_;
   std::map<std::string, known_crash> crashes_;  ///< By endpoint.
+  std::set<std::string> unanswered_;  ///< Services silent since a crash.
   std::map<request_digest, std::set<std::string>> endpoints_of_;
   std::map<request_digest, time_point> judged_at_;
   std::map<request_digest, quarantined_content> quarantined_;
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -52,6 +52,18 @@
   served_[content % kServedPlaces] = {content, now};
 }
 
+void content_quarantine::NoteAnswer(const std::string& service,
+                                    time_point now) {
+  if (unanswered_.erase(service) == 0) {
+    return;
+  }
+  for (auto& [endpoint, crash] : crashes_) {
+    if (crash.service == service && !crash.answered) {
+      crash.answered = now;
+    }
+  }
+}
+
 bool content_quarantine::WasServed(request_digest content,
                                    time_point now) const {
   const auto& last = served_[content % kServedPlaces];
@@ -68,6 +80,7 @@
     known.service = crash.service;
     known.learnt = now;
     known.is_timed = source != crash_source::kHistory;
+    unanswered_.insert(crash.service);
   }
   for (const auto content : crash.running) {
     if (source != crash_source::kOwnCalls && known.cleared.contains(content)) {
@@ -150,11 +163,14 @@
       continue;
     }
     const bool served = WasServed(content, now);
-    const auto settled = evidence.back()->learnt + kSharedTime;
     const bool shared = IsShared(evidence, now);
-    if (!served && shared && now < settled) {
-      judged_at_.emplace(content, std::min(now + kReportTime, settled));
-      continue;
+    if (!served && shared) {
+      const auto settled =
+          SettledAt(content, evidence).value_or(time_point::max());
+      if (now < settled) {
+        judged_at_.emplace(content, std::min(now + kReportTime, settled));
+        continue;
+      }
     }
     const bool has_lost = HasLost(content);
     const bool tells = has_lost && !quarantined_.contains(content);
@@ -210,6 +226,25 @@
   return suspects > kMostSuspects;
 }
 
+/// When one of many suspects may be judged. While all endpoints of a service
+/// are down none can be served, and nothing is lost by waiting, unless more
+/// endpoints crash under it.
+std::optional<time_point> content_quarantine::SettledAt(
+    request_digest content, const crash_list& evidence) const {
+  const auto& last = *evidence.back();
+  if (last.answered) {
+    return *last.answered + kSharedTime;
+  }
+  std::size_t more = 0;
+  for (const auto* crash : CrashesOf(content)) {
+    more += crash->learnt > last.learnt + kSharedTime ? 1 : 0;
+    if (more == kCrashesToQuarantine) {
+      return crash->learnt;
+    }
+  }
+  return std::nullopt;
+}
+
 content_quarantine::crash_list content_quarantine::CrashesOf(
     request_digest content) const {
   crash_list crashes;
--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(TwoContentsThatCrashEndpointsByTurnsAreBothQuarantined);
   CPPUNIT_TEST(ContentsThatShareCrashesHaveAMomentToBeServed);
   CPPUNIT_TEST(ContentsThatShareCrashesAndAreNotServedAreQuarantined);
+  CPPUNIT_TEST(ManySuspectsAreNotJudgedBeforeTheirServiceAnswers);
+  CPPUNIT_TEST(ManySuspectsAreJudgedWhereEndpointsGoOnCrashing);
   CPPUNIT_TEST(EachOfManySuspectsHasAnEarlyTrial);
   CPPUNIT_TEST(CrashesOfBeforeTheStartCount);
   CPPUNIT_TEST(AToldQuarantineHoldsUntilItIsWithdrawn);
@@ -234,6 +236,7 @@
       quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
                            crash_source::kOwnCalls, At(std::int64_t{400} * i));
     }
+    quarantine.NoteAnswer("s", At(800));
     while (const auto at = quarantine.JudgesAt()) {
       CPPUNIT_ASSERT(*at <= At(1800));
       quarantine.Judge(*at);
@@ -243,14 +246,57 @@
     }
   }
 
-  // All endpoints of a service had crashed, so that no suspect could be served
-  // in time, and all stayed out for half a minute.
+  /// Judges whenever that is due.
+  static void JudgeUntil(content_quarantine& quarantine, time_point end) {
+    for (auto at = quarantine.JudgesAt(); at && *at <= end;
+         at = quarantine.JudgesAt()) {
+      quarantine.Judge(*at);
+    }
+  }
+
+  // All endpoints of a service crashed together, and all contents that ran
+  // there were refused though none could have been served.
+  void ManySuspectsAreNotJudgedBeforeTheirServiceAnswers() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < static_cast<int>(kListed); ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
+                           crash_source::kOwnCalls, At(std::int64_t{10} * i));
+    }
+    quarantine.NoteAnswer("t", At(500));
+    JudgeUntil(quarantine, At(20'000));
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+    quarantine.NoteAnswer("s", At(20'000));
+    JudgeUntil(quarantine, At(20'999));
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+    quarantine.NoteServed(kOther, At(20'999));
+    quarantine.NoteServed(kThird, At(20'999));
+    JudgeUntil(quarantine, At(30'000));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(30'000)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kOther, At(30'000)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kThird, At(30'000)));
+  }
+
+  // A request that crashes each endpoint before it has answered anything.
+  void ManySuspectsAreJudgedWhereEndpointsGoOnCrashing() {
+    auto quarantine = Quarantine(3);
+    for (int i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT(quarantine.IsEmpty());
+      const auto now = At(std::int64_t{2000} * i);
+      quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
+                           crash_source::kOwnCalls, now);
+      JudgeUntil(quarantine, now + milliseconds(1999));
+    }
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(12'000)));
+  }
+
+  // No suspect was served in time, and all stayed out for half a minute.
   void EachOfManySuspectsHasAnEarlyTrial() {
     auto quarantine = Quarantine();
     for (int i = 0; i < 3; ++i) {
       quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
                            crash_source::kOwnCalls, At(0));
     }
+    quarantine.NoteAnswer("s", At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, quarantine.Judge(At(1000)).size());
     for (const auto content : {kContent, kOther, kThird}) {
       quarantine.NoteVerdict(content, content_verdict::kQuarantined,
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -371,6 +371,8 @@
   }
   EndAttempt(call_lesson::kAnswered);
   if (IsSuccess()) {
+    environment_.quarantine.NoteAnswer(record_->Info().service,
+                                       environment_.now());
     environment_.on_served(Digest());
   }
   if (events_) {
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -181,6 +181,7 @@
         shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
             now;
         NotePieceTime(*call, now - call->sent);
+        environment_.quarantine.NoteAnswer(call->shard.service, now);
         environment_.metrics.Observe("stage_call", call->shard.service,
                                      now - call->sent);
         TakeResults(call, results);
