How long a host stays listed follows from the window of repeats

A host draws on the reserve of repeats for 90 s after it last renewed its entry, and what it drew counts for one window more; the others left it out of their division after a fixed 130 s. Only comments held the two together, and a setting of a window over some 25 s would have parted them (worked out; a property with 60 s and 130 s did not show it in 100 runs). The list's time is now derived from the same type: 116 s with a window of 10 s. The property of the reserve holds with it (1 to 100 hosts, 100 runs, and 1,000 once), where its model had 130 s of its own.

--- a/include/slatestall/dispatch/repeat_reserve.h
+++ b/include/slatestall/dispatch/repeat_reserve.h
@@ -22,12 +22,16 @@
   milliseconds window{10'000};  ///< In which the reserve is counted.
   /// A host list that is older says too little of who else draws on it.
   milliseconds list_age{10'000};
-  /// A host that has not renewed its entry for so long stops: a while later
-  /// others leave it out of their count.
+  /// A host that has not renewed its entry for so long stops drawing on it.
   milliseconds entry_age{90'000};
   milliseconds loan{2'000};   ///< How long a pool may grant what it was lent.
   milliseconds grant{2'000};  ///< How long a host may use what it was granted.
 
+  static reserve_times For(milliseconds window) {
+    reserve_times times;
+    times.window = window;
+    return times;
+  }
   static duration Outlasting(duration time) {
     constexpr int kClockErrorPart = 50;
     return time + time / kClockErrorPart;
@@ -37,6 +41,9 @@
   duration Settling() const {
     return Outlasting(list_age + window + loan + grant);
   }
+  /// From the last renewal of an entry on: others may leave its host out of
+  /// their count, since what it has drawn is out of the window.
+  duration EntryLife() const { return Outlasting(entry_age) + Settling(); }
 };
 
 /// @brief What a host knows of how many draw on the reserve.
--- a/src/slatestall/dispatch/repeat_allowance.cc
+++ b/src/slatestall/dispatch/repeat_allowance.cc
@@ -37,9 +37,7 @@
 }
 
 reserve_times repeat_allowance::Times() const {
-  reserve_times times;
-  times.window = limits_.window;
-  return times;
+  return reserve_times::For(limits_.window);
 }
 
 void repeat_allowance::Forget(history& past, time_point now) const {
--- a/src/slatestall/dispatch/repeat_reserve_test.cc
+++ b/src/slatestall/dispatch/repeat_reserve_test.cc
@@ -22,7 +22,6 @@
 constexpr milliseconds kStep{250};
 constexpr milliseconds kListRead{3'000};
 constexpr milliseconds kAnnounce{40'000};
-constexpr milliseconds kEntryLife{130'000};
 const repeat_limits kLimits{0, milliseconds(10'000), kReserve};
 
 /// Small numbers from a seed, the same on every machine.
@@ -170,7 +169,8 @@
         one.seen[i] = now_;
       }
       const bool listed = one.version[i] > 0 &&
-                          Scaled(now_ - one.seen[i], one.rate) < kEntryLife;
+                          Scaled(now_ - one.seen[i], one.rate) <
+                              reserve_times::For(kLimits.window).EntryLife();
       census.hosts += listed ? 1 : 0;
     }
     census.read_at = Clock(one);
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -10,9 +10,8 @@
 namespace {
 
 /// How often a host announces itself, up to a quarter less, so that hosts that
-/// started together do not go on writing together; and after what time without
-/// it is left out. Hosts that are gone are noticed by asking them; the list
-/// only has to lose them some day.
+/// started together do not go on writing together. Hosts that are gone are
+/// noticed by asking them; the list only has to lose them some day.
 constexpr milliseconds kAnnounceInterval{40'000};
 constexpr int kIntervalSpread = 4;
 /// What an entry may say of its weight; a wrong one must not take all work.
@@ -22,7 +21,6 @@
 /// All hosts write again within it after the store has lost entries: a few
 /// hundred writes a second of a large fleet.
 constexpr milliseconds kAnnounceAgain{2000};
-constexpr milliseconds kEntryLife{130'000};
 /// A new host takes part in the work of homes that much later at most, and
 /// serves its callers from the start.
 constexpr milliseconds kReadInterval{3000};
@@ -154,8 +152,9 @@
 void host_directory::Publish() {
   std::vector<listed_gateway> listed;
   const time_point now = now_();
+  const auto life = reserve_times::For(options_.repeats.window).EntryLife();
   for (const auto& [name, entry] : entries_) {
-    if (now - entry.renewed < kEntryLife) {
+    if (now - entry.renewed < life) {
       listed.push_back(entry.listed);
     }
   }
