A content that ran beside a quarantined one has a moment to be served, too

A host quarantined the crashing content by its own calls. Then the reports of the others came, by which the staged content had run at all three, too. A quarantined content was not counted among the suspects, so that the staged one stood alone, was judged at once, and stayed out for half a minute.

Change: whatever ran at all three crashes and was not served counts as a suspect, and where the service did not answer after the last crash one other suspect is enough to wait for it.

--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -209,21 +209,24 @@
   return {};
 }
 
-/// Whether many contents may have caused these crashes.
+/// Whether other contents may as well have caused these crashes. After a crash
+/// that leaves a service without endpoints a second suspect is enough for that:
+/// hosts know each other's reports late, and nothing is served meanwhile.
 bool content_quarantine::IsShared(const crash_list& crashes,
                                   time_point now) const {
   const auto& running = crashes.front()->running;
   const auto suspects =
       std::count_if(running.begin(), running.end(), [&](auto content) {
-        const auto known = quarantined_.find(content);
-        return (known == quarantined_.end() || known->second.shared) &&
-               !WasServed(content, now) &&
+        return !WasServed(content, now) &&
                std::all_of(crashes.begin(), crashes.end(),
                            [content](const auto* crash) {
                              return crash->running.contains(content);
                            });
       });
-  return suspects > kMostSuspects;
+  const auto& last = *crashes.back();
+  const bool was_down =
+      !last.answered || *last.answered > last.learnt + kReportTime;
+  return suspects > (was_down ? 1 : kMostSuspects);
 }
 
 /// When one of many suspects may be judged. While all endpoints of a service
--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(ContentsThatShareCrashesAndAreNotServedAreQuarantined);
   CPPUNIT_TEST(ManySuspectsAreNotJudgedBeforeTheirServiceAnswers);
   CPPUNIT_TEST(ManySuspectsAreJudgedWhereEndpointsGoOnCrashing);
+  CPPUNIT_TEST(OneThatRanBesideAQuarantinedContentHasAMomentToBeServed);
   CPPUNIT_TEST(EachOfManySuspectsHasAnEarlyTrial);
   CPPUNIT_TEST(CrashesOfBeforeTheStartCount);
   CPPUNIT_TEST(AToldQuarantineHoldsUntilItIsWithdrawn);
@@ -201,9 +202,11 @@
     for (int i = 0; i < 3; ++i) {
       quarantine.NoteCrash(Crash(endpoint++, {kContent, 1}),
                            crash_source::kOwnCalls, At(std::int64_t{1000} * i));
+      quarantine.NoteAnswer("s", At(std::int64_t{1000} * i + 100));
       quarantine.NoteCrash(Crash(endpoint++, {kOther, 2}),
                            crash_source::kOwnCalls,
                            At(std::int64_t{1000} * i + 500));
+      quarantine.NoteAnswer("s", At(std::int64_t{1000} * i + 600));
     }
     quarantine.Judge(At(2800));
     CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(2800)));
@@ -289,6 +292,31 @@
     CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(12'000)));
   }
 
+  // All endpoints crashed while the store was silent. A host judged the content
+  // of its own calls, and then, by late reports, each that had run beside it.
+  void OneThatRanBesideAQuarantinedContentHasAMomentToBeServed() {
+    auto quarantine = Quarantine(3);
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent}), crash_source::kOwnCalls,
+                           At(std::int64_t{100} * i));
+    }
+    JudgeUntil(quarantine, At(1000));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(1000)));
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent, kOther, kThird}),
+                           crash_source::kOtherHost, At(1500));
+    }
+    JudgeUntil(quarantine, At(5000));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kOther, At(5000)));
+    quarantine.NoteAnswer("s", At(5000));
+    quarantine.NoteServed(kThird, At(5100));
+    quarantine.NoteServed(kOther, At(5900));
+    JudgeUntil(quarantine, At(10'000));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(10'000)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kOther, At(10'000)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kThird, At(10'000)));
+  }
+
   // No suspect was served in time, and all stayed out for half a minute.
   void EachOfManySuspectsHasAnEarlyTrial() {
     auto quarantine = Quarantine();
