Crashes of a model service and of a stage service are counted apart

Its logs: a staged content had run at two engines that another request crashed, and at a stage endpoint that crashed by itself. Three crashes, and no other content at all three: it was judged at once and refused for half a minute.

Cause: the three crashes that are evidence were counted over all services, though a request crashes what runs one part of it, and though the crashes that make chance likely are counted for one service.

--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -190,20 +190,26 @@
   return std::exchange(notices_, {});
 }
 
-/// Three crashes in a row, with nothing in between that makes them likely
-/// without it, that had this content running.
+/// Three crashes of one service in a row, with nothing in between that makes
+/// them likely without it, that had this content running. A request crashes
+/// what runs one part of it; a crash elsewhere has another cause.
 content_quarantine::crash_list content_quarantine::EvidenceAgainst(
     request_digest content) const {
-  const auto crashes = CrashesOf(content);
-  for (std::size_t i = 0; i + kCrashesToQuarantine <= crashes.size(); ++i) {
-    const auto& first = *crashes[i];
-    const auto& last = *crashes[i + kCrashesToQuarantine - 1];
-    const auto others =
-        CrashesWithout(content, last.service, first.learnt - kReportTime,
-                       last.learnt + kReportTime);
-    if (others * kChancePart < listed_(last.service) || others == 0) {
-      const auto begin = crashes.begin() + static_cast<std::ptrdiff_t>(i);
-      return {begin, begin + kCrashesToQuarantine};
+  std::map<std::string, crash_list> by_service;
+  for (const auto* crash : CrashesOf(content)) {
+    auto& row = by_service[crash->service];
+    row.push_back(crash);
+    if (row.size() > kCrashesToQuarantine) {
+      row.erase(row.begin());
+    }
+    if (row.size() < kCrashesToQuarantine) {
+      continue;
+    }
+    const auto others = CrashesWithout(content, crash->service,
+                                       row.front()->learnt - kReportTime,
+                                       row.back()->learnt + kReportTime);
+    if (others * kChancePart < listed_(crash->service) || others == 0) {
+      return row;
     }
   }
   return {};
--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -35,10 +35,12 @@
 }
 
 /// Three crashes a second apart.
-void CrashThree(content_quarantine& quarantine, crash_source source) {
+void CrashThree(content_quarantine& quarantine, crash_source source,
+                const std::vector<std::string>& services = {"s", "s", "s"}) {
   for (int i = 0; i < 3; ++i) {
-    quarantine.NoteCrash(Crash(i, {kContent}), source,
-                         At(std::int64_t{1000} * i));
+    auto crash = Crash(i, {kContent});
+    crash.service = services[static_cast<std::size_t>(i)];
+    quarantine.NoteCrash(crash, source, At(std::int64_t{1000} * i));
   }
 }
 
@@ -49,6 +51,7 @@
   CPPUNIT_TEST(AHostThatLostNoCallJudgesAndTellsNobody);
   CPPUNIT_TEST(TwoCrashesDoNot);
   CPPUNIT_TEST(SeveralHostsReportsOfOneCrashCountOnce);
+  CPPUNIT_TEST(CrashesOfTwoServicesAreCountedApart);
   CPPUNIT_TEST(AContentThatWasServedOfLateIsClearedInstead);
   CPPUNIT_TEST(OneThatWasServedLongAgoIsNot);
   CPPUNIT_TEST(AHostThatServedItClearsAnothersQuarantine);
@@ -130,6 +133,19 @@
     CPPUNIT_ASSERT(!quarantine.JudgesAt());
   }
 
+  // A request with stages had run where another one crashed two engines, and a
+  // stage endpoint of its own crashed for no reason of theirs.
+  void CrashesOfTwoServicesAreCountedApart() {
+    auto quarantine = Quarantine();
+    CrashThree(quarantine, crash_source::kOwnCalls, {"s", "s", "t"});
+    quarantine.Judge(At(2300));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kContent, At(2300)));
+    quarantine.NoteCrash(Crash(3, {kContent}), crash_source::kOwnCalls,
+                         At(3000));
+    quarantine.Judge(At(3300));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(3300)));
+  }
+
   void AContentThatWasServedOfLateIsClearedInstead() {
     auto quarantine = Quarantine();
     quarantine.NoteServed(kContent, At(-1000));
