After the loss of a whole service no verdict stands on one host's knowledge

A host knew only the calls that it had lost itself, of which one content stood at all three, and judged it 0.4 s later though no endpoint was left to serve it.

Change: where as many endpoints of a service crashed as are listed, and none has answered since, a suspect that stands alone waits as several do: for a second after the next answer, or until three more endpoints have crashed under it.

--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -215,9 +215,9 @@
   return {};
 }
 
-/// Whether other contents may as well have caused these crashes. After a crash
-/// that leaves a service without endpoints a second suspect is enough for that:
-/// hosts know each other's reports late, and nothing is served meanwhile.
+/// Whether other contents may as well have caused these crashes. Reports of
+/// other hosts come late, so that this one may know one suspect of several: it
+/// is never sure of the cause where the whole service went down.
 bool content_quarantine::IsShared(const crash_list& crashes,
                                   time_point now) const {
   const auto& running = crashes.front()->running;
@@ -230,9 +230,19 @@
                            });
       });
   const auto& last = *crashes.back();
-  const bool was_down =
-      !last.answered || *last.answered > last.learnt + kReportTime;
-  return suspects > (was_down ? 1 : kMostSuspects);
+  if (last.answered) {
+    const bool was_silent = *last.answered > last.learnt + kReportTime;
+    return was_silent || suspects > kMostSuspects;
+  }
+  const auto crashed =
+      std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
+        const auto& crash = entry.second;
+        return crash.is_timed && crash.service == last.service &&
+               crash.learnt >= crashes.front()->learnt - kReportTime &&
+               crash.learnt <= last.learnt + kReportTime;
+      });
+  return suspects > 1 ||
+         static_cast<std::size_t>(crashed) >= listed_(last.service);
 }
 
 /// When one of many suspects may be judged. While all endpoints of a service
--- a/src/slatestall/dispatch/content_quarantine_test.cc
+++ b/src/slatestall/dispatch/content_quarantine_test.cc
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(ManySuspectsAreNotJudgedBeforeTheirServiceAnswers);
   CPPUNIT_TEST(ManySuspectsAreJudgedWhereEndpointsGoOnCrashing);
   CPPUNIT_TEST(OneThatRanBesideAQuarantinedContentHasAMomentToBeServed);
+  CPPUNIT_TEST(AfterTheLossOfAServiceTheOnlyKnownSuspectHasAMomentToBeServed);
+  CPPUNIT_TEST(TheContentThatKeepsAServiceDownIsQuarantined);
   CPPUNIT_TEST(EachOfManySuspectsHasAnEarlyTrial);
   CPPUNIT_TEST(CrashesOfBeforeTheStartCount);
   CPPUNIT_TEST(AToldQuarantineHoldsUntilItIsWithdrawn);
@@ -308,10 +310,10 @@
     CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(12'000)));
   }
 
-  // All endpoints crashed while the store was silent. A host judged the content
-  // of its own calls, and then, by late reports, each that had run beside it.
+  // While the store was silent, a host judged the content of its own calls, and
+  // then, by late reports, each that had run beside it.
   void OneThatRanBesideAQuarantinedContentHasAMomentToBeServed() {
-    auto quarantine = Quarantine(3);
+    auto quarantine = Quarantine();
     for (int i = 0; i < 3; ++i) {
       quarantine.NoteCrash(Crash(i, {kContent}), crash_source::kOwnCalls,
                            At(std::int64_t{100} * i));
@@ -333,6 +335,36 @@
     CPPUNIT_ASSERT(!quarantine.Refuses(kThird, At(10'000)));
   }
 
+  // All endpoints crashed while the store was silent. A host knew only what it
+  // had lost itself, and refused the one content that it had had at all three.
+  void AfterTheLossOfAServiceTheOnlyKnownSuspectHasAMomentToBeServed() {
+    auto quarantine = Quarantine(3);
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent}), crash_source::kOwnCalls,
+                           At(std::int64_t{100} * i));
+    }
+    JudgeUntil(quarantine, At(5000));
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+    quarantine.NoteAnswer("s", At(5000));
+    JudgeUntil(quarantine, At(5999));
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+    quarantine.NoteServed(kContent, At(5999));
+    JudgeUntil(quarantine, At(10'000));
+    CPPUNIT_ASSERT(quarantine.IsEmpty());
+  }
+
+  // It goes on crashing whatever starts, and nothing else is served.
+  void TheContentThatKeepsAServiceDownIsQuarantined() {
+    auto quarantine = Quarantine(3);
+    for (int i = 0; i < 7; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent}), crash_source::kOwnCalls,
+                           At(std::int64_t{700} * i));
+      JudgeUntil(quarantine, At(std::int64_t{700} * i + 650));
+    }
+    JudgeUntil(quarantine, At(5000));
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(5000)));
+  }
+
   // No suspect was served in time, and all stayed out for half a minute.
   void EachOfManySuspectsHasAnEarlyTrial() {
     auto quarantine = Quarantine();
