The time that hosts stay listed is fixed when the list is made

Options that a reload changes are to be used on the traffic thread only.

The time is now worked out once, in the constructor, and is never under the 130 s that it was before, so that a reload to a somewhat longer window is covered as it was.

--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -21,6 +21,7 @@
 /// All hosts write again within it after the store has lost entries: a few
 /// hundred writes a second of a large fleet.
 constexpr milliseconds kAnnounceAgain{2000};
+constexpr duration kLeastEntryLife = milliseconds(130'000);
 /// A new host takes part in the work of homes that much later at most, and
 /// serves its callers from the start.
 constexpr milliseconds kReadInterval{3000};
@@ -33,6 +34,13 @@
   return kAnnounceInterval - RandomBelow(spread);
 }
 
+/// A host that was left out sooner would still draw on the reserve of repeats
+/// that the others divide among themselves.
+duration EntryLife(const repeat_limits& repeats) {
+  return std::max(kLeastEntryLife,
+                  reserve_times::For(repeats.window).EntryLife());
+}
+
 }  // namespace
 
 host_directory::host_directory(asio::io_context& context,
@@ -41,6 +49,7 @@
                                now_function now, hosts_hook on_hosts,
                                census_hook on_census)
     : options_(options),
+      entry_life_(EntryLife(options.repeats)),
       announce_(link.announce),
       log_(log),
       now_(std::move(now)),
@@ -152,9 +161,8 @@
 void host_directory::Publish() {
   std::vector<listed_gateway> listed;
   const time_point now = now_();
-  const auto life = reserve_times::For(options_.repeats.window).EntryLife();
   for (const auto& [name, entry] : entries_) {
-    if (now - entry.renewed < life) {
+    if (now - entry.renewed < entry_life_) {
       listed.push_back(entry.listed);
     }
   }
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -57,6 +57,7 @@
   keyed_topic Timed(const keyed_topic& topic);
 
   const gateway_options& options_;
+  const duration entry_life_;  ///< Without a renewal.
   keyed_writer announce_;
   decision_log& log_;
   now_function now_;
