--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -38,6 +38,14 @@
 /// with it are no evidence.
 constexpr std::size_t kChancePart = 2;
 
+/// Whether an endpoint of the service crashed between those times.
+template <typename Crash>
+bool CrashedBetween(const Crash& crash, const std::string& service,
+                    time_point from, time_point to) {
+  return crash.is_timed && crash.service == service && crash.learnt >= from &&
+         crash.learnt <= to;
+}
+
 }  // namespace
 
 content_quarantine::content_quarantine(size_hook listed)
@@ -236,10 +244,9 @@
   }
   const auto crashed =
       std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
-        const auto& crash = entry.second;
-        return crash.is_timed && crash.service == last.service &&
-               crash.learnt >= crashes.front()->learnt - kReportTime &&
-               crash.learnt <= last.learnt + kReportTime;
+        return CrashedBetween(entry.second, last.service,
+                              crashes.front()->learnt - kReportTime,
+                              last.learnt + kReportTime);
       });
   return suspects > 1 ||
          static_cast<std::size_t>(crashed) >= listed_(last.service);
@@ -287,8 +294,7 @@
   const auto count =
       std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
         const auto& crash = entry.second;
-        return crash.is_timed && crash.service == service &&
-               crash.learnt >= from && crash.learnt <= to &&
+        return CrashedBetween(crash, service, from, to) &&
                !crash.running.contains(content) && !IsExplained(crash);
       });
   return static_cast<std::size_t>(count);
