A host that is cut off from endpoints calls them through other hosts

Cause: a call had one way, the host's own connection. Failures on it counted against the endpoints, so that all of them were left alone for up to four seconds, and stages whose home was the cut host failed for everybody.

path_health tells a cut from endpoints that are down: an endpoint fails alone, a cut host fails at one after the other, and other hosts still reach them. While a service is cut off, its calls go through a host that reaches it (call_relay); only the connection differs, so attempts, limits and at-most-once stay with the host that holds the request. The relay closes its answer as whole only if the endpoint ended the connection in an orderly way. A host that is cut off itself, stops or is full refuses, and the next is tried, at last the direct way. Where no host reaches the service, relaying pauses. Probes without a request end the cut. A suspected crash is confirmed by another host while the service is cut.

Stage calls now run through endpoint_call, too, in place of libcurl.

Test: cut_host_test failed on (all requests refused for 30 s) and passes.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -72,6 +72,8 @@
 
   void NoteStart() { ++in_flight_; }
   void NoteEnd(call_lesson lesson, time_point now);
+  /// @brief What was noted of failures was the host's own.
+  void ForgetFailures();
   /// @brief Load that an answer told; it counts this host's calls, too.
   void NoteLoad(const told_load& load);
   /// @brief Calls a second that it takes from all hosts together; nothing: as
--- a/include/slatestall/dispatch/mechanism.h
+++ b/include/slatestall/dispatch/mechanism.h
@@ -31,9 +31,10 @@
   kWeakHostsLast,     ///< Weak hosts are homes only where no other is left.
   kSharedReading,     ///< Two hosts read the store for the others.
   kTopicExchange,     ///< Hosts ask each other while the store is away.
+  kRelayedCalls,      ///< A host that is cut off calls through others.
 };
 
-inline constexpr std::size_t kMechanisms = 21;
+inline constexpr std::size_t kMechanisms = 22;
 
 inline constexpr name_table<mechanism, kMechanisms> kMechanismNames{{
     {mechanism::kBookings, "bookings"},
@@ -57,6 +58,7 @@
     {mechanism::kWeakHostsLast, "weak_hosts_last"},
     {mechanism::kSharedReading, "shared_reading"},
     {mechanism::kTopicExchange, "topic_exchange"},
+    {mechanism::kRelayedCalls, "relayed_calls"},
 }};
 
 /// @brief Those that are switched off; none, but for measurements.
--- a/include/slatestall/gateway/gateway_options.h
+++ b/include/slatestall/gateway/gateway_options.h
@@ -24,6 +24,7 @@
   std::uint16_t front_port = 0;
   std::uint16_t status_port = 0;   ///< Readiness and metrics.
   std::uint16_t peer_port = 0;     ///< Other hosts.
+  std::uint16_t relay_port = 0;    ///< Their calls to endpoints; 0: any.
   std::string store_address;       ///< "IP:port".
   std::vector<std::string> seeds;  ///< "IP:port" of other hosts; may be stale.
   std::size_t max_connections = 1024;
--- a/include/slatestall/relay/endpoint_call.h
+++ b/include/slatestall/relay/endpoint_call.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "slatestall/model/time.h"
 #include "slatestall/relay/message_reader.h"
@@ -17,12 +18,28 @@
 /// @ingroup relay
 enum class call_outcome {
   kComplete,      ///< A whole answer, of any status.
-  kNotConnected,  ///< No connection was made: no byte left this host.
+  kNotConnected,  ///< No connection was made: the endpoint has no byte of it.
+  kNotRelayed,    ///< Nor did a host of `via` pass it on; the same is true.
   kWithdrawn,     ///< `may_send` said no: no byte left this host.
   kBroken,        ///< Reset or closed before the answer was whole.
   kMalformed,     ///< The bytes are no answer.
 };
 
+/// @brief Target of calls that a host is to pass on to an endpoint, which the
+/// header names. The body has the bytes for the endpoint; the body of the
+/// answer has the bytes from it, and is whole only if the endpoint ended the
+/// connection in an orderly way.
+inline constexpr const char* kRelayTarget = "/endpoint-connection";
+inline constexpr const char* kRelayHeader = "Endpoint-Id";
+/// The endpoint was not reached; it has no byte of the call.
+inline constexpr int kRelayUnreachable = 502;
+
+/// @brief A host that may pass the call on.
+struct relay_hop {
+  std::string host;
+  asio::ip::tcp::endpoint address;
+};
+
 /// @brief The bytes to send and the bounds of the exchange.
 struct endpoint_call_options {
   asio::ip::tcp::endpoint to;
@@ -34,6 +51,9 @@
   /// so that only this ends a call to it.
   milliseconds silence_timeout{0};
   message_limits limits;
+  /// Hosts to try one after the other before a direct connection.
+  std::vector<relay_hop> via;
+  std::string endpoint_id;  ///< For these hosts.
 };
 
 struct endpoint_call_hooks {
@@ -42,6 +62,8 @@
   std::function<bool()> may_send;
   std::function<void(message_head&)> on_head;
   std::function<void(std::string)> on_body;
+  /// A host of `via` does not pass the call on; the next one is tried.
+  std::function<void(const std::string& host)> on_relay_refused;
   /// Once, unless cancelled; nothing follows.
   std::function<void(call_outcome)> on_end;
 };
@@ -64,7 +86,7 @@
   /// @brief Closes the connection; no hook runs any more. Endpoints drop a
   /// request whose connection is closed.
   void Cancel();
-  /// @brief Whether a byte of the request may have left this host.
+  /// @brief Whether a byte of the request may have reached the endpoint.
   bool MayHaveLeft() const;
 
  private:
--- a/src/slatestall/dispatch/endpoint_record.cc
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -47,6 +47,11 @@
   }
 }
 
+void endpoint_record::ForgetFailures() {
+  failures_in_row_ = 0;
+  avoid_until_ = {};
+}
+
 void endpoint_record::NoteLoad(const told_load& load) {
   told_ = load;
   in_flight_when_told_ = in_flight_;
--- /dev/null
+++ b/src/slatestall/gateway/endpoint_paths.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "slatestall/dispatch/endpoint_roster.h"
+#include "slatestall/dispatch/path_health.h"
+#include "slatestall/dispatch/relay_choice.h"
+#include "slatestall/gateway/decision_log.h"
+#include "slatestall/gateway/gateway_metrics.h"
+#include "slatestall/model/time.h"
+#include "slatestall/relay/endpoint_call.h"
+
+namespace slatestall {
+
+/// @brief How calls reach endpoints: directly, or through hosts that still
+/// reach a service from which this one is cut off.
+///
+/// Only the connection differs. Attempts, limits and the outcome of a call stay
+/// with the host that holds its request.
+/// @ingroup gateway
+class endpoint_paths {
+ public:
+  endpoint_paths(asio::io_context& context, endpoint_roster& roster,
+                 decision_log& log, gateway_metrics& metrics, now_function now,
+                 bool may_relay);
+  ~endpoint_paths();
+  endpoint_paths(const endpoint_paths&) = delete;
+  endpoint_paths& operator=(const endpoint_paths&) = delete;
+
+  void SetHosts(const std::vector<relay_host>& hosts) {
+    relays_.SetHosts(hosts);
+  }
+  bool IsCut(const std::string& service) const {
+    return health_.IsCut(service);
+  }
+  /// @brief Sets the way that a call takes, and follows how it fares.
+  void Route(const endpoint_record& record, endpoint_call_options& options,
+             endpoint_call_hooks& hooks);
+  /// @brief What a call that has ended says of its endpoint.
+  /// @param lesson What it would say if the host reached the endpoint.
+  call_lesson LessonOf(const std::string& service, bool was_direct,
+                       call_outcome outcome, call_lesson lesson) const;
+  void NoteUnreached(const known_endpoint& endpoint);
+  /// @brief Whether another host finds an endpoint dead.
+  /// @param done Gets false also where no other host knows.
+  void ConfirmDown(const known_endpoint& endpoint,
+                   std::function<void(bool down)> done);
+
+ private:
+  struct probe;
+  class relay_use;
+
+  void FollowDirect(const std::string& service, endpoint_call_hooks& hooks);
+  void FollowRelayed(const std::string& service,
+                     const std::vector<relay_hop>& via,
+                     endpoint_call_hooks& hooks);
+  endpoint_call_options RelayOptions(const known_endpoint& endpoint) const;
+  void OnRelayEnd(const std::string& service, call_outcome outcome);
+  void ProbeSoon();
+  void Probe();
+  void OnProbed(const std::string& service, bool reached);
+
+  asio::io_context& context_;
+  endpoint_roster& roster_;
+  decision_log& log_;
+  gateway_metrics& metrics_;
+  now_function now_;
+  bool may_relay_;
+  path_health health_;
+  relay_choice relays_;
+  asio::steady_timer probe_timer_;
+  bool probes_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace slatestall
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -17,6 +17,7 @@
 #include "slatestall/dispatch/request_digest.h"
 #include "slatestall/dispatch/usual_patience.h"
 #include "slatestall/gateway/decision_log.h"
+#include "slatestall/gateway/endpoint_paths.h"
 #include "slatestall/gateway/endpoint_protocol.h"
 #include "slatestall/gateway/gateway_metrics.h"
 #include "slatestall/gateway/gateway_options.h"
@@ -41,6 +42,7 @@
   endpoint_quota quota;
   content_quarantine quarantine;
   gateway_metrics metrics;
+  endpoint_paths paths;
   routing_table_ptr table;                         ///< Null until one is known.
   std::map<std::string, usual_patience> patience;  ///< By route.
   std::map<std::string, longest_answer> answers;   ///< By route.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -74,6 +74,8 @@
   ~impl() { StopControl(); }
 
   void Run() {
+    // Announced to other hosts; the system may have chosen it.
+    options_.relay_port = traffic_.RelayPort();
     log_.Write("started", {{"front", traffic_.Port()},
                            {"status", status_.Port()},
                            {"store", options_.store_address}});
--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -24,6 +24,7 @@
   std::string front;
   std::string status;
   std::string peer;
+  std::string relay;
   std::string store;
   std::string seeds;
   std::string regions;
@@ -78,6 +79,11 @@
                           "Readiness for the balancer, and metrics")),
       MemberField(&s::peer, Address("peer_listen", false,
                                     "Where the other hosts connect")),
+      MemberField(&s::relay,
+                  Address("relay_listen", false,
+                          "Where other hosts that are cut off from endpoints "
+                          "connect to have calls passed on; any free port "
+                          "if it is not set")),
       MemberField(&s::store,
                   Address("store_address", true, "The platform's store")),
       MemberField(&s::seeds,
@@ -251,6 +257,9 @@
   if (!written.peer.empty()) {
     options.peer_port = ParseListenAddress(written.peer).port;
   }
+  if (!written.relay.empty()) {
+    options.relay_port = ParseListenAddress(written.relay).port;
+  }
   options.store_address = written.store;
   options.seeds = NamesIn(written.seeds);
   options.max_connections = written.max_connections;
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -1,6 +1,8 @@
 #include "slatestall/gateway/gateway_traffic.h"
 
+#include <asio/ip/address.hpp>
 #include <asio/post.hpp>
+#include <exception>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -9,6 +11,7 @@
 #include <vector>
 
 #include "slatestall/gateway/request_run.h"
+#include "slatestall/model/listen_address.h"
 #include "slatestall/model/new_incarnation.h"
 
 namespace slatestall {
@@ -27,6 +30,8 @@
 /// A connection that is not made within it is as good as none: hosts are a
 /// few milliseconds apart.
 constexpr milliseconds kPeerConnectTime{600};
+/// A host that is cut off has failed at several endpoints by then.
+constexpr milliseconds kCutSeenTime{50};
 /// In which calls to cold endpoints are bounded.
 constexpr milliseconds kColdWindow{1000};
 /// A configuration of some thousand routes passes from host to host.
@@ -41,6 +46,27 @@
   return made;
 }
 
+/// Other hosts that announce where they pass calls on.
+std::vector<relay_host> RelaysAmong(const std::vector<listed_gateway>& hosts,
+                                    const std::string& self) {
+  std::vector<relay_host> relays;
+  for (const auto& host : hosts) {
+    if (host.address.host == self || host.relay.empty()) {
+      continue;
+    }
+    try {
+      const auto where = ParseListenAddress(host.relay);
+      relays.push_back({host.address.host,
+                        {asio::ip::make_address(where.address), where.port},
+                        host.weight});
+    } catch (const std::exception&) {
+      // An address that cannot be read is none.
+      continue;
+    }
+  }
+  return relays;
+}
+
 }  // namespace
 
 gateway_traffic::gateway_traffic(asio::io_context& context,
@@ -61,7 +87,10 @@
                    content_quarantine([this](const std::string& service) {
                      return environment_.roster.Of(service).size();
                    }),
-                   {},
+                   gateway_metrics(),
+                   endpoint_paths(context, environment_.roster, log,
+                                  environment_.metrics, now,
+                                  options.Uses(mechanism::kRelayedCalls)),
                    nullptr,
                    {},
                    {},
@@ -73,14 +102,15 @@
                    {},
                    {},
                    {}},
-      client_(context),
-      home_(environment_, client_),
+      home_(environment_),
+      relay_(environment_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
       topics_(peers_, std::move(known_topics)),
       router_(environment_, home_, peers_),
       stages_(router_.Calls()),
-      crashes_(context,
-               [this](const endpoint_crash& crash) { OnCrash(crash); }),
+      crashes_(
+          context,
+          [this](const endpoint_crash& crash) { OnSuspectedCrash(crash); }),
       judge_timer_(context),
       starting_(context,
                 [this](inbound_request request, answer_channel_ptr channel) {
@@ -149,6 +179,8 @@
   }
   environment_.cold.SetHosts(names);
   environment_.quota.SetHosts(names);
+  environment_.paths.SetHosts(
+      RelaysAmong(hosts, environment_.options.host_name));
   router_.SetHosts(std::move(hosts));
 }
 
@@ -183,6 +215,35 @@
   NoteCrash(crash, crash_source::kOwnCalls);
 }
 
+/// A host that is cut off finds each endpoint's connections reset and its port
+/// closed, as after a crash. Other hosts see whether the endpoint is there.
+void gateway_traffic::OnSuspectedCrash(const endpoint_crash& crash) {
+  const auto record = environment_.roster.Find(crash.endpoint);
+  if (!record) {
+    OnCrash(crash);
+    return;
+  }
+  environment_.paths.NoteUnreached(record->Info());
+  const auto timer = std::make_shared<asio::steady_timer>(environment_.context);
+  timer->expires_after(kCutSeenTime);
+  timer->async_wait([this, crash, timer, endpoint = record->Info(),
+                     alive = std::weak_ptr<int>(alive_)](
+                        const asio::error_code& error) {
+    if (error || alive.expired()) {
+      return;
+    }
+    if (!environment_.paths.IsCut(endpoint.service)) {
+      OnCrash(crash);
+      return;
+    }
+    environment_.paths.ConfirmDown(endpoint, [this, crash, alive](bool down) {
+      if (down && !alive.expired()) {
+        OnCrash(crash);
+      }
+    });
+  });
+}
+
 void gateway_traffic::NoteCrash(const endpoint_crash& crash,
                                 crash_source source) {
   environment_.quarantine.NoteCrash(crash, source, environment_.now());
@@ -227,6 +288,7 @@
                        environment_.options.balancer_lag);
   listener_.AnnounceClose();
   router_.Drain();
+  relay_.Drain();
   starting_.End();
 }
 
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "slatestall/gateway/call_relay.h"
 #include "slatestall/gateway/crash_watch.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/shared_reading.h"
@@ -15,7 +16,6 @@
 #include "slatestall/gateway/stage_router.h"
 #include "slatestall/gateway/start_queue.h"
 #include "slatestall/gateway/topic_exchange.h"
-#include "slatestall/http/http_client.h"
 #include "slatestall/peer/peer_node.h"
 #include "slatestall/relay/caller_listener.h"
 
@@ -68,17 +68,21 @@
   /// has not begun to be answered.
   void TakeNoMore();
   /// @brief What the end of this host would cut: callers that are not yet
-  /// answered to the last byte, and other hosts' pieces.
-  std::size_t InHand() const { return listener_.Busy() + router_.Serves(); }
+  /// answered to the last byte, and other hosts' pieces and calls.
+  std::size_t InHand() const {
+    return listener_.Busy() + router_.Serves() + relay_.InHand();
+  }
   std::size_t Connections() const { return listener_.Connections(); }
 
   std::uint16_t Port() const { return listener_.Port(); }
   std::uint16_t PeerPort() const { return peers_.Port(); }
+  std::uint16_t RelayPort() const { return relay_.Port(); }
   gateway_metrics& Metrics() { return environment_.metrics; }
 
  private:
   void ForgetOldRoutes();
   void OnCrash(const endpoint_crash& crash);
+  void OnSuspectedCrash(const endpoint_crash& crash);
   void JudgeSoon();
   void Judge();
   void EndStart();
@@ -86,8 +90,8 @@
 
   traffic_news news_;
   gateway_environment environment_;
-  http_client client_;
   stage_home home_;
+  call_relay relay_;
   peer_node peers_;
   topic_exchange topics_;
   stage_router router_;
@@ -97,6 +101,7 @@
   start_queue starting_;
   bool knows_endpoints_ = false;
   caller_listener listener_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -116,7 +116,8 @@
 void host_directory::Announce() {
   const nlohmann::json value = {
       {"peer", options_.address + ":" + std::to_string(options_.peer_port)},
-      {"weight", options_.Weight()}};
+      {"weight", options_.Weight()},
+      {"relay", options_.address + ":" + std::to_string(options_.relay_port)}};
   announce_(options_.host_name, value.dump(),
             [this, began = now_(),
              alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
@@ -153,6 +154,7 @@
     listed.address = {record.key, value["peer"].get<std::string>()};
     listed.weight =
         std::clamp(value.value("weight", 1.0), kLeastWeight, kMostWeight);
+    listed.relay = value.value("relay", std::string());
     entries_[record.key] = {std::move(listed), now_()};
   }
   Publish();
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -22,10 +22,13 @@
 struct listed_gateway {
   peer_address address;
   double weight = 1.0;  ///< Share of a processor that it has.
+  /// "IP:port" where it passes calls on to endpoints; empty: it does not.
+  std::string relay{};
 
   friend bool operator==(const listed_gateway& a, const listed_gateway& b) {
     return a.address.host == b.address.host &&
-           a.address.address == b.address.address && a.weight == b.weight;
+           a.address.address == b.address.address && a.weight == b.weight &&
+           a.relay == b.relay;
   }
 };
 
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -182,7 +182,6 @@
     headers.push_back({"Content-Length", std::to_string(request_.body.size())});
   }
   endpoint_call_options options;
-  options.to = record->Info().address;
   options.request =
       RequestHeadText(request_.head.method, request_.head.target, headers) +
       request_.body;
@@ -210,6 +209,8 @@
   hooks.on_end = [self = shared_from_this()](call_outcome outcome) {
     self->OnEnd(outcome);
   };
+  environment_.paths.Route(*record, options, hooks);
+  is_direct_ = options.via.empty();
   call_ = std::make_shared<endpoint_call>(environment_.context,
                                           std::move(options), std::move(hooks));
   if (route_->MayRepeat()) {
@@ -349,16 +350,24 @@
   const bool whole = outcome == call_outcome::kComplete &&
                      !(events_ && events_->InsideEvent());
   if (!whole) {
-    const bool unsent = outcome == call_outcome::kNotConnected;
+    const bool unsent = outcome == call_outcome::kNotConnected ||
+                        outcome == call_outcome::kNotRelayed;
     if (outcome == call_outcome::kWithdrawn) {
       EndAttempt(call_lesson::kNothing);
       FailAttempt(attempt_failure::kNotSent, "the endpoint takes no calls");
       return;
     }
+    const bool unseen = unsent || answer_.status == 0;
+    if (is_direct_ && unseen && outcome != call_outcome::kMalformed) {
+      environment_.paths.NoteUnreached(record_->Info());
+    }
     if (outcome == call_outcome::kBroken) {
       environment_.on_broken(record_->Info(), Digest());
     }
-    EndAttempt(unsent ? call_lesson::kUnreachable : call_lesson::kFailed);
+    cut_off_ = is_direct_ && environment_.paths.IsCut(service_);
+    EndAttempt(environment_.paths.LessonOf(
+        service_, is_direct_, outcome,
+        unsent ? call_lesson::kUnreachable : call_lesson::kFailed));
     FailAttempt(unsent ? attempt_failure::kNotSent : attempt_failure::kUnknown,
                 unsent ? "not connected" : "broken off");
     return;
@@ -451,7 +460,10 @@
     GiveUp(failure, detail + ", and no repeat is left");
     return;
   }
-  tried_.push_back(record_->Info().Incarnation());
+  // An endpoint that this host did not reach may be reached by another.
+  if (failure != attempt_failure::kNotSent || !cut_off_) {
+    tried_.push_back(record_->Info().Incarnation());
+  }
   if (failure == attempt_failure::kNotSent ||
       failure == attempt_failure::kMoved) {
     ++moves_;
--- a/src/slatestall/gateway/settings_reload.cc
+++ b/src/slatestall/gateway/settings_reload.cc
@@ -46,6 +46,9 @@
   Note("front_listen", loaded.front_port, current.front_port, later);
   Note("status_listen", loaded.status_port, current.status_port, later);
   Note("peer_listen", loaded.peer_port, current.peer_port, later);
+  if (loaded.relay_port != 0) {
+    Note("relay_listen", loaded.relay_port, current.relay_port, later);
+  }
   Note("store_address", loaded.store_address, current.store_address, later);
   Note("max_connections", loaded.max_connections, current.max_connections,
        later);
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -34,9 +34,8 @@
 
 }  // namespace
 
-stage_home::stage_home(gateway_environment& environment, http_client& client)
+stage_home::stage_home(gateway_environment& environment)
     : environment_(environment),
-      client_(client),
       host_seed_(StableHash(environment.options.host_name)),
       free_timer_(environment.context) {}
 
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -13,6 +13,7 @@
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/stage_calls.h"
 #include "slatestall/http/http_client.h"
+#include "slatestall/relay/endpoint_call.h"
 
 namespace slatestall {
 
@@ -25,7 +26,7 @@
 /// @ingroup gateway
 class stage_home {
  public:
-  stage_home(gateway_environment& environment, http_client& client);
+  explicit stage_home(gateway_environment& environment);
   ~stage_home();
   stage_home(const stage_home&) = delete;
   stage_home& operator=(const stage_home&) = delete;
@@ -76,6 +77,10 @@
   void OnOverdue(const call_state_ptr& call);
   void OnCallEnd(const call_state_ptr& call, const http_result& result);
   call_lesson TakeAnswer(const call_state_ptr& call, const http_result& result);
+  call_lesson OnUnreached(const call_state& call);
+  endpoint_call_options CallOptions(const endpoint_record& record,
+                                    const std::string& path,
+                                    std::string body) const;
   answer_facts ReadAnswer(endpoint_record& record, const http_result& result,
                           bool ran);
   void NoteBroken(const call_state& call);
@@ -96,7 +101,6 @@
   stage_capacity Capacity(const stage_shard& shard) const;
 
   gateway_environment& environment_;
-  http_client& client_;
   const std::uint64_t host_seed_;
   std::map<stage_shard, shard_state> shards_;
   result_room room_;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -8,6 +8,8 @@
 #include "slatestall/gateway/stage_home.h"
 #include "slatestall/gateway/stage_home_state.h"
 #include "slatestall/model/ids.h"
+#include "slatestall/relay/endpoint_exchange.h"
+#include "slatestall/relay/message_text.h"
 
 namespace slatestall {
 namespace {
@@ -24,6 +26,7 @@
 constexpr double kGiveUpFactor = 6.0;
 constexpr milliseconds kShortestGiveUp{1500};
 constexpr milliseconds kConnectTimeout{300};
+constexpr milliseconds kEndpointSilence{2000};
 /// An endpoint without room or with a full queue is left alone this long:
 /// results are fetched, and calls end, several times a second. Doubles with
 /// each refusal in a row, since another host then keeps it busy.
@@ -43,10 +46,6 @@
          std::max(1.0, static_cast<double>(b.count()));
 }
 
-std::string UrlOf(const endpoint_record& record, const std::string& path) {
-  return "http://" + AddressText(record.Info()) + path;
-}
-
 }  // namespace
 
 void stage_home::SendBatch(const stage_shard& shard, const batch_rule& rule,
@@ -74,28 +73,41 @@
     ++groups_.at(piece.group.get())->tries[piece.piece];
   }
 
-  http_call request;
-  request.method = "POST";
-  request.url = UrlOf(*record, environment_.protocol.stage_path);
-  request.headers = environment_.protocol.stage_headers(record->Info().id);
-  request.body = environment_.protocol.write_pieces(call->pieces, call->sent);
-  request.connect_timeout = kConnectTimeout;
-  request.timeout =
+  auto options =
+      CallOptions(*record, environment_.protocol.stage_path,
+                  environment_.protocol.write_pieces(call->pieces, call->sent));
+  endpoint_call_hooks hooks;
+  hooks.on_end = [call](call_outcome outcome) { call->outcome = outcome; };
+  environment_.paths.Route(*record, options, hooks);
+  call->is_direct = options.via.empty();
+  const auto timeout =
       std::max(kShortestGiveUp,
                WholeMilliseconds(Scaled(call->expected, kGiveUpFactor)));
-  // A kept connection can bring a late answer to an earlier call: its results
-  // would be handed to other requests.
-  request.at_most_once = true;
-  call->number = client_.Start(std::move(request),
-                               [this, call, alive = std::weak_ptr<int>(alive_)](
-                                   const http_result& result) {
-                                 if (!alive.expired()) {
-                                   OnCallEnd(call, result);
-                                 }
-                               });
+  StartExchange(
+      environment_.context, std::move(options), std::move(hooks), timeout,
+      [this, call,
+       alive = std::weak_ptr<int>(alive_)](const http_result& result) {
+        if (!alive.expired()) {
+          OnCallEnd(call, result);
+        }
+      });
   WatchCall(call, Scaled(call->expected, kOverdueFactor) + kOverdueSlack);
 }
 
+endpoint_call_options stage_home::CallOptions(const endpoint_record& record,
+                                              const std::string& path,
+                                              std::string body) const {
+  auto headers = environment_.protocol.stage_headers(record.Info().id);
+  headers.push_back({"Host", AddressText(record.Info())});
+  headers.push_back({"Connection", "close"});
+  headers.push_back({"Content-Length", std::to_string(body.size())});
+  endpoint_call_options options;
+  options.request = RequestHeadText("POST", path, headers) + std::move(body);
+  options.connect_timeout = kConnectTimeout;
+  options.silence_timeout = kEndpointSilence;
+  return options;
+}
+
 void stage_home::WatchCall(const call_state_ptr& call, duration expected) {
   call->overdue.expires_after(expected);
   call->overdue.async_wait([this, call, alive = std::weak_ptr<int>(alive_)](
@@ -142,7 +154,9 @@
   if (calls != state.calls.end() && --calls->second == 0) {
     state.calls.erase(calls);
   }
-  const call_lesson lesson = TakeAnswer(call, result);
+  const call_lesson lesson =
+      environment_.paths.LessonOf(call->shard.service, call->is_direct,
+                                  call->outcome, TakeAnswer(call, result));
   call->record->NoteEnd(lesson, environment_.now());
   if (lesson != call_lesson::kAnswered) {
     environment_.log.Write(
@@ -164,7 +178,7 @@
   call_lesson lesson = call_lesson::kFailed;
   const auto facts = ReadAnswer(*call->record, result, result.status == kOk);
   if (result.end == call_end::kConnectFailed) {
-    lesson = call_lesson::kUnreachable;
+    lesson = OnUnreached(*call);
   } else if (result.end == call_end::kComplete) {
     if (facts.other_incarnation) {
       call->record->MarkGone();
@@ -190,6 +204,9 @@
     }
   }
   if (result.end == call_end::kTruncated) {
+    if (call->is_direct && result.status == 0) {
+      environment_.paths.NoteUnreached(call->record->Info());
+    }
     NoteBroken(*call);
   }
   if (!call->pieces_released) {
@@ -200,6 +217,18 @@
   return lesson;
 }
 
+/// The endpoint has none of the pieces. Where it is this host that is cut off,
+/// they have not been tried.
+call_lesson stage_home::OnUnreached(const call_state& call) {
+  if (call.is_direct) {
+    environment_.paths.NoteUnreached(call.record->Info());
+  }
+  if (environment_.paths.IsCut(call.shard.service)) {
+    ReturnTries(call);
+  }
+  return call_lesson::kUnreachable;
+}
+
 /// Reads what a head reports about its endpoint, also if the body was cut off.
 answer_facts stage_home::ReadAnswer(endpoint_record& record,
                                     const http_result& result, bool ran) {
@@ -394,30 +423,29 @@
       continue;
     }
     handles.resize(std::min(handles.size(), kMaxHandlesPerFree));
-    http_call call;
-    call.method = "POST";
-    call.url = UrlOf(*record, environment_.protocol.free_path);
-    call.headers = environment_.protocol.stage_headers(record->Info().id);
-    call.body = environment_.protocol.write_free(handles);
-    call.connect_timeout = kConnectTimeout;
-    call.timeout = kFreeTimeout;
-    client_.Start(std::move(call), [this, record, handles = std::move(handles),
-                                    alive = std::weak_ptr<int>(alive_)](
-                                       const http_result& result) {
-      if (alive.expired()) {
-        return;
-      }
-      ReadAnswer(*record, result, false);
-      // Results that are not freed expire by themselves.
-      if (result.status != kOk) {
-        environment_.metrics.Count("stage_frees_failed",
-                                   record->Info().service);
-        return;
-      }
-      for (const auto& handle : handles) {
-        room_.NoteFreed(handle);
-      }
-    });
+    auto options = CallOptions(*record, environment_.protocol.free_path,
+                               environment_.protocol.write_free(handles));
+    endpoint_call_hooks hooks;
+    environment_.paths.Route(*record, options, hooks);
+    StartExchange(
+        environment_.context, std::move(options), std::move(hooks),
+        kFreeTimeout,
+        [this, record, handles = std::move(handles),
+         alive = std::weak_ptr<int>(alive_)](const http_result& result) {
+          if (alive.expired()) {
+            return;
+          }
+          ReadAnswer(*record, result, false);
+          // Results that are not freed expire by themselves.
+          if (result.status != kOk) {
+            environment_.metrics.Count("stage_frees_failed",
+                                       record->Info().service);
+            return;
+          }
+          for (const auto& handle : handles) {
+            room_.NoteFreed(handle);
+          }
+        });
   }
   PlanFrees();
 }
--- a/src/slatestall/gateway/stage_home_state.h
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -31,9 +31,10 @@
   endpoint_record_ptr record;
   std::vector<waiting_piece> pieces;
   time_point sent{};
-  duration nominal{0};   ///< What an ordinary endpoint takes.
-  duration expected{0};  ///< What this one is expected to take.
-  http_client::call_number number = 0;
+  duration nominal{0};    ///< What an ordinary endpoint takes.
+  duration expected{0};   ///< What this one is expected to take.
+  bool is_direct = true;  ///< Not passed on by another host.
+  call_outcome outcome = call_outcome::kComplete;
   asio::steady_timer overdue;
   bool pieces_released = false;  ///< They wait for another call, too.
 
--- a/src/slatestall/relay/endpoint_call.cc
+++ b/src/slatestall/relay/endpoint_call.cc
@@ -4,8 +4,10 @@
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <limits>
 #include <utility>
 
+#include "slatestall/relay/message_text.h"
 #include "slatestall/relay/socket_options.h"
 
 namespace slatestall {
@@ -13,6 +15,24 @@
 
 constexpr std::size_t kReadBytes = std::size_t{8} << 10U;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kRelayed = 200;
+
+/// The request of a call as the body of one to a host that passes it on.
+std::string WrappedForRelay(const endpoint_call_options& options) {
+  return RequestHeadText(
+             "POST", kRelayTarget,
+             {{"Host", "relay"},
+              {kRelayHeader, options.endpoint_id},
+              {"Connection", "close"},
+              {"Content-Length", std::to_string(options.request.size())}}) +
+         options.request;
+}
+
+/// What passes through is bounded by the reader of the inner answer.
+message_limits RelayLimits(message_limits limits) {
+  limits.max_body_bytes = std::numeric_limits<std::size_t>::max();
+  return limits;
+}
 
 }  // namespace
 
@@ -24,19 +44,35 @@
         hooks_(std::move(hooks)),
         socket_(context),
         connect_timer_(context),
-        reader_(message_kind::kAnswer, options_.limits) {
+        reader_(message_kind::kAnswer, options_.limits),
+        relay_reader_(message_kind::kAnswer, RelayLimits(options_.limits)) {
     if (options_.is_head) {
       reader_.ExpectNoBody();
     }
   }
 
-  void Start(const std::shared_ptr<endpoint_call>& self) {
+  void Start(const std::shared_ptr<endpoint_call>& self) { Connect(self); }
+
+  void Cancel() {
+    ended_ = true;
+    hooks_ = {};
+    Close();
+  }
+
+  bool may_have_left_ = false;
+
+ private:
+  /// After the hosts of `via` comes a direct connection.
+  bool IsRelayed() const { return hop_ < options_.via.size(); }
+
+  void Connect(const std::shared_ptr<endpoint_call>& self) {
     connect_timer_.expires_after(options_.connect_timeout);
-    connect_timer_.async_wait([this, self](const asio::error_code& error) {
-      if (!error && !connected_) {
-        End(call_outcome::kNotConnected);
-      }
-    });
+    connect_timer_.async_wait(
+        [this, self, hop = hop_](const asio::error_code& error) {
+          if (!error && !connected_ && hop == hop_) {
+            EndConnecting(self);
+          }
+        });
     asio::error_code failed;
     socket_.open(asio::ip::tcp::v4(), failed);
     if (failed) {
@@ -45,28 +81,47 @@
       return;
     }
     LimitSilence(socket_, options_.silence_timeout);
-    socket_.async_connect(options_.to,
-                          [this, self](const asio::error_code& error) {
-                            OnConnected(self, error);
-                          });
+    socket_.async_connect(
+        IsRelayed() ? options_.via[hop_].address : options_.to,
+        [this, self, hop = hop_](const asio::error_code& error) {
+          if (!ended_ && hop == hop_) {
+            OnConnected(self, error);
+          }
+        });
   }
 
-  void Cancel() {
-    ended_ = true;
-    hooks_ = {};
-    Close();
+  void EndConnecting(const std::shared_ptr<endpoint_call>& self) {
+    if (IsRelayed()) {
+      NextHop(self);
+    } else {
+      End(options_.via.empty() ? call_outcome::kNotConnected
+                               : call_outcome::kNotRelayed);
+    }
   }
 
-  bool may_have_left_ = false;
-
- private:
-  void OnConnected(const std::shared_ptr<endpoint_call>& self,
-                   const asio::error_code& error) {
+  /// The host has said that the endpoint has no byte of the call, or has none
+  /// itself.
+  void NextHop(const std::shared_ptr<endpoint_call>& self) {
+    may_have_left_ = false;
+    connected_ = false;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    if (hooks_.on_relay_refused) {
+      const auto on_refused = hooks_.on_relay_refused;
+      on_refused(options_.via[hop_].host);
+    }
     if (ended_) {
       return;
     }
+    ++hop_;
+    relay_reader_.Reset();
+    Connect(self);
+  }
+
+  void OnConnected(const std::shared_ptr<endpoint_call>& self,
+                   const asio::error_code& error) {
     if (error) {
-      End(call_outcome::kNotConnected);
+      EndConnecting(self);
       return;
     }
     connected_ = true;
@@ -76,22 +131,22 @@
       return;
     }
     may_have_left_ = true;
-    asio::async_write(
-        socket_, asio::buffer(options_.request),
-        [this, self](const asio::error_code& failed, std::size_t) {
-          // An endpoint may answer and close before it has read all of a long
-          // body: what it said decides, not that the writing failed.
-          (void)failed;
-          options_.request = {};
-        });
+    const auto output = std::make_shared<const std::string>(
+        IsRelayed() ? WrappedForRelay(options_)
+                    : std::exchange(options_.request, {}));
+    // An endpoint may answer and close before it has read all of a long body:
+    // what it said decides, not that the writing failed.
+    asio::async_write(socket_, asio::buffer(*output),
+                      [self, output](const asio::error_code&, std::size_t) {});
     Read(self);
   }
 
   void Read(const std::shared_ptr<endpoint_call>& self) {
     socket_.async_read_some(
         asio::buffer(input_),
-        [this, self](const asio::error_code& error, std::size_t size) {
-          if (!ended_) {
+        [this, self, hop = hop_](const asio::error_code& error,
+                                 std::size_t size) {
+          if (!ended_ && hop == hop_) {
             OnRead(self, error, size);
           }
         });
@@ -99,20 +154,54 @@
 
   void OnRead(const std::shared_ptr<endpoint_call>& self,
               const asio::error_code& error, std::size_t size) {
-    if (error == asio::error::eof) {
-      reader_.FeedEnd();
-    } else if (error) {
+    const std::size_t hop = hop_;
+    if (!error) {
+      const std::string_view bytes(input_.data(), size);
+      if (IsRelayed()) {
+        TakeRelayed(self, bytes);
+      } else {
+        Take(bytes);
+      }
+    } else if (error == asio::error::eof && !IsRelayed()) {
+      TakeEnd();
+    } else {
+      // The end of a connection to another host says nothing of the endpoint.
+      End(call_outcome::kBroken);
+    }
+    if (!ended_ && hop == hop_) {
+      Read(self);
+    }
+  }
+
+  /// The endpoint ended the connection in an orderly way.
+  void TakeEnd() {
+    reader_.FeedEnd();
+    Deliver();
+    End(reader_.Complete() ? call_outcome::kComplete : call_outcome::kBroken);
+  }
+
+  void TakeRelayed(const std::shared_ptr<endpoint_call>& self,
+                   std::string_view bytes) {
+    relay_reader_.Feed(bytes);
+    if (relay_reader_.Fault() != read_fault::kNone) {
       End(call_outcome::kBroken);
       return;
-    } else {
-      Take({input_.data(), size});
     }
-    if (!ended_ && error) {
-      Deliver();
-      End(reader_.Complete() ? call_outcome::kComplete : call_outcome::kBroken);
+    if (!relay_reader_.HeadComplete()) {
+      return;
     }
-    if (!ended_) {
-      Read(self);
+    const int status = relay_reader_.Head().status;
+    if (status == kRelayUnreachable) {
+      may_have_left_ = false;
+      End(call_outcome::kNotConnected);
+    } else if (status != kRelayed) {
+      NextHop(self);
+    } else {
+      const std::string inner = relay_reader_.TakeBody();
+      Take(inner);
+      if (!ended_ && relay_reader_.Complete()) {
+        TakeEnd();
+      }
     }
   }
 
@@ -178,6 +267,8 @@
   asio::ip::tcp::socket socket_;
   asio::steady_timer connect_timer_;
   message_reader reader_;
+  message_reader relay_reader_;  ///< Of what a host of `via` sends.
+  std::size_t hop_ = 0;          ///< In `via`.
   std::array<char, kReadBytes> input_{};
   bool connected_ = false;
   bool head_told_ = false;
