Brittle endpoints turn away no more calls than they bear

Endpoints report in all answers that they are brittle, and how many calls a second they bear to turn away; nobody read it. brittle_limit keeps the sum over all hosts: a few hosts by rendezvous have a part of it each, the others send single calls in an interval that grows with their number, homes have half. A call counts as turned away until it must have been answered. Endpoints that have just reported free places are used as before, full ones not at all.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -81,6 +81,10 @@
   /// @returns whether that is news.
   bool NoteQuota(std::optional<double> per_second);
   const std::optional<double>& Quota() const { return quota_; }
+  /// @brief Whether an answer has just reported that most places are free.
+  bool HasRoom(time_point now) const;
+  /// @brief Whether no place of it seems to be free.
+  bool IsFull(time_point now) const { return Busy(now) + 1.0 > info_.slots; }
   /// @brief An answer reported that the endpoint is leaving. Final for this
   /// incarnation: a later list may be older than the answer.
   /// @returns whether that is new.
--- a/include/slatestall/dispatch/mechanism.h
+++ b/include/slatestall/dispatch/mechanism.h
@@ -32,9 +32,10 @@
   kSharedReading,     ///< Two hosts read the store for the others.
   kTopicExchange,     ///< Hosts ask each other while the store is away.
   kRelayedCalls,      ///< A host that is cut off calls through others.
+  kBrittleLimit,      ///< Brittle endpoints turn few calls away.
 };
 
-inline constexpr std::size_t kMechanisms = 22;
+inline constexpr std::size_t kMechanisms = 23;
 
 inline constexpr name_table<mechanism, kMechanisms> kMechanismNames{{
     {mechanism::kBookings, "bookings"},
@@ -59,6 +60,7 @@
     {mechanism::kSharedReading, "shared_reading"},
     {mechanism::kTopicExchange, "topic_exchange"},
     {mechanism::kRelayedCalls, "relayed_calls"},
+    {mechanism::kBrittleLimit, "brittle_limit"},
 }};
 
 /// @brief Those that are switched off; none, but for measurements.
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -55,6 +55,10 @@
   std::optional<told_load> load;
   /// Calls a second that the endpoint takes from all hosts together.
   std::optional<double> quota;
+  /// Calls a second that the endpoint bears to turn away, of all hosts.
+  std::optional<double> brittle;
+  /// It names such a number, which may not be one that can be read.
+  bool names_brittle = false;
   bool leaving = false;  ///< The endpoint takes no new work.
   /// From a refusal: how long the endpoint takes no other call of this host.
   std::optional<milliseconds> retry_after;
--- a/src/slatestall/dispatch/endpoint_record.cc
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -16,6 +16,11 @@
 /// milliseconds each.
 constexpr double kToldLoadLife = 1.0;  // seconds
 
+/// How long a report of free places counts on, and the part of the places that
+/// may be taken by then, since other hosts have read it, too.
+constexpr milliseconds kRoomLife{300};
+constexpr double kRoomPart = 0.5;
+
 double SecondsBetween(time_point from, time_point to) {
   return std::chrono::duration<double>(to - from).count();
 }
@@ -61,6 +66,11 @@
   return std::exchange(quota_, per_second) != per_second;
 }
 
+bool endpoint_record::HasRoom(time_point now) const {
+  return told_.at != time_point{} && now - told_.at < kRoomLife &&
+         Busy(now) < kRoomPart * info_.slots;
+}
+
 bool endpoint_record::NoteBackOff(time_point until) {
   return std::exchange(back_off_until_, std::max(back_off_until_, until)) <
          until;
--- a/src/slatestall/gateway/gateway_environment.cc
+++ b/src/slatestall/gateway/gateway_environment.cc
@@ -25,17 +25,39 @@
   return record.Quota() && options.Uses(mechanism::kEndpointQuota);
 }
 
+std::optional<double> gateway_environment::Bears(
+    const endpoint_record& record) const {
+  const auto found = brittle_services.find(record.Info().service);
+  if (found == brittle_services.end() ||
+      !options.Uses(mechanism::kBrittleLimit)) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
 quota_share gateway_environment::Share() const {
   return repeats.IsCounted(now()) ? quota_share::kCounted
                                   : quota_share::kUncounted;
 }
 
 bool gateway_environment::MayCall(const endpoint_record& record) {
+  const auto bears = Bears(record);
+  if (bears && !record.HasRoom(now()) &&
+      (record.IsFull(now()) ||
+       !brittle.Allows(record.Info().Incarnation(), *bears,
+                       repeats.IsCounted(now()), now()))) {
+    return false;
+  }
   return !HasQuota(record) || quota.Allows(record.Info().Incarnation(),
                                            *record.Quota(), Share(), now());
 }
 
 bool gateway_environment::MayCallAsHome(const endpoint_record& record) {
+  const auto bears = Bears(record);
+  if (bears &&
+      !brittle.AllowsHome(record.Info().Incarnation(), *bears, now())) {
+    return false;
+  }
   return !HasQuota(record) ||
          quota.Allows(record.Info().Incarnation(), *record.Quota(),
                       quota_share::kHome, now());
@@ -60,6 +82,7 @@
   if (facts.load) {
     record.NoteLoad(*facts.load);
   }
+  NoteBrittle(record, facts);
   if ((facts.quota || ran) && record.NoteQuota(facts.quota)) {
     log.Write("endpoint_quota", {{"endpoint", record.Info().id},
                                  {"service", record.Info().service},
@@ -68,6 +91,33 @@
   }
 }
 
+/// All endpoints of a service are brittle at the same time and report it in all
+/// answers, so that one answer tells of those that were not called yet, and one
+/// without the statement ends it.
+void gateway_environment::NoteBrittle(const endpoint_record& record,
+                                      const answer_facts& facts) {
+  const auto& service = record.Info().service;
+  const auto known = brittle_services.find(service);
+  const bool was_brittle = known != brittle_services.end();
+  if (facts.brittle) {
+    brittle_services[service] = *facts.brittle;
+  } else if (!facts.names_brittle && was_brittle) {
+    brittle_services.erase(known);
+  }
+  if (facts.brittle.has_value() != was_brittle &&
+      (facts.brittle || !facts.names_brittle)) {
+    log.Write("service_brittle", {{"service", service},
+                                  {"per_second", facts.brittle.value_or(0)},
+                                  {"named", facts.brittle.has_value()}});
+  }
+  if (facts.not_run && !facts.inputs_gone) {
+    brittle.NoteTurnedAway(record.Info().Incarnation(), now());
+    if (Bears(record)) {
+      metrics.Count("turned_away_brittle", service);
+    }
+  }
+}
+
 void gateway_environment::NoteLeaving(const endpoint_incarnation& run) {
   const auto record = roster.NoteLeaving(run);
   if (!record) {
@@ -104,6 +154,9 @@
     metrics.Count("calls_under_quota", record.Info().service);
     quota.NoteSent(record.Info().Incarnation(), *record.Quota(), now());
   }
+  if (const auto bears = Bears(record)) {
+    brittle.NoteSent(record.Info().Incarnation(), *bears, now());
+  }
   if (record.Cold(now())) {
     cold.NoteSent(record.Info().Incarnation(), now());
   }
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "slatestall/dispatch/brittle_limit.h"
 #include "slatestall/dispatch/call_limit.h"
 #include "slatestall/dispatch/content_quarantine.h"
 #include "slatestall/dispatch/endpoint_quota.h"
@@ -40,12 +41,15 @@
   repeat_allowance repeats;
   call_limit cold;
   endpoint_quota quota;
+  brittle_limit brittle;
   content_quarantine quarantine;
   gateway_metrics metrics;
   endpoint_paths paths;
-  routing_table_ptr table;                         ///< Null until one is known.
-  std::map<std::string, usual_patience> patience;  ///< By route.
-  std::map<std::string, longest_answer> answers;   ///< By route.
+  routing_table_ptr table;  ///< Null until one is known.
+  /// Calls a second that brittle endpoints bear to turn away, by service.
+  std::map<std::string, double> brittle_services;
+  std::map<std::string, usual_patience> patience;        ///< By route.
+  std::map<std::string, longest_answer> answers;         ///< By route.
   std::map<std::string, first_event_time> first_events;  ///< By service.
   time_point started_at{};
   time_point back_offs_end{};           ///< The latest of all endpoints.
@@ -81,9 +85,13 @@
   void NoteAnswer(endpoint_record& record, const answer_facts& facts, bool ran);
   void NoteLeaving(const endpoint_incarnation& run);
   void NoteBackOff(endpoint_record& record, milliseconds retry_after);
+  void NoteBrittle(const endpoint_record& record, const answer_facts& facts);
   /// @brief A call goes to an endpoint, which may be cold or in need.
   void NoteSent(const endpoint_record& record);
   quota_share Share() const;
+  /// @brief Calls a second, of all hosts, that it bears to turn away before it
+  /// falls over; nothing: any number.
+  std::optional<double> Bears(const endpoint_record& record) const;
 };
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -84,6 +84,7 @@
                    repeat_allowance(options.repeats),
                    call_limit(options.host_name, kColdWindow),
                    endpoint_quota(options.host_name),
+                   brittle_limit(options.host_name),
                    content_quarantine([this](const std::string& service) {
                      return environment_.roster.Of(service).size();
                    }),
@@ -95,6 +96,7 @@
                    {},
                    {},
                    {},
+                   {},
                    now(),
                    {},
                    std::nullopt,
@@ -177,6 +179,7 @@
   for (const auto& host : hosts) {
     names.push_back(host.address.host);
   }
+  environment_.brittle.SetHosts(names);
   environment_.cold.SetHosts(names);
   environment_.quota.SetHosts(names);
   environment_.paths.SetHosts(
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -80,7 +80,7 @@
   }
   const auto& all = environment_.roster.Of(service_);
   if (std::any_of(all.begin(), all.end(), [this](const auto& record) {
-        return environment_.HasQuota(*record);
+        return environment_.HasQuota(*record) || environment_.Bears(*record);
       })) {
     pick.may_call = [this](const endpoint_record& record) {
       return environment_.MayCall(record);
