A sound endpoint may be silent for a second or so

TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count: with 1.2 s and probes each second, one unanswered probe ended a connection at two seconds. With 2.5 s the second probe counts, sent when an endpoint that was silent for up to two seconds is back; a dead one is noticed at three. A stream is resumed elsewhere after a pause of 1.8 s, not 1 s: the first run would have gone on beside the second.

--- a/include/slatestall/relay/endpoint_call.h
+++ b/include/slatestall/relay/endpoint_call.h
@@ -14,6 +14,11 @@
 
 namespace slatestall {
 
+/// @brief A sound endpoint, its connections too, may be silent for a second or
+/// so. Probes go out each second: the second one must still count.
+/// @ingroup relay
+inline constexpr milliseconds kEndpointSilence{2500};
+
 /// @brief How a call to an endpoint ended as seen on its connection.
 /// @ingroup relay
 enum class call_outcome {
--- a/src/slatestall/gateway/call_relay.cc
+++ b/src/slatestall/gateway/call_relay.cc
@@ -18,7 +18,6 @@
 constexpr std::size_t kReadBytes = std::size_t{8} << 10U;
 constexpr std::size_t kMostUnreadBytes = std::size_t{8} << 20U;
 constexpr milliseconds kConnectTimeout{300};
-constexpr milliseconds kEndpointSilence{2000};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr milliseconds kConnectTimeout{350};
-constexpr milliseconds kEndpointSilence{1200};
 constexpr std::size_t kMaxEventBytes = std::size_t{256} << 10U;
 /// Connections refused or addresses reused: nothing was run, and each try
 /// costs a round trip.
@@ -26,7 +25,8 @@
 constexpr double kFirstEventStallFactor = 2.0;
 constexpr milliseconds kShortestFirstEventStall{1800};
 constexpr int kPauseStallFactor = 3;
-constexpr milliseconds kShortestPauseStall{1000};
+/// Longer than a sound endpoint is silent: it would go on beside the next one.
+constexpr milliseconds kShortestPauseStall{1800};
 constexpr milliseconds kShareWait{50};
 constexpr int kFirstFailure = 400;
 constexpr int kFirstServerFailure = 500;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -26,7 +26,6 @@
 constexpr double kGiveUpFactor = 6.0;
 constexpr milliseconds kShortestGiveUp{1500};
 constexpr milliseconds kConnectTimeout{300};
-constexpr milliseconds kEndpointSilence{2000};
 /// An endpoint without room or with a full queue is left alone this long:
 /// results are fetched, and calls end, several times a second. Doubles with
 /// each refusal in a row, since another host then keeps it busy.
