A failure at one endpoint is checked at two others before it counts as a cut

And a request that crashed two endpoints in a row counted as a cut on all hosts, which then did not confirm its crashes to one another (12, 13 and 27 endpoints crashed).

Three endpoints make a cut, not two, and after a failure two others are looked at by a connection without a request.

The soak's store gives each host its own addresses of engines.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,11 +1,14 @@
 """A loopback proxy that misbehaves between a host and what it talks to."""
 import asyncio
+import socket
 
 
 class Proxy:
     """Passes connections on; `mode` says how new and open ones fare."""
 
     MODES = ("pass", "refuse", "silent", "one_way", "slow")
+    # How new connections fare that a cut keeps from being made.
+    CUTS = ("refused", "hang", "reset", "reset_all")
 
     def __init__(self, target_port):
         self.target_port = target_port
@@ -13,6 +16,7 @@
         self.port = None
         self.open = set()
         self.server = None
+        self.full = []  # Sockets that leave no room for a new connection.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -20,8 +24,40 @@
 
     def stop(self):
         self.server.close()
+        self.leave_room()
         self.reset_all()
 
+    def leave_room(self):
+        for one in self.full:
+            one.close()
+        self.full = []
+
+    async def cut(self, how):
+        """Lets no new connection through; open ones live on, but for
+        `reset_all`."""
+        if how.startswith("reset"):
+            self.mode = "refuse"
+            if how == "reset_all":
+                self.reset_all()
+            return
+        self.server.close()
+        if how == "hang":
+            self.full = [socket.socket() for _ in range(4)]
+            for one in self.full:
+                one.setblocking(False)
+            self.full[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.full[0].bind(("127.0.0.1", self.port))
+            self.full[0].listen(0)
+            for one in self.full[1:]:
+                one.connect_ex(("127.0.0.1", self.port))
+
+    async def heal(self):
+        self.mode = "pass"
+        self.leave_room()
+        if not self.server.is_serving():
+            self.server = await asyncio.start_server(
+                self.serve, "127.0.0.1", self.port)
+
     def reset_all(self):
         for writer in list(self.open):
             writer.transport.abort()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -155,6 +155,9 @@
         self.faults = []
         self.endpoints = []
         self.proxies = {}
+        self.paths = [{} for _ in range(options.hosts)]
+        self.cut_hosts = set()
+        self.calm_cut = None  # Hosts, begin, end.
         self.outcomes = []
         self.version = 0
         self.number = 0
@@ -178,6 +181,8 @@
         await proxy.start()
         endpoint.address = f"127.0.0.1:{proxy.port}"
         self.proxies[endpoint] = proxy
+        if service == "s":
+            await self.add_paths(endpoint, proxy)
         endpoint.domain = DOMAINS[self.number % len(DOMAINS)]
         endpoint.on_crash = lambda: asyncio.ensure_future(
             self.crash(endpoint, "a request crashes"))
@@ -185,6 +190,15 @@
         self.publish(endpoint)
         return endpoint
 
+    async def add_paths(self, endpoint, proxy):
+        """A way of its own for each host, which can be cut."""
+        for index in range(self.host_count):
+            path = Proxy(proxy.port)
+            await path.start()
+            self.paths[index][endpoint] = path
+            self.store.views[index][endpoint.address] = \
+                f"127.0.0.1:{path.port}"
+
     def publish(self, endpoint, state="ready"):
         endpoint.state = state
         self.store.put("keyed.servers", endpoint.identity, {
@@ -226,11 +240,72 @@
                 self.retire_endpoint, self.trouble_endpoint, self.cut_endpoint,
                 self.change_configuration, self.restore_store,
                 self.evacuate_domain, self.limit_endpoint,
-                self.leave_without_a_record, self.turn_away_for_a_while))
+                self.leave_without_a_record, self.turn_away_for_a_while,
+                self.cut_some_hosts))
             faults.append(asyncio.ensure_future(fault()))
         await asyncio.sleep(2)
         await asyncio.gather(*faults)
 
+    async def cut_host(self, index, how, seconds):
+        """A host reaches no engine; callers, the store and other hosts reach
+        it."""
+        if index in self.cut_hosts:
+            return
+        self.cut_hosts.add(index)
+        self.note(f"{self.hosts[index].name} loses the engines ({how}) for "
+                  f"{seconds:.1f}")
+        cut = list(self.paths[index].values())
+        for path in cut:
+            await path.cut(how)
+        await asyncio.sleep(seconds)
+        for path in cut:
+            await path.heal()
+        self.cut_hosts.discard(index)
+
+    async def cut_some_hosts(self):
+        count = self.random.randint(1, self.host_count - 1)
+        chosen = self.random.sample(range(self.host_count), count)
+        how = self.random.choice(Proxy.CUTS)
+        seconds = 0.5 + 3 * self.random.random()
+        now = time.monotonic()
+        for index in chosen:
+            self.hosts[index].disturbed += [now, now + seconds]
+        await asyncio.gather(*(self.cut_host(index, how, seconds)
+                               for index in chosen))
+
+    async def cut_in_calm(self):
+        """Some hosts lose the engines while nothing else is disturbed."""
+        count = self.random.randint(1, self.host_count - 1)
+        chosen = self.random.sample(range(self.host_count), count)
+        how = self.random.choice(Proxy.CUTS)
+        begin = time.monotonic()
+        await asyncio.gather(*(self.cut_host(index, how, SETTLE + 4)
+                               for index in chosen))
+        self.calm_cut = ([self.hosts[i] for i in chosen], begin + SETTLE,
+                         time.monotonic())
+        await asyncio.sleep(1.5)
+
+    def judge_cut(self):
+        """Callers of hosts that reach no engine are served two thirds as often
+        as those of the others, at least."""
+        if not self.calm_cut:
+            return
+        cut, begin, end = self.calm_cut
+        tries = [o for o in self.outcomes if begin < o.sent < end - 1 and
+                 o.kind in ("once", "safe", "stream")]
+        at_cut = [o for o in tries if o.host in cut]
+        others = [o for o in tries if o.host not in cut]
+
+        def share(some):
+            return sum(1 for o in some if o.status == 200 and not o.cut) / \
+                max(1, len(some))
+        failed = sum(1 for o in at_cut if o.status != 200 or o.cut)
+        if share(at_cut) * 3 < share(others) * 2 and \
+                failed > 10 + len(tries) / 50:
+            yield (f"hosts without engines served {share(at_cut):.2f} of "
+                   f"{len(at_cut)}, the others {share(others):.2f} of "
+                   f"{len(others)}")
+
     async def limit_in_calm(self):
         """Engines but one name quotas while nothing is disturbed: faults excuse
         the hosts that they meet."""
@@ -379,6 +454,9 @@
         endpoint.disturbed.append(endpoint.left_at)
         endpoint.crash()
         self.proxies[endpoint].stop()
+        for paths in self.paths:
+            if endpoint in paths:
+                paths.pop(endpoint).stop()
         await self.add_endpoint(endpoint.service)
         await asyncio.sleep(1)
         self.store.put("keyed.servers", endpoint.identity, None)
@@ -450,12 +528,11 @@
     async def play(self):
         self.began = time.monotonic()
         self.store_troubles = []
-        await self.store.start()
+        await self.store.start(self.host_count)
         self.configure()
         for service in ("s", "s", "s", "t", "t") * (self.host_count // HOSTS):
             await self.add_endpoint(service)
-        self.store_proxies = [Proxy(self.store.port)
-                              for _ in range(self.host_count)]
+        self.store_proxies = [Proxy(port) for port in self.store.ports]
         for proxy in self.store_proxies:
             await proxy.start()
         self.hosts = [Host(self.binary, f"h{i}", proxy.port, self.folder)
@@ -476,6 +553,7 @@
         if self.times:
             await self.close_in_calm()
             await self.limit_in_calm()
+            await self.cut_in_calm()
             self.began += time.monotonic() - started
         tasks.append(asyncio.ensure_future(crasher.run()))
         await self.disturb()
@@ -544,6 +622,7 @@
         if self.times:
             broken += self.judge_back_offs()
             broken += self.judge_closed()
+            broken += self.judge_cut()
         for host in self.hosts:
             for code in host.ends:
                 broken.append(f"{host.name} ended by itself with {code}")
--- a/src/slatestall/dispatch/path_health.cc
+++ b/src/slatestall/dispatch/path_health.cc
@@ -5,8 +5,9 @@
 namespace slatestall {
 namespace {
 
-/// Endpoints in a row that make a cut: one alone may be down.
-constexpr std::size_t kUnreachedOfCut = 2;
+/// Endpoints in a row that make a cut: one request may crash two of them.
+constexpr std::size_t kUnreachedOfCut = 3;
+constexpr unsigned kLeastFailures = 2;
 /// Failures further apart have nothing to do with one another.
 constexpr milliseconds kFailureLife{10'000};
 /// Probes in a row that end a cut.
@@ -43,7 +44,7 @@
   const std::size_t needed =
       std::min(kUnreachedOfCut, endpoints_(endpoint.service));
   const bool many =
-      one.failures >= kUnreachedOfCut && one.unreached.size() >= needed;
+      one.failures >= kLeastFailures && one.unreached.size() >= needed;
   if (one.is_cut || !(many || AnyCut())) {
     return false;
   }
--- a/src/slatestall/gateway/endpoint_paths.cc
+++ b/src/slatestall/gateway/endpoint_paths.cc
@@ -14,6 +14,8 @@
 /// Hosts tried for one call before it counts as not passed on.
 constexpr std::size_t kMostHops = 3;
 constexpr milliseconds kProbeInterval{500};
+/// Other endpoints that are looked at after a failure.
+constexpr std::size_t kLooks = 2;
 constexpr milliseconds kProbeConnectTime{350};
 /// A path that resets what it has accepted does so at once.
 constexpr milliseconds kProbeHoldTime{150};
@@ -229,8 +231,11 @@
 }
 
 void endpoint_paths::NoteUnreached(const known_endpoint& endpoint) {
-  if (!may_relay_ || relays_.Empty() ||
-      !health_.NoteUnreached(endpoint, now_())) {
+  if (!may_relay_ || relays_.Empty() || IsCut(endpoint.service)) {
+    return;
+  }
+  if (!health_.NoteUnreached(endpoint, now_())) {
+    LookElsewhere(endpoint);
     return;
   }
   log_.Write("path_cut",
@@ -242,6 +247,46 @@
   ProbeSoon();
 }
 
+/// Calls may all go to one endpoint, for the quotas of the others or a shared
+/// prompt. Whether it alone is down shows at others.
+void endpoint_paths::LookElsewhere(const known_endpoint& failed) {
+  auto& next = next_look_[failed.service];
+  if (now_() < next) {
+    return;
+  }
+  std::vector<endpoint_record_ptr> others;
+  for (const auto& record : roster_.Of(failed.service)) {
+    if (record->Usable() &&
+        record->Info().Incarnation() != failed.Incarnation()) {
+      others.push_back(record);
+    }
+  }
+  next = now_() + kProbeInterval;
+  for (std::size_t i = 0; i < kLooks && !others.empty(); ++i) {
+    const auto drawn =
+        others.begin() + static_cast<std::ptrdiff_t>(Draw(others.size()));
+    LookAt((*drawn)->Info());
+    others.erase(drawn);
+  }
+}
+
+void endpoint_paths::LookAt(const known_endpoint& endpoint) {
+  const auto one = std::make_shared<probe>(context_);
+  one->done = [this, endpoint, sent = now_(),
+               alive = std::weak_ptr<int>(alive_)](bool reached) {
+    if (alive.expired()) {
+      return;
+    }
+    if (reached) {
+      health_.NoteReached(endpoint.service, sent);
+    } else {
+      NoteUnreached(endpoint);
+    }
+  };
+  metrics_.Count("path_probes", endpoint.service);
+  probe::Start(one, endpoint.address);
+}
+
 void endpoint_paths::ConfirmDown(const known_endpoint& endpoint,
                                  std::function<void(bool down)> done) {
   auto options = RelayOptions(endpoint);
--- a/src/slatestall/gateway/endpoint_paths.h
+++ b/src/slatestall/gateway/endpoint_paths.h
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -62,6 +63,8 @@
                      endpoint_call_hooks& hooks);
   endpoint_call_options RelayOptions(const known_endpoint& endpoint) const;
   void OnRelayEnd(const std::string& service, call_outcome outcome);
+  void LookElsewhere(const known_endpoint& failed);
+  void LookAt(const known_endpoint& endpoint);
   void ProbeSoon();
   void Probe();
   void OnProbed(const std::string& service, bool reached);
@@ -76,6 +79,8 @@
   relay_choice relays_;
   asio::steady_timer probe_timer_;
   bool probes_ = false;
+  /// When the next probe may follow a failure, by service.
+  std::map<std::string, time_point> next_look_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
