--- a/src/slatestall/gateway/endpoint_paths.cc
+++ b/src/slatestall/gateway/endpoint_paths.cc
@@ -288,7 +288,7 @@
 }
 
 void endpoint_paths::ConfirmDown(const known_endpoint& endpoint,
-                                 std::function<void(bool down)> done) {
+                                 const std::function<void(bool down)>& done) {
   auto options = RelayOptions(endpoint);
   if (options.via.empty()) {
     // Alone, a host has only its own word.
--- a/src/slatestall/gateway/endpoint_paths.h
+++ b/src/slatestall/gateway/endpoint_paths.h
@@ -51,7 +51,7 @@
   /// @brief Whether another host finds an endpoint dead.
   /// @param done Gets false also where no other host knows.
   void ConfirmDown(const known_endpoint& endpoint,
-                   std::function<void(bool down)> done);
+                   const std::function<void(bool down)>& done);
 
  private:
   struct probe;
