Calls in flight do not keep themselves when the host's loop is gone

The leak sanitizer found exchanges with stage endpoints, and calls that confirm a crash, that held their call while its hooks held them. The call's pending operations keep it now.

--- a/src/slatestall/gateway/endpoint_paths.cc
+++ b/src/slatestall/gateway/endpoint_paths.cc
@@ -297,25 +297,24 @@
   }
   options.connect_timeout = kProbeConnectTime;
   options.silence_timeout = kRelaySilence;
-  const auto call = std::make_shared<std::shared_ptr<endpoint_call>>();
   const auto timer = std::make_shared<asio::steady_timer>(context_);
   endpoint_call_hooks hooks;
-  hooks.on_end = [done, timer, call](call_outcome outcome) {
+  hooks.on_end = [done, timer](call_outcome outcome) {
     timer->cancel();
-    *call = nullptr;
     done(outcome == call_outcome::kNotConnected);
   };
-  *call = std::make_shared<endpoint_call>(context_, std::move(options),
-                                          std::move(hooks));
+  const auto call = std::make_shared<endpoint_call>(
+      context_, std::move(options), std::move(hooks));
   timer->expires_after(kConfirmTimeout);
-  timer->async_wait([done, call](const asio::error_code& error) {
-    if (!error && *call) {
-      (*call)->Cancel();
-      *call = nullptr;
+  timer->async_wait([done, weak = std::weak_ptr<endpoint_call>(call)](
+                        const asio::error_code& error) {
+    const auto late = weak.lock();
+    if (!error && late) {
+      late->Cancel();
       done(false);
     }
   });
-  (*call)->Start();
+  call->Start();
 }
 
 void endpoint_paths::ProbeSoon() {
--- a/src/slatestall/relay/endpoint_exchange.cc
+++ b/src/slatestall/relay/endpoint_exchange.cc
@@ -11,7 +11,8 @@
   explicit exchange(asio::io_context& context) : timer(context) {}
 
   asio::steady_timer timer;
-  std::shared_ptr<endpoint_call> call;
+  /// Its own pending operations keep it; its hooks keep the exchange.
+  std::weak_ptr<endpoint_call> call;
   http_result result;
   std::function<void(call_outcome)> on_end;
   std::function<void(const http_result&)> done;
@@ -53,7 +54,7 @@
 
 void Finish(const std::shared_ptr<exchange>& one) {
   one->timer.cancel();
-  one->call = nullptr;
+  one->call.reset();
   const auto done = std::exchange(one->done, nullptr);
   if (done) {
     done(one->result);
@@ -78,26 +79,29 @@
   hooks.on_end = [one](call_outcome outcome) {
     one->result.end = EndOf(outcome);
     one->result.detail = DetailOf(outcome);
-    one->result.may_have_been_sent = one->call && one->call->MayHaveLeft();
+    const auto ended = one->call.lock();
+    one->result.may_have_been_sent = ended && ended->MayHaveLeft();
     if (one->on_end) {
       one->on_end(outcome);
     }
     Finish(one);
   };
-  one->call = std::make_shared<endpoint_call>(context, std::move(options),
-                                              std::move(hooks));
+  const auto call = std::make_shared<endpoint_call>(context, std::move(options),
+                                                    std::move(hooks));
+  one->call = call;
   one->timer.expires_after(timeout);
   one->timer.async_wait([one](const asio::error_code& error) {
-    if (error || !one->call) {
+    const auto late = one->call.lock();
+    if (error || !late) {
       return;
     }
     one->result.end = call_end::kTimedOut;
     one->result.detail = "time limit";
-    one->result.may_have_been_sent = one->call->MayHaveLeft();
-    one->call->Cancel();
+    one->result.may_have_been_sent = late->MayHaveLeft();
+    late->Cancel();
     Finish(one);
   });
-  one->call->Start();
+  call->Start();
 }
 
 }  // namespace slatestall
