Whether an attempt failed for want of a path is derived, not kept

cut_off_ was set where a call ended unwhole and read a moment later; a call that was withdrawn before it was sent read the value of the call before it. The two facts that it came from are at hand where it is read. A withdrawn call on a sound path therefore counts its endpoint as tried again; nothing else differs.

--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -364,7 +364,6 @@
     if (outcome == call_outcome::kBroken) {
       environment_.on_broken(record_->Info(), Digest());
     }
-    cut_off_ = is_direct_ && environment_.paths.IsCut(service_);
     EndAttempt(environment_.paths.LessonOf(
         service_, is_direct_, outcome,
         unsent ? call_lesson::kUnreachable : call_lesson::kFailed));
@@ -461,7 +460,8 @@
     return;
   }
   // An endpoint that this host did not reach may be reached by another.
-  if (failure != attempt_failure::kNotSent || !cut_off_) {
+  const bool cut_off = is_direct_ && environment_.paths.IsCut(service_);
+  if (failure != attempt_failure::kNotSent || !cut_off) {
     tried_.push_back(record_->Info().Incarnation());
   }
   if (failure == attempt_failure::kNotSent ||
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -166,7 +166,6 @@
   endpoint_record_ptr record_;
   dispatch_facts dispatch_;
   bool is_direct_ = true;  ///< No other host passes the call on.
-  bool cut_off_ = false;   ///< The last call failed for want of a path.
   std::vector<endpoint_incarnation> tried_;
   unsigned sends_ = 0;
   unsigned moves_ = 0;  ///< Attempts that reached no endpoint of the service.
