Quotas and brittle endpoints spread their looks by one function

brittle_limit had copied the draw of half to one and a half from endpoint_quota. Same hash, seed and steps: SpreadFactor.

--- a/src/slatestall/dispatch/brittle_limit.cc
+++ b/src/slatestall/dispatch/brittle_limit.cc
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <utility>
 
-#include "slatestall/model/ids.h"
+#include "slatestall/dispatch/spread_factor.h"
 
 namespace slatestall {
 namespace {
@@ -20,7 +20,6 @@
 constexpr double kSinglesShare = 0.25;
 constexpr double kHomeShare = 0.5;
 constexpr double kLongestInterval = 600;  // seconds
-constexpr std::uint64_t kSpreadSteps = 1024;
 /// Endpoints whose calls are kept; they are few unless hosts run for days.
 constexpr std::size_t kMostEndpoints = 4096;
 
@@ -97,12 +96,8 @@
   const double singles =
       std::max(kSinglesShare * bears / static_cast<double>(hosts_),
                1 / kLongestInterval);
-  const auto seed = static_cast<std::uint64_t>(now.time_since_epoch().count());
-  const auto draw = StableHash(self_ + endpoint.id, seed) % kSpreadSteps;
-  const double spread =
-      0.5 + static_cast<double>(draw) / static_cast<double>(kSpreadSteps);
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(spread / singles));
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+      SpreadFactor(self_ + endpoint.id, now) / singles));
 }
 
 }  // namespace slatestall
--- a/src/slatestall/dispatch/endpoint_quota.cc
+++ b/src/slatestall/dispatch/endpoint_quota.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <cmath>
 
-#include "slatestall/model/ids.h"
+#include "slatestall/dispatch/spread_factor.h"
 
 namespace slatestall {
 namespace {
@@ -17,8 +17,6 @@
 constexpr std::size_t kUncountedPart = 4;
 /// Where the list of hosts is split, two are home to one endpoint.
 constexpr double kHomePart = 0.75;
-/// Looks are due after half to one and a half of their interval.
-constexpr std::uint64_t kSpreadSteps = 1024;
 /// Endpoints whose next look is kept; they are few unless hosts run for days.
 constexpr std::size_t kMostLooksKept = 4096;
 
@@ -96,12 +94,9 @@
                                   double per_second, time_point now) const {
   const double interval =
       static_cast<double>(hosts_) / LooksPerSecond(per_second);
-  const auto seed = static_cast<std::uint64_t>(now.time_since_epoch().count());
-  const auto draw = StableHash(self_ + endpoint.id, seed) % kSpreadSteps;
-  const double spread =
-      0.5 + static_cast<double>(draw) / static_cast<double>(kSpreadSteps);
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-      std::max(interval, static_cast<double>(kWindow.count())) * spread));
+      std::max(interval, static_cast<double>(kWindow.count())) *
+      SpreadFactor(self_ + endpoint.id, now)));
 }
 
 }  // namespace slatestall
