endpoint_paths: one place that probes, and the exchange's own time limit

Three pieces were written twice: the start of a probe (after a failure, and while a service is cut off), a call with a time limit (ConfirmDown beside StartExchange), and options built only to take the hosts out of them.

--- a/src/slatestall/gateway/endpoint_paths.cc
+++ b/src/slatestall/gateway/endpoint_paths.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "slatestall/model/ids.h"
+#include "slatestall/relay/endpoint_exchange.h"
 
 namespace slatestall {
 namespace {
@@ -134,15 +135,12 @@
 
 endpoint_paths::~endpoint_paths() = default;
 
-endpoint_call_options endpoint_paths::RelayOptions(
-    const known_endpoint& endpoint) const {
-  endpoint_call_options options;
-  options.to = endpoint.address;
-  options.endpoint_id = endpoint.id;
+std::vector<relay_hop> endpoint_paths::Hops() const {
+  std::vector<relay_hop> hops;
   for (auto& host : relays_.Pick(kMostHops, now_())) {
-    options.via.push_back({std::move(host.host), host.address});
+    hops.push_back({std::move(host.host), host.address});
   }
-  return options;
+  return hops;
 }
 
 void endpoint_paths::Route(const endpoint_record& record,
@@ -150,9 +148,9 @@
                            endpoint_call_hooks& hooks) {
   const auto& endpoint = record.Info();
   options.to = endpoint.address;
+  options.endpoint_id = endpoint.id;
   if (health_.MayRelay(endpoint.service, now_())) {
-    options.via = RelayOptions(endpoint).via;
-    options.endpoint_id = endpoint.id;
+    options.via = Hops();
   }
   if (options.via.empty()) {
     FollowDirect(endpoint.service, hooks);
@@ -271,17 +269,23 @@
 }
 
 void endpoint_paths::LookAt(const known_endpoint& endpoint) {
-  const auto one = std::make_shared<probe>(context_);
-  one->done = [this, endpoint, sent = now_(),
-               alive = std::weak_ptr<int>(alive_)](bool reached) {
-    if (alive.expired()) {
-      return;
-    }
+  ProbeAt(endpoint, [this, endpoint, sent = now_()](bool reached) {
     if (reached) {
       health_.NoteReached(endpoint.service, sent);
     } else {
       NoteUnreached(endpoint);
     }
+  });
+}
+
+void endpoint_paths::ProbeAt(const known_endpoint& endpoint,
+                             std::function<void(bool reached)> done) {
+  const auto one = std::make_shared<probe>(context_);
+  one->done = [done = std::move(done),
+               alive = std::weak_ptr<int>(alive_)](bool reached) {
+    if (!alive.expired()) {
+      done(reached);
+    }
   };
   metrics_.Count("path_probes", endpoint.service);
   probe::Start(one, endpoint.address);
@@ -289,7 +293,10 @@
 
 void endpoint_paths::ConfirmDown(const known_endpoint& endpoint,
                                  const std::function<void(bool down)>& done) {
-  auto options = RelayOptions(endpoint);
+  endpoint_call_options options;
+  options.to = endpoint.address;
+  options.endpoint_id = endpoint.id;
+  options.via = Hops();
   if (options.via.empty()) {
     // Alone, a host has only its own word.
     done(relays_.Empty());
@@ -297,24 +304,13 @@
   }
   options.connect_timeout = kProbeConnectTime;
   options.silence_timeout = kRelaySilence;
-  const auto timer = std::make_shared<asio::steady_timer>(context_);
+  const auto is_down = std::make_shared<bool>(false);
   endpoint_call_hooks hooks;
-  hooks.on_end = [done, timer](call_outcome outcome) {
-    timer->cancel();
-    done(outcome == call_outcome::kNotConnected);
+  hooks.on_end = [is_down](call_outcome outcome) {
+    *is_down = outcome == call_outcome::kNotConnected;
   };
-  const auto call = std::make_shared<endpoint_call>(
-      context_, std::move(options), std::move(hooks));
-  timer->expires_after(kConfirmTimeout);
-  timer->async_wait([done, weak = std::weak_ptr<endpoint_call>(call)](
-                        const asio::error_code& error) {
-    const auto late = weak.lock();
-    if (!error && late) {
-      late->Cancel();
-      done(false);
-    }
-  });
-  call->Start();
+  StartExchange(context_, std::move(options), std::move(hooks), kConfirmTimeout,
+                [done, is_down](const http_result&) { done(*is_down); });
 }
 
 void endpoint_paths::ProbeSoon() {
@@ -343,15 +339,8 @@
     if (usable.empty()) {
       continue;
     }
-    const auto one = std::make_shared<probe>(context_);
-    one->done = [this, service,
-                 alive = std::weak_ptr<int>(alive_)](bool reached) {
-      if (!alive.expired()) {
-        OnProbed(service, reached);
-      }
-    };
-    metrics_.Count("path_probes", service);
-    probe::Start(one, usable[Draw(usable.size())]->Info().address);
+    ProbeAt(usable[Draw(usable.size())]->Info(),
+            [this, service](bool reached) { OnProbed(service, reached); });
   }
   if (!services.empty()) {
     ProbeSoon();
--- a/src/slatestall/gateway/endpoint_paths.h
+++ b/src/slatestall/gateway/endpoint_paths.h
@@ -61,10 +61,12 @@
   void FollowRelayed(const std::string& service,
                      const std::vector<relay_hop>& via,
                      endpoint_call_hooks& hooks);
-  endpoint_call_options RelayOptions(const known_endpoint& endpoint) const;
+  std::vector<relay_hop> Hops() const;
   void OnRelayEnd(const std::string& service, call_outcome outcome);
   void LookElsewhere(const known_endpoint& failed);
   void LookAt(const known_endpoint& endpoint);
+  void ProbeAt(const known_endpoint& endpoint,
+               std::function<void(bool reached)> done);
   void ProbeSoon();
   void Probe();
   void OnProbed(const std::string& service, bool reached);
