--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -34,6 +34,7 @@
   std::string id;
   std::int64_t started_ms = 0;  ///< Unix time of its start; 0: not told.
   std::string service;
+  std::string version;  ///< Of its software; versions have no order.
   asio::ip::tcp::endpoint address;
   std::string failure_domain;
   std::uint32_t slots = 1;
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -28,6 +28,9 @@
   std::string key;                          ///< Workspace key; empty: none.
   std::optional<milliseconds> patience;     ///< How long the caller waits.
   std::optional<std::uint64_t> last_event;  ///< The caller resumes after it.
+  /// Id of the request that brought the first event of the stream which the
+  /// caller resumes; empty: it does not, or does not name it.
+  std::string resumes;
   std::uint32_t prompt_tokens = 0;
   std::vector<prompt_part> prompt;  ///< In order; the last is its own.
   std::vector<unsigned> pieces;     ///< By stage.
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -331,6 +331,13 @@
     return;
   }
   stream_begun_ = true;
+  if (facts_.last_event) {
+    environment_.log.Write("stream_resumed",
+                           {{"request", facts_.id},
+                            {"stream", facts_.resumes},
+                            {"endpoint", dispatch_.endpoint_id},
+                            {"version", record_->Info().version}});
+  }
   spans_.NoteFirstEvent(environment_.now());
   const duration taken = spans_.SinceSent(environment_.now());
   record_->NoteSlowness(static_cast<double>(taken.count()) /
@@ -432,6 +439,8 @@
       {{"request", facts_.id},
        {"content", DigestText(Digest())},
        {"endpoint", dispatch_.endpoint_id},
+       {"version", record_->Info().version},
+       {"last_event", last_event_.value_or(0)},
        {"detail", detail},
        {"attempt", sends_ + moves_},
        {"may_have_run", may_have_run_},
