Streams go on only at the software version that began them

Cause: the choice of an endpoint knows no version, neither where a host moves a broken stream nor where a caller takes it up at a host that did not begin it. Class: work that is bound to what began it is placed as if it were new.

Change: the first event binds a run to the service and version of its endpoint; the host notes that by the request's id and sends the note to three others, before the event goes out. Where a caller takes the stream up, the host looks the origin up in its own notes, then at five hosts; without a note the stream goes on only if the list, read on from the store at once, has shown one version of the service for longer than streams last. Else it is refused as not run. A split route draws the service by the id of the request that began the stream.

--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -30,6 +30,8 @@
   store_outcome outcome = store_outcome::kNoAnswer;
   std::vector<keyed_record> records;
   std::uint64_t next = 0;  ///< Offset to read from next.
+  /// Offset after the last record that the store held; 0: not told.
+  std::uint64_t end = 0;
   /// Of the store's history. It rises where the store came back from an older
   /// copy: offsets of another era say nothing. 0: not told.
   std::uint64_t era = 0;
@@ -52,6 +54,10 @@
   std::function<void(std::uint64_t from, milliseconds wait,
                      std::function<void(keyed_read)> done)>
       read_from;
+  /// The same at once, by the store itself and no other host. Not set: as
+  /// `read_from`.
+  std::function<void(std::uint64_t from, std::function<void(keyed_read)> done)>
+      read_now{};
 };
 
 /// @brief Sets the value of a key of a compacted topic; an empty value deletes
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -9,6 +9,12 @@
 /// Records kept of endpoints that are no longer listed.
 constexpr std::size_t kMostUnlisted = 2048;
 
+/// An endpoint that starts again may have its id and report no start; its
+/// software does not change while it runs.
+bool IsSameRun(const known_endpoint& a, const known_endpoint& b) {
+  return a.started_ms == b.started_ms && a.version == b.version;
+}
+
 }  // namespace
 
 void endpoint_roster::Replace(const std::vector<known_endpoint>& listed) {
@@ -39,7 +45,7 @@
 
 endpoint_record_ptr endpoint_roster::RecordOf(const known_endpoint& endpoint) {
   auto record = Find(endpoint.id);
-  if (record && record->Info().started_ms != endpoint.started_ms) {
+  if (record && !IsSameRun(record->Info(), endpoint)) {
     // What was learnt, and what lies there, is of a run that has ended.
     record->MarkGone();
     record = nullptr;
@@ -47,7 +53,7 @@
   if (!record) {
     record = TakeUnlisted(endpoint.Incarnation());
   }
-  if (!record) {
+  if (!record || !IsSameRun(record->Info(), endpoint)) {
     return std::make_shared<endpoint_record>(endpoint, may_avoid_);
   }
   record->Update(endpoint);
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -91,6 +91,18 @@
   crashes_.Start();
 }
 
+void gateway_control::FindOnlyVersion(
+    const std::string& service, milliseconds time,
+    std::function<void(const std::optional<std::string>&)> done) {
+  endpoints_.ReadNow(
+      [this, service, time, done = std::move(done)](bool is_current) {
+        for (const auto& endpoint : published_) {
+          versions_.Note(endpoint, now_());
+        }
+        done(is_current ? versions_.Only(service, time, now_()) : std::nullopt);
+      });
+}
+
 void gateway_control::OnRead(const char* what, bool& reachable,
                              const keyed_read& read) {
   if (read.unreadable > 0) {
@@ -164,6 +176,7 @@
       // Counted from now, however old the entry: rather too long.
       read->endpoint.cold_until = now_() + read->cold_left;
     }
+    versions_.Note(read->endpoint, now_());
     return std::move(read->endpoint);
   } catch (const std::exception& problem) {
     log_.Write("endpoint_unreadable",
@@ -187,12 +200,14 @@
 
 void gateway_control::TakeAllEndpoints(
     const std::vector<keyed_record>& records) {
+  versions_.Begin(now_());
   listing_.ReplaceAll(DecodeAll(records), now_());
   PublishEndpoints();
 }
 
 void gateway_control::TakeRestoredEndpoints(
     const std::vector<keyed_record>& records) {
+  versions_.Begin(now_());
   listing_.AddRestored(DecodeAll(records));
   PublishEndpoints();
 }
@@ -217,6 +232,9 @@
   if (has_published_ && listed == published_) {
     return;
   }
+  for (const auto& endpoint : published_) {
+    versions_.Note(endpoint, now_());
+  }
   LogChanges(listed);
   has_published_ = true;
   published_ = listed;
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -15,6 +15,7 @@
 #include "slatestall/gateway/host_directory.h"
 #include "slatestall/gateway/platform_link.h"
 #include "slatestall/gateway/topic_follower.h"
+#include "slatestall/gateway/version_history.h"
 
 namespace slatestall {
 
@@ -46,6 +47,13 @@
   /// @brief Other hosts are to know.
   void Report(const endpoint_crash& crash) { crashes_.Report(crash); }
   void Tell(const content_notice& notice) { crashes_.Tell(notice); }
+  /// @brief Reads the list of endpoints on, and finds the only version of a
+  /// service that it has shown for some time.
+  /// @param done Runs after changes of the list were passed on; gets nothing
+  /// where there were several, or the store does not say.
+  void FindOnlyVersion(
+      const std::string& service, milliseconds time,
+      std::function<void(const std::optional<std::string>&)> done);
 
  private:
   std::vector<evacuation_record> DecodeEvacuations(
@@ -68,6 +76,7 @@
   now_function now_;
   control_news news_;
   endpoint_listing listing_;
+  version_history versions_;
   evacuation_list evacuations_;
   std::vector<known_endpoint> published_;
   bool has_published_ = false;
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -16,6 +16,7 @@
 #include "slatestall/dispatch/longest_answer.h"
 #include "slatestall/dispatch/repeat_allowance.h"
 #include "slatestall/dispatch/request_digest.h"
+#include "slatestall/dispatch/stream_origin.h"
 #include "slatestall/dispatch/usual_patience.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/endpoint_paths.h"
@@ -54,13 +55,27 @@
   time_point started_at{};
   time_point back_offs_end{};           ///< The latest of all endpoints.
   std::optional<host_stop> stop{};      ///< Not set: goes on.
-  std::set<class request_run*> runs{};  ///< Admitted and not yet ended.
+  std::set<class request_run*> runs{};  ///< On a route and not yet ended.
   /// An endpoint has answered a request with that content to the end.
   std::function<void(request_digest)> on_served{};
   /// A call broke off at an endpoint, which may have crashed.
   std::function<void(const known_endpoint&, request_digest)> on_broken{};
   /// An endpoint was reported as leaving; work that waits for it has to move.
   std::function<void()> on_endpoint_leaving{};
+  /// Keeps the origin of a stream where all hosts find it.
+  std::function<void(const std::string& stream, const stream_origin&,
+                     milliseconds lifetime)>
+      note_stream{};
+  using origin_hook = std::function<void(const std::optional<stream_origin>&)>;
+  /// Finds the origin of a stream that some host has begun.
+  std::function<void(const std::string& stream, origin_hook done)>
+      find_stream{};
+  using version_hook = std::function<void(const std::optional<std::string>&)>;
+  /// Finds the version that all endpoints of a service have had for a while;
+  /// nothing where another may have served, as far as the store says now.
+  std::function<void(const std::string& service, milliseconds time,
+                     version_hook done)>
+      find_only_version{};
 
   /// @brief Whether a request with that limit may use a failure domain.
   bool Allows(const region_limit& regions, const std::string& domain) const {
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -167,6 +167,18 @@
     news.on_verdict = [this](const content_notice& notice) {
       asio::post(control_context_, [this, notice] { control_.Tell(notice); });
     };
+    news.find_only_version = [this](const std::string& service,
+                                    milliseconds time,
+                                    gateway_environment::version_hook done) {
+      asio::post(control_context_, [this, service, time,
+                                    done = std::move(done)] {
+        control_.FindOnlyVersion(
+            service, time,
+            [this, done](const std::optional<std::string>& version) {
+              asio::post(traffic_context_, [done, version] { done(version); });
+            });
+      });
+    };
     return news;
   }
 
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -103,11 +103,15 @@
                    {},
                    {},
                    {},
+                   {},
+                   {},
+                   {},
                    {}},
       home_(environment_),
       relay_(environment_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
       topics_(peers_, std::move(known_topics)),
+      streams_(peers_, options.host_name, now),
       router_(environment_, home_, peers_),
       stages_(router_.Calls()),
       crashes_(
@@ -130,6 +134,23 @@
                                   request_digest running) {
     crashes_.NoteBroken(endpoint, running);
   };
+  environment_.note_stream = [this](const std::string& stream,
+                                    const stream_origin& origin,
+                                    milliseconds lifetime) {
+    streams_.Note(stream, origin, lifetime);
+  };
+  environment_.find_stream = [this](const std::string& stream,
+                                    const auto& done) {
+    streams_.Find(stream, done);
+  };
+  environment_.find_only_version = [this](const std::string& service,
+                                          milliseconds time, const auto& done) {
+    if (news_.find_only_version) {
+      news_.find_only_version(service, time, done);
+    } else {
+      done(std::nullopt);
+    }
+  };
   // Posted, since calls are in the middle of reading the answer.
   environment_.on_endpoint_leaving = [this] {
     asio::post(environment_.context, [this] { router_.Refresh(); });
@@ -175,9 +196,10 @@
 
 void gateway_traffic::SetHosts(std::vector<listed_gateway> hosts) {
   std::vector<std::string> names;
-  names.reserve(hosts.size());
+  std::vector<home_candidate> candidates;
   for (const auto& host : hosts) {
     names.push_back(host.address.host);
+    candidates.push_back({host.address.host, host.weight});
   }
   environment_.brittle.SetHosts(names);
   environment_.cold.SetHosts(names);
@@ -185,6 +207,7 @@
   environment_.paths.SetHosts(
       RelaysAmong(hosts, environment_.options.host_name));
   router_.SetHosts(std::move(hosts));
+  streams_.SetHosts(std::move(candidates));
 }
 
 void gateway_traffic::AskReader(const topic_question& question,
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -15,6 +15,7 @@
 #include "slatestall/gateway/stage_home.h"
 #include "slatestall/gateway/stage_router.h"
 #include "slatestall/gateway/start_queue.h"
+#include "slatestall/gateway/stream_directory.h"
 #include "slatestall/gateway/topic_exchange.h"
 #include "slatestall/peer/peer_node.h"
 #include "slatestall/relay/caller_listener.h"
@@ -27,6 +28,10 @@
 struct traffic_news {
   std::function<void(const endpoint_crash&)> on_crash;
   std::function<void(const content_notice&)> on_verdict;
+  /// See `gateway_control::FindOnlyVersion`; `done` runs on the traffic thread.
+  std::function<void(const std::string& service, milliseconds time,
+                     gateway_environment::version_hook done)>
+      find_only_version{};
 };
 
 /// @brief The traffic thread's part of a gateway host: callers' connections,
@@ -94,6 +99,7 @@
   call_relay relay_;
   peer_node peers_;
   topic_exchange topics_;
+  stream_directory streams_;
   stage_router router_;
   const stage_calls stages_;
   crash_watch crashes_;
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-std::optional<request_run::refusal> request_run::Admit() {
+std::optional<request_run::refusal> request_run::Identify() {
   table_ = environment_.table;
   if (!table_ && environment_.stop) {
     return HostStops();
@@ -82,6 +82,10 @@
   }
   last_event_ = facts_.last_event;
   SetTimes();
+  return std::nullopt;
+}
+
+std::optional<request_run::refusal> request_run::CheckAdmission() const {
   if (auto refused = CheckStop()) {
     return refused;
   }
@@ -91,6 +95,79 @@
   return CheckTime();
 }
 
+bool request_run::TakesUpAStream() const {
+  return route_->kind == route_kind::kResumableStream &&
+         (last_event_ || !facts_.resumes.empty());
+}
+
+const std::string& request_run::StreamId() const {
+  return facts_.resumes.empty() ? facts_.id : facts_.resumes;
+}
+
+/// Callers take a stream up again within the time that they wait, of which
+/// they tell at each attempt only what is left.
+milliseconds request_run::StreamLife() const {
+  constexpr int kAttempts = 2;
+  return kAttempts *
+         std::max(route_->timeout, facts_.patience.value_or(milliseconds(0)));
+}
+
+void request_run::FindOrigin() {
+  if (facts_.resumes.empty()) {
+    FindOnlyVersion();
+    return;
+  }
+  environment_.find_stream(facts_.resumes,
+                           [self = shared_from_this()](const auto& origin) {
+                             if (self->finished_) {
+                               return;
+                             }
+                             if (origin) {
+                               self->TakeOrigin(*origin, "note");
+                             } else {
+                               self->FindOnlyVersion();
+                             }
+                           });
+}
+
+/// Without a note of its origin a stream may go on only where no host can have
+/// begun it at another version.
+void request_run::FindOnlyVersion() {
+  environment_.find_only_version(
+      service_, StreamLife(), [self = shared_from_this()](const auto& version) {
+        if (self->finished_) {
+          return;
+        }
+        if (version) {
+          self->TakeOrigin({self->service_, *version}, "list");
+        } else {
+          self->Refuse({error_kind::kNoEndpoint,
+                        "the software version that began the stream is not "
+                        "known"});
+        }
+      });
+}
+
+void request_run::TakeOrigin(const stream_origin& origin, const char* source) {
+  environment_.log.Write("stream_resumed", {{"request", facts_.id},
+                                            {"stream", StreamId()},
+                                            {"service", origin.service},
+                                            {"version", origin.version},
+                                            {"source", source}});
+  const auto& services = route_->services;
+  if (std::none_of(services.begin(), services.end(), [&](const auto& part) {
+        return part.service == origin.service;
+      })) {
+    Refuse({error_kind::kNoEndpoint, "the stream began at service \"" +
+                                         origin.service +
+                                         "\", which the route no longer uses"});
+    return;
+  }
+  origin_ = origin;
+  service_ = origin.service;
+  Admit();
+}
+
 /// Requests wait while a host starts. One that has no configuration after that
 /// waits for the store, whose outages last for seconds: callers who came back
 /// at once would use up their return in the same outage.
@@ -110,7 +187,7 @@
   if (route_ == nullptr) {
     return refusal{error_kind::kNotFound, "no route for this host and path"};
   }
-  service_ = ServiceOf(*route_, facts_.id);
+  service_ = ServiceOf(*route_, StreamId());
   graph_.emplace(route_->stages, facts_.pieces);
   return std::nullopt;
 }
@@ -161,7 +238,7 @@
 std::optional<request_run::refusal> request_run::CheckEndpoints() const {
   const auto lacks = [this](const std::string& service) {
     return !environment_.roster.HasUsable(
-        service, [this](const auto& endpoint) { return MayUse(endpoint); });
+        service, [this](const auto& endpoint) { return IsInRegion(endpoint); });
   };
   const auto refused = [](const std::string& service, milliseconds back) {
     return refusal{
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -73,7 +73,7 @@
   pick_request pick;
   pick.now = environment_.now();
   pick.shared_prompt = SharedPrompt();
-  if (regions_.allowed) {
+  if (regions_.allowed || origin_) {
     pick.may_use = [this](const known_endpoint& endpoint) {
       return MayUse(endpoint);
     };
@@ -94,10 +94,15 @@
   return pick;
 }
 
-bool request_run::MayUse(const known_endpoint& endpoint) const {
+bool request_run::IsInRegion(const known_endpoint& endpoint) const {
   return environment_.Allows(regions_, endpoint.failure_domain);
 }
 
+bool request_run::MayUse(const known_endpoint& endpoint) const {
+  return IsInRegion(endpoint) &&
+         (!origin_ || endpoint.version == origin_->version);
+}
+
 /// Where all endpoints are cold or in need, this host's part of what they take
 /// comes back within seconds. The more urgent ask more often.
 bool request_run::AwaitShare() {
@@ -331,12 +336,11 @@
     return;
   }
   stream_begun_ = true;
-  if (facts_.last_event) {
-    environment_.log.Write("stream_resumed",
-                           {{"request", facts_.id},
-                            {"stream", facts_.resumes},
-                            {"endpoint", dispatch_.endpoint_id},
-                            {"version", record_->Info().version}});
+  if (route_->MayRepeat()) {
+    if (!origin_) {
+      origin_ = {service_, record_->Info().version};
+    }
+    environment_.note_stream(StreamId(), *origin_, StreamLife());
   }
   spans_.NoteFirstEvent(environment_.now());
   const duration taken = spans_.SinceSent(environment_.now());
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -35,11 +35,23 @@
       self->OnCallerGone();
     }
   });
-  if (const auto refused = Admit()) {
+  if (const auto refused = Identify()) {
     Refuse(*refused);
     return;
   }
   environment_.runs.insert(this);
+  if (TakesUpAStream()) {
+    FindOrigin();
+  } else {
+    Admit();
+  }
+}
+
+void request_run::Admit() {
+  if (const auto refused = CheckAdmission()) {
+    Refuse(*refused);
+    return;
+  }
   LogTakenWhileStopping();
   environment_.repeats.NoteRequest(service_, environment_.now());
   environment_.metrics.Count("requests", route_->name);
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -9,6 +9,7 @@
 
 #include "slatestall/dispatch/endpoint_pick.h"
 #include "slatestall/dispatch/request_digest.h"
+#include "slatestall/dispatch/stream_origin.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/request_end.h"
 #include "slatestall/gateway/request_spans.h"
@@ -66,7 +67,15 @@
   };
 
   // Admission.
-  std::optional<refusal> Admit();
+  std::optional<refusal> Identify();
+  void Admit();
+  std::optional<refusal> CheckAdmission() const;
+  bool TakesUpAStream() const;
+  const std::string& StreamId() const;
+  milliseconds StreamLife() const;
+  void FindOrigin();
+  void FindOnlyVersion();
+  void TakeOrigin(const stream_origin& origin, const char* source);
   milliseconds ReturnWithoutConfiguration() const;
   std::optional<refusal> FindRoute();
   std::optional<refusal> FindWorkspace();
@@ -113,6 +122,7 @@
   void Dispatch();
   std::optional<refusal> StillAllowed() const;
   pick_request NewPick() const;
+  bool IsInRegion(const known_endpoint& endpoint) const;
   bool MayUse(const known_endpoint& endpoint) const;
   bool AwaitShare();
   void Send(const endpoint_record_ptr& record);
@@ -174,6 +184,8 @@
   std::string answer_body_;
   std::optional<event_splitter> events_;
   std::optional<std::uint64_t> last_event_;
+  /// Binds all further attempts once the caller has an event of the stream.
+  std::optional<stream_origin> origin_;
   bool stream_begun_ = false;
   bool late_pause_ = false;
   time_point last_event_at_{};
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -219,6 +219,15 @@
                              const read_done& done) {
     ReadNext(std::make_shared<next_read>(next_read{topic, from, wait, done}));
   };
+  shared.read_now = [topic](std::uint64_t from, const read_done& done) {
+    topic->direct.read_from(from, milliseconds(0),
+                            [topic, from, done](const keyed_read& got) {
+                              if (got.outcome == store_outcome::kDone) {
+                                topic->tail->Note(from, got);
+                              }
+                              done(got);
+                            });
+  };
   return shared;
 }
 
--- a/src/slatestall/gateway/topic_follower.cc
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -47,13 +47,80 @@
 }
 
 void topic_follower::ReadNext() {
-  topic_.read_from(
-      next_, pace_.wait,
-      [this, alive = std::weak_ptr<int>(alive_)](const keyed_read& read) {
-        if (!alive.expired()) {
-          OnNext(read);
-        }
-      });
+  topic_.read_from(next_, pace_.wait,
+                   [this, from = next_, alive = std::weak_ptr<int>(alive_)](
+                       const keyed_read& read) {
+                     if (!alive.expired()) {
+                       OnNext(from, read);
+                     }
+                   });
+}
+
+void topic_follower::ReadNow(current_hook done) {
+  await_now_.push_back(std::move(done));
+  if (!reads_now_) {
+    StartReadNow();
+  }
+}
+
+/// One read serves all that came before it began; what comes meanwhile needs
+/// another.
+void topic_follower::StartReadNow() {
+  const auto hooks = std::exchange(await_now_, {});
+  if (!has_all_ || restores_) {
+    for (const auto& done : hooks) {
+      done(false);
+    }
+    return;
+  }
+  reads_now_ = true;
+  const auto take = [this, from = next_, hooks,
+                     alive =
+                         std::weak_ptr<int>(alive_)](const keyed_read& read) {
+    if (alive.expired()) {
+      return;
+    }
+    reads_now_ = false;
+    const bool is_current = TakeCurrent(from, read);
+    for (const auto& done : hooks) {
+      done(is_current);
+    }
+    if (!reads_now_ && !await_now_.empty()) {
+      StartReadNow();
+    }
+  };
+  if (topic_.read_now) {
+    topic_.read_now(next_, take);
+  } else {
+    topic_.read_from(next_, milliseconds(0), take);
+  }
+}
+
+/// Other outcomes are left to the reads in order.
+bool topic_follower::TakeCurrent(std::uint64_t from, const keyed_read& read) {
+  if (read.outcome != store_outcome::kDone || read.era != era_ || restores_) {
+    return false;
+  }
+  TakeChanges(from, read);
+  return next_ >= read.end;
+}
+
+/// Reads may overlap: records that another has brought are not taken again.
+void topic_follower::TakeChanges(std::uint64_t from, const keyed_read& read) {
+  if (from > next_) {
+    return;  // The whole was read again meanwhile, up to an earlier place.
+  }
+  auto records = read.records;
+  const auto known = std::min<std::uint64_t>(next_ - from, records.size());
+  if (known > 0 && read.next <= next_) {
+    return;
+  }
+  records.erase(records.begin(),
+                records.begin() + static_cast<std::ptrdiff_t>(known));
+  next_ = read.next;
+  if (!records.empty()) {
+    hooks_.on_changes(records);
+  }
 }
 
 void topic_follower::OnNewest(const keyed_read& read) {
@@ -73,7 +140,7 @@
   After(pace_.interval, &topic_follower::ReadNext);
 }
 
-void topic_follower::OnNext(const keyed_read& read) {
+void topic_follower::OnNext(std::uint64_t from, const keyed_read& read) {
   if (read.outcome == store_outcome::kTooOld) {
     // What was deleted in between is told only by its absence.
     ReadNewest();
@@ -89,10 +156,7 @@
     return;
   }
   failures_ = 0;
-  next_ = read.next;
-  if (!read.records.empty()) {
-    hooks_.on_changes(read.records);
-  }
+  TakeChanges(from, read);
   After(pace_.interval, std::exchange(reads_all_next_, false)
                             ? &topic_follower::ReadNewest
                             : &topic_follower::ReadNext);
--- a/src/slatestall/gateway/topic_follower.h
+++ b/src/slatestall/gateway/topic_follower.h
@@ -49,11 +49,20 @@
 
   void Start();
 
+  /// Gets whether all that the store held at some moment since the call has
+  /// passed through the hooks.
+  using current_hook = std::function<void(bool is_current)>;
+  /// @brief Reads on at once, by the store itself.
+  void ReadNow(current_hook done);
+
  private:
   void ReadNewest();
   void ReadNext();
   void OnNewest(const keyed_read& read);
-  void OnNext(const keyed_read& read);
+  void OnNext(std::uint64_t from, const keyed_read& read);
+  void StartReadNow();
+  bool TakeCurrent(std::uint64_t from, const keyed_read& read);
+  void TakeChanges(std::uint64_t from, const keyed_read& read);
   void Retry();
   void BeginRestoration();
   /// @brief Whether a read is of an era that others have seen to be over.
@@ -74,6 +83,8 @@
   bool restores_ = false;        ///< What the store lost is written again.
   bool reads_all_next_ = false;  ///< It has been.
   unsigned failures_ = 0;
+  bool reads_now_ = false;
+  std::vector<current_hook> await_now_;  ///< For the next such read.
   /// Completions hold it weakly: a read may end after the follower has.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/slatestall/peer/frame_codec.cc
+++ b/src/slatestall/peer/frame_codec.cc
@@ -163,6 +163,8 @@
       return wire::message::read_topic_reply;
     case wire::message::book_stage:
       return wire::message::book_stage_reply;
+    case wire::message::find_stream:
+      return wire::message::find_stream_reply;
     default:
       return wire::message::NONE;
   }
