--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -111,7 +111,7 @@
       relay_(environment_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
       topics_(peers_, std::move(known_topics)),
-      streams_(peers_, options.host_name, now),
+      streams_(peers_, environment_.metrics, options.host_name, now),
       router_(environment_, home_, peers_),
       stages_(router_.Calls()),
       crashes_(
--- a/src/slatestall/gateway/stream_directory.cc
+++ b/src/slatestall/gateway/stream_directory.cc
@@ -38,9 +38,10 @@
   }
 };
 
-stream_directory::stream_directory(peer_node& peers, std::string self,
-                                   now_function now)
+stream_directory::stream_directory(peer_node& peers, gateway_metrics& metrics,
+                                   std::string self, now_function now)
     : peers_(peers),
+      metrics_(metrics),
       self_(std::move(self)),
       now_(std::move(now)),
       origins_(kMostOrigins) {
@@ -54,6 +55,7 @@
         const auto& note = *notice.Asstream_note();
         origins_.Note(note.stream, {note.service, note.version},
                       milliseconds(note.lifetime_ms), now_());
+        metrics_.Count("stream_notes", "received");
       });
   peers_.Handle(wire::message::find_stream,
                 [this](const wire::messageUnion& request, const std::string&,
@@ -99,6 +101,7 @@
     note.version = origin.version;
     note.lifetime_ms = static_cast<std::uint32_t>(lifetime.count());
     peers_.Notify(holders[i], MakeMessage(std::move(note)));
+    metrics_.Count("stream_notes", "sent");
   }
 }
 
--- a/src/slatestall/gateway/stream_directory.h
+++ b/src/slatestall/gateway/stream_directory.h
@@ -11,6 +11,7 @@
 
 #include "slatestall/dispatch/home_ranking.h"
 #include "slatestall/dispatch/stream_origin.h"
+#include "slatestall/gateway/gateway_metrics.h"
 #include "slatestall/model/time.h"
 #include "slatestall/peer/peer_node.h"
 
@@ -27,7 +28,9 @@
   using done_hook = std::function<void(std::optional<stream_origin>)>;
 
   /// @param peers Outlives this.
-  stream_directory(peer_node& peers, std::string self, now_function now);
+  /// @param metrics Outlives this, too.
+  stream_directory(peer_node& peers, gateway_metrics& metrics, std::string self,
+                   now_function now);
 
   /// @brief All hosts but this one.
   void SetHosts(std::vector<home_candidate> others);
@@ -44,6 +47,7 @@
   const std::vector<std::string>& HoldersOf(const std::string& stream);
 
   peer_node& peers_;
+  gateway_metrics& metrics_;
   const std::string self_;
   now_function now_;
   stream_origins origins_;
