Parts of prompts that crash endpoints are quarantined

Cause: the quarantine counts equal requests, and no two of these are. Class: the suspect of a failure is taken for the whole input.

Change: what may have crashed an endpoint is a set of digests, the request's content and each part of its prompt but the last; one mechanism counts, reports and refuses all of them. A part is suspected of calls whose answer had not begun, and an endpoint that goes on after the first event clears it. A part served within a minute needs five crashes since. A verdict on a part is for hosts that lost such calls: others have served none of most parts. A request with two causes is no trial.

Digests of contents lose their top bit: hosts of two releases do not match each other's contents during a replacement.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -121,6 +121,7 @@
   std::optional<time_point> SettledAt(request_digest content,
                                       const crash_list& evidence) const;
   bool WasServed(request_digest content, time_point now) const;
+  std::size_t CrashesSince(request_digest content, time_point from) const;
   bool HasLost(request_digest content) const;
 
   size_hook listed_;
--- a/include/slatestall/dispatch/request_digest.h
+++ b/include/slatestall/dispatch/request_digest.h
@@ -18,10 +18,14 @@
   std::string_view body;
 };
 
-/// @brief Hash of a request's content, the same on all hosts.
+/// @brief Hash of what requests have in common that may crash endpoints: their
+/// whole content, or a part of their prompts. The same on all hosts.
 using request_digest = std::uint64_t;
 
 request_digest DigestOf(const request_content& content);
+/// @param part Id of a part of a prompt.
+request_digest DigestOfPart(std::string_view part);
+bool IsOfPart(request_digest digest);
 
 /// @brief For logs and records: 16 hexadecimal digits.
 std::string DigestText(request_digest digest);
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -34,6 +34,9 @@
 /// Contents of served requests that are remembered; a newer one takes the place
 /// of an older one with the same remainder.
 constexpr std::size_t kServedPlaces = 4096;
+/// Parts of prompts that were served of late are shared by sound requests. So
+/// many crashes under one since then show that this is over.
+constexpr std::size_t kCrashesSinceServed = 5;
 /// Where one endpoint in so many crashed without a content, three that crashed
 /// with it are no evidence.
 constexpr std::size_t kChancePart = 2;
@@ -75,8 +78,20 @@
 bool content_quarantine::WasServed(request_digest content,
                                    time_point now) const {
   const auto& last = served_[content % kServedPlaces];
-  return last.content == content && last.at != time_point{} &&
-         now - last.at < kServedLife;
+  if (last.content != content || last.at == time_point{} ||
+      now - last.at >= kServedLife) {
+    return false;
+  }
+  return !IsOfPart(content) ||
+         CrashesSince(content, last.at) < kCrashesSinceServed;
+}
+
+std::size_t content_quarantine::CrashesSince(request_digest content,
+                                             time_point from) const {
+  const auto crashes = CrashesOf(content);
+  return static_cast<std::size_t>(std::count_if(
+      crashes.begin(), crashes.end(),
+      [from](const auto* crash) { return crash->learnt > from; }));
 }
 
 void content_quarantine::NoteCrash(const endpoint_crash& crash,
@@ -171,6 +186,11 @@
       continue;
     }
     const bool served = WasServed(content, now);
+    // Most hosts have served none of a part that few requests share: a verdict
+    // on it is for those that lost calls, and counts once it is reported.
+    if (IsOfPart(content) && (served || !HasLost(content))) {
+      continue;
+    }
     const bool shared = IsShared(evidence, now);
     if (!served && shared) {
       const auto settled =
--- a/src/slatestall/dispatch/request_digest.cc
+++ b/src/slatestall/dispatch/request_digest.cc
@@ -10,6 +10,8 @@
 
 constexpr std::size_t kDigits = 16;
 constexpr int kHexadecimal = 16;
+/// Set in digests of parts, and in no other.
+constexpr request_digest kPartBit = request_digest{1} << 63U;
 
 }  // namespace
 
@@ -20,9 +22,15 @@
   digest = StableHash(content.method, digest);
   digest = StableHash(content.target, digest);
   digest = StableHash(content.workspace, digest);
-  return StableHash(content.body, digest);
+  return StableHash(content.body, digest) & ~kPartBit;
 }
 
+request_digest DigestOfPart(std::string_view part) {
+  return StableHash(part) | kPartBit;
+}
+
+bool IsOfPart(request_digest digest) { return (digest & kPartBit) != 0; }
+
 std::string DigestText(request_digest digest) {
   std::array<char, kDigits> digits{};
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
--- a/src/slatestall/gateway/crash_watch.cc
+++ b/src/slatestall/gateway/crash_watch.cc
@@ -38,14 +38,16 @@
 crash_watch::~crash_watch() = default;
 
 void crash_watch::NoteBroken(const known_endpoint& endpoint,
-                             request_digest running) {
+                             const std::vector<request_digest>& running) {
   auto& one = probes_[endpoint.Incarnation()];
   if (!one) {
     one = std::make_shared<probe>(context_, endpoint);
   }
   auto& known = one->crash.running;
-  if (std::find(known.begin(), known.end(), running) == known.end()) {
-    known.push_back(running);
+  for (const auto digest : running) {
+    if (std::find(known.begin(), known.end(), digest) == known.end()) {
+      known.push_back(digest);
+    }
   }
   if (std::exchange(one->under_way, true)) {
     return;
--- a/src/slatestall/gateway/crash_watch.h
+++ b/src/slatestall/gateway/crash_watch.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "slatestall/dispatch/endpoint_crash.h"
 #include "slatestall/dispatch/endpoint_record.h"
@@ -27,7 +28,9 @@
   crash_watch& operator=(const crash_watch&) = delete;
 
   /// @brief A call broke off before its answer was whole.
-  void NoteBroken(const known_endpoint& endpoint, request_digest running);
+  /// @param running What it may have crashed the endpoint by.
+  void NoteBroken(const known_endpoint& endpoint,
+                  const std::vector<request_digest>& running);
 
  private:
   struct probe;
--- a/src/slatestall/gateway/gateway_environment.h
+++ b/src/slatestall/gateway/gateway_environment.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "slatestall/dispatch/brittle_limit.h"
 #include "slatestall/dispatch/call_limit.h"
@@ -56,10 +57,11 @@
   time_point back_offs_end{};           ///< The latest of all endpoints.
   std::optional<host_stop> stop{};      ///< Not set: goes on.
   std::set<class request_run*> runs{};  ///< On a route and not yet ended.
-  /// An endpoint has answered a request with that content to the end.
-  std::function<void(request_digest)> on_served{};
-  /// A call broke off at an endpoint, which may have crashed.
-  std::function<void(const known_endpoint&, request_digest)> on_broken{};
+  /// An endpoint has survived requests that have these in common.
+  std::function<void(const std::vector<request_digest>&)> on_served{};
+  /// A call broke off at an endpoint, which may have crashed by one of these.
+  std::function<void(const known_endpoint&, const std::vector<request_digest>&)>
+      on_broken{};
   /// An endpoint was reported as leaving; work that waits for it has to move.
   std::function<void()> on_endpoint_leaving{};
   /// Keeps the origin of a stream where all hosts find it.
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -126,12 +126,14 @@
                 [this](inbound_request request, answer_channel_ptr channel) {
                   starting_.Take(std::move(request), std::move(channel));
                 }) {
-  environment_.on_served = [this](request_digest content) {
-    environment_.quarantine.NoteServed(content, environment_.now());
+  environment_.on_served = [this](const std::vector<request_digest>& survived) {
+    for (const auto digest : survived) {
+      environment_.quarantine.NoteServed(digest, environment_.now());
+    }
     JudgeSoon();
   };
   environment_.on_broken = [this](const known_endpoint& endpoint,
-                                  request_digest running) {
+                                  const std::vector<request_digest>& running) {
     crashes_.NoteBroken(endpoint, running);
   };
   environment_.note_stream = [this](const std::string& stream,
--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -74,8 +74,10 @@
   if (auto refused = FindWorkspace()) {
     return refused;
   }
-  if (IsQuarantined()) {
-    is_trial_ = environment_.quarantine.TakeTrial(Digest(), environment_.now());
+  if (const auto causes = QuarantinedBy(); !causes.empty()) {
+    // Of two causes the trial of one would run the other as well.
+    is_trial_ = causes.size() == 1 && environment_.quarantine.TakeTrial(
+                                          causes.front(), environment_.now());
     if (!is_trial_) {
       return Quarantined();
     }
@@ -211,17 +213,33 @@
   return std::nullopt;
 }
 
-bool request_run::IsQuarantined() const {
+bool request_run::IsQuarantined() const { return !QuarantinedBy().empty(); }
+
+std::vector<request_digest> request_run::QuarantinedBy() const {
   const auto& quarantine = environment_.quarantine;
-  return !quarantine.IsEmpty() &&
-         quarantine.Refuses(Digest(), environment_.now());
+  std::vector<request_digest> causes;
+  if (quarantine.IsEmpty()) {
+    return causes;
+  }
+  const auto add = [&](request_digest digest) {
+    if (quarantine.Refuses(digest, environment_.now())) {
+      causes.push_back(digest);
+    }
+  };
+  add(Digest());
+  std::for_each(PartDigests().begin(), PartDigests().end(), add);
+  return causes;
 }
 
 /// It would meet the same answer wherever it came again, so that no time to
 /// come back is told.
 request_run::refusal request_run::Quarantined() const {
+  const auto causes = QuarantinedBy();
+  const auto cause = causes.empty() ? Digest() : causes.front();
   return {error_kind::kQuarantined,
-          "endpoints have crashed under content " + DigestText(Digest())};
+          std::string("endpoints have crashed under ") +
+              (IsOfPart(cause) ? "a part of its prompt, " : "content ") +
+              DigestText(cause)};
 }
 
 void request_run::SetTimes() {
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -61,6 +61,26 @@
   return *digest_;
 }
 
+const std::vector<request_digest>& request_run::PartDigests() const {
+  if (part_digests_.empty()) {
+    for (std::size_t i = 0; i + 1 < facts_.prompt.size(); ++i) {
+      part_digests_.push_back(DigestOfPart(facts_.prompt[i].id));
+    }
+  }
+  return part_digests_;
+}
+
+/// What the endpoint of a broken call may have crashed by. A part of a prompt
+/// crashes it as the answer begins.
+std::vector<request_digest> request_run::Suspects() const {
+  std::vector<request_digest> suspects{Digest()};
+  if (event_reads_ == 0) {
+    const auto& parts = PartDigests();
+    suspects.insert(suspects.end(), parts.begin(), parts.end());
+  }
+  return suspects;
+}
+
 std::uint64_t request_run::SharedPrompt() const {
   if (facts_.prompt.size() < 2 ||
       !environment_.options.Uses(mechanism::kPromptHomes)) {
@@ -198,6 +218,7 @@
   answer_ = {};
   answer_body_.clear();
   events_.reset();
+  event_reads_ = 0;
   record->NoteStart();
   environment_.NoteSent(*record);
   endpoint_call_hooks hooks;
@@ -291,6 +312,10 @@
     return;
   }
   const auto events = events_->Feed(bytes);
+  // The endpoint has lived on after the first event.
+  if (!events.empty() && ++event_reads_ == 2) {
+    environment_.on_served(PartDigests());
+  }
   if (events_->Overflowed()) {
     EndAttempt(call_lesson::kFailed);
     FailAttempt(attempt_failure::kUnknown, "an event past all bounds");
@@ -373,7 +398,7 @@
       environment_.paths.NoteUnreached(record_->Info());
     }
     if (outcome == call_outcome::kBroken) {
-      environment_.on_broken(record_->Info(), Digest());
+      environment_.on_broken(record_->Info(), Suspects());
     }
     EndAttempt(environment_.paths.LessonOf(
         service_, is_direct_, outcome,
@@ -392,7 +417,8 @@
   if (IsSuccess()) {
     environment_.quarantine.NoteAnswer(record_->Info().service,
                                        environment_.now());
-    environment_.on_served(Digest());
+    environment_.on_served(PartDigests());
+    environment_.on_served({Digest()});
   }
   if (events_) {
     BeginStream();
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -137,6 +137,9 @@
   void ArmStallTimer(duration limit);
   std::uint64_t SharedPrompt() const;
   request_digest Digest() const;
+  const std::vector<request_digest>& PartDigests() const;
+  std::vector<request_digest> Suspects() const;
+  std::vector<request_digest> QuarantinedBy() const;
   bool IsSuccess() const;
 
   // The end.
@@ -187,12 +190,15 @@
   /// Binds all further attempts once the caller has an event of the stream.
   std::optional<stream_origin> origin_;
   bool stream_begun_ = false;
+  unsigned event_reads_ = 0;  ///< Of the attempt that runs.
   bool late_pause_ = false;
   time_point last_event_at_{};
 
   asio::steady_timer deadline_timer_;
   asio::steady_timer stall_timer_;
   mutable std::optional<request_digest> digest_;  ///< Once it was asked for.
+  /// Of the parts of the prompt but the last, which is the request's own.
+  mutable std::vector<request_digest> part_digests_;
   bool is_trial_ = false;  ///< Tells whether its quarantine is mistaken.
   bool finished_ = false;
 };
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -245,7 +245,7 @@
     if (piece.group->content == 0) {
       continue;
     }
-    environment_.on_broken(call.record->Info(), piece.group->content);
+    environment_.on_broken(call.record->Info(), {piece.group->content});
   }
 }
 
