A request that crashes endpoints by itself takes none of its parts with it

By reading: the parts of a content that crashes endpoints ran wherever it did. A part needs two crashes of three at endpoints where no quarantined content ran. ARequestThatCrashesEndpointsTakesNoneOfItsPartsWithIt failed before.

Tried and reverted: the same for contents, against the listed soak::quarantined. Four tests of contents that share their crashes fail by it, since all of them are to be refused.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -113,7 +113,7 @@
   void Drop(std::map<std::string, known_crash>::iterator crash);
   void ForgetCrashesOf(request_digest content);
   crash_list CrashesOf(request_digest content) const;
-  bool IsExplained(const known_crash& crash) const;
+  bool IsExplained(const known_crash& crash, request_digest besides) const;
   std::size_t CrashesWithout(request_digest content, const std::string& service,
                              time_point from, time_point to) const;
   crash_list EvidenceAgainst(request_digest content) const;
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t kCrashesToQuarantine = 3;
+/// Of a part's, at endpoints where no content ran that is quarantined already.
+constexpr std::ptrdiff_t kLeastUnexplained = 2;
 /// Reports of one crash come from all hosts that had calls there. Judged
 /// sooner, endpoints that crash together would look like one content's doing.
 constexpr milliseconds kReportTime{300};
@@ -230,7 +232,11 @@
     if (row.size() > kCrashesToQuarantine) {
       row.erase(row.begin());
     }
-    if (row.size() < kCrashesToQuarantine) {
+    const auto unexplained = std::count_if(
+        row.begin(), row.end(),
+        [&](const auto* one) { return !IsExplained(*one, content); });
+    if (row.size() < kCrashesToQuarantine ||
+        (IsOfPart(content) && unexplained < kLeastUnexplained)) {
       continue;
     }
     const auto others = CrashesWithout(content, crash->service,
@@ -315,16 +321,19 @@
       std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
         const auto& crash = entry.second;
         return CrashedBetween(crash, service, from, to) &&
-               !crash.running.contains(content) && !IsExplained(crash);
+               !crash.running.contains(content) && !IsExplained(crash, content);
       });
   return static_cast<std::size_t>(count);
 }
 
-/// A content that is quarantined already has crashed it.
-bool content_quarantine::IsExplained(const known_crash& crash) const {
+/// What is quarantined already has crashed it. A part is judged after the
+/// contents, of which few crash endpoints by a part.
+bool content_quarantine::IsExplained(const known_crash& crash,
+                                     request_digest besides) const {
   return std::any_of(
-      quarantined_.begin(), quarantined_.end(),
-      [&crash](const auto& one) { return crash.running.contains(one.first); });
+      quarantined_.begin(), quarantined_.end(), [&](const auto& one) {
+        return one.first != besides && crash.running.contains(one.first);
+      });
 }
 
 bool content_quarantine::HasLost(request_digest content) const {
--- a/src/slatestall/dispatch/part_quarantine_test.cc
+++ b/src/slatestall/dispatch/part_quarantine_test.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 #include "slatestall/dispatch/quarantine_fleet.h"
 #include "slatestall/model/ids.h"
@@ -24,6 +25,8 @@
   CPPUNIT_TEST(AHostThatLostNoCallWaitsForAReportedVerdict);
   CPPUNIT_TEST(APartThatIsServedIsClearOfChanceCrashes);
   CPPUNIT_TEST(APartThatTurnsGuiltyIsQuarantinedAfterFiveMore);
+  CPPUNIT_TEST(ARequestThatCrashesEndpointsTakesNoneOfItsPartsWithIt);
+  CPPUNIT_TEST(AContentThatRanWhereAnotherCrashedEndpointsIsNotQuarantined);
   CPPUNIT_TEST(AFleetSendsFewMoreOfGuiltyPartsAndServesTheOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +94,40 @@
     CPPUNIT_ASSERT(quarantine.Refuses(kGuilty, At(5400)));
   }
 
+  // Other requests share the parts of one that crashes endpoints by itself.
+  void ARequestThatCrashesEndpointsTakesNoneOfItsPartsWithIt() {
+    auto quarantine = Quarantine();
+    constexpr request_digest kContent = 0xc0;
+    for (int i = 0; i < 4; ++i) {
+      quarantine.NoteCrash(Crash(i, {kContent, kGuilty}),
+                           crash_source::kOwnCalls, At(1000 * i));
+      quarantine.NoteAnswer("s", At(1000 * i + 100));
+      quarantine.Judge(At(1000 * i + 400));
+    }
+    CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(3400)));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kGuilty, At(3400)));
+  }
+
+  // A content that was never served ran at two endpoints that another crashed
+  // and at one that crashed by itself, and was refused from then on.
+  void AContentThatRanWhereAnotherCrashedEndpointsIsNotQuarantined() {
+    auto quarantine = Quarantine();
+    constexpr request_digest kCrashes = 0xc0;
+    constexpr request_digest kByChance = 0xc1;
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(
+          Crash(i, i == 0 ? std::vector<request_digest>{kCrashes}
+                          : std::vector<request_digest>{kCrashes, kByChance}),
+          crash_source::kOwnCalls, At(1000 * i));
+    }
+    quarantine.Judge(At(2400));
+    CPPUNIT_ASSERT(quarantine.Refuses(kCrashes, At(2400)));
+    quarantine.NoteCrash(Crash(3, {kByChance}), crash_source::kOwnCalls,
+                         At(5000));
+    quarantine.Judge(At(9000));
+    CPPUNIT_ASSERT(!quarantine.Refuses(kByChance, At(9000)));
+  }
+
   // Two parts crash endpoints at the same time. Nothing more than few requests
   // with either goes out once all hosts can know, and requests that share their
   // other parts are served.
