--- a/src/slatestall/dispatch/part_quarantine_test.cc
+++ b/src/slatestall/dispatch/part_quarantine_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <array>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,10 @@
 const request_digest kGuilty = DigestOfPart("guilty");
 const request_digest kSecondGuilty = DigestOfPart("guilty as well");
 
+time_point AfterSeconds(int seconds, std::int64_t and_ms = 0) {
+  return At(std::int64_t{1000} * seconds + and_ms);
+}
+
 /// Contents are all different.
 request_digest Content(std::uint64_t draw) { return draw >> 1U; }
 
@@ -41,7 +46,7 @@
     for (int i = first; i < last; ++i) {
       quarantine.NoteCrash(
           Crash(i, {static_cast<request_digest>(i), kShared, kGuilty}), source,
-          At(1000 * i));
+          AfterSeconds(i));
     }
   }
 
@@ -72,10 +77,10 @@
   void APartThatIsServedIsClearOfChanceCrashes() {
     auto quarantine = Quarantine();
     for (int i = 0; i < 12; ++i) {
-      quarantine.NoteServed(kShared, At(1000 * i));
+      quarantine.NoteServed(kShared, AfterSeconds(i));
       CrashUnder(quarantine, i, i + 1, crash_source::kOwnCalls);
-      quarantine.Judge(At(1000 * i + 400));
-      CPPUNIT_ASSERT(!quarantine.Refuses(kShared, At(1000 * i + 400)));
+      quarantine.Judge(AfterSeconds(i, 400));
+      CPPUNIT_ASSERT(!quarantine.Refuses(kShared, AfterSeconds(i, 400)));
     }
     CPPUNIT_ASSERT(quarantine.Refuses(kGuilty, At(12'000)));
   }
@@ -86,10 +91,10 @@
     quarantine.NoteServed(kShared, At(0));
     quarantine.NoteServed(kGuilty, At(500));
     for (int i = 1; i <= 5; ++i) {
-      CPPUNIT_ASSERT(!quarantine.Refuses(kGuilty, At(1000 * i)));
-      quarantine.NoteServed(kShared, At(1000 * i - 1));
+      CPPUNIT_ASSERT(!quarantine.Refuses(kGuilty, AfterSeconds(i)));
+      quarantine.NoteServed(kShared, AfterSeconds(i, -1));
       CrashUnder(quarantine, i, i + 1, crash_source::kOwnCalls);
-      quarantine.Judge(At(1000 * i + 400));
+      quarantine.Judge(AfterSeconds(i, 400));
     }
     CPPUNIT_ASSERT(quarantine.Refuses(kGuilty, At(5400)));
   }
@@ -100,9 +105,9 @@
     constexpr request_digest kContent = 0xc0;
     for (int i = 0; i < 4; ++i) {
       quarantine.NoteCrash(Crash(i, {kContent, kGuilty}),
-                           crash_source::kOwnCalls, At(1000 * i));
-      quarantine.NoteAnswer("s", At(1000 * i + 100));
-      quarantine.Judge(At(1000 * i + 400));
+                           crash_source::kOwnCalls, AfterSeconds(i));
+      quarantine.NoteAnswer("s", AfterSeconds(i, 100));
+      quarantine.Judge(AfterSeconds(i, 400));
     }
     CPPUNIT_ASSERT(quarantine.Refuses(kContent, At(3400)));
     CPPUNIT_ASSERT(!quarantine.Refuses(kGuilty, At(3400)));
@@ -118,7 +123,7 @@
       quarantine.NoteCrash(
           Crash(i, i == 0 ? std::vector<request_digest>{kCrashes}
                           : std::vector<request_digest>{kCrashes, kByChance}),
-          crash_source::kOwnCalls, At(1000 * i));
+          crash_source::kOwnCalls, AfterSeconds(i));
     }
     quarantine.Judge(At(2400));
     CPPUNIT_ASSERT(quarantine.Refuses(kCrashes, At(2400)));
