A run that awaits the list of endpoints ends on its own thread

By reading: the control thread held the last reference to a run for a moment, and could have destroyed it and its timers there. The run's deadline keeps it alive meanwhile, and bounds the search.

--- a/src/slatestall/gateway/request_admission.cc
+++ b/src/slatestall/gateway/request_admission.cc
@@ -133,19 +133,21 @@
 }
 
 /// Without a note of its origin a stream may go on only where no host can have
-/// begun it at another version.
+/// begun it at another version. The list is read on another thread, which must
+/// not be the one that ends this run.
 void request_run::FindOnlyVersion() {
   environment_.find_only_version(
-      service_, StreamLife(), [self = shared_from_this()](const auto& version) {
-        if (self->finished_) {
+      service_, StreamLife(), [weak = weak_from_this()](const auto& version) {
+        const auto self = weak.lock();
+        if (!self || self->finished_) {
           return;
         }
         if (version) {
           self->TakeOrigin({self->service_, *version}, "list");
         } else {
-          self->Refuse({error_kind::kNoEndpoint,
-                        "the software version that began the stream is not "
-                        "known"});
+          self->Refuse(
+              {error_kind::kNoEndpoint,
+               "the software version that began the stream is not known"});
         }
       });
 }
--- a/src/slatestall/gateway/request_run.cc
+++ b/src/slatestall/gateway/request_run.cc
@@ -41,6 +41,7 @@
   }
   environment_.runs.insert(this);
   if (TakesUpAStream()) {
+    ArmDeadline();
     FindOrigin();
   } else {
     Admit();
@@ -55,6 +56,11 @@
   LogTakenWhileStopping();
   environment_.repeats.NoteRequest(service_, environment_.now());
   environment_.metrics.Count("requests", route_->name);
+  ArmDeadline();
+  Book();
+}
+
+void request_run::ArmDeadline() {
   deadline_timer_.expires_after(deadline_ - environment_.now());
   deadline_timer_.async_wait(
       [self = shared_from_this()](const asio::error_code& error) {
@@ -62,7 +68,6 @@
           self->OnDeadline();
         }
       });
-  Book();
 }
 
 void request_run::DeliverWhole() {
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -69,6 +69,7 @@
   // Admission.
   std::optional<refusal> Identify();
   void Admit();
+  void ArmDeadline();
   std::optional<refusal> CheckAdmission() const;
   bool TakesUpAStream() const;
   const std::string& StreamId() const;
