--- a/soak/soak.py
+++ b/soak/soak.py
@@ -53,7 +53,10 @@
 # Engines that a part of a prompt crashes before all hosts know of it.
 PART_CRASHES = 5
 # Checks that KNOWN-RED.txt may list, by what they report.
-LISTABLE = {"soak::quarantined": re.compile(r"\d+ of \d+ quarantined")}
+LISTABLE = {
+    "soak::quarantined": re.compile(r"\d+ of \d+ quarantined"),
+    "soak::guilty_part": re.compile(r"\d+ more requests with a part .*"),
+}
 # Time in which a host that was disturbed may still be wrong.
 SETTLE = 3.0
 
