--- a/include/slatestall/dispatch/stream_origin.h
+++ b/include/slatestall/dispatch/stream_origin.h
@@ -39,12 +39,11 @@
     stream_origin origin;
     time_point until{};
   };
-  using entry_map = std::unordered_map<std::string, entry>;
 
   void Forget(time_point now);
 
   std::size_t most_;
-  entry_map by_stream_;
+  std::unordered_map<std::string, entry> by_stream_;
   std::multimap<time_point, std::string> ends_;  ///< May name earlier ends.
 };
 
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -232,11 +232,13 @@
     if (row.size() > kCrashesToQuarantine) {
       row.erase(row.begin());
     }
-    const auto unexplained = std::count_if(
-        row.begin(), row.end(),
-        [&](const auto* one) { return !IsExplained(*one, content); });
-    if (row.size() < kCrashesToQuarantine ||
-        (IsOfPart(content) && unexplained < kLeastUnexplained)) {
+    if (row.size() < kCrashesToQuarantine) {
+      continue;
+    }
+    if (IsOfPart(content) &&
+        std::count_if(row.begin(), row.end(), [&](const auto* one) {
+          return !IsExplained(*one, content);
+        }) < kLeastUnexplained) {
       continue;
     }
     const auto others = CrashesWithout(content, crash->service,
@@ -326,8 +328,7 @@
   return static_cast<std::size_t>(count);
 }
 
-/// What is quarantined already has crashed it. A part is judged after the
-/// contents, of which few crash endpoints by a part.
+/// Something else that is quarantined already has crashed it.
 bool content_quarantine::IsExplained(const known_crash& crash,
                                      request_digest besides) const {
   return std::any_of(
--- a/src/slatestall/dispatch/stream_origin.cc
+++ b/src/slatestall/dispatch/stream_origin.cc
@@ -1,7 +1,5 @@
 #include "slatestall/dispatch/stream_origin.h"
 
-#include <algorithm>
-
 namespace slatestall {
 
 void stream_origins::Note(const std::string& stream,
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -96,9 +96,7 @@
     std::function<void(const std::optional<std::string>&)> done) {
   endpoints_.ReadNow(
       [this, service, time, done = std::move(done)](bool is_current) {
-        for (const auto& endpoint : published_) {
-          versions_.Note(endpoint, now_());
-        }
+        NoteListedVersions();
         done(is_current ? versions_.Only(service, time, now_()) : std::nullopt);
       });
 }
@@ -232,15 +230,20 @@
   if (has_published_ && listed == published_) {
     return;
   }
-  for (const auto& endpoint : published_) {
-    versions_.Note(endpoint, now_());
-  }
+  NoteListedVersions();
   LogChanges(listed);
   has_published_ = true;
   published_ = listed;
   news_.on_endpoints(std::move(listed));
 }
 
+/// What is listed has been until now.
+void gateway_control::NoteListedVersions() {
+  for (const auto& endpoint : published_) {
+    versions_.Note(endpoint, now_());
+  }
+}
+
 /// One line for each reading of the list, however long it is.
 void gateway_control::LogChanges(const std::vector<known_endpoint>& listed) {
   nlohmann::json fields = {{"listed", listed.size()}};
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -68,6 +68,7 @@
   void TakeEndpointChanges(const std::vector<keyed_record>& records);
   std::optional<known_endpoint> Decode(const keyed_record& record);
   void PublishEndpoints();
+  void NoteListedVersions();
   void LogChanges(const std::vector<known_endpoint>& listed);
   void OnRead(const char* what, bool& reachable, const keyed_read& read);
 
