Peer messages: workspace, content and kind of stage work

Admission at the homes of stages has to know whose work a booking is, which attempts are of one request, and which pieces cost alike. Nothing reads them yet. Names for six mechanisms that will.

--- a/include/slatestall/dispatch/mechanism.h
+++ b/include/slatestall/dispatch/mechanism.h
@@ -33,9 +33,15 @@
   kTopicExchange,     ///< Hosts ask each other while the store is away.
   kRelayedCalls,      ///< A host that is cut off calls through others.
   kBrittleLimit,      ///< Brittle endpoints turn few calls away.
+  kDueTimeAdmission,  ///< Stages admit by due time, not by order of arrival.
+  kWorkspaceShares,   ///< Workspaces share a stage that is short of room.
+  kReturnPlaces,      ///< Refused callers find room when they return.
+  kEndpointPace,      ///< The reported pace of an endpoint's machine counts.
+  kPieceCosts,        ///< What a piece costs is learnt by kind of work.
+  kUnreadLimit,       ///< Answers that callers do not read are bounded.
 };
 
-inline constexpr std::size_t kMechanisms = 23;
+inline constexpr std::size_t kMechanisms = 29;
 
 inline constexpr name_table<mechanism, kMechanisms> kMechanismNames{{
     {mechanism::kBookings, "bookings"},
@@ -61,6 +67,12 @@
     {mechanism::kTopicExchange, "topic_exchange"},
     {mechanism::kRelayedCalls, "relayed_calls"},
     {mechanism::kBrittleLimit, "brittle_limit"},
+    {mechanism::kDueTimeAdmission, "due_time_admission"},
+    {mechanism::kWorkspaceShares, "workspace_shares"},
+    {mechanism::kReturnPlaces, "return_places"},
+    {mechanism::kEndpointPace, "endpoint_pace"},
+    {mechanism::kPieceCosts, "piece_costs"},
+    {mechanism::kUnreadLimit, "unread_limit"},
 }};
 
 /// @brief Those that are switched off; none, but for measurements.
--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -17,6 +17,8 @@
 struct piece_group {
   std::string request;
   request_digest content = 0;  ///< Of the request; 0: not told.
+  std::string workspace;       ///< Empty: none.
+  std::uint64_t kind = 0;      ///< Stage of a route; equal ones cost alike.
   unsigned stage = 0;
   unsigned pieces = 0;
   std::string key;                  ///< Of stages without inputs.
--- a/include/slatestall/dispatch/stage_admission.h
+++ b/include/slatestall/dispatch/stage_admission.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "slatestall/dispatch/request_digest.h"
 #include "slatestall/model/time.h"
 
 namespace slatestall {
@@ -12,6 +13,9 @@
 /// @ingroup dispatch
 struct stage_booking {
   std::string request;
+  request_digest content = 0;  ///< Of the request; 0: not known.
+  std::string workspace;       ///< Empty: none.
+  std::uint64_t kind = 0;      ///< Stage of a route; equal ones cost alike.
   unsigned stage = 0;
   unsigned pieces = 0;
   int rank = 0;                  ///< Of the request; 0 is most urgent.
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -102,6 +102,7 @@
   void Book();
   void PlaceStages();
   int StageRank() const;
+  std::uint64_t KindOf(std::size_t stage) const;
   bool MayRestartStages() const;
   void OnBooked(const booking_answer& answer);
   stage_need NeedOf(std::size_t stage, const stage_shard& shard) const;
--- a/src/slatestall/gateway/request_stages.cc
+++ b/src/slatestall/gateway/request_stages.cc
@@ -6,6 +6,7 @@
 
 #include "slatestall/dispatch/endpoint_pick.h"
 #include "slatestall/gateway/request_run.h"
+#include "slatestall/model/ids.h"
 
 namespace slatestall {
 
@@ -55,11 +56,19 @@
   return environment_.options.Uses(mechanism::kRankMargins) ? rank_ : 0;
 }
 
+/// Hosts that have the same configuration agree on it.
+std::uint64_t request_run::KindOf(std::size_t stage) const {
+  return StableHash(route_->name, stage);
+}
+
 stage_need request_run::NeedOf(std::size_t stage,
                                const stage_shard& shard) const {
   stage_need need;
   need.shard = shard;
   need.booking.request = facts_.id;
+  need.booking.content = Digest();
+  need.booking.workspace = workspace_;
+  need.booking.kind = KindOf(stage);
   need.booking.stage = static_cast<unsigned>(stage);
   need.booking.pieces = graph_->Pieces(stage);
   need.booking.rank = StageRank();
@@ -133,6 +142,8 @@
   piece_group group;
   group.request = facts_.id;
   group.content = Digest();
+  group.workspace = workspace_;
+  group.kind = KindOf(stage);
   group.stage = static_cast<unsigned>(stage);
   group.pieces = graph_->Pieces(stage);
   group.inputs = graph_->InputsOf(stage);
@@ -241,6 +252,7 @@
         return;
       }
       break;
+    case stage_end::kDisplaced:
     case stage_end::kTooLate:
     case stage_end::kFailed:
       break;
--- a/src/slatestall/gateway/stage_calls.h
+++ b/src/slatestall/gateway/stage_calls.h
@@ -16,6 +16,7 @@
   kMade,
   kTooLate,     ///< No result in time for any use.
   kInputsGone,  ///< Results that it needs are no longer kept.
+  kDisplaced,   ///< Gave way to more urgent work before any piece was made.
   kFailed,      ///< Tried as often as makes sense.
 };
 
--- a/src/slatestall/gateway/stage_wire.cc
+++ b/src/slatestall/gateway/stage_wire.cc
@@ -47,6 +47,8 @@
   submit.near = group.near;
   submit.result_bytes = group.result_bytes;
   submit.content = group.content;
+  submit.workspace = group.workspace;
+  submit.kind = group.kind;
   return submit;
 }
 
@@ -65,6 +67,9 @@
   book.due_ms = until(booking.due);
   book.useful_ms = until(booking.useful_by);
   book.worthless_ms = until(booking.worthless_after);
+  book.content = booking.content;
+  book.workspace = booking.workspace;
+  book.kind = booking.kind;
   return book;
 }
 
@@ -78,6 +83,9 @@
   need.booking.due = now + milliseconds(book.due_ms);
   need.booking.useful_by = now + milliseconds(book.useful_ms);
   need.booking.worthless_after = now + milliseconds(book.worthless_ms);
+  need.booking.content = book.content;
+  need.booking.workspace = book.workspace;
+  need.booking.kind = book.kind;
   return need;
 }
 
@@ -109,6 +117,8 @@
   group.near = submit.near;
   group.result_bytes = submit.result_bytes;
   group.content = submit.content;
+  group.workspace = submit.workspace;
+  group.kind = submit.kind;
   return group;
 }
 
@@ -120,6 +130,8 @@
       return wire::pieces_end::too_late;
     case stage_end::kInputsGone:
       return wire::pieces_end::inputs_gone;
+    case stage_end::kDisplaced:
+      return wire::pieces_end::displaced;
     case stage_end::kFailed:
       break;
   }
@@ -134,6 +146,8 @@
       return stage_end::kTooLate;
     case wire::pieces_end::inputs_gone:
       return stage_end::kInputsGone;
+    case wire::pieces_end::displaced:
+      return stage_end::kDisplaced;
     case wire::pieces_end::failed:
       break;
   }
