Endpoints' load is read with its pace

An endpoint that reports a fourth figure, how long work takes on its machine now, lost its whole Load header: nothing was known of its load. The pace counts for 300 ms, within 0.2 to 5, in the choice of an endpoint, and nothing is learnt of an endpoint whose machine is held up.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -65,8 +65,10 @@
 class endpoint_record {
  public:
   /// @param may_avoid Whether it is left alone after failures.
-  explicit endpoint_record(known_endpoint info, bool may_avoid = true)
-      : info_(std::move(info)), may_avoid_(may_avoid) {}
+  /// @param uses_pace Whether the pace that it reports counts.
+  explicit endpoint_record(known_endpoint info, bool may_avoid = true,
+                           bool uses_pace = true)
+      : info_(std::move(info)), may_avoid_(may_avoid), uses_pace_(uses_pace) {}
 
   const known_endpoint& Info() const { return info_; }
   void Update(known_endpoint info) { info_ = std::move(info); }
@@ -99,6 +101,13 @@
   bool BacksOff(time_point now) const { return now < back_off_until_; }
   /// @param relative Time that an answer took against what was expected.
   void NoteSlowness(double relative) { slowness_.Add(relative); }
+  /// @brief Whether its machine is slower than usual, as it has just reported.
+  /// What takes long meanwhile says nothing of the endpoint.
+  bool IsHeldUp(time_point now) const { return Pace(now) > 1.0; }
+
+  /// @brief How long work takes there now against what is usual, as the last
+  /// answer reported it; 1 where that is not known or too old.
+  double Pace(time_point now) const;
 
   std::uint32_t InFlight() const { return in_flight_; }
   /// @brief Calls there now, other hosts' estimated from the last told load.
@@ -125,6 +134,7 @@
  private:
   known_endpoint info_;
   bool may_avoid_;
+  bool uses_pace_;
   std::uint32_t in_flight_ = 0;
   told_load told_;
   std::optional<double> quota_;
--- a/include/slatestall/dispatch/endpoint_roster.h
+++ b/include/slatestall/dispatch/endpoint_roster.h
@@ -20,7 +20,9 @@
 class endpoint_roster {
  public:
   /// @param may_avoid Whether endpoints are left alone after failures.
-  explicit endpoint_roster(bool may_avoid = true) : may_avoid_(may_avoid) {}
+  /// @param uses_pace Whether the pace that endpoints report counts.
+  explicit endpoint_roster(bool may_avoid = true, bool uses_pace = true)
+      : may_avoid_(may_avoid), uses_pace_(uses_pace) {}
 
   void Replace(const std::vector<known_endpoint>& listed);
 
@@ -56,6 +58,7 @@
   void KeepUnlisted(const endpoint_record_ptr& record);
 
   bool may_avoid_;
+  bool uses_pace_;
   std::map<std::string, endpoint_record_ptr> by_id_;
   std::map<std::string, std::vector<endpoint_record_ptr>> by_service_;
   std::unordered_map<std::string, endpoint_record_ptr> by_address_;
--- a/src/slatestall/dispatch/endpoint_pick.cc
+++ b/src/slatestall/dispatch/endpoint_pick.cc
@@ -181,8 +181,8 @@
     const double busy = one.busy / slots;
     const bool is_far =
         !request_.near.empty() && request_.near != record.Info().failure_domain;
-    return (kOwnCall + busy) * record.Slowness() * FailureFactor(record) *
-           (is_far ? kFarFactor : 1.0);
+    return (kOwnCall + busy) * record.Slowness() * record.Pace(request_.now) *
+           FailureFactor(record) * (is_far ? kFarFactor : 1.0);
   }
 
   /// Ties go by a hash of the moment, so that hosts that know equally little
--- a/src/slatestall/dispatch/endpoint_pick_test.cc
+++ b/src/slatestall/dispatch/endpoint_pick_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(ColdEndpointsAreLeftAloneWhileWarmOnesHaveRoom);
   CPPUNIT_TEST(ColdEndpointsGetWhatTheyMayWhereWarmOnesAreFull);
   CPPUNIT_TEST(WithNothingWarmOnlyWhatIsAllowedIsUsed);
+  CPPUNIT_TEST(AnEndpointOnASlowMachineIsPassedByWhileThatIsFresh);
+  CPPUNIT_TEST(AWrongPaceIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +56,34 @@
     return PickEndpoint(roster_.Of("engines"), request);
   }
 
+  // Guards against work for a machine that others keep busy, and against an
+  // endpoint that stays unused for a report of a moment ago.
+  void AnEndpointOnASlowMachineIsPassedByWhileThatIsFresh() {
+    roster_.Replace(Endpoints(2));
+    const auto& all = roster_.Of("engines");
+    all[0]->NoteLoad({0, 0, 4, kStart, 2.5});
+    all[1]->NoteLoad({0, 0, 4, kStart});
+    for (int ms = 0; ms < 300; ms += 10) {
+      CPPUNIT_ASSERT(Pick(0, ms) == all[1]);
+    }
+    std::set<endpoint_record_ptr> picked;
+    for (int ms = 300; ms < 400; ++ms) {
+      picked.insert(Pick(0, ms));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, picked.size());
+  }
+
+  void AWrongPaceIsBounded() {
+    roster_.Replace(Endpoints(1));
+    const auto& record = roster_.Of("engines").front();
+    record->NoteLoad({0, 0, 4, kStart, 1000.0});
+    CPPUNIT_ASSERT_EQUAL(5.0, record->Pace(kStart));
+    record->NoteLoad({0, 0, 4, kStart, 0.01});
+    CPPUNIT_ASSERT_EQUAL(0.2, record->Pace(kStart));
+    record->NoteLoad({0, 0, 4, kStart});
+    CPPUNIT_ASSERT_EQUAL(1.0, record->Pace(kStart));
+  }
+
   // An endpoint failed three calls, crashed and starts again under its id. Left
   // alone for what its last run did, or passed over as one that this request
   // has tried, it would stand idle while the others queue.
--- a/src/slatestall/dispatch/endpoint_record.cc
+++ b/src/slatestall/dispatch/endpoint_record.cc
@@ -21,6 +21,13 @@
 constexpr milliseconds kRoomLife{300};
 constexpr double kRoomPart = 0.5;
 
+/// The pace of a machine that others use, too, changes many times a second; an
+/// older report is worse than none.
+constexpr milliseconds kPaceLife{300};
+/// Bounds what a wrong report can do.
+constexpr double kLeastPace = 0.2;
+constexpr double kMostPace = 5.0;
+
 double SecondsBetween(time_point from, time_point to) {
   return std::chrono::duration<double>(to - from).count();
 }
@@ -76,6 +83,13 @@
          until;
 }
 
+double endpoint_record::Pace(time_point now) const {
+  if (!uses_pace_ || !told_.pace || now - told_.at >= kPaceLife) {
+    return 1.0;
+  }
+  return std::clamp(*told_.pace, kLeastPace, kMostPace);
+}
+
 double endpoint_record::OthersBusy(time_point now) const {
   if (told_.at == time_point{}) {
     return 0;
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -54,7 +54,7 @@
     record = TakeUnlisted(endpoint.Incarnation());
   }
   if (!record || !IsSameRun(record->Info(), endpoint)) {
-    return std::make_shared<endpoint_record>(endpoint, may_avoid_);
+    return std::make_shared<endpoint_record>(endpoint, may_avoid_, uses_pace_);
   }
   record->Update(endpoint);
   return record;
--- a/src/slatestall/gateway/request_attempts.cc
+++ b/src/slatestall/gateway/request_attempts.cc
@@ -369,10 +369,8 @@
   }
   spans_.NoteFirstEvent(environment_.now());
   const duration taken = spans_.SinceSent(environment_.now());
-  record_->NoteSlowness(static_cast<double>(taken.count()) /
-                        static_cast<double>(FirstEventTime().count()));
-  if (route_->IsStream() && !facts_.last_event && sends_ == 0) {
-    environment_.first_events[service_].Note(PromptSize(), taken);
+  if (!record_->IsHeldUp(environment_.now())) {
+    NoteFirstEvent(taken);
   }
   environment_.metrics.Observe("first_event", route_->name,
                                environment_.now() - request_.arrived);
@@ -382,6 +380,14 @@
   FreeResults();
 }
 
+void request_run::NoteFirstEvent(duration taken) {
+  record_->NoteSlowness(static_cast<double>(taken.count()) /
+                        static_cast<double>(FirstEventTime().count()));
+  if (route_->IsStream() && !facts_.last_event && sends_ == 0) {
+    environment_.first_events[service_].Note(PromptSize(), taken);
+  }
+}
+
 void request_run::OnEnd(call_outcome outcome) {
   const bool whole = outcome == call_outcome::kComplete &&
                      !(events_ && events_->InsideEvent());
@@ -428,10 +434,12 @@
     }
     return;
   }
-  record_->NoteSlowness(
-      static_cast<double>(spans_.SinceSent(environment_.now()).count()) /
-      static_cast<double>(
-          std::max<duration>(route_->objective, milliseconds(1)).count()));
+  if (!record_->IsHeldUp(environment_.now())) {
+    record_->NoteSlowness(
+        static_cast<double>(spans_.SinceSent(environment_.now()).count()) /
+        static_cast<double>(
+            std::max<duration>(route_->objective, milliseconds(1)).count()));
+  }
   DeliverWhole();
 }
 
--- a/src/slatestall/gateway/request_run.h
+++ b/src/slatestall/gateway/request_run.h
@@ -147,6 +147,7 @@
   // The end.
   void DeliverWhole();
   void BeginStream();
+  void NoteFirstEvent(duration taken);
   void Refuse(const refusal& why);
   void Abort(const std::string& why);
   void OnCallerGone();
--- a/src/slatestall/serve/load_header.cc
+++ b/src/slatestall/serve/load_header.cc
@@ -1,34 +1,21 @@
 #include "slatestall/serve/load_header.h"
 
-#include <array>
-#include <charconv>
+#include <vector>
 
 namespace slatestall {
-namespace {
-
-/// Counts past this are nonsense and would keep an endpoint from all calls.
-constexpr std::uint32_t kMostCalls = 1'000'000;
-
-}  // namespace
 
 std::optional<told_load> LoadInHeader(std::string_view text, time_point at) {
-  std::array<std::uint32_t, 3> counts{};
-  const char* next = text.data();
-  const char* const end = next + text.size();
-  for (std::size_t i = 0; i < counts.size(); ++i) {
-    if (i > 0 && (next == end || *next++ != '/')) {
-      return std::nullopt;
+  constexpr std::size_t kFigures = 3;
+  std::vector<std::string_view> figures;
+  while (figures.size() <= kFigures) {
+    const auto slash = text.find('/');
+    figures.push_back(text.substr(0, slash));
+    if (slash == std::string_view::npos) {
+      break;
     }
-    const auto read = std::from_chars(next, end, counts[i]);
-    if (read.ec != std::errc{} || counts[i] > kMostCalls) {
-      return std::nullopt;
-    }
-    next = read.ptr;
-  }
-  if (next != end) {
-    return std::nullopt;
+    text.remove_prefix(slash + 1);
   }
-  return told_load{counts[0], counts[1], counts[2], at};
+  return figures.size() == kFigures ? LoadFrom(figures, at) : std::nullopt;
 }
 
 void TellLoad(const lane_environment& environment, const std::string& address,
