Stages admit by due time and rank, and workspaces share them

A booking counted all that waited or was booked as ahead of it, in order of arrival, while the queue serves by due time: a loose kind filled the account seconds ahead.

A booking is now in time if what the queue serves before it leaves it in time, by when that work is due, and if it makes nothing late that is as urgent. Room is kept for what more urgent kinds are expected to ask (stage_demand), and a kind that is admitted half as often as all is given room. Late work is taken as far as in-time work leaves capacity. Work is counted as endpoint time, by what a piece of its kind was seen to cost (piece_costs). A workspace over its max-min share of a shard that refuses work leaves a call's time of room to the others (workspace_shares); it is not refused by a limit, which would lower what is admitted in all when the others ask for less than estimated.

--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -101,7 +101,7 @@
 void BookOne(benchmark::State& state) {
   stage_admission admission;
   stage_capacity capacity;
-  capacity.pieces_per_second = 1e9;
+  capacity.calls = 1e6;
   capacity.call_time = milliseconds(250);
   std::uint64_t number = 0;
   for (auto _ : state) {
@@ -109,10 +109,11 @@
     stage_booking booking;
     booking.request = "r" + std::to_string(number);
     booking.pieces = 16;
+    booking.work = milliseconds(16);
     booking.due = now;
     booking.useful_by = now + milliseconds(1000);
     booking.worthless_after = now + milliseconds(4000);
-    benchmark::DoNotOptimize(admission.Book(booking, capacity, 0, 0, now));
+    benchmark::DoNotOptimize(admission.Book(booking, capacity, {}, now));
   }
 }
 BENCHMARK(BookOne);
--- a/include/slatestall/dispatch/piece_queue.h
+++ b/include/slatestall/dispatch/piece_queue.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "slatestall/dispatch/request_digest.h"
+#include "slatestall/dispatch/stage_admission.h"
 #include "slatestall/model/region_limit.h"
 #include "slatestall/model/time.h"
 
@@ -55,6 +56,12 @@
   std::function<bool(const std::string& domain)> has_endpoint;
 };
 
+/// @brief By how much a request of the next rank is taken to be due later:
+/// enough for the more urgent one to go first where both are close, too little
+/// to starve the other.
+/// @param call_time Of a full call.
+duration RankStep(duration call_time);
+
 struct piece_batch {
   std::vector<waiting_piece> pieces;
   std::vector<piece_group_ptr> expired;  ///< Dropped: too late for any use.
@@ -94,8 +101,12 @@
                                            time_point done_by);
 
   std::size_t Pieces() const { return entries_.size(); }
-  /// @brief Those that are in time if a call made now has them.
-  std::size_t PiecesInTime(time_point done_by) const;
+  /// @brief Work that waits; in time is what a call that ends by `done_by`
+  /// makes in time.
+  /// @param piece_work Time of an endpoint that one piece of a group takes.
+  stage_backlog Backlog(
+      time_point done_by,
+      const std::function<duration(const piece_group&)>& piece_work) const;
 
  private:
   struct entry {
--- a/src/slatestall/dispatch/piece_queue.cc
+++ b/src/slatestall/dispatch/piece_queue.cc
@@ -6,9 +6,7 @@
 namespace slatestall {
 namespace {
 
-/// Part of a call by which a request of the next rank is taken to be due later:
-/// enough for the more urgent one to go first where both are close, too little
-/// to starve the other.
+/// Of a full call.
 constexpr double kRankStepPart = 0.36;
 
 /// Part of a full call that a piece waits for an endpoint near its bytes: after
@@ -68,6 +66,10 @@
 
 }  // namespace
 
+duration RankStep(duration call_time) {
+  return Scaled(call_time, kRankStepPart);
+}
+
 void piece_queue::Add(const piece_group_ptr& group, time_point now,
                       duration call_time) {
   const time_point anywhere_from = now + NearWait(*group, now, call_time);
@@ -103,10 +105,26 @@
   return expired;
 }
 
-std::size_t piece_queue::PiecesInTime(time_point done_by) const {
-  return static_cast<std::size_t>(std::count_if(
-      entries_.begin(), entries_.end(),
-      [&](const entry& one) { return one.piece.group->useful_by >= done_by; }));
+stage_backlog piece_queue::Backlog(
+    time_point done_by,
+    const std::function<duration(const piece_group&)>& piece_work) const {
+  stage_backlog backlog;
+  // Pieces of a group lie side by side but for those that were tried before.
+  const piece_group* last = nullptr;
+  duration work(0);
+  for (const auto& one : entries_) {
+    const auto& group = *one.piece.group;
+    const bool is_late = group.useful_by < done_by;
+    if (&group != last) {
+      work = piece_work(group);
+      if (!is_late) {
+        backlog.in_time.push_back({group.useful_by, group.rank, duration(0)});
+      }
+    }
+    last = &group;
+    (is_late ? backlog.late : backlog.in_time.back().work) += work;
+  }
+  return backlog;
 }
 
 piece_batch piece_queue::Take(const batch_terms& terms) {
@@ -116,7 +134,7 @@
                   terms.piece_time * static_cast<duration::rep>(fill);
   batch.expired = DropExpired(terms.now, terms.late_wait, batch.done_by);
   const pressing_order order{batch.done_by,
-                             Scaled(batch.done_by - terms.now, kRankStepPart)};
+                             RankStep(batch.done_by - terms.now)};
   // Within a class those near their bytes go first: with all endpoints busy,
   // each takes its own domain's pieces, and others' only to fill a call.
   std::stable_sort(
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -1,6 +1,10 @@
 #include "slatestall/dispatch/stage_admission.h"
 
 #include <algorithm>
+#include <array>
+
+#include "slatestall/dispatch/piece_queue.h"
+#include "slatestall/model/ids.h"
 
 namespace slatestall {
 namespace {
@@ -28,62 +32,274 @@
 /// due: its request has ended at a host that could not say so.
 constexpr milliseconds kBookingLife{1500};
 
-duration Seconds(double seconds) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(seconds));
+/// Part of the capacity that in-time work has to leave for late work to be
+/// taken at all.
+constexpr double kLeastSparePart = 0.05;
+
+time_point RankedAt(time_point useful_by, int rank, duration call_time) {
+  return useful_by + RankStep(call_time) * rank;
+}
+
+std::uint64_t KeyDigest(const std::string& request, unsigned stage) {
+  return StableHash(request, stage) | 1U;
 }
 
+/// A booking that gives way leaves a full call of room to others.
+time_point LimitOf(const stage_booking& booking, duration call_time,
+                   bool gives_way) {
+  return booking.useful_by - (gives_way ? call_time : duration(0));
+}
+
+/// Bookings are told apart by when they are due in steps of this.
+constexpr milliseconds kDueStep{100};
+constexpr std::size_t kDueSteps = 12;
+
+/// When work ends that is served after `ahead` of other work.
+class service_time {
+ public:
+  service_time(const stage_capacity& capacity, double confidence,
+               time_point now)
+      : from_(std::max(now, capacity.opens_at)),
+        calls_(capacity.calls * confidence),
+        call_time_(capacity.call_time) {}
+
+  time_point EndAfter(duration ahead) const { return EndAfter(ahead, from_); }
+  /// @param from No part of `ahead` is there before.
+  time_point EndAfter(duration ahead, time_point from) const {
+    return std::max(from, from_) + Scaled(ahead, 1.0 / calls_) + call_time_;
+  }
+
+ private:
+  time_point from_;
+  double calls_;
+  duration call_time_;
+};
+
+/// Work by the time at which it is due. What comes later cannot be done before,
+/// however idle the shard is until then.
+class due_profile {
+ public:
+  explicit due_profile(time_point now) : now_(now) {}
+
+  void Add(time_point due, duration work) { steps_[StepOf(due)] += work; }
+  /// @brief When all of it can have ended.
+  time_point End(const service_time& service) const {
+    time_point end{};
+    duration later(0);
+    for (std::size_t step = kDueSteps; step-- > 0;) {
+      later += steps_[step];
+      if (steps_[step] > duration(0)) {
+        const auto since = kDueStep * static_cast<duration::rep>(step);
+        end = std::max(end, service.EndAfter(later, now_ + since));
+      }
+    }
+    return end;
+  }
+
+ private:
+  std::size_t StepOf(time_point due) const {
+    const auto step = std::max<duration>(duration(0), due - now_) / kDueStep;
+    return std::min(static_cast<std::size_t>(step), kDueSteps - 1);
+  }
+
+  time_point now_;
+  std::array<duration, kDueSteps> steps_{};
+};
+
 }  // namespace
 
 booking_answer stage_admission::Book(const stage_booking& booking,
                                      const stage_capacity& capacity,
-                                     std::size_t waiting_in_time,
-                                     std::size_t waiting, time_point now) {
+                                     const stage_backlog& waiting,
+                                     time_point now) {
   Expire(now);
-  if (capacity.pieces_per_second <= 0) {
+  if (capacity.calls <= 0) {
     return {booking_verdict::kRefused, capacity.call_time};
   }
-  const auto start = [&](std::size_t ahead) {
-    const duration busy = Seconds(static_cast<double>(ahead) /
-                                  (capacity.pieces_per_second * confidence_));
-    return std::max(booking.due, std::max(now, capacity.opens_at) + busy);
-  };
+  // Booked anew, it does not compete with itself.
+  Release(booking.request, booking.stage);
+  const time_point ranked_at =
+      RankedAt(booking.useful_by, booking.rank, capacity.call_time);
+  demand_.NoteAsked(booking.kind, booking.rank, booking.work, ranked_at - now,
+                    now);
+  const auto found = order_ == admission_order::kArrival
+                         ? FindByArrival(booking, capacity, waiting, now)
+                         : FindByDueTime(booking, capacity, waiting, now);
   booking_answer answer;
-  const time_point in_time =
-      start(waiting_in_time + in_time_) + capacity.call_time;
+  answer.ahead = found.ahead;
+  answer.reserved = found.reserved;
+  if (found.lacks > duration(0)) {
+    if (!MayBeLate(booking, capacity, waiting, now)) {
+      answer.verdict = booking_verdict::kRefused;
+      answer.room_after = std::max(found.lacks, capacity.opens_at - now);
+      return answer;
+    }
+    answer.verdict = booking_verdict::kLate;
+  }
+  const bool in_time = answer.verdict == booking_verdict::kInTime;
+  if (in_time) {
+    demand_.NoteAdmitted(booking.kind, booking.work, now);
+  }
+  Hold(booking, in_time, capacity.call_time);
+  return answer;
+}
+
+stage_admission::finding stage_admission::FindByArrival(
+    const stage_booking& booking, const stage_capacity& capacity,
+    const stage_backlog& waiting, time_point now) const {
+  finding found;
+  found.ahead = in_time_;
+  for (const auto& one : waiting.in_time) {
+    found.ahead += one.work;
+  }
+  const service_time service(capacity, confidence_, now);
+  const time_point end =
+      std::max(booking.due + capacity.call_time, service.EndAfter(found.ahead));
   const time_point limit =
-      booking.useful_by -
+      LimitOf(booking, capacity.call_time, booking.is_over_share) -
       Scaled(capacity.call_time, kRankMarginPart * booking.rank);
-  if (in_time > limit) {
-    const time_point late = start(waiting + Booked()) + capacity.call_time;
-    const duration patience =
-        std::min<duration>((booking.worthless_after - booking.due) / 2,
-                           capacity.call_time * kLateCalls);
-    const auto most = booking.due + patience;
-    if (late > most) {
-      return {booking_verdict::kRefused,
-              std::max(in_time - limit, capacity.opens_at - now)};
+  found.lacks = end - limit;
+  return found;
+}
+
+/// Walks through what waits and what is booked in the order of the queue.
+stage_admission::finding stage_admission::FindByDueTime(
+    const stage_booking& booking, const stage_capacity& capacity,
+    const stage_backlog& waiting, time_point now) const {
+  const service_time service(capacity, confidence_, now);
+  const time_point ranked_at =
+      RankedAt(booking.useful_by, booking.rank, capacity.call_time);
+  const bool is_starved = demand_.IsStarved(booking.kind, now);
+
+  std::vector<ranked_work> queued;
+  queued.reserve(waiting.in_time.size());
+  for (const auto& one : waiting.in_time) {
+    queued.push_back({RankedAt(one.useful_by, one.rank, capacity.call_time),
+                      one.useful_by, now, one.rank, one.work, 0});
+  }
+  const auto by_rank_time = [](const ranked_work& a, const ranked_work& b) {
+    return a.ranked_at < b.ranked_at;
+  };
+  std::sort(queued.begin(), queued.end(), by_rank_time);
+
+  finding found;
+  duration before(0);  // Work served before the one looked at.
+  duration delays(0);  // The most by which an admitted one would be late.
+  due_profile profile(now);
+  due_profile profile_with(now);
+  profile_with.Add(booking.due, booking.work);
+  time_point own_end{};
+  const auto find_own_end = [&] {
+    found.ahead = before;
+    own_end = profile_with.End(service);
+  };
+  const auto look = [&](const ranked_work& one) {
+    const bool is_after = one.ranked_at > ranked_at;
+    if (is_after && own_end == time_point{}) {
+      find_own_end();
     }
-    answer.verdict = booking_verdict::kLate;
+    before += one.work;
+    profile.Add(one.due, one.work);
+    profile_with.Add(one.due, one.work);
+    if (!is_after || one.rank > booking.rank) {
+      return;
+    }
+    const time_point end = profile_with.End(service);
+    // One that is late already is not made so by this booking.
+    if (end > one.useful_by && profile.End(service) <= one.useful_by) {
+      delays = std::max(delays, end - one.useful_by);
+    }
+  };
+  auto next = ranked_.begin();
+  for (const auto& one : queued) {
+    while (next != ranked_.end() && next->ranked_at <= one.ranked_at) {
+      look(*next++);
+    }
+    look(one);
+  }
+  std::for_each(next, ranked_.end(), look);
+  if (own_end == time_point{}) {
+    find_own_end();
   }
+
+  if (!is_starved) {
+    found.reserved = demand_.ExpectedBefore(ranked_at, booking.rank, now);
+    found.ahead += found.reserved;
+  }
+  const bool is_favoured =
+      demand_.IsFavoured(booking.kind, now) && demand_.AnyStarved(now);
+  const time_point limit = LimitOf(booking, capacity.call_time,
+                                   is_favoured || booking.is_over_share);
+  const time_point end =
+      std::max({booking.due + capacity.call_time, own_end,
+                service.EndAfter(found.ahead + booking.work)});
+  found.lacks = std::max(end - limit, delays);
+  return found;
+}
+
+/// A late request is taken where it is expected to be served soon: one that
+/// waits longer holds the results of its earlier stages, and with them the room
+/// that others need.
+bool stage_admission::MayBeLate(const stage_booking& booking,
+                                const stage_capacity& capacity,
+                                const stage_backlog& waiting,
+                                time_point now) const {
+  duration work = in_time_ + late_ + waiting.late;
+  for (const auto& one : waiting.in_time) {
+    work += one.work;
+  }
+  double calls = capacity.calls * confidence_;
+  if (order_ == admission_order::kDueTime) {
+    // In-time work that is going to come goes first as well.
+    const double spare = calls - demand_.AdmittedRate(now);
+    if (work > duration(0) && spare < kLeastSparePart * calls) {
+      return false;
+    }
+    calls = std::max(spare, kLeastSparePart * calls);
+    work += booking.work;
+  }
+  const time_point start =
+      std::max(booking.due,
+               std::max(now, capacity.opens_at) + Scaled(work, 1.0 / calls));
+  const duration patience =
+      std::min<duration>((booking.worthless_after - booking.due) / 2,
+                         capacity.call_time * kLateCalls);
+  return start + capacity.call_time <= booking.due + patience;
+}
+
+void stage_admission::Hold(const stage_booking& booking, bool in_time,
+                           duration call_time) {
   const key name{booking.request, booking.stage};
-  Release(booking.request, booking.stage);
-  const bool is_in_time = answer.verdict == booking_verdict::kInTime;
   const time_point expires = booking.due + kBookingLife;
-  held_[name] = {booking.pieces, is_in_time, expires};
+  const time_point ranked_at =
+      RankedAt(booking.useful_by, booking.rank, call_time);
+  held_[name] = {booking.pieces, booking.workspace, booking.work,
+                 in_time,        ranked_at,         expires};
   expiries_.emplace(expires, name);
-  (is_in_time ? in_time_ : late_) += booking.pieces;
-  return answer;
+  pieces_ += booking.pieces;
+  (in_time ? in_time_ : late_) += booking.work;
+  if (in_time) {
+    const auto place =
+        std::upper_bound(ranked_.begin(), ranked_.end(), ranked_at,
+                         [](time_point at, const ranked_work& one) {
+                           return at < one.ranked_at;
+                         });
+    ranked_.insert(place,
+                   {ranked_at, booking.useful_by, booking.due, booking.rank,
+                    booking.work, KeyDigest(booking.request, booking.stage)});
+  }
 }
 
-bool stage_admission::Release(const std::string& request, unsigned stage) {
+std::optional<released_booking> stage_admission::Release(
+    const std::string& request, unsigned stage) {
   const auto found = held_.find({request, stage});
   if (found == held_.end()) {
-    return false;
+    return std::nullopt;
   }
-  const bool in_time = found->second.in_time;
+  const auto& gone = found->second;
+  released_booking released{gone.in_time, gone.workspace, gone.work};
   Drop(found);
-  return in_time;
+  return released;
 }
 
 void stage_admission::NoteOutcome(std::size_t in_time, std::size_t late,
@@ -104,8 +320,23 @@
 }
 
 void stage_admission::Drop(std::map<key, held>::iterator booking) {
-  auto& sum = booking->second.in_time ? in_time_ : late_;
-  sum -= std::min<std::size_t>(sum, booking->second.pieces);
+  const auto& [name, gone] = *booking;
+  pieces_ -= std::min<std::size_t>(pieces_, gone.pieces);
+  (gone.in_time ? in_time_ : late_) -= gone.work;
+  if (gone.in_time) {
+    const auto digest = KeyDigest(name.first, name.second);
+    const auto first =
+        std::lower_bound(ranked_.begin(), ranked_.end(), gone.ranked_at,
+                         [](const ranked_work& one, time_point at) {
+                           return one.ranked_at < at;
+                         });
+    const auto place = std::find_if(
+        first, ranked_.end(),
+        [&](const ranked_work& one) { return one.booking == digest; });
+    if (place != ranked_.end()) {
+      ranked_.erase(place);
+    }
+  }
   held_.erase(booking);
 }
 
--- a/src/slatestall/dispatch/stage_admission_test.cc
+++ b/src/slatestall/dispatch/stage_admission_test.cc
@@ -11,9 +11,13 @@
 
 const time_point kStart{std::chrono::hours(1)};
 
+/// A piece takes a millisecond of an endpoint.
+constexpr milliseconds kPieceWork{1};
+
 stage_capacity Capacity(double pieces_per_second) {
   stage_capacity capacity;
-  capacity.pieces_per_second = pieces_per_second;
+  capacity.calls =
+      pieces_per_second * std::chrono::duration<double>(kPieceWork).count();
   capacity.call_time = milliseconds(250);
   return capacity;
 }
@@ -24,6 +28,7 @@
   booking.request = request;
   booking.stage = 2;
   booking.pieces = 16;
+  booking.work = 16 * kPieceWork;
   booking.rank = rank;
   booking.due = now + milliseconds(500);
   booking.useful_by = now + milliseconds(1400);
@@ -31,6 +36,14 @@
   return booking;
 }
 
+/// Pieces that wait, due as soon as any.
+stage_backlog Waiting(std::size_t pieces, time_point now) {
+  stage_backlog backlog;
+  backlog.in_time.push_back({now + milliseconds(300), 0,
+                             kPieceWork * static_cast<duration::rep>(pieces)});
+  return backlog;
+}
+
 class stage_admission_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(stage_admission_test);
   CPPUNIT_TEST(AnIdleShardTakesWhatComes);
@@ -47,7 +60,7 @@
   void AnIdleShardTakesWhatComes() {
     stage_admission admission;
     const auto answer =
-        admission.Book(Booking("r", kStart), Capacity(1000), 0, 0, kStart);
+        admission.Book(Booking("r", kStart), Capacity(1000), {}, kStart);
     CPPUNIT_ASSERT(answer.verdict == booking_verdict::kInTime);
     CPPUNIT_ASSERT_EQUAL(std::size_t{16}, admission.Booked());
   }
@@ -59,7 +72,7 @@
     auto capacity = Capacity(1000);
     capacity.opens_at = kStart + milliseconds(3000);
     const auto answer =
-        admission.Book(Booking("r", kStart), capacity, 0, 0, kStart);
+        admission.Book(Booking("r", kStart), capacity, {}, kStart);
     CPPUNIT_ASSERT(answer.verdict == booking_verdict::kRefused);
     CPPUNIT_ASSERT(answer.room_after >= milliseconds(3000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, admission.Booked());
@@ -70,7 +83,7 @@
     auto capacity = Capacity(1000);
     capacity.opens_at = kStart + milliseconds(700);
     const auto answer =
-        admission.Book(Booking("r", kStart), capacity, 0, 0, kStart);
+        admission.Book(Booking("r", kStart), capacity, {}, kStart);
     CPPUNIT_ASSERT(answer.verdict == booking_verdict::kInTime);
   }
 
@@ -95,7 +108,7 @@
       const auto pieces = static_cast<std::size_t>(waiting);
       const auto id = std::to_string(i);
       const auto answer =
-          admission.Book(Booking(id, now), capacity, pieces, pieces, now);
+          admission.Book(Booking(id, now), capacity, Waiting(pieces, now), now);
       if (answer.verdict == booking_verdict::kInTime) {
         ++in_time;
         coming.emplace_back(now + milliseconds(500), id);
@@ -119,7 +132,7 @@
     for (int i = 0; i < 400; ++i) {
       const int rank = i % 2 == 0 ? 0 : 2;
       const auto answer = admission.Book(
-          Booking(std::to_string(i), kStart, rank), capacity, 0, 0, kStart);
+          Booking(std::to_string(i), kStart, rank), capacity, {}, kStart);
       taken[rank / 2] += answer.verdict == booking_verdict::kInTime ? 1 : 0;
     }
     CPPUNIT_ASSERT(taken[0] > taken[1]);
@@ -129,8 +142,8 @@
   void AShardWithoutEndpointsRefuses() {
     stage_admission admission;
     CPPUNIT_ASSERT(
-        admission.Book(Booking("r", kStart), Capacity(0), 0, 0, kStart)
-            .verdict == booking_verdict::kRefused);
+        admission.Book(Booking("r", kStart), Capacity(0), {}, kStart).verdict ==
+        booking_verdict::kRefused);
   }
 
   // A host books and dies. Were its bookings kept, the shard would refuse
@@ -138,12 +151,12 @@
   void BookingsThatNeverComeAreForgotten() {
     stage_admission admission;
     for (int i = 0; i < 50; ++i) {
-      admission.Book(Booking(std::to_string(i), kStart), Capacity(1600), 0, 0,
+      admission.Book(Booking(std::to_string(i), kStart), Capacity(1600), {},
                      kStart);
     }
     CPPUNIT_ASSERT(admission.Booked() > 0);
     const time_point later = kStart + std::chrono::seconds(3);
-    admission.Book(Booking("new", later), Capacity(1600), 0, 0, later);
+    admission.Book(Booking("new", later), Capacity(1600), {}, later);
     CPPUNIT_ASSERT_EQUAL(std::size_t{16}, admission.Booked());
   }
 
@@ -173,7 +186,7 @@
         now += milliseconds(10);
         const auto id = std::to_string(request);
         if (books) {
-          admission.Book(Booking(id, now), Capacity(400), 0, 0, now);
+          admission.Book(Booking(id, now), Capacity(400), {}, now);
         } else {
           admission.Release(id, 2);
         }
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -62,53 +62,135 @@
   numbers_[state->number] = state->group.get();
   environment_.repeats.NoteRequest(shard.service, environment_.now());
   const duration full_call = FullCallTime(shard);
-  const bool was_booked = shards_[shard].admission.Release(
-      state->group->request, state->group->stage);
+  const auto booked = StateOf(shard).admission.Release(state->group->request,
+                                                       state->group->stage);
   state->expected_in_time =
-      was_booked && state->group->useful_by > environment_.now() + full_call;
-  shards_[shard].queue.Add(state->group, environment_.now(), full_call);
+      booked && booked->in_time &&
+      state->group->useful_by > environment_.now() + full_call;
+  StateOf(shard).queue.Add(state->group, environment_.now(), full_call);
   PumpSoon(shard, duration(0));
   return state->number;
 }
 
+stage_home::shard_state& stage_home::StateOf(const stage_shard& shard) {
+  const auto order = environment_.options.Uses(mechanism::kDueTimeAdmission)
+                         ? admission_order::kDueTime
+                         : admission_order::kArrival;
+  return shards_.try_emplace(shard, order).first->second;
+}
+
 booking_answer stage_home::Book(const stage_need& need) {
-  auto& state = shards_[need.shard];
+  auto& state = StateOf(need.shard);
   const auto capacity = Capacity(need.shard);
   const time_point now = environment_.now();
-  const auto answer =
-      state.admission.Book(need.booking, capacity,
-                           state.queue.PiecesInTime(now + capacity.call_time),
-                           state.queue.Pieces(), now);
+  auto booking = need.booking;
+  booking.work = PieceWork(booking.kind, need.shard) *
+                 static_cast<duration::rep>(booking.pieces);
+  booking.is_over_share = IsOverShare(need.shard, booking);
+  const auto backlog = state.queue.Backlog(
+      now + capacity.call_time, [&](const piece_group& group) {
+        return PieceWork(group.kind, need.shard);
+      });
+  const auto answer = state.admission.Book(booking, capacity, backlog, now);
   const bool refused = answer.verdict == booking_verdict::kRefused;
   environment_.metrics.Count(refused ? "bookings_refused" : "bookings_taken",
                              need.shard.service);
+  environment_.metrics.Count(
+      "bookings_by_rank",
+      std::string(NameIn(kBookingVerdictNames, answer.verdict)) + " " +
+          std::to_string(booking.rank));
   if (refused) {
-    LogRefusal(need, state, capacity);
+    state.shares.NoteRefused(now);
+    LogRefusal(need, state, capacity, answer);
+    if (booking.is_over_share) {
+      LogShare(booking, need.shard);
+    }
+  } else {
+    state.shares.NoteAdmitted(booking.workspace, booking.work, now);
   }
   return answer;
 }
 
+bool stage_home::IsOverShare(const stage_shard& shard,
+                             const stage_booking& booking) {
+  if (!environment_.options.Uses(mechanism::kWorkspaceShares)) {
+    return false;
+  }
+  const time_point now = environment_.now();
+  auto& shares = StateOf(shard).shares;
+  shares.NoteDemand(booking.workspace, booking.work, now);
+  const bool is_over = shares.IsOver(booking.workspace, now);
+  if (is_over) {
+    environment_.metrics.Count("workspace_bounded", shard.service);
+  }
+  return is_over;
+}
+
+/// Who was refused, for whom.
+void stage_home::LogShare(const stage_booking& booking,
+                          const stage_shard& shard) {
+  const time_point now = environment_.now();
+  const auto& shares = StateOf(shard).shares;
+  environment_.log.Write(
+      "workspace_bounded",
+      {{"request", booking.request},
+       {"workspace", booking.workspace},
+       {"service", shard.service},
+       {"stage", booking.stage},
+       {"use", shares.Use(booking.workspace, now)},
+       {"share", shares.Share(now).value_or(0)},
+       {"short_for_ms", WholeMilliseconds(now - shares.ShortSince()).count()}});
+}
+
 void stage_home::LogRefusal(const stage_need& need, const shard_state& state,
-                            const stage_capacity& capacity) const {
+                            const stage_capacity& capacity,
+                            const booking_answer& answer) const {
   const auto in_ms = [now = environment_.now()](time_point at) {
     return WholeMilliseconds(at - now).count();
   };
-  environment_.log.Write("booking_refused",
-                         {{"request", need.booking.request},
-                          {"stage", need.booking.stage},
-                          {"service", need.shard.service},
-                          {"rank", need.booking.rank},
-                          {"due_ms", in_ms(need.booking.due)},
-                          {"useful_ms", in_ms(need.booking.useful_by)},
-                          {"waiting", state.queue.Pieces()},
-                          {"booked", state.admission.Booked()},
-                          {"pieces_per_second", capacity.pieces_per_second},
-                          {"counted_on", state.admission.Confidence()}});
+  environment_.log.Write(
+      "booking_refused",
+      {{"request", need.booking.request},
+       {"stage", need.booking.stage},
+       {"service", need.shard.service},
+       {"rank", need.booking.rank},
+       {"due_ms", in_ms(need.booking.due)},
+       {"useful_ms", in_ms(need.booking.useful_by)},
+       {"waiting", state.queue.Pieces()},
+       {"booked", state.admission.Booked()},
+       {"calls", capacity.calls},
+       {"ahead_ms", WholeMilliseconds(answer.ahead).count()},
+       {"reserved_ms", WholeMilliseconds(answer.reserved).count()},
+       {"counted_on", state.admission.Confidence()}});
 }
 
 void stage_home::Release(const stage_need& need) {
-  shards_[need.shard].admission.Release(need.booking.request,
-                                        need.booking.stage);
+  auto& state = StateOf(need.shard);
+  const auto released =
+      state.admission.Release(need.booking.request, need.booking.stage);
+  if (released) {
+    state.shares.NoteReleased(released->workspace, released->work,
+                              environment_.now());
+  }
+}
+
+duration stage_home::PieceTimeOf(std::uint64_t kind, const stage_shard& shard,
+                                 const batch_rule& rule) const {
+  const duration mean = PieceTime(shard, rule);
+  const auto found = shards_.find(shard);
+  return found == shards_.end() ||
+                 !environment_.options.Uses(mechanism::kPieceCosts)
+             ? mean
+             : found->second.costs.PieceTime(kind, mean);
+}
+
+/// Its part of a full call.
+duration stage_home::PieceWork(std::uint64_t kind,
+                               const stage_shard& shard) const {
+  const batch_rule* rule = Rule(shard.service);
+  return rule == nullptr ? duration(0)
+                         : rule->call_time / std::max(1U, rule->most_pieces) +
+                               PieceTimeOf(kind, shard, *rule);
 }
 
 /// As it was seen: the told one is rough, and differs by stage.
@@ -138,7 +220,7 @@
   }
   const auto found = shards_.find(shard);
   stage_capacity capacity;
-  double backed_off = 0;  // Pieces a second of endpoints that take none now.
+  double backed_off = 0;  // Calls of endpoints that take none now.
   time_point opens_at = time_point::max();
   capacity.call_time = FullCallTime(shard);
   const double full_call =
@@ -152,21 +234,21 @@
     }
     const bool is_slow =
         found != shards_.end() && IsSlow(found->second, *record);
-    double calls =
-        rule->slots / full_call / (is_slow ? record->Slowness() : 1.0);
+    const double slowness =
+        (is_slow ? record->Slowness() : 1.0) * record->Pace(now);
+    double calls = rule->slots / slowness;
     if (environment_.HasQuota(*record)) {
-      calls = std::min(calls, *record->Quota());
+      calls = std::min(calls, *record->Quota() * full_call);
     }
-    const double pieces = calls * rule->most_pieces;
     if (record->BacksOff(now)) {
-      backed_off += pieces;
+      backed_off += calls;
       opens_at = std::min(opens_at, record->BackOffUntil());
     } else {
-      capacity.pieces_per_second += pieces;
+      capacity.calls += calls;
     }
   }
-  if (capacity.pieces_per_second <= 0 && backed_off > 0) {
-    capacity.pieces_per_second = backed_off;
+  if (capacity.calls <= 0 && backed_off > 0) {
+    capacity.calls = backed_off;
     capacity.opens_at = opens_at;
   }
   return capacity;
@@ -191,7 +273,7 @@
 /// Pieces that arrive in one turn of the loop are to share a call, so the pump
 /// runs in the next turn.
 void stage_home::PumpSoon(const stage_shard& shard, duration delay) {
-  auto& state = shards_[shard];
+  auto& state = StateOf(shard);
   if (state.wake) {
     if (delay > duration(0)) {
       return;
@@ -206,7 +288,7 @@
     if (alive.expired()) {
       return;
     }
-    auto& woken = shards_[shard];
+    auto& woken = StateOf(shard);
     if (woken.wake == wake) {
       woken.wake = nullptr;
       if (!error) {
@@ -217,7 +299,7 @@
 }
 
 void stage_home::Pump(const stage_shard& shard) {
-  auto& state = shards_[shard];
+  auto& state = StateOf(shard);
   const batch_rule* rule = Rule(shard.service);
   bool sent = rule != nullptr;
   while (sent && state.queue.Pieces() > 0) {
@@ -240,7 +322,7 @@
 /// While no endpoint takes calls, pieces that would be too late once one does
 /// fail at once, so that their callers have time left.
 void stage_home::ExpireWhileClosed(const stage_shard& shard) {
-  auto& queue = shards_[shard].queue;
+  auto& queue = StateOf(shard).queue;
   const time_point now = environment_.now();
   if (queue.Pieces() == 0 || now >= environment_.back_offs_end) {
     return;
@@ -263,10 +345,10 @@
 
 bool stage_home::PumpOnce(const stage_shard& shard, const batch_rule& rule,
                           const endpoint_record_ptr& record) {
-  auto& state = shards_[shard];
+  auto& state = StateOf(shard);
   batch_terms terms;
   terms.now = environment_.now();
-  const double slowness = IsSlow(state, *record) ? record->Slowness() : 1.0;
+  const double slowness = SlownessNow(state, *record);
   terms.call_time = Scaled(rule.call_time, slowness);
   terms.piece_time = Scaled(PieceTime(shard, rule), slowness);
   terms.late_wait = LateWait(shard);
@@ -307,7 +389,7 @@
   if (next_logged_call_++ % kLoggedCalls != 0) {
     return;
   }
-  auto& state = shards_[shard];
+  auto& state = StateOf(shard);
   time_point oldest = terms.now;
   std::size_t late = 0;
   for (const auto& piece : batch.pieces) {
@@ -356,6 +438,13 @@
          environment_.now() - seen->second < kSlownessLife;
 }
 
+/// How many times its usual time a call would take there.
+double stage_home::SlownessNow(const shard_state& state,
+                               const endpoint_record& record) const {
+  return (IsSlow(state, record) ? record.Slowness() : 1.0) *
+         record.Pace(environment_.now());
+}
+
 std::uint64_t stage_home::RoomAt(const endpoint_record& record,
                                  const batch_rule& rule) {
   if (rule.room_bytes == 0) {
@@ -384,7 +473,8 @@
     const bool full = calls != state.calls.end() && calls->second >= rule.slots;
     const bool pausing =
         paused != state.paused.end() && now < paused->second.until;
-    const bool is_slow = IsSlow(state, *record);
+    const double slowness = SlownessNow(state, *record);
+    const bool is_slow = slowness > kSlowFactor;
     const bool is_cold = cold_calls && record->Cold(now);
     if (is_cold && !environment_.MayUseCold(*record, *cold_calls)) {
       continue;
@@ -398,10 +488,9 @@
     const double draw =
         static_cast<double>(StableHash(incarnation.id, host_seed_) % kDraws) /
         kDraws;
-    ranked.emplace_back(record->OthersBusy(now) +
-                            (is_slow ? record->Slowness() : 1.0) + draw +
-                            (is_cold ? kColdCost : 0.0),
-                        record);
+    ranked.emplace_back(
+        record->OthersBusy(now) + slowness + draw + (is_cold ? kColdCost : 0.0),
+        record);
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<endpoint_record_ptr> records;
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,6 +55,7 @@
   using group_state_ptr = std::shared_ptr<group_state>;
   using call_state_ptr = std::shared_ptr<call_state>;
 
+  shard_state& StateOf(const stage_shard& shard);
   void Pump(const stage_shard& shard);
   std::vector<endpoint_record_ptr> FreeEndpoints(const shard_state& state,
                                                  const stage_shard& shard,
@@ -64,12 +66,18 @@
   duration LateWait(const stage_shard& shard) const;
   duration FullCallTime(const stage_shard& shard) const;
   duration PieceTime(const stage_shard& shard, const batch_rule& rule) const;
+  duration PieceTimeOf(std::uint64_t kind, const stage_shard& shard,
+                       const batch_rule& rule) const;
+  duration PieceWork(std::uint64_t kind, const stage_shard& shard) const;
   void LogRefusal(const stage_need& need, const shard_state& state,
-                  const stage_capacity& capacity) const;
+                  const stage_capacity& capacity,
+                  const booking_answer& answer) const;
   void LogCall(const stage_shard& shard, const piece_batch& batch,
                const batch_terms& terms);
   void NoteOutcomes(shard_state& state, const piece_batch& batch);
   bool IsSlow(const shard_state& state, const endpoint_record& record) const;
+  double SlownessNow(const shard_state& state,
+                     const endpoint_record& record) const;
   std::uint64_t RoomAt(const endpoint_record& record, const batch_rule& rule);
   void SendBatch(const stage_shard& shard, const batch_rule& rule,
                  const endpoint_record_ptr& record, piece_batch batch);
@@ -78,6 +86,8 @@
   void OnCallEnd(const call_state_ptr& call, const http_result& result);
   call_lesson TakeAnswer(const call_state_ptr& call, const http_result& result);
   call_lesson OnUnreached(const call_state& call);
+  duration NominalTime(const std::vector<waiting_piece>& pieces,
+                       const stage_shard& shard, const batch_rule& rule) const;
   endpoint_call_options CallOptions(const endpoint_record& record,
                                     const std::string& path,
                                     std::string body) const;
@@ -86,6 +96,7 @@
   void NoteBroken(const call_state& call);
   void Pause(const call_state& call);
   void ReturnTries(const call_state& call);
+  void NoteTaken(const call_state& call, duration taken);
   void NotePieceTime(const call_state& call, duration taken);
   void TakeResults(const call_state_ptr& call,
                    const std::vector<piece_result>& results);
@@ -98,6 +109,8 @@
   void PlanFrees();
   void FlushFrees();
   const batch_rule* Rule(const std::string& service) const;
+  bool IsOverShare(const stage_shard& shard, const stage_booking& booking);
+  void LogShare(const stage_booking& booking, const stage_shard& shard);
   stage_capacity Capacity(const stage_shard& shard) const;
 
   gateway_environment& environment_;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -21,6 +21,8 @@
 /// differ by some tenths; twice the expected time and a bit is not chance.
 constexpr double kOverdueFactor = 2.0;
 constexpr milliseconds kOverdueSlack{150};
+/// Bounds how long a wrong report of an endpoint's pace is trusted.
+constexpr double kMostOverdueFactor = 5.0;
 /// A call is given up after as many times its expected time: slow endpoints
 /// work four to five times as long.
 constexpr double kGiveUpFactor = 6.0;
@@ -45,6 +47,14 @@
          std::max(1.0, static_cast<double>(b.count()));
 }
 
+piece_costs::kind_counts CountKinds(const std::vector<waiting_piece>& pieces) {
+  piece_costs::kind_counts counts;
+  for (const auto& piece : pieces) {
+    ++counts[piece.group->kind];
+  }
+  return counts;
+}
+
 }  // namespace
 
 void stage_home::SendBatch(const stage_shard& shard, const batch_rule& rule,
@@ -55,16 +65,14 @@
   call->record = record;
   call->pieces = std::move(batch.pieces);
   call->sent = environment_.now();
-  call->nominal = rule.call_time + rule.piece_time * static_cast<duration::rep>(
-                                                         call->pieces.size());
+  call->nominal = NominalTime(call->pieces, shard, rule);
   // Known to be slow, it is given the time: made again elsewhere, its pieces
   // would cost the others what it was to take off them.
-  call->expected =
-      Scaled(call->nominal,
-             IsSlow(shards_[shard], *record) ? record->Slowness() : 1.0);
+  call->pace = record->Pace(call->sent);
+  call->expected = Scaled(call->nominal, SlownessNow(StateOf(shard), *record));
   record->NoteStart();
   environment_.NoteSent(*record);
-  ++shards_[shard].calls[record->Info().Incarnation()];
+  ++StateOf(shard).calls[record->Info().Incarnation()];
   environment_.metrics.Count("stage_calls", shard.service);
   environment_.metrics.Count("stage_pieces", shard.service,
                              call->pieces.size());
@@ -90,7 +98,24 @@
           OnCallEnd(call, result);
         }
       });
-  WatchCall(call, Scaled(call->expected, kOverdueFactor) + kOverdueSlack);
+  WatchCall(call, std::min(Scaled(call->expected, kOverdueFactor),
+                           Scaled(call->nominal, kMostOverdueFactor)) +
+                      kOverdueSlack);
+}
+
+/// What an ordinary endpoint takes for a call.
+duration stage_home::NominalTime(const std::vector<waiting_piece>& pieces,
+                                 const stage_shard& shard,
+                                 const batch_rule& rule) const {
+  if (!environment_.options.Uses(mechanism::kPieceCosts)) {
+    return rule.call_time +
+           rule.piece_time * static_cast<duration::rep>(pieces.size());
+  }
+  duration time = rule.call_time;
+  for (const auto& [kind, count] : CountKinds(pieces)) {
+    time += PieceTimeOf(kind, shard, rule) * static_cast<duration::rep>(count);
+  }
+  return time;
 }
 
 endpoint_call_options stage_home::CallOptions(const endpoint_record& record,
@@ -122,7 +147,7 @@
 /// whichever result comes first is used, the other is freed.
 void stage_home::OnOverdue(const call_state_ptr& call) {
   call->record->NoteSlowness(kOverdueFactor * kSlowFactor);
-  shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
+  StateOf(call->shard).slowness_at[call->record->Info().Incarnation()] =
       environment_.now();
   if (!environment_.options.Uses(mechanism::kOverdueCalls) ||
       !environment_.repeats.Take(call->shard.service, environment_.now())) {
@@ -148,7 +173,7 @@
 void stage_home::OnCallEnd(const call_state_ptr& call,
                            const http_result& result) {
   call->overdue.cancel();
-  auto& state = shards_[call->shard];
+  auto& state = StateOf(call->shard);
   const auto calls = state.calls.find(call->record->Info().Incarnation());
   if (calls != state.calls.end() && --calls->second == 0) {
     state.calls.erase(calls);
@@ -189,11 +214,8 @@
     } else if (result.status == kOk) {
       const auto results = environment_.protocol.read_pieces(result.body);
       if (results.size() == call->pieces.size()) {
-        shards_[call->shard].paused.erase(call->record->Info().Incarnation());
-        call->record->NoteSlowness(Ratio(now - call->sent, call->nominal));
-        shards_[call->shard].slowness_at[call->record->Info().Incarnation()] =
-            now;
-        NotePieceTime(*call, now - call->sent);
+        StateOf(call->shard).paused.erase(call->record->Info().Incarnation());
+        NoteTaken(*call, now - call->sent);
         environment_.quarantine.NoteAnswer(call->shard.service, now);
         environment_.metrics.Observe("stage_call", call->shard.service,
                                      now - call->sent);
@@ -250,7 +272,7 @@
 }
 
 void stage_home::Pause(const call_state& call) {
-  auto& full = shards_[call.shard].paused[call.record->Info().Incarnation()];
+  auto& full = StateOf(call.shard).paused[call.record->Info().Incarnation()];
   full.until = environment_.now() +
                kFullPause * (1U << std::min(full.refusals, kMaxPauseDoublings));
   ++full.refusals;
@@ -269,9 +291,21 @@
   }
 }
 
+/// A call that began or ended while the machine was held up says nothing of the
+/// endpoint, nor of its pieces.
+void stage_home::NoteTaken(const call_state& call, duration taken) {
+  const time_point now = environment_.now();
+  if (call.pace > 1.0 || call.record->IsHeldUp(now)) {
+    return;
+  }
+  call.record->NoteSlowness(Ratio(taken, call.nominal));
+  StateOf(call.shard).slowness_at[call.record->Info().Incarnation()] = now;
+  NotePieceTime(call, taken);
+}
+
 void stage_home::NotePieceTime(const call_state& call, duration taken) {
   const batch_rule* rule = Rule(call.shard.service);
-  auto& state = shards_[call.shard];
+  auto& state = StateOf(call.shard);
   if (rule == nullptr || IsSlow(state, *call.record)) {
     return;
   }
@@ -281,6 +315,8 @@
   const double told = std::chrono::duration<double>(rule->piece_time).count();
   state.piece_time.Add(
       std::clamp(seconds, told * kLeastPart, told * kMostPart));
+  state.costs.Note(CountKinds(call.pieces), taken - rule->call_time,
+                   rule->piece_time);
 }
 
 void stage_home::TakeResults(const call_state_ptr& call,
@@ -352,7 +388,7 @@
     Fail(piece.group.get(), stage_end::kFailed);
     return;
   }
-  shards_[shard].queue.AddAgain(piece);
+  StateOf(shard).queue.AddAgain(piece);
 }
 
 void stage_home::Fail(const piece_group* group, stage_end end) {
@@ -365,7 +401,7 @@
 void stage_home::Conclude(const group_state_ptr& ended, stage_outcome outcome) {
   // `ended` may be the very entry that is erased here.
   const group_state_ptr state = ended;  // NOLINT(performance-*)
-  shards_[state->shard].queue.Remove(state->group.get());
+  StateOf(state->shard).queue.Remove(state->group.get());
   numbers_.erase(state->number);
   groups_.erase(state->group.get());
   std::vector<std::string> unused;
--- a/src/slatestall/gateway/stage_home_state.h
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "slatestall/dispatch/moving_average.h"
+#include "slatestall/dispatch/piece_costs.h"
+#include "slatestall/dispatch/workspace_shares.h"
 #include "slatestall/gateway/stage_home.h"
 
 namespace slatestall {
@@ -33,6 +35,7 @@
   time_point sent{};
   duration nominal{0};    ///< What an ordinary endpoint takes.
   duration expected{0};   ///< What this one is expected to take.
+  double pace = 1.0;      ///< Of the endpoint's machine when it was sent.
   bool is_direct = true;  ///< Not passed on by another host.
   call_outcome outcome = call_outcome::kComplete;
   asio::steady_timer overdue;
@@ -48,11 +51,15 @@
 };
 
 struct stage_home::shard_state {
+  explicit shard_state(admission_order order) : admission(order) {}
+
   piece_queue queue;
   std::map<endpoint_incarnation, unsigned> calls;
   std::map<endpoint_incarnation, full_endpoint> paused;
   std::map<endpoint_incarnation, time_point> slowness_at;  ///< Last observed.
   stage_admission admission;
+  piece_costs costs;
+  workspace_shares shares;
   /// Seconds that a piece adds to a call, as seen.
   moving_average piece_time{kPieceTimeWeight};
   std::shared_ptr<asio::steady_timer> wake;
