--- a/include/slatestall/dispatch/stage_demand.h
+++ b/include/slatestall/dispatch/stage_demand.h
@@ -24,8 +24,6 @@
   /// @brief Work of more urgent ranks that is expected to come from now on and
   /// to be due before `due`.
   duration ExpectedBefore(time_point due, int rank, time_point now) const;
-  /// @brief Work a second that was admitted in time.
-  double AdmittedRate(time_point now) const;
   /// @brief Whether the kind is admitted less than half as often as all are.
   bool IsStarved(std::uint64_t kind, time_point now) const;
   bool AnyStarved(time_point now) const;
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -32,10 +32,6 @@
 /// due: its request has ended at a host that could not say so.
 constexpr milliseconds kBookingLife{1500};
 
-/// Part of the capacity that in-time work has to leave for late work to be
-/// taken at all.
-constexpr double kLeastSparePart = 0.05;
-
 time_point RankedAt(time_point useful_by, int rank, duration call_time) {
   return useful_by + RankStep(call_time) * rank;
 }
@@ -248,19 +244,9 @@
   for (const auto& one : waiting.in_time) {
     work += one.work;
   }
-  double calls = capacity.calls * confidence_;
-  if (order_ == admission_order::kDueTime) {
-    // In-time work that is going to come goes first as well.
-    const double spare = calls - demand_.AdmittedRate(now);
-    if (work > duration(0) && spare < kLeastSparePart * calls) {
-      return false;
-    }
-    calls = std::max(spare, kLeastSparePart * calls);
-    work += booking.work;
-  }
-  const time_point start =
-      std::max(booking.due,
-               std::max(now, capacity.opens_at) + Scaled(work, 1.0 / calls));
+  const time_point start = std::max(
+      booking.due, std::max(now, capacity.opens_at) +
+                       Scaled(work, 1.0 / (capacity.calls * confidence_)));
   const duration patience =
       std::min<duration>((booking.worthless_after - booking.due) / 2,
                          capacity.call_time * kLateCalls);
--- a/src/slatestall/dispatch/stage_demand.cc
+++ b/src/slatestall/dispatch/stage_demand.cc
@@ -63,10 +63,6 @@
       std::chrono::duration<double>(seconds));
 }
 
-double stage_demand::AdmittedRate(time_point now) const {
-  return admitted_.Rate(now);
-}
-
 double stage_demand::Ratio(const kind_demand& one, time_point now) const {
   const double asked = one.asked.Value(now);
   return asked < kLeastAsked ? 1.0 : one.admitted.Value(now) / asked;
