Bookings: ends of work are kept up to date, not found for each one held

A booking ranked before all that are held found the end of twelve steps of work twice for each of them. The ends are now found once and updated. Decisions are unchanged.

--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -118,6 +118,35 @@
 }
 BENCHMARK(BookOne);
 
+/// A booking that is ranked before all that are held, so that the effect on
+/// each of them is examined. It may take 20 microseconds with 1,000 held.
+void BookBeforeHeld(benchmark::State& state) {
+  stage_admission admission;
+  stage_capacity capacity;
+  capacity.calls = 1e6;
+  capacity.call_time = milliseconds(250);
+  const time_point now{std::chrono::hours(1)};
+  stage_booking booking;
+  booking.pieces = 16;
+  booking.work = milliseconds(16);
+  for (int number = 0; number < state.range(0); ++number) {
+    booking.request = "held" + std::to_string(number);
+    booking.kind = static_cast<std::uint64_t>(number % 3);
+    booking.due = now + milliseconds(number * 7 % 1000);
+    booking.useful_by = booking.due + milliseconds(1500);
+    booking.worthless_after = now + milliseconds(4000);
+    admission.Book(booking, capacity, {}, now);
+  }
+  booking.request = "next";
+  booking.due = now + milliseconds(300);
+  booking.useful_by = now + milliseconds(1000);
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(admission.Book(booking, capacity, {}, now));
+    admission.Release(booking.request, booking.stage);
+  }
+}
+BENCHMARK(BookBeforeHeld)->ArgName("held")->Arg(100)->Arg(1000);
+
 }  // namespace
 
 BENCHMARK_MAIN();
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
+#include <limits>
 
 #include "slatestall/dispatch/piece_queue.h"
 #include "slatestall/model/ids.h"
@@ -64,6 +66,10 @@
   time_point EndAfter(duration ahead, time_point from) const {
     return std::max(from, from_) + Scaled(ahead, 1.0 / calls_) + call_time_;
   }
+  /// @brief Ticks that the work takes at the shard's capacity.
+  double TimeOf(duration work) const {
+    return static_cast<double>(work.count()) / calls_;
+  }
 
  private:
   time_point from_;
@@ -75,31 +81,76 @@
 /// however idle the shard is until then.
 class due_profile {
  public:
-  explicit due_profile(time_point now) : now_(now) {}
+  due_profile(const service_time& service, time_point now)
+      : service_(service), now_(now) {}
 
-  void Add(time_point due, duration work) { steps_[StepOf(due)] += work; }
+  // The ends are found once, where they are first asked for, and kept up to
+  // date from then on. Found anew for each of 1,000 bookings held, they took 23
+  // microseconds.
+  void Add(time_point due, duration work) {
+    const std::size_t step = StepOf(due);
+    if (!has_ends_) {
+      steps_[step] += work;
+      return;
+    }
+    for (; used_ <= step; ++used_) {
+      ends_[used_] = StartOf(used_);
+    }
+    const double time = service_.TimeOf(work);
+    for (std::size_t earlier = 0; earlier <= step; ++earlier) {
+      ends_[earlier] += time;
+    }
+  }
+  /// @brief Whether all of it can have ended by then.
+  bool EndsBy(time_point limit) { return LastEnd() <= Since(limit); }
   /// @brief When all of it can have ended.
-  time_point End(const service_time& service) const {
-    time_point end{};
+  time_point End() {
+    const double last = LastEnd();
+    return used_ == 0 ? time_point{}
+                      : now_ + duration(static_cast<duration::rep>(last));
+  }
+
+ private:
+  double Since(time_point at) const {
+    return static_cast<double>((at - now_).count());
+  }
+  /// Of a call with what is due in a step, on an idle shard.
+  double StartOf(std::size_t step) const {
+    const auto since = kDueStep * static_cast<duration::rep>(step);
+    return Since(service_.EndAfter(duration(0), now_ + since));
+  }
+  double LastEnd() {
+    if (!has_ends_) {
+      FindEnds();
+    }
+    return used_ == 0 ? std::numeric_limits<double>::lowest()
+                      : *std::max_element(
+                            ends_.begin(),
+                            ends_.begin() + static_cast<std::ptrdiff_t>(used_));
+  }
+  void FindEnds() {
     duration later(0);
     for (std::size_t step = kDueSteps; step-- > 0;) {
       later += steps_[step];
-      if (steps_[step] > duration(0)) {
-        const auto since = kDueStep * static_cast<duration::rep>(step);
-        end = std::max(end, service.EndAfter(later, now_ + since));
+      if (later > duration(0)) {
+        used_ = std::max(used_, step + 1);
+        ends_[step] = StartOf(step) + service_.TimeOf(later);
       }
     }
-    return end;
+    has_ends_ = true;
   }
-
- private:
   std::size_t StepOf(time_point due) const {
     const auto step = std::max<duration>(duration(0), due - now_) / kDueStep;
     return std::min(static_cast<std::size_t>(step), kDueSteps - 1);
   }
 
+  service_time service_;
   time_point now_;
-  std::array<duration, kDueSteps> steps_{};
+  std::array<duration, kDueSteps> steps_{};  ///< Until `has_ends_`.
+  /// By step, when the work from then on ends; ticks from now.
+  std::array<double, kDueSteps> ends_{};
+  std::size_t used_ = 0;  ///< Steps up to the last one that has work.
+  bool has_ends_ = false;
 };
 
 }  // namespace
@@ -181,13 +232,13 @@
   finding found;
   duration before(0);  // Work served before the one looked at.
   duration delays(0);  // The most by which an admitted one would be late.
-  due_profile profile(now);
-  due_profile profile_with(now);
+  due_profile profile(service, now);
+  due_profile profile_with(service, now);
   profile_with.Add(booking.due, booking.work);
   time_point own_end{};
   const auto find_own_end = [&] {
     found.ahead = before;
-    own_end = profile_with.End(service);
+    own_end = profile_with.End();
   };
   const auto look = [&](const ranked_work& one) {
     const bool is_after = one.ranked_at > ranked_at;
@@ -200,10 +251,9 @@
     if (!is_after || one.rank > booking.rank) {
       return;
     }
-    const time_point end = profile_with.End(service);
     // One that is late already is not made so by this booking.
-    if (end > one.useful_by && profile.End(service) <= one.useful_by) {
-      delays = std::max(delays, end - one.useful_by);
+    if (!profile_with.EndsBy(one.useful_by) && profile.EndsBy(one.useful_by)) {
+      delays = std::max(delays, profile_with.End() - one.useful_by);
     }
   };
   auto next = ranked_.begin();
