Bookings without pieces wait only for what is served before them

The end of a booking without work was taken for one that is not found yet, and all that is held counted as ahead of it. An idle shard with one large, loose booking refused it. The test failed before and passes now.

--- a/src/slatestall/dispatch/due_time_admission_test.cc
+++ b/src/slatestall/dispatch/due_time_admission_test.cc
@@ -147,6 +147,7 @@
   CPPUNIT_TEST(ABurstOfTheMostUrgentStarvesNobody);
   CPPUNIT_TEST(WhatIsAdmittedIsInTime);
   CPPUNIT_TEST(ALateRequestIsRefusedWhereNothingIsLeftForIt);
+  CPPUNIT_TEST(ABookingOfNoPiecesWaitsOnlyForWhatIsBeforeIt);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr load_kind kTight{1, 1, 40, milliseconds(1000),
@@ -154,6 +155,28 @@
   static constexpr load_kind kLoose{2, 2, 140, milliseconds(2500),
                                     milliseconds(300)};
 
+  static stage_capacity Ten() {
+    stage_capacity capacity;
+    capacity.calls = 10;
+    capacity.call_time = kCallTime;
+    return capacity;
+  }
+  static stage_booking BookingOf(std::uint64_t kind, const std::string& name) {
+    stage_booking booking;
+    booking.request = name;
+    booking.kind = kind;
+    booking.pieces = kPieces;
+    booking.work = kPieces * kPieceWork;
+    booking.due = kStart + milliseconds(300);
+    booking.useful_by = kStart + milliseconds(1500);
+    booking.worthless_after = booking.useful_by;  // None is taken to be late.
+    return booking;
+  }
+  static booking_verdict BookAt(stage_admission& admission,
+                                const stage_booking& booking) {
+    return admission.Book(booking, Ten(), {}, kStart).verdict;
+  }
+
   static load_kind Burst(load_kind one, double times) {
     one.per_second *= times;
     return one;
@@ -255,6 +278,19 @@
     CPPUNIT_ASSERT(last.verdict == booking_verdict::kRefused);
     CPPUNIT_ASSERT(last.room_after > duration(0));
   }
+
+  // Guards against counting all work as ahead of a booking without pieces.
+  void ABookingOfNoPiecesWaitsOnlyForWhatIsBeforeIt() {
+    stage_admission admission;
+    auto loose = BookingOf(1, "loose");
+    loose.work = milliseconds(20'000);
+    loose.useful_by = kStart + milliseconds(8000);
+    CPPUNIT_ASSERT(BookAt(admission, loose) == booking_verdict::kInTime);
+    auto none = BookingOf(1, "none");
+    none.pieces = 0;
+    none.work = duration(0);
+    CPPUNIT_ASSERT(BookAt(admission, none) == booking_verdict::kInTime);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(due_time_admission_test);
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -235,14 +235,14 @@
   due_profile profile(service, now);
   due_profile profile_with(service, now);
   profile_with.Add(booking.due, booking.work);
-  time_point own_end{};
+  std::optional<time_point> own_end;
   const auto find_own_end = [&] {
     found.ahead = before;
     own_end = profile_with.End();
   };
   const auto look = [&](const ranked_work& one) {
     const bool is_after = one.ranked_at > ranked_at;
-    if (is_after && own_end == time_point{}) {
+    if (is_after && !own_end) {
       find_own_end();
     }
     before += one.work;
@@ -264,7 +264,7 @@
     look(one);
   }
   std::for_each(next, ranked_.end(), look);
-  if (own_end == time_point{}) {
+  if (!own_end) {
     find_own_end();
   }
 
@@ -277,7 +277,7 @@
   const time_point limit = LimitOf(booking, capacity.call_time,
                                    is_favoured || booking.is_over_share);
   const time_point end =
-      std::max({booking.due + capacity.call_time, own_end,
+      std::max({booking.due + capacity.call_time, *own_end,
                 service.EndAfter(found.ahead + booking.work)});
   found.lacks = std::max(end - limit, delays);
   return found;
