Bookings that an idle shard could not make in time are no demand

They were counted as asked for and never as admitted. Their kind was starved for ever, so that all others had to leave a call's time of room at an idle shard; and where they came past their time, their negative horizon reserved as much work as they were late, and an idle shard refused less urgent kinds. Two tests failed before and pass now.

--- a/include/slatestall/dispatch/stage_admission.h
+++ b/include/slatestall/dispatch/stage_admission.h
@@ -67,6 +67,7 @@
   duration room_after{0};  ///< `kRefused`: when there may be room.
   duration ahead{0};       ///< Work that was counted as served before.
   duration reserved{0};    ///< Part of it that has not been asked for yet.
+  bool fits_idle = true;   ///< It would be in time if there were no other work.
 };
 
 /// @brief A booking that is no longer held.
@@ -144,6 +145,10 @@
                         ///< others so.
   };
 
+  /// What an idle shard could not make in time is no demand for its room: its
+  /// refusal says nothing of other work, and no other work can help it.
+  static bool FitsIdle(const stage_booking& booking,
+                       const stage_capacity& capacity, time_point now);
   finding FindByArrival(const stage_booking& booking,
                         const stage_capacity& capacity,
                         const stage_backlog& waiting, time_point now) const;
--- a/src/slatestall/dispatch/due_time_admission_test.cc
+++ b/src/slatestall/dispatch/due_time_admission_test.cc
@@ -148,6 +148,8 @@
   CPPUNIT_TEST(WhatIsAdmittedIsInTime);
   CPPUNIT_TEST(ALateRequestIsRefusedWhereNothingIsLeftForIt);
   CPPUNIT_TEST(ABookingOfNoPiecesWaitsOnlyForWhatIsBeforeIt);
+  CPPUNIT_TEST(WhatIsLateByItselfReservesNothing);
+  CPPUNIT_TEST(AnImpossibleKindTakesNoRoomFromOthers);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr load_kind kTight{1, 1, 40, milliseconds(1000),
@@ -291,6 +293,40 @@
     none.work = duration(0);
     CPPUNIT_ASSERT(BookAt(admission, none) == booking_verdict::kInTime);
   }
+
+  // Guards against a negative horizon: bookings that came past their time made
+  // the reserve of their kind as large as they were late, and less urgent
+  // kinds were refused by an idle shard.
+  void WhatIsLateByItselfReservesNothing() {
+    stage_admission admission;
+    for (int i = 0; i < 10; ++i) {
+      auto late = BookingOf(1, std::to_string(i));
+      late.rank = 0;
+      late.useful_by = kStart - std::chrono::hours(24);
+      late.worthless_after = late.useful_by;
+      CPPUNIT_ASSERT(BookAt(admission, late) == booking_verdict::kRefused);
+    }
+    auto other = BookingOf(2, "other");
+    other.rank = 2;
+    CPPUNIT_ASSERT(BookAt(admission, other) == booking_verdict::kInTime);
+  }
+
+  // Guards against a kind whose objective is shorter than a call: it counted
+  // as starved for ever, and all others had to leave it a call's time of room
+  // at an idle shard.
+  void AnImpossibleKindTakesNoRoomFromOthers() {
+    stage_admission admission;
+    for (int i = 0; i < 50; ++i) {
+      auto impossible = BookingOf(1, "impossible" + std::to_string(i));
+      impossible.useful_by = impossible.due + kCallTime / 2;
+      impossible.worthless_after = impossible.useful_by;
+      BookAt(admission, impossible);
+      auto possible = BookingOf(2, "possible" + std::to_string(i));
+      possible.useful_by = possible.due + kCallTime + kCallTime / 2;
+      CPPUNIT_ASSERT(BookAt(admission, possible) == booking_verdict::kInTime);
+      admission.Release(possible.request, possible.stage);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(due_time_admission_test);
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -165,14 +165,17 @@
   }
   // Booked anew, it does not compete with itself.
   Release(booking.request, booking.stage);
-  const time_point ranked_at =
-      RankedAt(booking.useful_by, booking.rank, capacity.call_time);
-  demand_.NoteAsked(booking.kind, booking.rank, booking.work, ranked_at - now,
-                    now);
+  booking_answer answer;
+  answer.fits_idle = FitsIdle(booking, capacity, now);
+  if (answer.fits_idle) {
+    const time_point ranked_at =
+        RankedAt(booking.useful_by, booking.rank, capacity.call_time);
+    demand_.NoteAsked(booking.kind, booking.rank, booking.work, ranked_at - now,
+                      now);
+  }
   const auto found = order_ == admission_order::kArrival
                          ? FindByArrival(booking, capacity, waiting, now)
                          : FindByDueTime(booking, capacity, waiting, now);
-  booking_answer answer;
   answer.ahead = found.ahead;
   answer.reserved = found.reserved;
   if (found.lacks > duration(0)) {
@@ -191,6 +194,16 @@
   return answer;
 }
 
+bool stage_admission::FitsIdle(const stage_booking& booking,
+                               const stage_capacity& capacity, time_point now) {
+  stage_capacity open = capacity;
+  open.opens_at = now;
+  due_profile own(service_time(open, kMostConfidence, now), now);
+  own.Add(booking.due, booking.work);
+  return own.EndsBy(booking.useful_by) &&
+         std::max(booking.due, now) + capacity.call_time <= booking.useful_by;
+}
+
 stage_admission::finding stage_admission::FindByArrival(
     const stage_booking& booking, const stage_capacity& capacity,
     const stage_backlog& waiting, time_point now) const {
