An idle shard admits by its stated capacity, whatever its confidence

Since a booking's own work counts, one that fills the capacity by itself was not admitted in time with a low confidence, and without work that is in time nothing raised the confidence: the shard never recovered. The test failed before and passes now.

--- a/src/slatestall/dispatch/due_time_admission_test.cc
+++ b/src/slatestall/dispatch/due_time_admission_test.cc
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(ABookingOfNoPiecesWaitsOnlyForWhatIsBeforeIt);
   CPPUNIT_TEST(WhatIsLateByItselfReservesNothing);
   CPPUNIT_TEST(AnImpossibleKindTakesNoRoomFromOthers);
+  CPPUNIT_TEST(AnIdleShardTakesWhatItsStatedCapacityAllows);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr load_kind kTight{1, 1, 40, milliseconds(1000),
@@ -327,6 +328,25 @@
       admission.Release(possible.request, possible.stage);
     }
   }
+
+  // Guards against a state without a way out: with the least confidence, work
+  // that fills the capacity by itself was never admitted in time again, and
+  // without such work nothing could raise the confidence.
+  void AnIdleShardTakesWhatItsStatedCapacityAllows() {
+    stage_admission admission;
+    for (int i = 0; i < 100; ++i) {
+      admission.NoteOutcome(0, 100, kStart + i * milliseconds(250));
+    }
+    CPPUNIT_ASSERT(admission.Confidence() < 0.5);
+    auto large = BookingOf(1, "large");
+    large.work = milliseconds(4000);
+    large.useful_by = large.due + kCallTime + milliseconds(500);
+    CPPUNIT_ASSERT(BookAt(admission, large) == booking_verdict::kInTime);
+    auto second = BookingOf(1, "second");
+    second.work = large.work;
+    second.useful_by = large.useful_by;
+    CPPUNIT_ASSERT(BookAt(admission, second) == booking_verdict::kRefused);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(due_time_admission_test);
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -226,7 +226,12 @@
 stage_admission::finding stage_admission::FindByDueTime(
     const stage_booking& booking, const stage_capacity& capacity,
     const stage_backlog& waiting, time_point now) const {
-  const service_time service(capacity, confidence_, now);
+  const bool is_idle =
+      held_.empty() && waiting.in_time.empty() && waiting.late == duration(0);
+  // Only what is admitted in time can raise the confidence again; work that
+  // fills the capacity by itself would never be.
+  const service_time service(
+      capacity, is_idle ? std::max(1.0, confidence_) : confidence_, now);
   const time_point ranked_at =
       RankedAt(booking.useful_by, booking.rank, capacity.call_time);
   const bool is_starved = demand_.IsStarved(booking.kind, now);
