--- a/include/slatestall/dispatch/stage_admission.h
+++ b/include/slatestall/dispatch/stage_admission.h
@@ -157,7 +157,8 @@
                         const stage_backlog& waiting, time_point now) const;
   bool MayBeLate(const stage_booking& booking, const stage_capacity& capacity,
                  const stage_backlog& waiting, time_point now) const;
-  void Hold(const stage_booking& booking, bool in_time, duration call_time);
+  void Hold(const stage_booking& booking, bool in_time, duration call_time,
+            time_point now);
   void Expire(time_point now);
   void Drop(std::map<key, held>::iterator booking);
 
--- a/src/slatestall/dispatch/due_time_admission_test.cc
+++ b/src/slatestall/dispatch/due_time_admission_test.cc
@@ -151,6 +151,7 @@
   CPPUNIT_TEST(WhatIsLateByItselfReservesNothing);
   CPPUNIT_TEST(AnImpossibleKindTakesNoRoomFromOthers);
   CPPUNIT_TEST(AnIdleShardTakesWhatItsStatedCapacityAllows);
+  CPPUNIT_TEST(ABookingForNextMonthIsForgottenWithinMinutes);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr load_kind kTight{1, 1, 40, milliseconds(1000),
@@ -347,6 +348,23 @@
     second.useful_by = large.useful_by;
     CPPUNIT_ASSERT(BookAt(admission, second) == booking_verdict::kRefused);
   }
+
+  // Guards against a host that computes a wrong due time: its bookings were
+  // held until then and counted against late requests all the while.
+  void ABookingForNextMonthIsForgottenWithinMinutes() {
+    stage_admission admission;
+    auto wrong = BookingOf(1, "wrong");
+    wrong.due = kStart + std::chrono::hours(24 * 20);
+    wrong.useful_by = wrong.due + milliseconds(1000);
+    BookAt(admission, wrong);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kPieces}, admission.Booked());
+    const time_point later = kStart + std::chrono::minutes(5);
+    auto other = BookingOf(2, "other");
+    other.due = later;
+    other.useful_by = later + milliseconds(1000);
+    admission.Book(other, Ten(), {}, later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kPieces}, admission.Booked());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(due_time_admission_test);
--- a/src/slatestall/dispatch/stage_admission.cc
+++ b/src/slatestall/dispatch/stage_admission.cc
@@ -33,6 +33,9 @@
 /// A booking whose pieces do not come is forgotten that long after they were
 /// due: its request has ended at a host that could not say so.
 constexpr milliseconds kBookingLife{1500};
+/// Longer than any request takes; bounds how long a booking with a wrong due
+/// time is held.
+constexpr std::chrono::minutes kMostLead{2};
 
 time_point RankedAt(time_point useful_by, int rank, duration call_time) {
   return useful_by + RankStep(call_time) * rank;
@@ -190,7 +193,7 @@
   if (in_time) {
     demand_.NoteAdmitted(booking.kind, booking.work, now);
   }
-  Hold(booking, in_time, capacity.call_time);
+  Hold(booking, in_time, capacity.call_time, now);
   return answer;
 }
 
@@ -322,9 +325,10 @@
 }
 
 void stage_admission::Hold(const stage_booking& booking, bool in_time,
-                           duration call_time) {
+                           duration call_time, time_point now) {
   const key name{booking.request, booking.stage};
-  const time_point expires = booking.due + kBookingLife;
+  const time_point expires =
+      std::min<time_point>(booking.due, now + kMostLead) + kBookingLife;
   const time_point ranked_at =
       RankedAt(booking.useful_by, booking.rank, call_time);
   held_[name] = {booking.pieces, booking.workspace, booking.work,
