A workspace that asks alone is never over its share

Where all others together ask less than the least share, nobody is bounded. The test failed before and passes now.

--- a/src/slatestall/dispatch/workspace_shares.cc
+++ b/src/slatestall/dispatch/workspace_shares.cc
@@ -1,6 +1,7 @@
 #include "slatestall/dispatch/workspace_shares.h"
 
 #include <algorithm>
+#include <numeric>
 #include <vector>
 
 namespace slatestall {
@@ -105,6 +106,14 @@
     demands.push_back(use.asked.Rate(now));
     admitted += use.admitted.Rate(now);
   }
+  // One that asks alone has nobody to leave room to. Its use would soon be
+  // above its share, which is found only now and then.
+  const double most =
+      demands.empty() ? 0.0 : *std::max_element(demands.begin(), demands.end());
+  if (std::accumulate(demands.begin(), demands.end(), 0.0) - most <
+      kLeastShare) {
+    return std::nullopt;
+  }
   const auto level = FillLevel(std::move(demands), admitted);
   return level ? std::optional(std::max(kLeastShare, *level)) : std::nullopt;
 }
--- a/src/slatestall/dispatch/workspace_shares_test.cc
+++ b/src/slatestall/dispatch/workspace_shares_test.cc
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(NothingIsWithheldThatNobodyElseAsksFor);
   CPPUNIT_TEST(SharesAreMaxMinFair);
   CPPUNIT_TEST(HundredsOfWorkspacesAreBounded);
+  CPPUNIT_TEST(TheOnlyWorkspaceIsNeverOverItsShare);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,6 +184,19 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{512}, shares.Known());
   }
+
+  // Guards against bounding the only workspace of a shard: its use grew faster
+  // than the share, which is found only now and then.
+  void TheOnlyWorkspaceIsNeverOverItsShare() {
+    workspace_shares shares;
+    for (int i = 0; i < 200; ++i) {
+      const time_point now = kStart + milliseconds(i);
+      shares.NoteDemand("only", 2 * kWork, now);
+      CPPUNIT_ASSERT(!shares.IsOver("only", now));
+      shares.NoteAdmitted("only", kWork, now);
+      shares.NoteRefused(now);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(workspace_shares_test);
