--- a/src/slatestall/dispatch/workspace_shares_test.cc
+++ b/src/slatestall/dispatch/workspace_shares_test.cc
@@ -163,10 +163,17 @@
         RC_ASSERT(!share);
         return;
       }
-      RC_ASSERT(share.has_value());
-      // Demands that are filled up to it take just what was admitted.
+      // Nobody leaves room to others who ask next to nothing.
       constexpr double kLeastShare = 0.05;
       const double rate_of_ms = shares.Use("whole", kStart) / 1000.0;
+      const double most =
+          std::max(1000, *std::max_element(demands.begin(), demands.end()));
+      if ((asked - most) * rate_of_ms < kLeastShare) {
+        RC_ASSERT(!share);
+        return;
+      }
+      RC_ASSERT(share.has_value());
+      // Demands that are filled up to it take just what was admitted.
       double filled = std::min(1000 * rate_of_ms, *share);
       for (const int demand : demands) {
         filled += std::min(demand * rate_of_ms, *share);
