--- a/src/slatestall/gateway/stage_wire.cc
+++ b/src/slatestall/gateway/stage_wire.cc
@@ -1,5 +1,8 @@
 #include "slatestall/gateway/stage_wire.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -27,6 +30,14 @@
   return repeats;
 }
 
+/// Ranks are configured and may be any number; wrapped around, the least urgent
+/// would arrive as the most urgent.
+std::int16_t RankOnWire(int rank) {
+  return static_cast<std::int16_t>(
+      std::clamp<int>(rank, std::numeric_limits<std::int16_t>::min(),
+                      std::numeric_limits<std::int16_t>::max()));
+}
+
 }  // namespace
 
 wire::submit_piecesT ToWire(const stage_shard& shard, const piece_group& group,
@@ -39,7 +50,7 @@
   submit.pieces = static_cast<std::uint16_t>(group.pieces);
   submit.key = group.key;
   submit.inputs = group.inputs;
-  submit.rank = static_cast<std::int16_t>(group.rank);
+  submit.rank = RankOnWire(group.rank);
   submit.useful_ms = static_cast<std::int32_t>(
       WholeMilliseconds(group.useful_by - now).count());
   submit.worthless_ms = static_cast<std::int32_t>(
@@ -63,7 +74,7 @@
   book.request = booking.request;
   book.stage = static_cast<std::uint16_t>(booking.stage);
   book.pieces = static_cast<std::uint16_t>(booking.pieces);
-  book.rank = static_cast<std::int16_t>(booking.rank);
+  book.rank = RankOnWire(booking.rank);
   book.due_ms = until(booking.due);
   book.useful_ms = until(booking.useful_by);
   book.worthless_ms = until(booking.worthless_after);
