Shares: a booking made anew counts once, a hopeless one is no shortage

A booking repeated at its home stayed in the admitted work of its workspace twice. A refusal of work that an idle shard could not have made in time opened a second of shortage, in which workspaces were bounded at an idle shard. No test of its own covers the home's part; gateway_test passes.

--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -91,6 +91,8 @@
       now + capacity.call_time, [&](const piece_group& group) {
         return PieceWork(group.kind, need.shard);
       });
+  // Booked anew, as after a lost reply, it is admitted only once.
+  Release(need);
   const auto answer = state.admission.Book(booking, capacity, backlog, now);
   const bool refused = answer.verdict == booking_verdict::kRefused;
   environment_.metrics.Count(refused ? "bookings_refused" : "bookings_taken",
@@ -100,7 +102,10 @@
       std::string(NameIn(kBookingVerdictNames, answer.verdict)) + " " +
           std::to_string(booking.rank));
   if (refused) {
-    state.shares.NoteRefused(now);
+    // A refusal that no room could have spared does not make the shard short.
+    if (answer.fits_idle) {
+      state.shares.NoteRefused(now);
+    }
     LogRefusal(need, state, capacity, answer);
     if (booking.is_over_share) {
       LogShare(booking, need.shard);
