Bound the unread answers of all callers of a host

Cause: each caller may leave 1 MiB of its answer unread, and nothing bounds the sum. A host of 120 MB can exceed its memory and be killed; the setting max_memory_mb was read and not used.

Change: unread_budget adds up unread bytes by connection and names the largest while the sum is above its limit. caller_listener closes that connection at once, never one with less than 64 KiB, and tells the request behind it from a later handler, since its hook would otherwise run in the middle of another request's answer. The gateway sets the limit to a quarter of max_memory_mb; without the setting, or with unread_limit in disabled_mechanisms, there is no budget. Metrics unread_bytes and unread_closed, log line unread_closed. Connections free the memory of what they have written, which idle ones kept up to the size of an answer.

Not covered: answers passed on for other hosts (relay listener), answers that endpoints still send, request bytes that endpoints have not read, and backpressure towards endpoints (part 5 of docs/design/hard-load.md).

Whether the log line is written is not tested: the test world's log drops all lines.

--- a/include/slatestall/relay/caller_listener.h
+++ b/include/slatestall/relay/caller_listener.h
@@ -9,6 +9,7 @@
 
 #include "slatestall/model/time.h"
 #include "slatestall/relay/message_reader.h"
+#include "slatestall/relay/unread_budget.h"
 
 namespace slatestall {
 
@@ -51,6 +52,12 @@
   milliseconds idle_timeout{60'000};  ///< Between requests.
 };
 
+/// @brief A connection that was closed for the sum of unread bytes.
+struct unread_close {
+  std::size_t bytes = 0;  ///< That its caller had not read.
+  std::size_t total = 0;  ///< Of all callers, these included.
+};
+
 struct caller_listener_options {
   std::string address;
   std::uint16_t port = 0;  ///< 0: any free one.
@@ -58,6 +65,10 @@
   std::size_t max_connections = 1024;
   /// Answer bytes that a caller may leave unread before it is cut off.
   std::size_t max_unread_bytes = std::size_t{1} << 20U;
+  /// Bounds what all callers together leave unread; null: not bounded.
+  std::shared_ptr<unread_budget> unread;
+  /// A caller was cut off for this bound; must not use the listener.
+  std::function<void(const unread_close&)> on_unread_closed;
   now_function now;
 };
 
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -234,7 +234,7 @@
       responder.Send(ready ? kOk : kUnavailable, {}, "");
     } else if (request.path == "/metrics") {
       responder.Send(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
-                     traffic_.Metrics().Text());
+                     traffic_.MetricsText());
     } else {
       responder.Send(kNotFound, {}, "");
     }
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -17,9 +17,26 @@
 namespace slatestall {
 namespace {
 
-caller_listener_options ListenerOptions(const gateway_options& options,
-                                        const now_function& now) {
+/// Of a host's memory, for answers that callers have not read. The rest is for
+/// answers that endpoints still send, stages, connections and the program.
+constexpr std::size_t kUnreadPartOfMemory = 4;
+
+/// @returns null where nothing bounds them.
+std::shared_ptr<unread_budget> UnreadBudget(const gateway_options& options) {
+  if (options.memory_bytes == 0 || !options.Uses(mechanism::kUnreadLimit)) {
+    return nullptr;
+  }
+  return std::make_shared<unread_budget>(options.memory_bytes /
+                                         kUnreadPartOfMemory);
+}
+
+caller_listener_options ListenerOptions(
+    const gateway_options& options, const now_function& now,
+    std::shared_ptr<unread_budget> unread,
+    std::function<void(const unread_close&)> on_unread_closed) {
   caller_listener_options made;
+  made.unread = std::move(unread);
+  made.on_unread_closed = std::move(on_unread_closed);
   made.address = options.address;
   made.port = options.front_port;
   made.max_connections = options.max_connections;
@@ -123,7 +140,12 @@
                 [this](inbound_request request, answer_channel_ptr channel) {
                   TakeRequest(std::move(request), std::move(channel));
                 }),
-      listener_(context, ListenerOptions(options, now),
+      unread_(UnreadBudget(options)),
+      listener_(context,
+                ListenerOptions(options, now, unread_,
+                                [this](const unread_close& closed) {
+                                  OnUnreadClosed(closed);
+                                }),
                 [this](inbound_request request, answer_channel_ptr channel) {
                   starting_.Take(std::move(request), std::move(channel));
                 }) {
@@ -287,6 +309,21 @@
   JudgeSoon();
 }
 
+void gateway_traffic::OnUnreadClosed(const unread_close& closed) {
+  environment_.log.Write("unread_closed", {{"bytes", closed.bytes},
+                                           {"total", closed.total},
+                                           {"limit", unread_->Limit()}});
+  environment_.metrics.Count("unread_closed", "");
+}
+
+std::string gateway_traffic::MetricsText() {
+  if (unread_) {
+    environment_.metrics.SetGauge("unread_bytes", "",
+                                  static_cast<double>(unread_->Total()));
+  }
+  return environment_.metrics.Text();
+}
+
 void gateway_traffic::JudgeSoon() {
   const auto at = environment_.quarantine.JudgesAt();
   if (!at) {
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "slatestall/gateway/call_relay.h"
@@ -19,6 +20,7 @@
 #include "slatestall/gateway/topic_exchange.h"
 #include "slatestall/peer/peer_node.h"
 #include "slatestall/relay/caller_listener.h"
+#include "slatestall/relay/unread_budget.h"
 
 namespace slatestall {
 
@@ -82,12 +84,16 @@
   std::uint16_t Port() const { return listener_.Port(); }
   std::uint16_t PeerPort() const { return peers_.Port(); }
   std::uint16_t RelayPort() const { return relay_.Port(); }
+  // Any thread may use these two.
   gateway_metrics& Metrics() { return environment_.metrics; }
+  /// @brief The metrics with gauges as they are now.
+  std::string MetricsText();
 
  private:
   void ForgetOldRoutes();
   void OnCrash(const endpoint_crash& crash);
   void OnSuspectedCrash(const endpoint_crash& crash);
+  void OnUnreadClosed(const unread_close& closed);
   void JudgeSoon();
   void Judge();
   void EndStart();
@@ -106,6 +112,7 @@
   asio::steady_timer judge_timer_;
   start_queue starting_;
   bool knows_endpoints_ = false;
+  const std::shared_ptr<unread_budget> unread_;  ///< Null: no bound.
   caller_listener listener_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -32,6 +32,9 @@
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char* kLastChunk = "0\r\n\r\n";
 
+/// Assigning an empty string would keep the memory.
+void FreeBytes(std::string& bytes) { std::string().swap(bytes); }
+
 int StatusFor(read_fault fault) {
   switch (fault) {
     case read_fault::kHeadTooLarge:
@@ -94,7 +97,10 @@
       timer_(socket_.get_executor()),
       environment_(std::move(environment)),
       reader_(message_kind::kRequest, environment_->limits.message),
-      taken_at_(environment_->options.now()) {
+      taken_at_(environment_->options.now()),
+      unread_id_(environment_->options.unread
+                     ? environment_->options.unread->NewConnection()
+                     : 0) {
   LimitSilence(socket_, kCallerSilence);
 }
 
@@ -120,6 +126,14 @@
 
 void caller_connection::Abort() { PeerGone(); }
 
+void caller_connection::CutOff() { Close(); }
+
+void caller_connection::TellGone() {
+  if (const auto hook = std::exchange(gone_hook_, nullptr)) {
+    hook();
+  }
+}
+
 bool caller_connection::Serves(std::uint64_t number) const {
   return phase_ == phase::kServing && number == number_ && !answer_ended_;
 }
@@ -284,6 +298,16 @@
   if (writing_.empty()) {
     Flush();
   }
+  NoteUnread();
+  if (environment_->on_unread) {
+    environment_->on_unread();
+  }
+}
+
+void caller_connection::NoteUnread() {
+  if (const auto& budget = environment_->options.unread) {
+    budget->Set(unread_id_, queued_.size() + writing_.size());
+  }
 }
 
 void caller_connection::Flush() {
@@ -291,6 +315,9 @@
   asio::async_write(socket_, asio::buffer(writing_),
                     [this, self = shared_from_this()](
                         const asio::error_code& error, std::size_t) {
+                      // An idle connection would keep the memory of its last
+                      // answer.
+                      FreeBytes(writing_);
                       if (phase_ == phase::kClosed) {
                         return;
                       }
@@ -298,7 +325,7 @@
                         PeerGone();
                         return;
                       }
-                      writing_.clear();
+                      NoteUnread();
                       OnFlushed();
                     });
 }
@@ -363,11 +390,8 @@
 }
 
 void caller_connection::PeerGone() {
-  const auto hook = std::exchange(gone_hook_, nullptr);
   Close();
-  if (hook) {
-    hook();
-  }
+  TellGone();
 }
 
 void caller_connection::Close() {
@@ -378,6 +402,11 @@
   timer_.cancel();
   asio::error_code ignored;
   socket_.close(ignored);
+  // What is being written is freed when the system has let go of it.
+  FreeBytes(queued_);
+  if (const auto& budget = environment_->options.unread) {
+    budget->Set(unread_id_, 0);
+  }
   if (environment_->on_closed) {
     environment_->on_closed(shared_from_this());
   }
--- a/src/slatestall/relay/caller_connection.h
+++ b/src/slatestall/relay/caller_connection.h
@@ -22,6 +22,8 @@
   bool last_answers = false;  ///< Each answer is the last of its connection.
   std::function<void(const std::shared_ptr<class caller_connection>&)>
       on_closed;
+  /// Unread bytes were added to the budget, which may be exceeded now.
+  std::function<void()> on_unread;
 };
 
 /// @brief One caller's connection: reads a request, hands it on, writes the
@@ -42,6 +44,12 @@
   bool IsBusy(time_point now) const;
   /// @brief Closes without an orderly end.
   void Abort();
+  /// @brief Closes as `Abort` does, but leaves it to `TellGone` to say so: the
+  /// hook would run in the middle of another request's answer.
+  void CutOff();
+  void TellGone();
+  /// @brief Its name in the budget of unread bytes; 0 without one.
+  unread_budget::connection_id UnreadId() const { return unread_id_; }
 
   // What the answer of request `number` does; ignored for an earlier one.
   void Send(std::uint64_t number, int status, const http_headers& headers,
@@ -67,6 +75,7 @@
   void Enqueue(std::string bytes);
   void Flush();
   void OnFlushed();
+  void NoteUnread();
   void NextRequest();
   void Linger();
   void ArmTimer();
@@ -79,6 +88,7 @@
   std::shared_ptr<caller_environment> environment_;
   message_reader reader_;
   const time_point taken_at_;
+  const unread_budget::connection_id unread_id_;
   std::array<char, std::size_t{4} << 10U> input_{};
   std::string backlog_;  ///< Read while a request is served.
   std::string queued_;   ///< To be written after `writing_`.
--- a/src/slatestall/relay/caller_listener.cc
+++ b/src/slatestall/relay/caller_listener.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <unordered_set>
 #include <utility>
@@ -42,6 +43,13 @@
             self->OnClosed(connection);
           }
         };
+    if (environment_->options.unread) {
+      environment_->on_unread = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->BoundUnread();
+        }
+      };
+    }
     Accept();
   }
 
@@ -64,6 +72,7 @@
     acceptor_.close(ignored);
     pause_.cancel();
     environment_->hook = nullptr;
+    TellCutOff();
     for (const auto& connection : Open()) {
       connection->Abort();
     }
@@ -145,6 +154,39 @@
     }
   }
 
+  /// Closes at once: a burst within one handler could fill the memory. Those
+  /// they served are told by a later handler.
+  void BoundUnread() {
+    auto& budget = *environment_->options.unread;
+    while (const auto id = budget.ToClose()) {
+      const auto found = std::find_if(
+          connections_.begin(), connections_.end(),
+          [&id](const auto& one) { return one->UnreadId() == id; });
+      if (found == connections_.end()) {
+        return;
+      }
+      const unread_close closed{budget.Of(*id), budget.Total()};
+      if (cut_off_.empty()) {
+        asio::post(context_, [weak = weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->TellCutOff();
+          }
+        });
+      }
+      cut_off_.push_back(*found);
+      cut_off_.back()->CutOff();  // Takes it out of `connections_`.
+      if (environment_->options.on_unread_closed) {
+        environment_->options.on_unread_closed(closed);
+      }
+    }
+  }
+
+  void TellCutOff() {
+    for (const auto& connection : std::exchange(cut_off_, {})) {
+      connection->TellGone();
+    }
+  }
+
   void OnClosed(const std::shared_ptr<caller_connection>& connection) {
     const bool was_full = Full();
     connections_.erase(connection);
@@ -158,6 +200,8 @@
   asio::steady_timer pause_;
   std::shared_ptr<caller_environment> environment_;
   std::unordered_set<std::shared_ptr<caller_connection>> connections_;
+  /// Closed for their unread bytes; whom they served is not yet told.
+  std::vector<std::shared_ptr<caller_connection>> cut_off_;
   bool accepting_ = false;
   bool stopped_ = false;  ///< Takes no new connection.
   bool ended_ = false;    ///< Its owner is gone.
