A host that takes itself for cut off reports crashes once it reaches another endpoint

Cause: in a service of three engines most of which had crashed, a host took itself for cut off (path_cut) and reported a crash only if another host confirmed it. Hosts that take themselves for cut off as well do not answer that question, so that nobody reported the crashes and a guilty part was sent on and on. Probes that were to end the cut drew the crashed engines as often as the others.

Change: such a crash is held (crash_suspicions). The host looks at other endpoints of the service at once and with each probe of the path. When one is reached on a connection made after the crash, the suspect is looked at once more, and is reported if it is still not reached. Suspects are probed only where there is no other endpoint, so that the cut ends sooner. A host without links reaches no endpoint and goes on reporting nothing.

--- a/src/slatestall/gateway/endpoint_paths.cc
+++ b/src/slatestall/gateway/endpoint_paths.cc
@@ -165,7 +165,7 @@
                    sent = now_(),
                    on_head = std::move(hooks.on_head)](message_head& head) {
     if (!alive.expired()) {
-      health_.NoteReached(service, sent);
+      OnReached(service, sent);
     }
     if (on_head) {
       on_head(head);
@@ -185,10 +185,10 @@
       health_.NoteRelayed(service, relay_result::kRefused, now_());
     }
   };
-  hooks.on_head = [this, use, service,
+  hooks.on_head = [this, use, service, sent = now_(),
                    on_head = std::move(hooks.on_head)](message_head& head) {
     if (use->IsAlive() && !use->IsRelayed()) {
-      OnProbed(service, true);
+      OnProbed(service, true, sent);
     }
     if (on_head) {
       on_head(head);
@@ -254,7 +254,7 @@
   }
   std::vector<endpoint_record_ptr> others;
   for (const auto& record : roster_.Of(failed.service)) {
-    if (record->Usable() &&
+    if (record->Usable() && !suspicions_.Has(record->Info().Incarnation()) &&
         record->Info().Incarnation() != failed.Incarnation()) {
       others.push_back(record);
     }
@@ -271,7 +271,7 @@
 void endpoint_paths::LookAt(const known_endpoint& endpoint) {
   ProbeAt(endpoint, [this, endpoint, sent = now_()](bool reached) {
     if (reached) {
-      health_.NoteReached(endpoint.service, sent);
+      OnReached(endpoint.service, sent);
     } else {
       NoteUnreached(endpoint);
     }
@@ -292,7 +292,29 @@
 }
 
 void endpoint_paths::ConfirmDown(const known_endpoint& endpoint,
-                                 const std::function<void(bool down)>& done) {
+                                 const std::function<void()>& down) {
+  const auto suspect = endpoint.Incarnation();
+  suspicions_.Note(endpoint, now_());
+  when_down_[suspect] = down;
+  AskOthers(endpoint,
+            [this, suspect, alive = std::weak_ptr<int>(alive_)](bool is_down) {
+              if (is_down && !alive.expired()) {
+                ConcludeDown(suspect);
+              }
+            });
+  LookElsewhere(endpoint);
+}
+
+void endpoint_paths::ConcludeDown(const endpoint_incarnation& suspect) {
+  suspicions_.Settle(suspect);
+  const auto found = when_down_.extract(suspect);
+  if (!found.empty()) {
+    found.mapped()();
+  }
+}
+
+void endpoint_paths::AskOthers(const known_endpoint& endpoint,
+                               const std::function<void(bool down)>& done) {
   endpoint_call_options options;
   options.to = endpoint.address;
   options.endpoint_id = endpoint.id;
@@ -327,27 +349,63 @@
   });
 }
 
+/// One endpoint of the most that are down says little of the path: those that
+/// look crashed are probed only where there is no other.
 void endpoint_paths::Probe() {
   const auto services = health_.CutServices();
   for (const auto& service : services) {
     std::vector<endpoint_record_ptr> usable;
+    std::vector<endpoint_record_ptr> suspects;
     for (const auto& record : roster_.Of(service)) {
       if (record->TakesCalls(now_())) {
-        usable.push_back(record);
+        const bool suspected = suspicions_.Has(record->Info().Incarnation());
+        (suspected ? suspects : usable).push_back(record);
       }
     }
+    if (usable.empty()) {
+      usable = std::move(suspects);
+    }
     if (usable.empty()) {
       continue;
     }
     ProbeAt(usable[Draw(usable.size())]->Info(),
-            [this, service](bool reached) { OnProbed(service, reached); });
+            [this, service, sent = now_()](bool reached) {
+              OnProbed(service, reached, sent);
+            });
   }
   if (!services.empty()) {
     ProbeSoon();
   }
 }
 
-void endpoint_paths::OnProbed(const std::string& service, bool reached) {
+void endpoint_paths::OnReached(const std::string& service, time_point sent) {
+  health_.NoteReached(service, sent);
+  LookAgain(service, sent);
+}
+
+/// This host has links to the service: what it still does not reach crashed.
+void endpoint_paths::LookAgain(const std::string& service, time_point sent) {
+  for (const auto& endpoint : suspicions_.NoteReached(service, sent, now_())) {
+    auto hook = when_down_.extract(endpoint.Incarnation());
+    if (hook.empty()) {
+      continue;
+    }
+    ProbeAt(endpoint, [down = std::move(hook.mapped())](bool reached) {
+      if (!reached) {
+        down();
+      }
+    });
+  }
+  std::erase_if(when_down_, [this](const auto& one) {
+    return !suspicions_.Has(one.first);
+  });
+}
+
+void endpoint_paths::OnProbed(const std::string& service, bool reached,
+                              time_point sent) {
+  if (reached) {
+    LookAgain(service, sent);
+  }
   if (health_.NoteProbe(service, reached)) {
     log_.Write("path_restored", {{"service", service}});
   }
--- a/src/slatestall/gateway/endpoint_paths.h
+++ b/src/slatestall/gateway/endpoint_paths.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/dispatch/crash_suspicions.h"
 #include "slatestall/dispatch/endpoint_roster.h"
 #include "slatestall/dispatch/path_health.h"
 #include "slatestall/dispatch/relay_choice.h"
@@ -48,10 +49,12 @@
   call_lesson LessonOf(const std::string& service, bool was_direct,
                        call_outcome outcome, call_lesson lesson) const;
   void NoteUnreached(const known_endpoint& endpoint);
-  /// @brief Whether another host finds an endpoint dead.
-  /// @param done Gets false also where no other host knows.
+  /// @brief Finds out whether an endpoint is dead for others, too, while this
+  /// host takes itself for cut off: another host does not reach it either, or
+  /// this host reaches other endpoints of the service but still not this one.
+  /// @param down Called once that is known; never where it is not so.
   void ConfirmDown(const known_endpoint& endpoint,
-                   const std::function<void(bool down)>& done);
+                   const std::function<void()>& down);
 
  private:
   struct probe;
@@ -69,7 +72,13 @@
                std::function<void(bool reached)> done);
   void ProbeSoon();
   void Probe();
-  void OnProbed(const std::string& service, bool reached);
+  void OnProbed(const std::string& service, bool reached, time_point sent);
+  void OnReached(const std::string& service, time_point sent);
+  void LookAgain(const std::string& service, time_point sent);
+  /// @param done Gets false also where no other host knows.
+  void AskOthers(const known_endpoint& endpoint,
+                 const std::function<void(bool down)>& done);
+  void ConcludeDown(const endpoint_incarnation& suspect);
 
   asio::io_context& context_;
   endpoint_roster& roster_;
@@ -79,6 +88,9 @@
   bool may_relay_;
   path_health health_;
   relay_choice relays_;
+  crash_suspicions suspicions_;
+  /// What follows once a suspect is known to be down.
+  std::map<endpoint_incarnation, std::function<void()>> when_down_;
   asio::steady_timer probe_timer_;
   bool probes_ = false;
   /// When the next probe may follow a failure, by service.
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -267,7 +267,8 @@
 }
 
 /// A host that is cut off finds each endpoint's connections reset and its port
-/// closed, as after a crash. Other hosts see whether the endpoint is there.
+/// closed, as after a crash. Other hosts see whether the endpoint is there, and
+/// so does this one once it reaches others.
 void gateway_traffic::OnSuspectedCrash(const endpoint_crash& crash) {
   const auto record = environment_.roster.Find(crash.endpoint);
   if (!record) {
@@ -277,22 +278,22 @@
   environment_.paths.NoteUnreached(record->Info());
   const auto timer = std::make_shared<asio::steady_timer>(environment_.context);
   timer->expires_after(kCutSeenTime);
-  timer->async_wait([this, crash, timer, endpoint = record->Info(),
-                     alive = std::weak_ptr<int>(alive_)](
-                        const asio::error_code& error) {
-    if (error || alive.expired()) {
-      return;
-    }
-    if (!environment_.paths.IsCut(endpoint.service)) {
-      OnCrash(crash);
-      return;
-    }
-    environment_.paths.ConfirmDown(endpoint, [this, crash, alive](bool down) {
-      if (down && !alive.expired()) {
-        OnCrash(crash);
-      }
-    });
-  });
+  timer->async_wait(
+      [this, crash, timer, endpoint = record->Info(),
+       alive = std::weak_ptr<int>(alive_)](const asio::error_code& error) {
+        if (error || alive.expired()) {
+          return;
+        }
+        if (!environment_.paths.IsCut(endpoint.service)) {
+          OnCrash(crash);
+          return;
+        }
+        environment_.paths.ConfirmDown(endpoint, [this, crash, alive] {
+          if (!alive.expired()) {
+            OnCrash(crash);
+          }
+        });
+      });
 }
 
 void gateway_traffic::NoteCrash(const endpoint_crash& crash,
