--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -98,8 +98,12 @@
           OnCallEnd(call, result);
         }
       });
+  // The bound is for the told pace; learnt slowness is given its whole time.
+  const double learnt =
+      IsSlow(StateOf(shard), *record) ? record->Slowness() : 1.0;
+  const double most = std::max(kMostOverdueFactor, kOverdueFactor * learnt);
   WatchCall(call, std::min(Scaled(call->expected, kOverdueFactor),
-                           Scaled(call->nominal, kMostOverdueFactor)) +
+                           Scaled(call->nominal, most)) +
                       kOverdueSlack);
 }
 
