A content that ran where a quarantined one crashed endpoints needs two crashes without it

Cause: a content that was never served ran at two endpoints that another request crashed and at one that crashed by itself. Three crashes quarantined it, although the other request, quarantined by then, explained two of them. The rule that such crashes do not count held for parts of prompts only.

Change: it holds for contents as well. Another content explains a crash if it is quarantined, ran there, and has crashed an endpoint without this one, too. So of contents that ran at the same endpoints none is excused by the verdict on another, and one that goes on crashing endpoints is quarantined after two more. Both are tested.

--- a/include/slatestall/dispatch/content_quarantine.h
+++ b/include/slatestall/dispatch/content_quarantine.h
@@ -114,6 +114,7 @@
   void ForgetCrashesOf(request_digest content);
   crash_list CrashesOf(request_digest content) const;
   bool IsExplained(const known_crash& crash, request_digest besides) const;
+  bool IsExplainedBetter(const known_crash& crash, request_digest than) const;
   std::size_t CrashesWithout(request_digest content, const std::string& service,
                              time_point from, time_point to) const;
   crash_list EvidenceAgainst(request_digest content) const;
--- a/src/slatestall/dispatch/content_quarantine.cc
+++ b/src/slatestall/dispatch/content_quarantine.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t kCrashesToQuarantine = 3;
-/// Of a part's, at endpoints where no content ran that is quarantined already.
+/// Of those that no content explains which is quarantined already.
 constexpr std::ptrdiff_t kLeastUnexplained = 2;
 /// Reports of one crash come from all hosts that had calls there. Judged
 /// sooner, endpoints that crash together would look like one content's doing.
@@ -235,9 +235,9 @@
     if (row.size() < kCrashesToQuarantine) {
       continue;
     }
-    if (IsOfPart(content) &&
-        std::count_if(row.begin(), row.end(), [&](const auto* one) {
-          return !IsExplained(*one, content);
+    if (std::count_if(row.begin(), row.end(), [&](const auto* one) {
+          return IsOfPart(content) ? !IsExplained(*one, content)
+                                   : !IsExplainedBetter(*one, content);
         }) < kLeastUnexplained) {
       continue;
     }
@@ -337,6 +337,24 @@
       });
 }
 
+/// One of those has also crashed an endpoint without this content. Where both
+/// ran at the same endpoints only, neither explains more than the other.
+bool content_quarantine::IsExplainedBetter(const known_crash& crash,
+                                           request_digest than) const {
+  return std::any_of(
+      quarantined_.begin(), quarantined_.end(), [&](const auto& one) {
+        const auto content = one.first;
+        if (content == than || !crash.running.contains(content)) {
+          return false;
+        }
+        const auto all = CrashesOf(content);
+        return std::any_of(all.begin(), all.end(), [&](const auto* other) {
+          return other->service == crash.service &&
+                 !other->running.contains(than);
+        });
+      });
+}
+
 bool content_quarantine::HasLost(request_digest content) const {
   const auto found = endpoints_of_.find(content);
   return found != endpoints_of_.end() &&
--- a/src/slatestall/dispatch/part_quarantine_test.cc
+++ b/src/slatestall/dispatch/part_quarantine_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(APartThatTurnsGuiltyIsQuarantinedAfterFiveMore);
   CPPUNIT_TEST(ARequestThatCrashesEndpointsTakesNoneOfItsPartsWithIt);
   CPPUNIT_TEST(AContentThatRanWhereAnotherCrashedEndpointsIsNotQuarantined);
+  CPPUNIT_TEST(ASecondContentThatCrashesEndpointsIsQuarantinedAfterTwoMore);
+  CPPUNIT_TEST(ContentsThatCrashTheSameEndpointsAreBothQuarantined);
   CPPUNIT_TEST(AFleetSendsFewMoreOfGuiltyPartsAndServesTheOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -133,6 +135,43 @@
     CPPUNIT_ASSERT(!quarantine.Refuses(kByChance, At(9000)));
   }
 
+  // Crashes that another content explains must not excuse one that goes on
+  // crashing endpoints once that other one is refused.
+  void ASecondContentThatCrashesEndpointsIsQuarantinedAfterTwoMore() {
+    auto quarantine = Quarantine();
+    constexpr request_digest kFirst = 0xc0;
+    constexpr request_digest kSecond = 0xc1;
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(
+          Crash(i, i == 0 ? std::vector<request_digest>{kFirst}
+                          : std::vector<request_digest>{kFirst, kSecond}),
+          crash_source::kOwnCalls, AfterSeconds(i));
+    }
+    quarantine.Judge(At(2400));
+    for (int i = 3; i < 5; ++i) {
+      CPPUNIT_ASSERT(!quarantine.Refuses(kSecond, AfterSeconds(i)));
+      quarantine.NoteCrash(Crash(i, {kSecond}), crash_source::kOwnCalls,
+                           AfterSeconds(i));
+      quarantine.NoteAnswer("s", AfterSeconds(i, 100));
+      quarantine.Judge(AfterSeconds(i, 400));
+    }
+    CPPUNIT_ASSERT(quarantine.Refuses(kSecond, At(4400)));
+  }
+
+  // Where two contents ran at the same endpoints, the verdict on the one that
+  // is judged first must not excuse the other, which may be the cause.
+  void ContentsThatCrashTheSameEndpointsAreBothQuarantined() {
+    auto quarantine = Quarantine();
+    for (int i = 0; i < 3; ++i) {
+      quarantine.NoteCrash(Crash(i, {0xc0, 0xc1}), crash_source::kOwnCalls,
+                           AfterSeconds(i));
+      quarantine.NoteAnswer("s", AfterSeconds(i, 100));
+      quarantine.Judge(AfterSeconds(i, 400));
+    }
+    CPPUNIT_ASSERT(quarantine.Refuses(0xc0, At(2400)));
+    CPPUNIT_ASSERT(quarantine.Refuses(0xc1, At(2400)));
+  }
+
   // Two parts crash endpoints at the same time. Nothing more than few requests
   // with either goes out once all hosts can know, and requests that share their
   // other parts are served.
