--- a/include/slatestall/dispatch/home_health.h
+++ b/include/slatestall/dispatch/home_health.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstddef>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,15 +22,28 @@
  public:
   void NoteAsked(const std::string& host, time_point now);
   void NoteAnswer(const std::string& host, bool draining, time_point now);
+  /// @brief With its answer, it reported whether the store answers it.
+  void NoteStore(const std::string& host, bool answers);
   /// @brief Its connection broke, or it refused.
   void NoteFailure(const std::string& host, time_point now);
 
   bool IsTrusted(const std::string& host) const;
   bool AnyTrusted() const;
+  /// @brief It has reported last that the store does not answer it.
+  bool LacksStore(const std::string& host) const;
   /// @brief Neither has it answered yet nor failed to.
   bool IsUnknown(const std::string& host) const;
   /// @brief Whether it is time to ask it again.
   bool IsDue(const std::string& host, time_point now) const;
+  /// @brief Whether it is trusted and its last answer is as recent.
+  bool AnsweredWithin(const std::string& host, duration age,
+                      time_point now) const;
+  /// @brief Adds the hosts of a ranking to be asked now so that the first
+  /// `count` that serve become or stay known.
+  void AddDue(const std::vector<std::string>& ranking, const std::string& self,
+              std::size_t count,
+              const std::function<bool(const std::string&)>& serves,
+              time_point now, std::set<std::string>& due) const;
   /// @brief Hosts whose answer is overdue; each is to be noted as a failure.
   std::vector<std::string> Overdue(time_point now) const;
   /// @brief Forgets hosts that are not listed.
@@ -37,8 +53,10 @@
   struct state {
     bool trusted = false;
     bool draining = false;
+    bool lacks_store = false;
     bool asked = false;  ///< An answer is awaited.
     time_point asked_at{};
+    time_point answered_at{};
     time_point next_at{};
     unsigned failures = 0;
   };
--- a/src/slatestall/dispatch/home_finder.cc
+++ b/src/slatestall/dispatch/home_finder.cc
@@ -5,9 +5,6 @@
 namespace slatestall {
 namespace {
 
-/// Hosts asked at once where none is known: one that is dead costs no time, and
-/// a fleet that starts does not connect each to each.
-constexpr std::size_t kAskedAhead = 3;
 /// So many in a row that do not answer are a cut, no chance.
 constexpr std::size_t kMostLost = 12;
 /// Others that start with this host refuse connections until they are up.
@@ -92,30 +89,11 @@
   return living;
 }
 
-/// Those in use, and all before them that may have come back. The further the
-/// ranking is lost, the more are asked at once, so that the end of it is
-/// reached in a few rounds.
 void home_finder::AddDue(const std::string& part, std::size_t count,
                          time_point now, std::set<std::string>& due) const {
-  std::size_t ahead = 0;
-  std::size_t lost = 0;
-  for (const auto& host : Ranked(part)) {
-    if (count == 0 || ahead == kAskedAhead + lost) {
-      break;
-    }
-    count -= Lives(host) ? 1 : 0;
-    if (host == self_.host) {
-      continue;
-    }
-    if (health_.IsDue(host, now)) {
-      due.insert(host);
-    }
-    if (health_.IsUnknown(host)) {
-      ++ahead;
-    } else if (!health_.IsTrusted(host)) {
-      ++lost;
-    }
-  }
+  health_.AddDue(
+      Ranked(part), self_.host, count,
+      [this](const std::string& host) { return Lives(host); }, now, due);
 }
 
 }  // namespace slatestall
