--- a/include/slatestall/gateway/endpoint_listing.h
+++ b/include/slatestall/gateway/endpoint_listing.h
@@ -49,6 +49,7 @@
   /// @returns whether entries were dropped since their return time is over.
   bool DropOverdue(time_point now);
 
+  /// @returns all, in order of their ids.
   std::vector<known_endpoint> Listed() const;
   std::size_t size() const { return entries_.size(); }
 
@@ -71,4 +72,16 @@
   std::optional<time_point> outage_over_;
 };
 
+/// @brief What differs between two lists, by the endpoints' ids.
+struct listing_changes {
+  std::vector<std::string> added;
+  std::vector<std::string> leaving;  ///< Have begun to leave.
+  std::vector<std::string> gone;
+};
+
+/// @param before, after As `endpoint_listing::Listed` has them: in order of
+/// their ids.
+listing_changes ChangesBetween(const std::vector<known_endpoint>& before,
+                               const std::vector<known_endpoint>& after);
+
 }  // namespace slatestall
--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -17,6 +17,7 @@
 struct keyed_record {
   std::string key;
   std::optional<std::string> value;  ///< Nothing: the key was deleted.
+  std::uint64_t offset = 0;          ///< Of a compacted read's records.
 };
 
 enum class store_outcome {
@@ -43,6 +44,12 @@
   milliseconds age{0};
   /// Told by another host, since the store did not answer this one.
   bool second_hand = false;
+  /// Records that others of their keys follow are left out; each names its
+  /// offset.
+  bool is_compacted = false;
+  /// It was held until there was something to tell, or for as long as that is
+  /// done: the next may follow at once.
+  bool was_held = false;
 };
 
 /// @brief A compacted topic of the platform's store. Completions run later, on
--- a/include/slatestall/peer/peer_node.h
+++ b/include/slatestall/peer/peer_node.h
@@ -113,6 +113,8 @@
   const peer_counters& Counters() const;
   /// @brief Connections now held, made or accepted.
   std::size_t ConnectionCount() const;
+  /// @brief Of all connections together, what is queued and not yet sent.
+  std::size_t UnsentBytes() const;
 
  private:
   class impl;
--- a/src/slatestall/gateway/endpoint_listing.cc
+++ b/src/slatestall/gateway/endpoint_listing.cc
@@ -129,4 +129,29 @@
   return listed;
 }
 
+listing_changes ChangesBetween(const std::vector<known_endpoint>& before,
+                               const std::vector<known_endpoint>& after) {
+  listing_changes changes;
+  auto old = before.begin();
+  for (const auto& endpoint : after) {
+    for (; old != before.end() && old->id < endpoint.id; ++old) {
+      changes.gone.push_back(old->id);
+    }
+    const bool was_listed = old != before.end() && old->id == endpoint.id;
+    if (!was_listed) {
+      changes.added.push_back(endpoint.id);
+    }
+    if (endpoint.leaving && !(was_listed && old->leaving)) {
+      changes.leaving.push_back(endpoint.id);
+    }
+    if (was_listed) {
+      ++old;
+    }
+  }
+  for (; old != before.end(); ++old) {
+    changes.gone.push_back(old->id);
+  }
+  return changes;
+}
+
 }  // namespace slatestall
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -25,6 +25,20 @@
           options.restore_time};
 }
 
+/// Ids that one line of the log names; it counts the others.
+constexpr std::size_t kMostIdsInLine = 32;
+
+void AddIds(nlohmann::json& fields, const std::string& name,
+            const std::vector<std::string>& ids) {
+  for (const auto& id : ids) {
+    if (fields[name].size() == kMostIdsInLine) {
+      fields[name + "_more"] = ids.size() - kMostIdsInLine;
+      return;
+    }
+    fields[name].push_back(id);
+  }
+}
+
 }  // namespace
 
 gateway_control::gateway_control(asio::io_context& context,
@@ -81,7 +95,12 @@
           [this](std::vector<listed_gateway> hosts) {
             news_.on_hosts(std::move(hosts));
           },
-          [this](const host_census& census) { news_.on_census(census); }),
+          [this](const host_census& census) { news_.on_census(census); },
+          [this] {
+            if (news_.on_no_hosts) {
+              news_.on_no_hosts();
+            }
+          }),
       crashes_(context, options, link_, log_, now_, news_.crashes) {}
 
 void gateway_control::Start() {
@@ -244,29 +263,13 @@
   }
 }
 
-/// One line for each reading of the list, however long it is.
+/// One line for each reading of the list, of bounded length.
 void gateway_control::LogChanges(const std::vector<known_endpoint>& listed) {
+  const auto changes = ChangesBetween(published_, listed);
   nlohmann::json fields = {{"listed", listed.size()}};
-  for (const auto& endpoint : listed) {
-    const auto before =
-        std::find_if(published_.begin(), published_.end(),
-                     [&](const auto& one) { return one.id == endpoint.id; });
-    if (before == published_.end()) {
-      fields["new"].push_back(endpoint.id);
-    }
-    const bool was_leaving = before != published_.end() && before->leaving;
-    if (endpoint.leaving && !was_leaving) {
-      fields["leaving"].push_back(endpoint.id);
-    }
-  }
-  for (const auto& endpoint : published_) {
-    const bool still =
-        std::any_of(listed.begin(), listed.end(),
-                    [&](const auto& one) { return one.id == endpoint.id; });
-    if (!still) {
-      fields["gone"].push_back(endpoint.id);
-    }
-  }
+  AddIds(fields, "new", changes.added);
+  AddIds(fields, "leaving", changes.leaving);
+  AddIds(fields, "gone", changes.gone);
   log_.Write("endpoints_changed", std::move(fields));
 }
 
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -25,6 +25,8 @@
   std::function<void(routing_table_ptr)> on_configuration;
   std::function<void(std::vector<known_endpoint>)> on_endpoints;
   std::function<void(std::vector<listed_gateway>)> on_hosts;
+  /// The list of hosts could not be read at the start.
+  std::function<void()> on_no_hosts{};
   std::function<void(const host_census&)> on_census;
   crash_news crashes;
   /// What the store holds and nobody can read, to be counted.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -16,6 +16,7 @@
 #include "slatestall/gateway/settings_reload.h"
 #include "slatestall/gateway/shared_reading.h"
 #include "slatestall/http/http_server.h"
+#include "slatestall/model/ids.h"
 #include "slatestall/relay/boot_time.h"
 #include "slatestall/serve/drain_sequence.h"
 
@@ -30,6 +31,12 @@
 /// asks anew each second.
 constexpr milliseconds kConfigurationAge{1400};
 constexpr milliseconds kHostsAge{10'000};
+/// How long the host that this one follows may hold a question that nothing new
+/// answers.
+constexpr milliseconds kConfigurationHold{500};
+constexpr milliseconds kEndpointsHold{700};
+constexpr milliseconds kHostsHold{2000};
+constexpr milliseconds kCrashesHold{500};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -59,7 +66,8 @@
             },
             ToOthers()),
         control_client_(control_context_),
-        reading_(control_context_, OtherHosts(), BootTimeNow),
+        reading_(control_context_, OtherHosts(), BootTimeNow,
+                 StableHash(options.host_name)),
         control_(control_context_, options_, Link(), log_, BootTimeNow, News()),
         status_(control_context_, StatusServer(options_),
                 [this](const http_request& request,
@@ -140,6 +148,14 @@
                                   {"records", told.records.size()},
                                   {"age_ms", told.age.count()}});
     };
+    asks.on_more = [this](const std::string& topic) {
+      asio::post(traffic_context_,
+                 [this, topic] { traffic_.ReleaseQuestions(topic); });
+    };
+    asks.on_store = [this](bool answered) {
+      asio::post(traffic_context_,
+                 [this, answered] { traffic_.NoteStore(answered); });
+    };
     return asks;
   }
 
@@ -149,12 +165,14 @@
     // asking and for what is under way.
     link.configuration = reading_.Share(
         "configuration", link.configuration,
-        std::min(kConfigurationAge, options_.evacuation_limit / 3));
-    link.endpoints =
-        reading_.Share("endpoints", link.endpoints, options_.leave_limit / 2);
-    link.hosts = reading_.Share("hosts", link.hosts, kHostsAge);
-    link.crashes =
-        reading_.Share("crashes", link.crashes, options_.settle_limit / 2);
+        std::min(kConfigurationAge, options_.evacuation_limit / 3),
+        kConfigurationHold);
+    link.endpoints = reading_.Share("endpoints", link.endpoints,
+                                    options_.leave_limit / 2, kEndpointsHold);
+    link.hosts =
+        reading_.ShareHosts("hosts", link.hosts, kHostsAge, kHostsHold);
+    link.crashes = reading_.Share("crashes", link.crashes,
+                                  options_.settle_limit / 2, kCrashesHold);
     return link;
   }
 
@@ -217,6 +235,9 @@
         traffic_.SetHosts(hosts);
       });
     };
+    news.on_no_hosts = [this] {
+      asio::post(traffic_context_, [this] { traffic_.NoteNoHostList(); });
+    };
     news.on_census = [this](const host_census& census) {
       asio::post(traffic_context_,
                  [this, census] { traffic_.SetCensus(census); });
--- a/src/slatestall/gateway/gateway_settings.cc
+++ b/src/slatestall/gateway/gateway_settings.cc
@@ -30,6 +30,7 @@
   std::string regions;
   std::uint32_t max_connections = 1024;
   std::uint32_t max_memory_mb = 0;
+  std::uint32_t max_files = 0;
   double processor_share = 1.0;
   double link_mbps = 1000.0;
   std::uint32_t leave_limit = 2000;
@@ -111,6 +112,14 @@
                                       .maximum = 1 << 20,
                                       .meaning = "What the process may use; "
                                                  "0: not known"}),
+      MemberField(&s::max_files, {.name = "max_files",
+                                  .type = type::kWhole,
+                                  .unit = "descriptors",
+                                  .minimum = 0,
+                                  .maximum = 10000000,
+                                  .meaning = "What the process may have open; "
+                                             "half may be connections to other "
+                                             "hosts; 0: not known"}),
       MemberField(&s::processor_share,
                   {.name = "processor_share",
                    .type = type::kNumber,
@@ -265,6 +274,7 @@
   options.max_connections = written.max_connections;
   options.processor_share = written.processor_share;
   options.link_mbps = written.link_mbps;
+  options.max_files = written.max_files;
   options.memory_bytes = std::size_t{written.max_memory_mb} << 20U;
   options.leave_limit = milliseconds(written.leave_limit);
   options.evacuation_limit = milliseconds(written.evacuation_limit);
--- a/src/slatestall/gateway/gateway_traffic.cc
+++ b/src/slatestall/gateway/gateway_traffic.cc
@@ -1,5 +1,6 @@
 #include "slatestall/gateway/gateway_traffic.h"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <exception>
@@ -44,6 +45,17 @@
   return made;
 }
 
+/// Of a host's memory, for replies to hosts that follow it.
+constexpr std::size_t kUnsentPartOfMemory = 16;
+constexpr std::size_t kMostUnsent = std::size_t{64} << 20U;
+
+std::size_t MostUnsent(const gateway_options& options) {
+  return options.memory_bytes == 0
+             ? kMostUnsent
+             : std::min(kMostUnsent,
+                        options.memory_bytes / kUnsentPartOfMemory);
+}
+
 /// A connection that is not made within it is as good as none: hosts are a
 /// few milliseconds apart.
 constexpr milliseconds kPeerConnectTime{600};
@@ -60,6 +72,9 @@
   made.listen_port = options.peer_port;
   made.hello_timeout = kPeerConnectTime;
   made.max_frame_bytes = kMaxPeerFrame;
+  // Every host of the fleet connects to a home. The other half is for callers
+  // and endpoints.
+  made.max_connections = std::max(made.max_connections, options.max_files / 2);
   return made;
 }
 
@@ -128,7 +143,7 @@
       home_(environment_),
       relay_(environment_),
       peers_(context, NewIncarnation(options.host_name), PeerOptions(options)),
-      topics_(peers_, std::move(known_topics)),
+      topics_(context, peers_, std::move(known_topics), MostUnsent(options)),
       streams_(peers_, environment_.metrics, options.host_name, now),
       router_(environment_, home_, peers_),
       stages_(router_.Calls()),
@@ -237,14 +252,25 @@
 
 void gateway_traffic::AskReader(const topic_question& question,
                                 topic_asks::reader_hook done) {
-  const auto reader = router_.Reader();
-  if (reader.empty()) {
-    done({.reads_itself = true, .told = std::nullopt});
+  reader_answer answer;
+  answer.hosts = router_.IsLargeFleet() ? router_.Hosts() : 0;
+  const auto place = router_.ReadingPlace();
+  answer.source = place.source;
+  answer.follows_relay = place.follows_relay;
+  // A small fleet's hosts start without waiting for each other.
+  const bool reads_whole = !question.from && !router_.IsLargeFleet();
+  if (reads_whole && place.source == reading_source::kHost) {
+    answer.source = reading_source::kStore;
+  }
+  if (answer.source != reading_source::kHost) {
+    done(std::move(answer));
     return;
   }
-  topics_.Ask(reader, question,
-              [done = std::move(done)](std::optional<tail_read> told) {
-                done({.reads_itself = false, .told = std::move(told)});
+  topics_.Ask(place.host, question,
+              [answer, done = std::move(done)](topic_answer told) mutable {
+                answer.told = std::move(told.told);
+                answer.is_busy = told.is_busy;
+                done(std::move(answer));
               });
 }
 
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -56,7 +56,13 @@
   void SetCensus(const host_census& census) {
     environment_.repeats.NoteCensus(census, environment_.now());
   }
-  /// @brief Asks the host that reads the store for others.
+  /// @brief The list of hosts cannot be read for now.
+  void NoteNoHostList() { router_.NoteNoHostList(); }
+  /// @brief The store has answered this host, or not.
+  void NoteStore(bool answered) { router_.NoteStore(answered); }
+  /// @brief More is known of a topic than other hosts were told.
+  void ReleaseQuestions(const std::string& topic) { topics_.Release(topic); }
+  /// @brief Asks the host that this one follows.
   void AskReader(const topic_question& question, topic_asks::reader_hook done);
   /// @brief Asks some other hosts what they know.
   void AskAny(const topic_question& question, topic_exchange::done_hook done);
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -18,6 +18,10 @@
 constexpr double kLeastWeight = 0.01;
 constexpr double kMostWeight = 64.0;
 constexpr milliseconds kAnnounceRetry{700};
+/// The first read follows the own entry, so that hosts that start together find
+/// each other with one read each. A store that takes one write at a time is
+/// seconds behind where a large fleet starts, and reads do not wait for it.
+constexpr milliseconds kOwnEntryWait{250};
 /// All hosts write again within it after the store has lost entries: a few
 /// hundred writes a second of a large fleet.
 constexpr milliseconds kAnnounceAgain{2000};
@@ -47,7 +51,8 @@
                                const gateway_options& options,
                                const platform_link& link, decision_log& log,
                                now_function now, hosts_hook on_hosts,
-                               census_hook on_census)
+                               census_hook on_census,
+                               std::function<void()> on_no_list)
     : options_(options),
       entry_life_(EntryLife(options.repeats)),
       announce_(link.announce),
@@ -55,7 +60,9 @@
       now_(std::move(now)),
       on_hosts_(std::move(on_hosts)),
       on_census_(std::move(on_census)),
+      on_no_list_(std::move(on_no_list)),
       timer_(context),
+      follow_timer_(context),
       follower_(
           context, Timed(link.hosts),
           {milliseconds(0), kReadInterval, options.restore_time},
@@ -63,11 +70,13 @@
            .on_changes = [this](const auto& records) { Take(records); },
            .on_read =
                [this](const keyed_read& read) {
-                 if (read.outcome == store_outcome::kDone) {
-                   NoteEra(read.era);
-                   census_.read_at = read_began_ - read.age - kToldSlack;
-                   Publish();
+                 if (read.outcome != store_outcome::kDone) {
+                   on_no_list_();
+                   return;
                  }
+                 NoteEra(read.era);
+                 census_.read_at = read_began_ - read.age - kToldSlack;
+                 Publish();
                },
            .on_restored = [this](const auto& records) { Take(records); }}) {}
 
@@ -88,7 +97,22 @@
   return timed;
 }
 
-void host_directory::Start() { Announce(); }
+void host_directory::Start() {
+  Announce();
+  follow_timer_.expires_after(kOwnEntryWait);
+  follow_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
+                               const asio::error_code& error) {
+    if (!error && !alive.expired()) {
+      Follow();
+    }
+  });
+}
+
+void host_directory::Follow() {
+  if (!std::exchange(follows_, true)) {
+    follower_.Start();
+  }
+}
 
 /// The store came back from a copy that may lack the own entry. Hosts that
 /// start meanwhile know only those that are listed.
@@ -117,7 +141,8 @@
   const nlohmann::json value = {
       {"peer", options_.address + ":" + std::to_string(options_.peer_port)},
       {"weight", options_.Weight()},
-      {"relay", options_.address + ":" + std::to_string(options_.relay_port)}};
+      {"relay", options_.address + ":" + std::to_string(options_.relay_port)},
+      {"failure_domain", options_.failure_domain}};
   announce_(options_.host_name, value.dump(),
             [this, began = now_(),
              alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
@@ -128,13 +153,9 @@
               if (done) {
                 census_.announced_at = began;
               }
-              if (!follows_) {
-                // The first read follows the own entry, so that hosts that
-                // start together find each other with one read each.
-                follows_ = true;
-                follower_.Start();
-              }
-              AnnounceAfter(done ? NextInterval() : kAnnounceRetry);
+              Follow();
+              AnnounceAfter(done ? NextInterval()
+                                 : kAnnounceRetry + RandomBelow(kAnnounceRetry));
             });
 }
 
@@ -155,6 +176,7 @@
     listed.weight =
         std::clamp(value.value("weight", 1.0), kLeastWeight, kMostWeight);
     listed.relay = value.value("relay", std::string());
+    listed.failure_domain = value.value("failure_domain", std::string());
     entries_[record.key] = {std::move(listed), now_()};
   }
   Publish();
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -24,11 +24,12 @@
   double weight = 1.0;  ///< Share of a processor that it has.
   /// "IP:port" where it passes calls on to endpoints; empty: it does not.
   std::string relay{};
+  std::string failure_domain{};  ///< Empty: not announced.
 
   friend bool operator==(const listed_gateway& a, const listed_gateway& b) {
     return a.address.host == b.address.host &&
            a.address.address == b.address.address && a.weight == b.weight &&
-           a.relay == b.relay;
+           a.relay == b.relay && a.failure_domain == b.failure_domain;
   }
 };
 
@@ -40,9 +41,11 @@
   using hosts_hook = std::function<void(std::vector<listed_gateway>)>;
   using census_hook = std::function<void(const host_census&)>;
 
+  /// @param on_no_list A read has failed.
   host_directory(asio::io_context& context, const gateway_options& options,
                  const platform_link& link, decision_log& log, now_function now,
-                 hosts_hook on_hosts, census_hook on_census);
+                 hosts_hook on_hosts, census_hook on_census,
+                 std::function<void()> on_no_list);
 
   void Start();
 
@@ -53,6 +56,7 @@
   };
 
   void Announce();
+  void Follow();
   void AnnounceAfter(milliseconds delay);
   void NoteEra(std::uint64_t era);
   void Take(const std::vector<keyed_record>& records);
@@ -72,7 +76,9 @@
   time_point read_began_{};
   std::uint64_t era_ = 0;  ///< Of the store's history, as last seen.
   host_census census_;
+  std::function<void()> on_no_list_;
   asio::steady_timer timer_;
+  asio::steady_timer follow_timer_;
   topic_follower follower_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -8,15 +8,22 @@
 namespace slatestall {
 namespace {
 
-/// A reader answers at once, where the store would have held the read open
-/// until something came. Asked as often, a change is in force within a second.
-constexpr milliseconds kAskInterval{500};
 /// A host that the store has not answered leaves the next tries to the readers
 /// for a while, up to the longest. That is well under the time in which the end
 /// of work at an endpoint is to be known.
 constexpr milliseconds kFirstPause{250};
 constexpr milliseconds kLongestPause{1600};
 constexpr unsigned kMaxDoublings = 3;
+/// Until better placed hosts are known to live or not.
+constexpr milliseconds kUndecidedPause{20};
+/// Until a host that is busy, or knows nothing yet, is asked again.
+constexpr milliseconds kBusyPause{100};
+/// A host without a topic's whole holds the question for it; the asker may by
+/// then follow another.
+constexpr milliseconds kWholeWait{1000};
+/// How much older an answer is that passed through a relay, which learns each
+/// `hold` that the store is still read.
+constexpr milliseconds kRelaySlack{200};
 
 using read_done = std::function<void(keyed_read)>;
 
@@ -50,8 +57,49 @@
   keyed_topic direct;
   std::shared_ptr<topic_tail> tail;
   milliseconds max_age;
+  milliseconds hold;
   now_function now;
+  std::shared_ptr<store_turns> turns;
   store_pause pause{};
+
+  void NoteStore(const keyed_read& read) const {
+    const bool answered = read.outcome == store_outcome::kDone ||
+                          read.outcome == store_outcome::kTooOld;
+    if (asks.on_store) {
+      asks.on_store(answered);
+    }
+  }
+
+  void NoteMore() const {
+    if (asks.on_more) {
+      asks.on_more(name);
+    }
+  }
+
+  void Keep(std::uint64_t from, const keyed_read& read,
+            milliseconds age = milliseconds(0)) const {
+    tail->Note(from, read, age);
+    if (!read.records.empty()) {
+      NoteMore();
+    }
+  }
+
+  void KeepAll(const keyed_read& read,
+               milliseconds age = milliseconds(0)) const {
+    tail->NoteAll(read, age);
+    NoteMore();
+  }
+
+  void After(milliseconds delay, std::function<void()> next) const {
+    const auto timer = std::make_shared<asio::steady_timer>(context);
+    timer->expires_after(delay);
+    timer->async_wait(
+        [timer, next = std::move(next)](const asio::error_code& error) {
+          if (!error) {
+            next();
+          }
+        });
+  }
 };
 using shared_topic_ptr = std::shared_ptr<shared_topic>;
 
@@ -61,16 +109,30 @@
   std::uint64_t from;
   milliseconds wait;
   read_done done;
+  time_point began{};
+  time_point asked{};  ///< The host that this one follows.
 };
 using next_read_ptr = std::shared_ptr<next_read>;
 
+/// One read of the newest of every key, page by page.
+struct whole_read {
+  shared_topic_ptr topic;
+  read_done done;
+  keyed_read read{};
+  milliseconds age{0};
+  std::string last_key{};
+};
+using whole_read_ptr = std::shared_ptr<whole_read>;
+
 keyed_read ReadOf(tail_read told) {
   keyed_read read;
-  read.outcome = store_outcome::kDone;
+  read.outcome =
+      told.is_too_old ? store_outcome::kTooOld : store_outcome::kDone;
   read.age = told.age;
   read.next = told.next;
   read.era = told.era;
   read.records = std::move(told.records);
+  read.is_compacted = true;
   return read;
 }
 
@@ -82,9 +144,9 @@
   keyed_read read = ReadOf(told);
   read.second_hand = true;
   if (question.from) {
-    topic->tail->Note(*question.from, read, told.age);
+    topic->Keep(*question.from, read, told.age);
   } else {
-    topic->tail->NoteAll(read, told.age);
+    topic->KeepAll(read, told.age);
   }
   return read;
 }
@@ -110,10 +172,11 @@
       });
 }
 
-void ReadAll(const shared_topic_ptr& topic, const read_done& done) {
+void ReadWholeDirectly(const shared_topic_ptr& topic, const read_done& done) {
   topic->direct.read_newest([topic, done](const keyed_read& got) {
+    topic->NoteStore(got);
     if (got.outcome == store_outcome::kDone) {
-      topic->tail->NoteAll(got);
+      topic->KeepAll(got);
       done(got);
       return;
     }
@@ -122,13 +185,82 @@
   });
 }
 
+void AskForPage(const whole_read_ptr& whole);
+
+/// @returns whether the whole is complete.
+bool TakePage(const whole_read_ptr& whole, tail_read told) {
+  auto& read = whole->read;
+  const bool is_first = whole->last_key.empty();
+  const bool has_more = told.has_more;
+  if (!is_first && told.era != read.era) {
+    read = {};  // The store came back from an older copy between two pages.
+    whole->last_key.clear();
+    return false;
+  }
+  if (is_first) {
+    // What changes between the pages is read once more from here on.
+    read = ReadOf(std::move(told));
+    whole->age = read.age;
+  } else {
+    std::move(told.records.begin(), told.records.end(),
+              std::back_inserter(read.records));
+  }
+  if (!has_more || read.records.empty()) {
+    return true;
+  }
+  whole->last_key = read.records.back().key;
+  return false;
+}
+
+void OnPage(const whole_read_ptr& whole, reader_answer answer) {
+  const auto& topic = whole->topic;
+  const auto again = [whole] { AskForPage(whole); };
+  if (answer.source == reading_source::kStore) {
+    ReadWholeDirectly(topic, whole->done);
+    return;
+  }
+  if (answer.source == reading_source::kUndecided) {
+    topic->After(kUndecidedPause, again);
+    return;
+  }
+  if (!answer.told) {
+    // Where none of those that are to read for others can, some hosts do.
+    if (!answer.is_busy && topic->turns->Take(answer.hosts, topic->now())) {
+      ReadWholeDirectly(topic, whole->done);
+    } else {
+      topic->After(kBusyPause, again);
+    }
+    return;
+  }
+  if (!TakePage(whole, std::move(*answer.told))) {
+    again();
+    return;
+  }
+  topic->KeepAll(whole->read, whole->age);
+  whole->done(whole->read);
+}
+
+void AskForPage(const whole_read_ptr& whole) {
+  const auto& topic = whole->topic;
+  topic->asks.reader(
+      {topic->name, std::nullopt, topic->tail->Era(), whole->last_key,
+       kWholeWait},
+      [whole](reader_answer answer) {
+        asio::post(whole->topic->context,
+                   [whole, answer = std::move(answer)]() mutable {
+                     OnPage(whole, std::move(answer));
+                   });
+      });
+}
+
 void ReadDirectly(const next_read_ptr& read) {
   const auto& topic = read->topic;
   topic->direct.read_from(read->from, read->wait, [read](keyed_read got) {
     const auto& topic = read->topic;
     topic->pause.Note(got, topic->now());
+    topic->NoteStore(got);
     if (got.outcome == store_outcome::kDone) {
-      topic->tail->Note(read->from, got);
+      topic->Keep(read->from, got);
     }
     if (got.outcome == store_outcome::kDone ||
         got.outcome == store_outcome::kTooOld) {
@@ -141,89 +273,127 @@
 }
 
 void Deliver(const next_read_ptr& read, tail_read told) {
+  const auto& topic = read->topic;
   const milliseconds age = told.age;
-  const keyed_read got = ReadOf(std::move(told));
-  read->topic->tail->Note(read->from, got, age);
-  const bool is_news =
-      !got.records.empty() || got.era != read->topic->tail->Era();
-  if (is_news || read->wait == milliseconds(0)) {
-    read->done(got);
-    return;
+  auto got = ReadOf(std::move(told));
+  const bool is_news = got.outcome != store_outcome::kDone ||
+                       !got.records.empty() || got.era != topic->tail->Era();
+  if (got.outcome == store_outcome::kDone) {
+    topic->Keep(read->from, got, age);
   }
-  const auto timer = std::make_shared<asio::steady_timer>(read->topic->context);
-  timer->expires_after(kAskInterval);
-  timer->async_wait([timer, read, got](const asio::error_code& error) {
-    if (!error) {
-      read->done(got);
-    }
-  });
+  got.was_held = true;
+  // A host that does not hold questions must not be asked without a pause.
+  const auto held = topic->now() - read->asked;
+  if (is_news || held >= topic->hold / 2) {
+    read->done(std::move(got));
+  } else {
+    topic->After(topic->hold, [read, got] { read->done(got); });
+  }
+}
+
+bool IsFresh(const next_read_ptr& read, const reader_answer& answer) {
+  const auto& topic = *read->topic;
+  const auto slack =
+      answer.follows_relay ? topic.hold + kRelaySlack : milliseconds(0);
+  return answer.told && answer.told->age <= topic.max_age + slack;
 }
 
-bool IsFresh(const next_read_ptr& read, const std::optional<tail_read>& told) {
-  return told && told->age <= read->topic->max_age;
+/// @returns whether this host may read the store for itself now.
+bool MayReadItself(const shared_topic_ptr& topic, std::size_t hosts) {
+  const time_point now = topic->now();
+  return now >= topic->pause.until &&
+         (hosts == 0 || topic->turns->Take(hosts, now));
 }
 
 /// The reader has lost the store, or is lost itself. Others may already read in
 /// its place. Where the store has just failed this host, too, it is left alone:
 /// in an outage all hosts would ask it several times a second.
-void AskForAReader(const next_read_ptr& read) {
+void AskForAReader(const next_read_ptr& read, const reader_answer& first) {
   const auto& topic = read->topic;
   const topic_question question{topic->name, read->from, topic->tail->Era()};
-  topic->asks.any(question, [read, question](std::optional<tail_read> told) {
-    asio::post(read->topic->context, [read, question, told = std::move(told)] {
-      const auto& topic = read->topic;
-      if (IsFresh(read, told)) {
-        Deliver(read, *told);
-      } else if (topic->now() < topic->pause.until) {
-        read->done(MoreOf(topic, question, told, topic->pause.last));
-      } else {
-        ReadDirectly(read);
-      }
-    });
+  topic->asks.any(question, [read, question,
+                             first](std::optional<tail_read> told) {
+    asio::post(read->topic->context,
+               [read, question, first, told = std::move(told)] {
+                 const auto& topic = read->topic;
+                 reader_answer answer = first;
+                 answer.told = told;
+                 if (IsFresh(read, answer)) {
+                   Deliver(read, *told);
+                 } else if (MayReadItself(topic, first.hosts)) {
+                   ReadDirectly(read);
+                 } else {
+                   auto failed = topic->pause.last;
+                   if (failed.detail.empty()) {
+                     failed.detail = "no host has read the store just now";
+                   }
+                   read->done(MoreOf(topic, question, told, failed));
+                 }
+               });
   });
 }
 
+void ReadNext(const next_read_ptr& read);
+
+void OnAnswer(const next_read_ptr& read, const reader_answer& answer) {
+  const auto& topic = read->topic;
+  const bool is_patient = topic->now() - read->began < topic->max_age;
+  const auto again = [read] { ReadNext(read); };
+  if (answer.source == reading_source::kStore) {
+    ReadDirectly(read);
+  } else if (answer.source == reading_source::kUndecided && is_patient) {
+    topic->After(kUndecidedPause, again);
+  } else if (answer.is_busy && is_patient) {
+    topic->After(kBusyPause, again);
+  } else if (IsFresh(read, answer)) {
+    Deliver(read, *answer.told);
+  } else {
+    AskForAReader(read, answer);
+  }
+}
+
 void ReadNext(const next_read_ptr& read) {
   const auto& topic = read->topic;
-  topic->asks.reader({topic->name, read->from, topic->tail->Era()},
-                     [read](reader_answer answer) {
-                       asio::post(read->topic->context,
-                                  [read, answer = std::move(answer)] {
-                                    if (IsFresh(read, answer.told)) {
-                                      Deliver(read, *answer.told);
-                                    } else if (answer.reads_itself) {
-                                      ReadDirectly(read);
-                                    } else {
-                                      AskForAReader(read);
-                                    }
-                                  });
-                     });
+  read->asked = topic->now();
+  topic->asks.reader(
+      {topic->name, read->from, topic->tail->Era(), {}, topic->hold},
+      [read](reader_answer answer) {
+        asio::post(read->topic->context, [read, answer = std::move(answer)] {
+          OnAnswer(read, answer);
+        });
+      });
 }
 
 }  // namespace
 
 shared_reading::shared_reading(asio::io_context& context, topic_asks asks,
-                               now_function now)
-    : context_(context), asks_(std::move(asks)), now_(std::move(now)) {}
+                               now_function now, std::uint64_t seed)
+    : context_(context),
+      asks_(std::move(asks)),
+      now_(std::move(now)),
+      turns_(std::make_shared<store_turns>(seed)) {}
 
 keyed_topic shared_reading::Share(const std::string& name,
                                   const keyed_topic& direct,
-                                  milliseconds max_age) {
+                                  milliseconds max_age, milliseconds hold) {
   const auto tail = std::make_shared<topic_tail>(now_);
   tails_[name] = tail;
-  const auto topic = std::make_shared<shared_topic>(
-      shared_topic{context_, asks_, name, direct, tail, max_age, now_});
+  const auto topic = std::make_shared<shared_topic>(shared_topic{
+      context_, asks_, name, direct, tail, max_age, hold, now_, turns_});
   keyed_topic shared = direct;
-  shared.read_newest = [topic](const read_done& done) { ReadAll(topic, done); };
+  shared.read_newest = [topic](const read_done& done) {
+    AskForPage(std::make_shared<whole_read>(whole_read{topic, done}));
+  };
   shared.read_from = [topic](std::uint64_t from, milliseconds wait,
                              const read_done& done) {
-    ReadNext(std::make_shared<next_read>(next_read{topic, from, wait, done}));
+    ReadNext(std::make_shared<next_read>(
+        next_read{topic, from, wait, done, topic->now()}));
   };
   shared.read_now = [topic](std::uint64_t from, const read_done& done) {
     topic->direct.read_from(from, milliseconds(0),
                             [topic, from, done](const keyed_read& got) {
                               if (got.outcome == store_outcome::kDone) {
-                                topic->tail->Note(from, got);
+                                topic->Keep(from, got);
                               }
                               done(got);
                             });
@@ -231,6 +401,20 @@
   return shared;
 }
 
+keyed_topic shared_reading::ShareHosts(const std::string& name,
+                                       const keyed_topic& direct,
+                                       milliseconds max_age,
+                                       milliseconds hold) {
+  auto shared = Share(name, direct, max_age, hold);
+  const auto topic = std::make_shared<shared_topic>(
+      shared_topic{context_, asks_, name, direct, tails_.at(name), max_age,
+                   hold, now_, turns_});
+  shared.read_newest = [topic](const read_done& done) {
+    ReadWholeDirectly(topic, done);
+  };
+  return shared;
+}
+
 std::optional<tail_read> shared_reading::Answer(
     const topic_question& question) const {
   const auto found = tails_.find(question.topic);
@@ -238,7 +422,7 @@
     return std::nullopt;
   }
   return question.from ? found->second->ReadFrom(*question.from, question.era)
-                       : found->second->ReadAll();
+                       : found->second->ReadAll(question.after);
 }
 
 }  // namespace slatestall
--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -7,16 +7,23 @@
 #include <optional>
 #include <string>
 
+#include "slatestall/dispatch/reader_tree.h"
+#include "slatestall/dispatch/store_turns.h"
 #include "slatestall/gateway/platform_link.h"
 #include "slatestall/gateway/topic_tail.h"
 #include "slatestall/model/time.h"
 
 namespace slatestall {
 
-/// @brief What comes of asking the host that reads the store for others.
+/// @brief What comes of asking the host that this one follows.
 struct reader_answer {
-  bool reads_itself = false;      ///< This host is the one to read the store.
+  reading_source source = reading_source::kUndecided;
   std::optional<tail_read> told;  ///< Nothing: no answer, or it cannot tell.
+  bool is_busy = false;           ///< It is to be asked again a little later.
+  bool follows_relay = false;     ///< The answer came by one more host.
+  /// Hosts of the fleet where it is too large for all to read the store; else
+  /// 0.
+  std::size_t hosts = 0;
 };
 
 /// @brief How a host learns from others what they have read of a topic.
@@ -28,23 +35,27 @@
 
   using reader_hook = std::function<void(reader_answer)>;
 
-  /// Asks the host that reads the store for others.
+  /// Asks the host that this one follows, if it follows any.
   std::function<void(const topic_question&, reader_hook done)> reader;
   /// Asks some that may know; the most recent answer counts.
   std::function<void(const topic_question&, done_hook done)> any;
   /// Something was taken from other hosts since the store did not answer.
   std::function<void(const topic_question&, const tail_read&)> on_taken;
+  /// More is known of a topic.
+  std::function<void(const std::string& topic)> on_more{};
+  /// The store has answered a read of this host's own, or not.
+  std::function<void(bool answered)> on_store{};
 };
 
 /// @brief Lets most hosts follow topics through a few that read the store:
 /// every host of a fleet reading for itself would spend the store's calls on
 /// what all of them learn alike.
 ///
-/// What a reader tells counts only while it has itself read the store just
-/// now. Else, and where no reader answers, a host asks some others, and reads
-/// the store only where none of them has read it just now either: no reader's
-/// fault can make others older than that limit, and where the store turns
-/// readers away, some hosts read in their place, not all.
+/// What a host tells counts only while the store was read just now. Else, and
+/// where none answers, a host asks some others, and reads the store only where
+/// none of them has read it just now either and, in a large fleet, its turn has
+/// come: no reader's fault can make others older than that limit, and where the
+/// store turns readers away, some hosts read in their place, not all.
 ///
 /// Where the store does not answer either, what any other host knows counts:
 /// a host that starts meanwhile would else refuse every caller until the store
@@ -52,12 +63,19 @@
 class shared_reading {
  public:
   /// @param context Of the thread that follows the topics.
-  shared_reading(asio::io_context& context, topic_asks asks, now_function now);
+  /// @param seed Draws this host's turns at the store.
+  shared_reading(asio::io_context& context, topic_asks asks, now_function now,
+                 std::uint64_t seed = 0);
 
-  /// @brief The topic read through readers where that works.
+  /// @brief The topic read through other hosts where that works.
   /// @param max_age Of what a reader tells.
+  /// @param hold How long a question may be held there.
   keyed_topic Share(const std::string& name, const keyed_topic& direct,
-                    milliseconds max_age);
+                    milliseconds max_age, milliseconds hold);
+  /// @brief The same for the list of hosts, of which the whole is read from the
+  /// store: without it, a host knows none to follow.
+  keyed_topic ShareHosts(const std::string& name, const keyed_topic& direct,
+                         milliseconds max_age, milliseconds hold);
 
   /// @brief For other hosts; from any thread.
   std::optional<tail_read> Answer(const topic_question& question) const;
@@ -66,6 +84,7 @@
   asio::io_context& context_;
   topic_asks asks_;
   now_function now_;
+  std::shared_ptr<store_turns> turns_;
   std::map<std::string, std::shared_ptr<topic_tail>> tails_;
 };
 
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -11,6 +11,7 @@
 
 #include "slatestall/dispatch/home_finder.h"
 #include "slatestall/dispatch/moving_average.h"
+#include "slatestall/dispatch/reader_tree.h"
 #include "slatestall/gateway/gateway_environment.h"
 #include "slatestall/gateway/host_directory.h"
 #include "slatestall/gateway/stage_calls.h"
@@ -45,8 +46,15 @@
   void RenewPool();
   /// @brief Orders of other hosts that are not yet answered.
   std::size_t Serves() const { return served_.size(); }
-  /// @brief The host to read the store through; empty: this one reads itself.
-  std::string Reader() const;
+  /// @brief Where this host learns what is in the store.
+  reading_place ReadingPlace() const;
+  /// @brief Whether too many hosts are listed for all to read the store.
+  bool IsLargeFleet() const { return !tree_.IsFlat(); }
+  std::size_t Hosts() const { return tree_.Hosts(); }
+  void NoteNoHostList() { tree_.NoteNoList(); }
+  void NoteStore(bool answered) {
+    tree_.NoteStore(answered, environment_.now());
+  }
   /// @brief Hosts that may know what the store does not tell this one now.
   std::vector<std::string> Sources() const;
 
@@ -74,6 +82,8 @@
                        const std::string& near,
                        const region_limit& regions) const;
   std::vector<std::string> DomainsOf(const std::string& service) const;
+  void CountUsable();
+  void NoteUse(const std::string& home);
   double Crowding(const stage_shard& shard) const;
   std::optional<std::string> HomeOf(const stage_shard& shard) const;
   void WithHome(const stage_shard& shard, home_use use);
@@ -105,7 +115,6 @@
                   time_point asked);
   void Lose(const std::string& host, const char* why);
   std::vector<stage_shard> Shards() const;
-  std::vector<std::string> Readers() const;
   std::string Pool() const;
   std::vector<peer_address> Contacts() const;
 
@@ -114,6 +123,11 @@
   peer_node& peers_;
   const std::string self_;
   home_finder homes_;
+  reader_tree tree_;
+  /// When this host last had work for each home.
+  std::map<std::string, time_point> used_at_;
+  /// Endpoints that take work, by service and failure domain.
+  std::map<std::string, std::map<std::string, std::size_t>> usable_;
   std::vector<waiting_use> waiting_;
   reserve_pool pool_;
   time_point own_pool_asked_{};
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -17,9 +17,13 @@
 /// Endpoints that one home forms calls for. Up to there one queue for all of a
 /// service keeps them best filled; beyond, each failure domain has its own.
 constexpr std::size_t kMostPerHome = 24;
-/// Reading the store for others, and pooling the reserve of repeats.
-constexpr const char* kReadersPart = "store readers/";
-constexpr std::size_t kReaders = 2;
+/// Pooling the reserve of repeats. The first reader of the store does it, whom
+/// all hosts ask whether it lives.
+constexpr const char* kPoolPart = "store readers/";
+/// Homes that this host has no work for are asked as often whether they live;
+/// in a large fleet they would else serve nothing but such questions.
+constexpr milliseconds kIdleInterval{1000};
+constexpr milliseconds kUseLife{5000};
 /// Work waits as long for a home: a host that has not answered by then is
 /// taken for lost, and the next ones have been asked.
 constexpr milliseconds kHomeWait{700};
@@ -36,13 +40,17 @@
 void stage_router::SetHosts(std::vector<listed_gateway> hosts) {
   std::vector<peer_address> others;
   std::vector<home_candidate> candidates;
+  std::vector<reading_host> readers;
   for (auto& host : hosts) {
     if (host.address.host != self_) {
       candidates.push_back({host.address.host, host.weight});
+      readers.push_back(
+          {host.address.host, host.failure_domain, host.weight});
       others.push_back(std::move(host.address));
     }
   }
   homes_.SetHosts(candidates);
+  tree_.SetHosts(readers);
   const auto contacts = Contacts();
   others.insert(others.end(), contacts.begin(), contacts.end());
   peers_.SetPeers(others);
@@ -60,19 +68,38 @@
 }
 
 void stage_router::Refresh() {
+  CountUsable();
   home_.Refresh();
   MoveStrandedSoon();
   AskDue();
 }
 
+void stage_router::CountUsable() {
+  usable_.clear();
+  if (!environment_.table) {
+    return;
+  }
+  for (const auto& [name, rule] : environment_.table->services) {
+    if (!rule.batches) {
+      continue;
+    }
+    auto& domains = usable_[name];
+    for (const auto& record : environment_.roster.Of(name)) {
+      if (record->Usable()) {
+        ++domains[record->Info().failure_domain];
+      }
+    }
+  }
+}
+
 std::vector<std::string> stage_router::DomainsOf(
     const std::string& service) const {
-  std::set<std::string> domains;
+  std::vector<std::string> domains;
   std::size_t usable = 0;
-  for (const auto& record : environment_.roster.Of(service)) {
-    if (record->Usable()) {
-      domains.insert(record->Info().failure_domain);
-      ++usable;
+  if (const auto found = usable_.find(service); found != usable_.end()) {
+    for (const auto& [domain, endpoints] : found->second) {
+      domains.push_back(domain);
+      usable += endpoints;
     }
   }
   std::set<std::string> regions;
@@ -83,7 +110,7 @@
   if (usable <= kMostPerHome && regions.size() < 2) {
     return {std::string()};
   }
-  return {domains.begin(), domains.end()};
+  return domains;
 }
 
 std::vector<stage_shard> stage_router::Shards() const {
@@ -108,6 +135,7 @@
 
 void stage_router::WithHome(const stage_shard& shard, home_use use) {
   if (const auto home = HomeOf(shard)) {
+    NoteUse(*home);
     use(*home);
     return;
   }
@@ -117,6 +145,7 @@
 void stage_router::ServeWaiting() {
   for (auto& one : std::exchange(waiting_, {})) {
     if (const auto home = HomeOf(one.shard)) {
+      NoteUse(*home);
       one.use(*home);
     } else if (environment_.now() < one.until) {
       waiting_.push_back(std::move(one));
@@ -133,11 +162,11 @@
 /// Pieces that wait for each endpoint of a shard.
 double stage_router::Crowding(const stage_shard& shard) const {
   std::size_t endpoints = 0;
-  for (const auto& record : environment_.roster.Of(shard.service)) {
-    const auto& info = record->Info();
-    const bool belongs =
-        shard.domain.empty() || shard.domain == info.failure_domain;
-    endpoints += belongs && record->Usable() ? 1 : 0;
+  if (const auto found = usable_.find(shard.service); found != usable_.end()) {
+    for (const auto& [domain, usable] : found->second) {
+      const bool belongs = shard.domain.empty() || shard.domain == domain;
+      endpoints += belongs ? usable : 0;
+    }
   }
   const auto told = told_waiting_.find(shard);
   const auto waiting = told == told_waiting_.end()
@@ -201,22 +230,11 @@
   return std::clamp(mean, batches.call_time, full_call + full_call / 2);
 }
 
-/// Two at a time: with one lost, hosts turn to the other within a moment.
-std::vector<std::string> stage_router::Readers() const {
-  return homes_.Living(kReadersPart, kReaders);
-}
-
-std::string stage_router::Reader() const {
+reading_place stage_router::ReadingPlace() const {
   if (!environment_.options.Uses(mechanism::kSharedReading)) {
-    return {};
+    return {reading_source::kStore, {}, false};
   }
-  const auto readers = Readers();
-  const bool reads_itself =
-      std::find(readers.begin(), readers.end(), self_) != readers.end();
-  if (reads_itself || readers.empty()) {
-    return {};
-  }
-  return readers[StableHash(self_) % readers.size()];
+  return tree_.Place(homes_.Health(), environment_.now());
 }
 
 /// The readers first, since the others have it from them; a host that has just
@@ -225,14 +243,9 @@
   if (!environment_.options.Uses(mechanism::kTopicExchange)) {
     return {};
   }
-  std::vector<std::string> sources;
-  for (const auto& host : homes_.Living(kReadersPart, kNewestSources + 1)) {
-    if (host != self_) {
-      sources.push_back(host);
-    }
-    if (sources.size() == kNewestSources) {
-      return sources;
-    }
+  auto sources = tree_.Sources(homes_.Health(), kNewestSources);
+  if (sources.size() == kNewestSources) {
+    return sources;
   }
   const auto seeds = environment_.options.OtherSeeds();
   sources.insert(sources.end(), seeds.begin(), seeds.end());
@@ -264,12 +277,27 @@
 void stage_router::AskDue() {
   const time_point now = environment_.now();
   std::set<std::string> due;
-  homes_.AddDue(kReadersPart, kReaders, now, due);
+  tree_.AddDue(homes_.Health(), now, due);
   for (const auto& shard : Shards()) {
     homes_.AddDue(ShardName(shard), 1, now, due);
   }
+  const auto pool = Pool();
+  const auto followed = ReadingPlace().host;
   for (const auto& host : due) {
-    Ask(host);
+    const auto used = used_at_.find(host);
+    const bool is_in_use =
+        host == pool || host == followed ||
+        (used != used_at_.end() && now - used->second < kUseLife);
+    if (is_in_use ||
+        !homes_.Health().AnsweredWithin(host, kIdleInterval, now)) {
+      Ask(host);
+    }
+  }
+}
+
+void stage_router::NoteUse(const std::string& home) {
+  if (home != self_) {
+    used_at_[home] = environment_.now();
   }
 }
 
@@ -300,6 +328,7 @@
 void stage_router::TakeStatus(const std::string& host,
                               const wire::home_status_replyT& status) {
   homes_.Health().NoteAnswer(host, status.draining, environment_.now());
+  homes_.Health().NoteStore(host, !status.lacks_store);
   for (const auto& load : status.loads) {
     const stage_shard shard{load->service, load->domain};
     if (HomeOf(shard) == host) {
@@ -315,7 +344,7 @@
 /// The host that pools the reserve of repeats: a reader, since all hosts ask
 /// the readers whether they live.
 std::string stage_router::Pool() const {
-  const auto readers = homes_.Living(kReadersPart, 1);
+  const auto readers = homes_.Living(kPoolPart, 1);
   return readers.empty() ? std::string() : readers.front();
 }
 
@@ -349,6 +378,7 @@
     environment_.metrics.Count("homes_lost", why);
   }
   homes_.Health().NoteFailure(host, environment_.now());
+  used_at_.erase(host);
   // Ends its calls, whose pieces are then placed elsewhere.
   peers_.Drop(host);
   AskDue();
--- a/src/slatestall/gateway/stage_router_peers.cc
+++ b/src/slatestall/gateway/stage_router_peers.cc
@@ -34,6 +34,7 @@
                 pool_.Answer(from, FromWire(asked), environment_.now()));
         }
         status.draining = homes_.IsDraining();
+        status.lacks_store = tree_.LacksStore(environment_.now());
         for (const auto& [shard, pieces] : home_.Waiting()) {
           auto load = std::make_unique<wire::stage_loadT>();
           load->service = shard.service;
--- a/src/slatestall/gateway/topic_follower.cc
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -115,8 +115,14 @@
   if (known > 0 && read.next <= next_) {
     return;
   }
-  records.erase(records.begin(),
-                records.begin() + static_cast<std::ptrdiff_t>(known));
+  if (read.is_compacted) {
+    std::erase_if(records, [this](const keyed_record& record) {
+      return record.offset < next_;
+    });
+  } else {
+    records.erase(records.begin(),
+                  records.begin() + static_cast<std::ptrdiff_t>(known));
+  }
   next_ = read.next;
   if (!records.empty()) {
     hooks_.on_changes(records);
@@ -157,7 +163,12 @@
   }
   failures_ = 0;
   TakeChanges(from, read);
-  After(pace_.interval, std::exchange(reads_all_next_, false)
+  // A store tells at most so much at a time: a reader that paused between two
+  // such parts would fall behind for good once more is written than that.
+  const bool more_waits = read.end > read.next;
+  const auto pause =
+      read.was_held || more_waits ? milliseconds(0) : pace_.interval;
+  After(pause, std::exchange(reads_all_next_, false)
                             ? &topic_follower::ReadNewest
                             : &topic_follower::ReadNext);
 }
--- a/src/slatestall/gateway/topic_tail.cc
+++ b/src/slatestall/gateway/topic_tail.cc
@@ -1,12 +1,28 @@
 #include "slatestall/gateway/topic_tail.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace slatestall {
 namespace {
 
-/// Hosts ask every second or so; one that lags further reads the store.
-constexpr milliseconds kKept{5000};
+/// A host that has not read on for so long reads all anew.
+constexpr milliseconds kDeletionsKept{60'000};
+/// A follower's link may take a tenth of a second for it.
+constexpr std::size_t kPageBytes = std::size_t{256} << 10U;
+
+/// Whether a page has room for more.
+class page_room {
+ public:
+  bool Take(const keyed_record& record) {
+    bytes_ += record.key.size() + (record.value ? record.value->size() : 0);
+    return bytes_ <= kPageBytes || std::exchange(is_empty_, false);
+  }
+
+ private:
+  std::size_t bytes_ = 0;
+  bool is_empty_ = true;
+};
 
 }  // namespace
 
@@ -17,13 +33,15 @@
   }
   era_ = read.era;
   newest_.clear();
+  changed_.clear();
+  deletions_.clear();
   for (const auto& record : read.records) {
-    newest_[record.key] = record;
+    newest_[record.key] = {record, 0};
   }
   has_all_ = true;
-  keyed_read nothing;
-  nothing.next = read.next;
-  Append(read.next, nothing, age);
+  first_ = read.next;
+  next_ = read.next;
+  read_at_ = now_() - age;
 }
 
 void topic_tail::Note(std::uint64_t from, const keyed_read& read,
@@ -32,40 +50,51 @@
   if (read.era != era_) {
     return;  // The whole is about to be read anew, or was.
   }
-  // Past a gap, deletions may have been missed.
-  has_all_ = has_all_ && from == next_;
-  for (const auto& record : read.records) {
-    if (record.value) {
-      newest_[record.key] = record;
-    } else {
-      newest_.erase(record.key);
-    }
-  }
-  Append(from, read, age);
-}
-
-void topic_tail::Append(std::uint64_t from, const keyed_read& read,
-                        milliseconds age) {
   const time_point now = now_();
   if (from != next_) {
-    entries_.clear();
+    // Past a gap, deletions may have been missed.
+    has_all_ = false;
+    newest_.clear();
+    changed_.clear();
+    deletions_.clear();
     first_ = from;
   }
   std::uint64_t offset = from;
   for (const auto& record : read.records) {
-    entries_.push_back({offset++, now, record});
+    Put(record, read.is_compacted ? record.offset : offset++, now);
   }
   next_ = read.next;
   read_at_ = now - age;
-  while (!entries_.empty() && now - entries_.front().read_at > kKept) {
-    first_ = entries_.front().offset + 1;
-    entries_.pop_front();
+  ForgetDeletions(now);
+}
+
+void topic_tail::Put(const keyed_record& record, std::uint64_t offset,
+                     time_point now) {
+  auto& known = newest_[record.key];
+  changed_.erase({known.offset, record.key});
+  known = {record, offset};
+  known.record.offset = offset;
+  changed_.emplace(offset, record.key);
+  if (!record.value) {
+    deletions_.push_back({now, offset, record.key});
   }
 }
 
-tail_read topic_tail::Told(std::vector<keyed_record> records) const {
+void topic_tail::ForgetDeletions(time_point now) {
+  while (!deletions_.empty() && now - deletions_.front().at > kDeletionsKept) {
+    const auto& old = deletions_.front();
+    const auto found = newest_.find(old.key);
+    if (found != newest_.end() && found->second.offset == old.offset) {
+      newest_.erase(found);
+      changed_.erase({old.offset, old.key});
+      first_ = std::max(first_, old.offset + 1);
+    }
+    deletions_.pop_front();
+  }
+}
+
+tail_read topic_tail::Told() const {
   tail_read read;
-  read.records = std::move(records);
   read.next = next_;
   read.era = era_;
   read.age = std::chrono::duration_cast<milliseconds>(now_() - read_at_);
@@ -86,31 +115,51 @@
                                               std::uint64_t era) const {
   const std::lock_guard lock(mutex_);
   if (era != era_) {
-    return era < era_ ? std::optional(Told({})) : std::nullopt;
+    return era < era_ ? std::optional(Told()) : std::nullopt;
   }
-  if (read_at_ == time_point{} || from < first_ || from > next_) {
+  if (read_at_ == time_point{} || from > next_) {
     return std::nullopt;
   }
-  std::vector<keyed_record> records;
-  for (const auto& entry : entries_) {
-    if (entry.offset >= from) {
-      records.push_back(entry.record);
+  auto told = Told();
+  if (from < first_) {
+    told.is_too_old = true;
+    return told;
+  }
+  page_room room;
+  for (auto at = changed_.lower_bound({from, {}}); at != changed_.end(); ++at) {
+    const auto& record = newest_.at(at->second).record;
+    const bool begins = told.records.empty() ||
+                        told.records.back().offset != at->first;
+    if (begins && !room.Take(record)) {
+      told.next = at->first;
+      told.has_more = true;
+      break;
     }
+    told.records.push_back(record);
   }
-  return Told(std::move(records));
+  return told;
 }
 
-std::optional<tail_read> topic_tail::ReadAll() const {
+std::optional<tail_read> topic_tail::ReadAll(const std::string& after) const {
   const std::lock_guard lock(mutex_);
   if (!has_all_) {
     return std::nullopt;
   }
-  std::vector<keyed_record> records;
-  records.reserve(newest_.size());
-  for (const auto& [key, record] : newest_) {
-    records.push_back(record);
+  auto told = Told();
+  page_room room;
+  auto at = after.empty() ? newest_.begin() : newest_.upper_bound(after);
+  for (; at != newest_.end(); ++at) {
+    const auto& record = at->second.record;
+    if (!record.value) {
+      continue;
+    }
+    if (!room.Take(record)) {
+      told.has_more = true;
+      break;
+    }
+    told.records.push_back(record);
   }
-  return Told(std::move(records));
+  return told;
 }
 
 }  // namespace slatestall
--- a/src/slatestall/peer/peer_connection.cc
+++ b/src/slatestall/peer/peer_connection.cc
@@ -24,14 +24,28 @@
 
 peer_connection::peer_connection(asio::ip::tcp::socket socket,
                                  const connection_limits& limits,
-                                 connection_hooks hooks)
+                                 connection_hooks hooks,
+                                 std::shared_ptr<std::size_t> unsent)
     : socket_(std::move(socket)),
       limits_(limits),
       hooks_(std::move(hooks)),
       splitter_(std::min(kMaxHelloBytes, limits.max_frame_bytes)),
+      unsent_(std::move(unsent)),
       created_(Now()),
       last_use_(created_) {}
 
+peer_connection::~peer_connection() { TakePending(pending_bytes_); }
+
+void peer_connection::AddPending(std::size_t bytes) {
+  pending_bytes_ += bytes;
+  *unsent_ += bytes;
+}
+
+void peer_connection::TakePending(std::size_t bytes) {
+  pending_bytes_ -= bytes;
+  *unsent_ -= bytes;
+}
+
 void peer_connection::Start() {
   connected_ = true;
   std::error_code ignored;
@@ -60,7 +74,7 @@
   if (closed_) {
     return;
   }
-  pending_bytes_ += frame.size();
+  AddPending(frame.size());
   queue_.push_front({std::move(frame), 0});
   if (writing_.empty()) {
     writing_.push_back(std::move(queue_.front()));
@@ -83,7 +97,7 @@
     return false;
   }
   last_use_ = Now();
-  pending_bytes_ += frame.size();
+  AddPending(frame.size());
   queue_.push_back({std::move(frame), call});
   if (writing_.empty()) {
     TakeBatch();
@@ -98,7 +112,7 @@
   if (found == queue_.end()) {
     return false;
   }
-  pending_bytes_ -= found->bytes.size();
+  TakePending(found->bytes.size());
   queue_.erase(found);
   return true;
 }
@@ -253,7 +267,7 @@
     return;
   }
   for (const outgoing& frame : writing_) {
-    pending_bytes_ -= frame.bytes.size();
+    TakePending(frame.bytes.size());
   }
   writing_.clear();
   last_use_ = Now();
--- a/src/slatestall/peer/peer_connection.h
+++ b/src/slatestall/peer/peer_connection.h
@@ -34,8 +34,13 @@
 /// @ingroup peer
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
  public:
+  /// @param unsent Bytes queued by all connections of a node; this one adds
+  /// its own.
   peer_connection(asio::ip::tcp::socket socket, const connection_limits& limits,
-                  connection_hooks hooks);
+                  connection_hooks hooks, std::shared_ptr<std::size_t> unsent);
+  ~peer_connection();
+  peer_connection(const peer_connection&) = delete;
+  peer_connection& operator=(const peer_connection&) = delete;
 
   /// @brief Reads from the already connected socket.
   void Start();
@@ -81,6 +86,8 @@
   void TakeBatch();
   void FinishWrite(const std::error_code& error);
   bool MayWrite() const;
+  void AddPending(std::size_t bytes);
+  void TakePending(std::size_t bytes);
 
   asio::ip::tcp::socket socket_;
   connection_limits limits_;
@@ -90,6 +97,7 @@
   std::deque<outgoing> queue_;
   std::vector<outgoing> writing_;  ///< Given to the socket: may have left.
   std::size_t pending_bytes_ = 0;
+  std::shared_ptr<std::size_t> unsent_;
   std::string close_after_writes_;
   time_point created_;
   time_point last_use_;
--- a/src/slatestall/peer/peer_links.cc
+++ b/src/slatestall/peer/peer_links.cc
@@ -139,7 +139,7 @@
   link& added = links_[id];
   added.dialed = dialed;
   added.connection = std::make_shared<peer_connection>(
-      std::move(socket), limits, std::move(hooks));
+      std::move(socket), limits, std::move(hooks), unsent_);
   return id;
 }
 
--- a/src/slatestall/peer/peer_node.cc
+++ b/src/slatestall/peer/peer_node.cc
@@ -323,4 +323,6 @@
   return impl_->ConnectionCount();
 }
 
+std::size_t peer_node::UnsentBytes() const { return impl_->UnsentBytes(); }
+
 }  // namespace slatestall
--- a/src/slatestall/peer/peer_node_impl.h
+++ b/src/slatestall/peer/peer_node_impl.h
@@ -37,6 +37,7 @@
   std::map<wire::message, peer_traffic> received;
   peer_counters counters;
   std::size_t ConnectionCount() const { return links_.size(); }
+  std::size_t UnsentBytes() const { return *unsent_; }
 
  private:
   using link_id = std::uint64_t;
@@ -106,6 +107,8 @@
   std::map<link_id, link> links_;
   std::map<std::uint64_t, pending_call> pending_;
   std::map<std::string, std::uint64_t> incarnations_;
+  /// Counted by the connections, which may outlive this object.
+  std::shared_ptr<std::size_t> unsent_ = std::make_shared<std::size_t>(0);
   link_id next_link_ = 1;
   std::uint64_t next_call_ = 1;
   /// Expires with this object, so that late completions find nothing.
