Pages of a whole topic are of one host's knowledge or a later one

Cause: where the host that is followed is lost between two pages, the next may be one that has not yet read as far; what it lacks lies before the offset from which reading goes on, and would never be taken.

Change: such a page has the whole read anew.

Measured: gateway_test 104 pass, one of them new.

--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -192,8 +192,10 @@
   auto& read = whole->read;
   const bool is_first = whole->last_key.empty();
   const bool has_more = told.has_more;
-  if (!is_first && told.era != read.era) {
-    read = {};  // The store came back from an older copy between two pages.
+  if (!is_first && (told.era != read.era || told.next < read.next)) {
+    // The store came back from an older copy, or another host answers, which
+    // has not yet seen changes that are not read again.
+    read = {};
     whole->last_key.clear();
     return false;
   }
--- a/src/slatestall/gateway/shared_reading_test.cc
+++ b/src/slatestall/gateway/shared_reading_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(OnlyTheNewestOfEachKeyIsToldOn);
   CPPUNIT_TEST(DeletionsAreForgottenOnlyWithTheirOffsets);
   CPPUNIT_TEST(AHostOfALargeFleetReadsTheWholeFromAnother);
+  CPPUNIT_TEST(APageOfAHostThatIsBehindIsNotTaken);
   CPPUNIT_TEST(AHostOfALargeFleetWaitsForItsTurnAtTheStore);
   CPPUNIT_TEST(AStoreWithMoreToTellIsReadOnAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -521,6 +522,19 @@
     CPPUNIT_ASSERT_EQUAL(0, direct_reads_);
   }
 
+  // The first host was lost between two pages. What the other has not read yet
+  // would never be: reading goes on after it.
+  void APageOfAHostThatIsBehindIsNotTaken() {
+    auto first = Told("1", milliseconds(20));
+    first.has_more = true;
+    auto behind = Told("old", milliseconds(20));
+    behind.next = 8;
+    const auto got =
+        ReadWholeThrough({first, behind, Told("2", milliseconds(20))});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got.records.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), *got.records[0].value);
+  }
+
   void AHostOfALargeFleetWaitsForItsTurnAtTheStore() {
     const auto began = now_;
     const auto got = ReadWholeThrough({});
