A fleet that starts in one millisecond finds its hosts

Their first entries and reads of the list of hosts met in the store's queue of new connections, which drops what does not fit, and met there again with each try.

Change: first entries are spread over 200 ms, retries of first reads widely. A host without the list asks its seeds for what they know, and for six seconds not the store. A page that others follow is not taken for a whole.

Ruled out: first reads spread by the entries alone, and no reads of the store without the list: nobody had the list in either.

--- a/include/slatestall/dispatch/reader_tree.h
+++ b/include/slatestall/dispatch/reader_tree.h
@@ -49,8 +49,6 @@
               const disabled_mechanisms& disabled);
 
   void SetHosts(const std::vector<reading_host>& others);
-  /// @brief The list of hosts cannot be read for now.
-  void NoteNoList() { listed_ = true; }
   /// @brief A read of this host's own; one that failed keeps it from reading
   /// for others for some seconds.
   void NoteStore(bool answers, time_point now);
--- a/src/slatestall/dispatch/reader_tree.cc
+++ b/src/slatestall/dispatch/reader_tree.cc
@@ -19,8 +19,9 @@
 constexpr std::size_t kMostLost = 12;
 /// After a failed read; the store may be back for this host by then.
 constexpr milliseconds kStoreRetry{5000};
-/// How long a host that starts waits for the list of hosts.
-constexpr milliseconds kListTime{2000};
+/// How long a host that starts waits for the list of hosts. Meanwhile it takes
+/// what other hosts know.
+constexpr milliseconds kListTime{6000};
 
 }  // namespace
 
@@ -93,7 +94,7 @@
 reading_place reader_tree::Place(const home_health& health,
                                  time_point now) const {
   if (!listed_ && now < started_ + kListTime) {
-    return {};
+    return {};  // Else all hosts of a fleet that starts would read the store.
   }
   const auto relays = Before(domain_order_, RelayCount(), health, false);
   if (!IsFlat() && (relays.living.size() == RelayCount() ||
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -95,12 +95,7 @@
           [this](std::vector<listed_gateway> hosts) {
             news_.on_hosts(std::move(hosts));
           },
-          [this](const host_census& census) { news_.on_census(census); },
-          [this] {
-            if (news_.on_no_hosts) {
-              news_.on_no_hosts();
-            }
-          }),
+          [this](const host_census& census) { news_.on_census(census); }),
       crashes_(context, options, link_, log_, now_, news_.crashes) {}
 
 void gateway_control::Start() {
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -26,8 +26,6 @@
   /// The first time, all that are listed.
   std::function<void(listing_changes)> on_endpoints;
   std::function<void(std::vector<listed_gateway>)> on_hosts;
-  /// The list of hosts could not be read at the start.
-  std::function<void()> on_no_hosts{};
   std::function<void(const host_census&)> on_census;
   crash_news crashes;
   /// What the store holds and nobody can read, to be counted.
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -235,9 +235,6 @@
         traffic_.SetHosts(hosts);
       });
     };
-    news.on_no_hosts = [this] {
-      asio::post(traffic_context_, [this] { traffic_.NoteNoHostList(); });
-    };
     news.on_census = [this](const host_census& census) {
       asio::post(traffic_context_,
                  [this, census] { traffic_.SetCensus(census); });
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -58,8 +58,6 @@
   void SetCensus(const host_census& census) {
     environment_.repeats.NoteCensus(census, environment_.now());
   }
-  /// @brief The list of hosts cannot be read for now.
-  void NoteNoHostList() { router_.NoteNoHostList(); }
   /// @brief The store has answered this host, or not.
   void NoteStore(bool answered) { router_.NoteStore(answered); }
   /// @brief More is known of a topic than other hosts were told.
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -18,10 +18,13 @@
 constexpr double kLeastWeight = 0.01;
 constexpr double kMostWeight = 64.0;
 constexpr milliseconds kAnnounceRetry{700};
+/// Hosts that start in the same millisecond would fill the store's queue of new
+/// connections, which drops the rest, and meet there again with each try.
+constexpr milliseconds kFirstSpread{200};
 /// The first read follows the own entry, so that hosts that start together find
-/// each other with one read each. A store that takes one write at a time is
-/// seconds behind where a large fleet starts, and reads do not wait for it.
-constexpr milliseconds kOwnEntryWait{250};
+/// each other with one read each, and read one after the other: the store takes
+/// one entry at a time. Where it is longer behind, reads do not wait for it.
+constexpr milliseconds kOwnEntryWait{2000};
 /// All hosts write again within it after the store has lost entries: a few
 /// hundred writes a second of a large fleet.
 constexpr milliseconds kAnnounceAgain{2000};
@@ -51,8 +54,7 @@
                                const gateway_options& options,
                                const platform_link& link, decision_log& log,
                                now_function now, hosts_hook on_hosts,
-                               census_hook on_census,
-                               std::function<void()> on_no_list)
+                               census_hook on_census)
     : options_(options),
       entry_life_(EntryLife(options.repeats)),
       announce_(link.announce),
@@ -60,7 +62,6 @@
       now_(std::move(now)),
       on_hosts_(std::move(on_hosts)),
       on_census_(std::move(on_census)),
-      on_no_list_(std::move(on_no_list)),
       timer_(context),
       follow_timer_(context),
       follower_(
@@ -71,7 +72,6 @@
            .on_read =
                [this](const keyed_read& read) {
                  if (read.outcome != store_outcome::kDone) {
-                   on_no_list_();
                    return;
                  }
                  NoteEra(read.era);
@@ -98,8 +98,8 @@
 }
 
 void host_directory::Start() {
-  Announce();
-  follow_timer_.expires_after(kOwnEntryWait);
+  AnnounceAfter(RandomBelow(kFirstSpread));
+  follow_timer_.expires_after(kOwnEntryWait + RandomBelow(kOwnEntryWait));
   follow_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
                                const asio::error_code& error) {
     if (!error && !alive.expired()) {
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -41,11 +41,9 @@
   using hosts_hook = std::function<void(std::vector<listed_gateway>)>;
   using census_hook = std::function<void(const host_census&)>;
 
-  /// @param on_no_list A read has failed.
   host_directory(asio::io_context& context, const gateway_options& options,
                  const platform_link& link, decision_log& log, now_function now,
-                 hosts_hook on_hosts, census_hook on_census,
-                 std::function<void()> on_no_list);
+                 hosts_hook on_hosts, census_hook on_census);
 
   void Start();
 
@@ -76,7 +74,6 @@
   time_point read_began_{};
   std::uint64_t era_ = 0;  ///< Of the store's history, as last seen.
   host_census census_;
-  std::function<void()> on_no_list_;
   asio::steady_timer timer_;
   asio::steady_timer follow_timer_;
   topic_follower follower_;
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -16,6 +16,9 @@
 constexpr unsigned kMaxDoublings = 3;
 /// Until better placed hosts are known to live or not.
 constexpr milliseconds kUndecidedPause{20};
+/// Until a host that knows no other asks its seeds, and again: the whole fleet
+/// may ask the same few.
+constexpr milliseconds kSeedPause{500};
 /// Until a host that is busy, or knows nothing yet, is asked again.
 constexpr milliseconds kBusyPause{100};
 /// A host without a topic's whole holds the question for it; the asker may by
@@ -121,6 +124,7 @@
   keyed_read read{};
   milliseconds age{0};
   std::string last_key{};
+  time_point asked_others{};
 };
 using whole_read_ptr = std::shared_ptr<whole_read>;
 
@@ -156,7 +160,9 @@
                   const std::optional<tail_read>& told,
                   const keyed_read& failed) {
   const auto known = question.from.value_or(topic->tail->Next());
-  const bool more = told && told->IsNewerThan(question.era, known);
+  // A page is no whole.
+  const bool is_part = told && !question.from && told->has_more;
+  const bool more = told && !is_part && told->IsNewerThan(question.era, known);
   return more ? TakeSecondHand(topic, question, *told) : failed;
 }
 
@@ -215,6 +221,22 @@
   return false;
 }
 
+/// The store may be away, and other hosts still know what was read of it.
+void AskSeeds(const whole_read_ptr& whole) {
+  const auto& topic = whole->topic;
+  whole->asked_others = topic->now();
+  keyed_read failed;
+  failed.detail = "the list of hosts is not known yet";
+  AskOthers(topic, {topic->name, std::nullopt, topic->tail->Era()}, failed,
+            [whole](const keyed_read& got) {
+              if (got.outcome == store_outcome::kDone) {
+                whole->done(got);
+              } else {
+                AskForPage(whole);
+              }
+            });
+}
+
 void OnPage(const whole_read_ptr& whole, reader_answer answer) {
   const auto& topic = whole->topic;
   const auto again = [whole] { AskForPage(whole); };
@@ -223,7 +245,11 @@
     return;
   }
   if (answer.source == reading_source::kUndecided) {
-    topic->After(kUndecidedPause, again);
+    if (topic->now() - whole->asked_others < kSeedPause) {
+      topic->After(kUndecidedPause, again);
+    } else {
+      AskSeeds(whole);
+    }
     return;
   }
   if (!answer.told) {
@@ -385,7 +411,9 @@
       context_, asks_, name, direct, tail, max_age, hold, now_, turns_});
   keyed_topic shared = direct;
   shared.read_newest = [topic](const read_done& done) {
-    AskForPage(std::make_shared<whole_read>(whole_read{topic, done}));
+    const auto whole = std::make_shared<whole_read>(whole_read{topic, done});
+    whole->asked_others = topic->now() - kSeedPause + kBusyPause;
+    AskForPage(whole);
   };
   shared.read_from = [topic](std::uint64_t from, milliseconds wait,
                              const read_done& done) {
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -51,7 +51,6 @@
   /// @brief Whether too many hosts are listed for all to read the store.
   bool IsLargeFleet() const { return !tree_.IsFlat(); }
   std::size_t Hosts() const { return tree_.Hosts(); }
-  void NoteNoHostList() { tree_.NoteNoList(); }
   void NoteStore(bool answered) {
     tree_.NoteStore(answered, environment_.now());
   }
--- a/src/slatestall/gateway/topic_follower.cc
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -14,10 +14,19 @@
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLongestRetry{600};
 constexpr unsigned kMaxDoublings = 3;
-
-milliseconds RetryDelay(unsigned failures) {
-  const auto doubled = std::min(
-      kFirstRetry * (1U << std::min(failures, kMaxDoublings)), kLongestRetry);
+/// Of a whole that was never read. A fleet that starts would else keep a store
+/// that answers too late for its patience from ever answering in time.
+constexpr milliseconds kLongestFirstRetry{2000};
+constexpr unsigned kMaxFirstDoublings = 5;
+
+milliseconds RetryDelay(unsigned failures, bool has_all) {
+  const auto doublings =
+      std::min(failures, has_all ? kMaxDoublings : kMaxFirstDoublings);
+  const auto doubled = std::min(kFirstRetry * (1U << doublings),
+                                has_all ? kLongestRetry : kLongestFirstRetry);
+  if (!has_all) {
+    return kFirstRetry / 2 + RandomBelow(2 * doubled);
+  }
   const auto half = doubled / 2;
   return half + RandomBelow(half + milliseconds(1));
 }
@@ -188,7 +197,7 @@
 }
 
 void topic_follower::Retry() {
-  const auto delay = RetryDelay(failures_++);
+  const auto delay = RetryDelay(failures_++, has_all_);
   After(delay,
         has_all_ ? &topic_follower::ReadNext : &topic_follower::ReadNewest);
 }
