Read once more: one state of a shared topic, one order of readers

Cause: the list of hosts was shared through a second copy of its topic's state; the pool of repeats was found by a ranking of all hosts that reader_tree draws as well, under a second copy of its name; the bound of hosts in a row that are lost stood twice; a change of one endpoint went two ways that differed in a null.

Change: `Share` takes where a whole is read first. `reader_tree::First` is the pool, so that each change of the host list has one ranking less, and `home_finder::Living` goes. `home_health::kMostLost` serves both. A change of an endpoint is an optional all the way. The tree's brief names the one case in which a host follows a later one. Behaviour is as before.

--- a/include/slatestall/dispatch/home_finder.h
+++ b/include/slatestall/dispatch/home_finder.h
@@ -38,9 +38,6 @@
   /// hosts is about to come.
   std::optional<std::string> HomeOf(const std::string& part,
                                     time_point now) const;
-  /// @brief The first ones of a ranking that live, with this host among them.
-  std::vector<std::string> Living(const std::string& part,
-                                  std::size_t count) const;
   /// @brief Adds the other hosts to be asked now so that `count` living ones of
   /// a ranking become or stay known.
   void AddDue(const std::string& part, std::size_t count, time_point now,
--- a/include/slatestall/dispatch/home_health.h
+++ b/include/slatestall/dispatch/home_health.h
@@ -20,6 +20,9 @@
 /// @ingroup dispatch
 class home_health {
  public:
+  /// So many of a ranking in a row that do not answer are a cut, no chance.
+  static constexpr std::size_t kMostLost = 12;
+
   void NoteAsked(const std::string& host, time_point now);
   void NoteAnswer(const std::string& host, bool draining, time_point now);
   /// @brief With its answer, it reported whether the store answers it.
--- a/include/slatestall/dispatch/reader_tree.h
+++ b/include/slatestall/dispatch/reader_tree.h
@@ -37,11 +37,12 @@
 /// Two readers read the store. In a small fleet all other hosts follow them; in
 /// a larger one a few relays of each failure domain do, and the other hosts of
 /// the domain follow its relays. So a host has a bounded number of followers
-/// up to some two thousand hosts, and news reaches all of them in two steps.
+/// up to some two thousand hosts, and changes reach all of them in two steps.
 ///
-/// All hosts put each other in the same order, without a word, and each follows
-/// one that comes before it: whichever of them take each other for living, no
-/// circle of them lives on what it has told itself.
+/// All hosts rank each other in the same order without any message, and each
+/// follows one that ranks before it, so that hosts never follow each other in a
+/// circle. Only a host that the store turns away may follow a later one, which
+/// then reads the store itself.
 /// @ingroup dispatch
 class reader_tree {
  public:
@@ -62,6 +63,8 @@
   /// likely first.
   std::vector<std::string> Sources(const home_health& health,
                                    std::size_t count) const;
+  /// @brief The first host of the order that lives, or this one.
+  const std::string& First(const home_health& health) const;
   /// @brief Whether all hosts follow the readers directly.
   bool IsFlat() const { return RelayCount() == 0; }
   /// @brief Hosts listed, with this one.
--- a/include/slatestall/gateway/endpoint_listing.h
+++ b/include/slatestall/gateway/endpoint_listing.h
@@ -51,8 +51,8 @@
 
   /// @returns all, in order of their ids.
   std::vector<known_endpoint> Listed() const;
-  /// @returns null where it is not listed.
-  const known_endpoint* Find(const std::string& id) const;
+  /// @returns nothing where it is not listed.
+  std::optional<known_endpoint> Find(const std::string& id) const;
   std::size_t size() const { return entries_.size(); }
 
  private:
@@ -88,8 +88,8 @@
 /// a change costs by what has changed, however long the list is.
 class passed_listing {
  public:
-  /// @param now Null: the endpoint is not listed any more.
-  void Change(const std::string& id, const known_endpoint* now,
+  /// @param now Nothing: the endpoint is not listed any more.
+  void Change(const std::string& id, const std::optional<known_endpoint>& now,
               listing_changes& changes);
   /// @brief Takes a whole list.
   listing_changes Replace(const std::vector<known_endpoint>& listed);
--- a/src/slatestall/dispatch/home_finder.cc
+++ b/src/slatestall/dispatch/home_finder.cc
@@ -5,8 +5,6 @@
 namespace slatestall {
 namespace {
 
-/// So many in a row that do not answer are a cut, no chance.
-constexpr std::size_t kMostLost = 12;
 /// Others that start with this host refuse connections until they are up.
 constexpr milliseconds kStartTime{500};
 /// The list of hosts may come after everything else that a start reads. Work
@@ -65,7 +63,7 @@
       continue;
     }
     if (health_.IsUnknown(host)) {
-      may_answer = may_answer || lost < kMostLost;
+      may_answer = may_answer || lost < home_health::kMostLost;
     } else {
       may_answer = may_answer || others_start;
       ++lost;
@@ -74,21 +72,6 @@
   return may_answer ? std::nullopt : std::optional(self_.host);
 }
 
-std::vector<std::string> home_finder::Living(const std::string& part,
-                                             std::size_t count) const {
-  std::vector<std::string> living;
-  for (const auto& host : Ranked(part)) {
-    if (living.size() == count) {
-      break;
-    }
-    // Also while it drains: this is for reading, which ends with it.
-    if (host == self_.host || health_.IsTrusted(host)) {
-      living.push_back(host);
-    }
-  }
-  return living;
-}
-
 void home_finder::AddDue(const std::string& part, std::size_t count,
                          time_point now, std::set<std::string>& due) const {
   health_.AddDue(
--- a/src/slatestall/dispatch/reader_tree.cc
+++ b/src/slatestall/dispatch/reader_tree.cc
@@ -15,8 +15,6 @@
 /// Followers of one host; each has some five questions open with it, and is
 /// sent whatever changes.
 constexpr std::size_t kFollowers = 32;
-/// So many in a row that do not answer are a cut, no chance.
-constexpr std::size_t kMostLost = 12;
 /// After a failed read; the store may be back for this host by then.
 constexpr milliseconds kStoreRetry{5000};
 /// How long a host that starts waits for the list of hosts. Meanwhile it takes
@@ -75,7 +73,7 @@
       break;
     }
     if (health.IsUnknown(host)) {
-      before.has_unknown = before.has_unknown || lost < kMostLost;
+      before.has_unknown = before.has_unknown || lost < home_health::kMostLost;
     } else if (health.IsTrusted(host) &&
                !(needs_store && health.LacksStore(host))) {
       before.living.push_back(host);
@@ -132,7 +130,7 @@
         const bool lacks_store =
             host == self_.host ? LacksStore(now) : health.LacksStore(host);
         // Where it answers nobody, not all hosts are asked for one.
-        return !lacks_store || ++without_store >= kMostLost;
+        return !lacks_store || ++without_store >= home_health::kMostLost;
       },
       now, due);
   health.AddDue(
@@ -143,6 +141,14 @@
       now, due);
 }
 
+/// Also while this host drains: reading for others ends with it.
+const std::string& reader_tree::First(const home_health& health) const {
+  return *std::find_if(order_.begin(), order_.end(),
+                       [&](const std::string& host) {
+                         return host == self_.host || health.IsTrusted(host);
+                       });
+}
+
 std::vector<std::string> reader_tree::Sources(const home_health& health,
                                               std::size_t count) const {
   std::vector<std::string> sources;
--- a/src/slatestall/gateway/endpoint_listing.cc
+++ b/src/slatestall/gateway/endpoint_listing.cc
@@ -130,15 +130,18 @@
   return listed;
 }
 
-const known_endpoint* endpoint_listing::Find(const std::string& id) const {
+std::optional<known_endpoint> endpoint_listing::Find(
+    const std::string& id) const {
   const auto found = entries_.find(id);
-  return found == entries_.end() ? nullptr : &found->second.endpoint;
+  return found == entries_.end() ? std::nullopt
+                                 : std::optional(found->second.endpoint);
 }
 
-void passed_listing::Change(const std::string& id, const known_endpoint* now,
+void passed_listing::Change(const std::string& id,
+                            const std::optional<known_endpoint>& now,
                             listing_changes& changes) {
   const auto known = passed_.find(id);
-  if (now == nullptr) {
+  if (!now) {
     if (known != passed_.end()) {
       changes.gone.push_back(id);
       passed_.erase(known);
@@ -173,10 +176,10 @@
     }
   }
   for (const auto& id : gone) {
-    Change(id, nullptr, changes);
+    Change(id, std::nullopt, changes);
   }
   for (const auto& endpoint : listed) {
-    Change(endpoint.id, &endpoint, changes);
+    Change(endpoint.id, endpoint, changes);
   }
   return changes;
 }
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -233,16 +233,12 @@
     } else if (const auto endpoint = Decode(record)) {
       listing_.Put(*endpoint);
     }
-    const auto* listed = listing_.Find(record.key);
-    if (listed == nullptr) {
-      NoteListedUntilNow(record.key);
-      passed_.Change(record.key, nullptr, changes);
-      continue;
-    }
-    auto endpoint = *listed;
-    endpoint.evacuated = evacuations_.Contains(endpoint.failure_domain);
     NoteListedUntilNow(record.key);
-    passed_.Change(record.key, &endpoint, changes);
+    auto endpoint = listing_.Find(record.key);
+    if (endpoint) {
+      endpoint->evacuated = evacuations_.Contains(endpoint->failure_domain);
+    }
+    passed_.Change(record.key, endpoint, changes);
   }
   PassOn(std::move(changes));
 }
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -169,8 +169,8 @@
         kConfigurationHold);
     link.endpoints = reading_.Share("endpoints", link.endpoints,
                                     options_.leave_limit / 2, kEndpointsHold);
-    link.hosts =
-        reading_.ShareHosts("hosts", link.hosts, kHostsAge, kHostsHold);
+    link.hosts = reading_.Share("hosts", link.hosts, kHostsAge, kHostsHold,
+                                whole_source::kStore);
     link.crashes = reading_.Share("crashes", link.crashes,
                                   options_.settle_limit / 2, kCrashesHold);
     return link;
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -404,13 +404,18 @@
 
 keyed_topic shared_reading::Share(const std::string& name,
                                   const keyed_topic& direct,
-                                  milliseconds max_age, milliseconds hold) {
+                                  milliseconds max_age, milliseconds hold,
+                                  whole_source whole_from) {
   const auto tail = std::make_shared<topic_tail>(now_);
   tails_[name] = tail;
   const auto topic = std::make_shared<shared_topic>(shared_topic{
       context_, asks_, name, direct, tail, max_age, hold, now_, turns_});
   keyed_topic shared = direct;
-  shared.read_newest = [topic](const read_done& done) {
+  shared.read_newest = [topic, whole_from](const read_done& done) {
+    if (whole_from == whole_source::kStore) {
+      ReadWholeDirectly(topic, done);
+      return;
+    }
     const auto whole = std::make_shared<whole_read>(whole_read{topic, done});
     whole->asked_others = topic->now() - kSeedPause + kBusyPause;
     AskForPage(whole);
@@ -432,20 +437,6 @@
   return shared;
 }
 
-keyed_topic shared_reading::ShareHosts(const std::string& name,
-                                       const keyed_topic& direct,
-                                       milliseconds max_age,
-                                       milliseconds hold) {
-  auto shared = Share(name, direct, max_age, hold);
-  const auto topic = std::make_shared<shared_topic>(
-      shared_topic{context_, asks_, name, direct, tails_.at(name), max_age,
-                   hold, now_, turns_});
-  shared.read_newest = [topic](const read_done& done) {
-    ReadWholeDirectly(topic, done);
-  };
-  return shared;
-}
-
 std::optional<tail_read> shared_reading::Answer(
     const topic_question& question) const {
   const auto found = tails_.find(question.topic);
--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -47,6 +47,12 @@
   std::function<void(bool answered)> on_store{};
 };
 
+/// @brief Where a host of a large fleet reads the whole of a topic first.
+enum class whole_source {
+  kHosts,  ///< From the host that it follows.
+  kStore,  ///< The list of hosts: without it, a host knows none to follow.
+};
+
 /// @brief Lets most hosts follow topics through a few that read the store:
 /// every host of a fleet reading for itself would spend the store's calls on
 /// what all of them learn alike.
@@ -71,11 +77,8 @@
   /// @param max_age Of what a reader tells.
   /// @param hold How long a question may be held there.
   keyed_topic Share(const std::string& name, const keyed_topic& direct,
-                    milliseconds max_age, milliseconds hold);
-  /// @brief The same for the list of hosts, of which the whole is read from the
-  /// store: without it, a host knows none to follow.
-  keyed_topic ShareHosts(const std::string& name, const keyed_topic& direct,
-                         milliseconds max_age, milliseconds hold);
+                    milliseconds max_age, milliseconds hold,
+                    whole_source whole_from = whole_source::kHosts);
 
   /// @brief For other hosts; from any thread.
   std::optional<tail_read> Answer(const topic_question& question) const;
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -17,9 +17,6 @@
 /// Endpoints that one home forms calls for. Up to there one queue for all of a
 /// service keeps them best filled; beyond, each failure domain has its own.
 constexpr std::size_t kMostPerHome = 24;
-/// Pooling the reserve of repeats. The first reader of the store does it, whom
-/// all hosts ask whether it lives.
-constexpr const char* kPoolPart = "store readers/";
 /// Homes that this host has no work for are asked as often whether they live;
 /// in a large fleet they would else serve nothing but such questions.
 constexpr milliseconds kIdleInterval{1000};
@@ -340,12 +337,9 @@
   ServeWaiting();
 }
 
-/// The host that pools the reserve of repeats: a reader, since all hosts ask
-/// the readers whether they live.
-std::string stage_router::Pool() const {
-  const auto readers = homes_.Living(kPoolPart, 1);
-  return readers.empty() ? std::string() : readers.front();
-}
+/// The host that pools the reserve of repeats: the first reader, since all
+/// hosts ask the readers whether they live.
+std::string stage_router::Pool() const { return tree_.First(homes_.Health()); }
 
 void stage_router::RenewPool() {
   pool_ = reserve_pool(environment_.repeats.Times(), RandomBits(),
