What another host has forgotten is not taken for read

Cause: since deletions are forgotten after a minute, another host may answer "too old" to a host that the store has failed. That answer has no records and names the other's offset; it was kept as a read up to there, so that until the next read of the whole this host would have reported endpoints that are gone as listed, at an offset past their deletion.

Change: such an answer has the whole read anew and is not kept. One comment says what it bounds.

--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -16,8 +16,8 @@
 constexpr unsigned kMaxDoublings = 3;
 /// Until better placed hosts are known to live or not.
 constexpr milliseconds kUndecidedPause{20};
-/// Until a host that knows no other asks its seeds, and again: the whole fleet
-/// may ask the same few.
+/// Between questions to the seeds of a host without a list of hosts: the same
+/// few may be the seeds of the whole fleet.
 constexpr milliseconds kSeedPause{500};
 /// Until a host that is busy, or knows nothing yet, is asked again.
 constexpr milliseconds kBusyPause{100};
@@ -147,6 +147,9 @@
   topic->asks.on_taken(question, told);
   keyed_read read = ReadOf(told);
   read.second_hand = true;
+  if (read.outcome != store_outcome::kDone) {
+    return read;  // Nothing of what lies between is known.
+  }
   if (question.from) {
     topic->Keep(*question.from, read, told.age);
   } else {
--- a/src/slatestall/gateway/shared_reading_test.cc
+++ b/src/slatestall/gateway/shared_reading_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(ALargeWholeIsToldInPages);
   CPPUNIT_TEST(OnlyTheNewestOfEachKeyIsToldOn);
   CPPUNIT_TEST(DeletionsAreForgottenOnlyWithTheirOffsets);
+  CPPUNIT_TEST(WhatAnotherHostHasForgottenIsReadAnew);
   CPPUNIT_TEST(AHostOfALargeFleetReadsTheWholeFromAnother);
   CPPUNIT_TEST(APageOfAHostThatIsBehindIsNotTaken);
   CPPUNIT_TEST(AHostOfALargeFleetWaitsForItsTurnAtTheStore);
@@ -470,6 +471,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tail.ReadFrom(6)->records.size());
   }
 
+  // The store is away, and the only other host no longer has the deletions
+  // since. Taken for having read as far, this host would report the endpoints
+  // that are gone as listed.
+  void WhatAnotherHostHasForgottenIsReadAnew() {
+    asio::io_context context;
+    topic_asks asks;
+    asks.reader = [](const topic_question&,
+                     const topic_asks::reader_hook& done) {
+      done({.source = reading_source::kStore, .told = std::nullopt});
+    };
+    asks.any = [](const topic_question&, const topic_asks::done_hook& done) {
+      tail_read told;
+      told.next = 90;
+      told.is_too_old = true;
+      done(told);
+    };
+    asks.on_taken = [](const topic_question&, const tail_read&) {};
+    auto store = Direct();
+    store.read_from = [](std::uint64_t, milliseconds,
+                         const std::function<void(keyed_read)>& done) {
+      done({});
+    };
+    shared_reading reading(context, asks, Now());
+    const auto topic = reading.Share("t", store, milliseconds(1000), kHold);
+    keyed_read got;
+    const auto take = [&got](keyed_read read) { got = std::move(read); };
+    topic.read_newest(take);
+    context.run();
+    topic.read_from(5, milliseconds(0), take);
+    context.restart();
+    context.run();
+    CPPUNIT_ASSERT(got.outcome == store_outcome::kTooOld);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                         reading.Answer({"t", std::nullopt})->next);
+  }
+
   /// Reads the whole as a host of a large fleet, which follows another that
   /// answers with these pages.
   keyed_read ReadWholeThrough(std::vector<std::optional<tail_read>> pages) {
