Read once more: held questions wake a host when they are due, not 50 times a second

Cause: a host that held any question looked at all of them every 20 ms, which a reader of seven hosts paid as well.

Change: the next look is at the first end of a wait, or after 20 ms where a question may wait for room. Some comments use the field's words.

--- a/include/slatestall/dispatch/reader_tree.h
+++ b/include/slatestall/dispatch/reader_tree.h
@@ -68,7 +68,7 @@
   /// @brief Whether all hosts follow the readers directly.
   bool IsFlat() const { return RelayCount() == 0; }
   /// @brief Hosts listed, with this one.
-  std::size_t Hosts() const { return hosts_; }
+  std::size_t Hosts() const { return order_.size(); }
 
  private:
   /// The living hosts before this one in an order.
@@ -87,7 +87,6 @@
   disabled_mechanisms disabled_;
   std::vector<std::string> order_;  ///< All hosts, the first reader first.
   std::vector<std::string> domain_order_;  ///< Those of the own failure domain.
-  std::size_t hosts_ = 1;
   bool listed_ = false;
   time_point lacks_store_until_{};
 };
--- a/src/slatestall/dispatch/reader_tree.cc
+++ b/src/slatestall/dispatch/reader_tree.cc
@@ -44,7 +44,6 @@
       in_domain.insert(other.host);
     }
   }
-  hosts_ = candidates.size();
   order_ = RankHomes(kReadersPart, candidates, disabled_);
   domain_order_.clear();
   std::copy_if(order_.begin(), order_.end(), std::back_inserter(domain_order_),
@@ -57,7 +56,7 @@
 
 /// In the own failure domain; none in a small fleet.
 std::size_t reader_tree::RelayCount() const {
-  if (hosts_ <= kReaders * kFollowers) {
+  if (Hosts() <= kReaders * kFollowers) {
     return 0;
   }
   return (domain_order_.size() + kFollowers - 1) / kFollowers;
--- a/src/slatestall/gateway/gateway_traffic.h
+++ b/src/slatestall/gateway/gateway_traffic.h
@@ -60,7 +60,7 @@
   }
   /// @brief The store has answered this host, or not.
   void NoteStore(bool answered) { router_.NoteStore(answered); }
-  /// @brief More is known of a topic than other hosts were told.
+  /// @brief More of a topic has been read: answers questions held for it.
   void ReleaseQuestions(const std::string& topic) { topics_.Release(topic); }
   /// @brief Asks the host that this one follows.
   void AskReader(const topic_question& question, topic_asks::reader_hook done);
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -123,7 +123,7 @@
   const std::string self_;
   home_finder homes_;
   reader_tree tree_;
-  /// When this host last had work for each home.
+  /// When this host last had work for each home, of late.
   std::map<std::string, time_point> used_at_;
   /// Endpoints that take work, by service and failure domain.
   std::map<std::string, std::map<std::string, std::size_t>> usable_;
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -279,11 +279,12 @@
   }
   const auto pool = Pool();
   const auto followed = ReadingPlace().host;
+  std::erase_if(used_at_, [now](const auto& used) {
+    return now - used.second >= kUseLife;
+  });
   for (const auto& host : due) {
-    const auto used = used_at_.find(host);
     const bool is_in_use =
-        host == pool || host == followed ||
-        (used != used_at_.end() && now - used->second < kUseLife);
+        host == pool || host == followed || used_at_.contains(host);
     if (is_in_use ||
         !homes_.Health().AnsweredWithin(host, kIdleInterval, now)) {
       Ask(host);
--- a/src/slatestall/gateway/topic_exchange.cc
+++ b/src/slatestall/gateway/topic_exchange.cc
@@ -16,7 +16,7 @@
 constexpr milliseconds kHeldAnswerTimeout{1500};
 /// A wrong question is not held for ever.
 constexpr milliseconds kLongestWait{10'000};
-/// Between two looks at the questions that are held.
+/// Between two looks at the questions that wait for room.
 constexpr milliseconds kReviewInterval{20};
 
 wire::read_topic_replyT ToWire(const std::optional<tail_read>& read) {
@@ -126,7 +126,7 @@
                   held_question held{std::move(question), until, reply};
                   if (!TryAnswer(held, is_last)) {
                     held_.push_back(std::move(held));
-                    ReviewSoon();
+                    ScheduleReview();
                   }
                 });
 }
@@ -151,26 +151,30 @@
   return true;
 }
 
-void topic_exchange::ReviewSoon() {
-  if (reviews_soon_) {
+/// At the first end of a wait. Those that ask for a whole may wait for room,
+/// of which nothing tells.
+void topic_exchange::ScheduleReview() {
+  if (held_.empty()) {
     return;
   }
-  reviews_soon_ = true;
-  review_timer_.expires_after(kReviewInterval);
+  time_point next = time_point::max();
+  for (const auto& held : held_) {
+    next = std::min(next,
+                    held.question.from
+                        ? held.until
+                        : std::chrono::steady_clock::now() + kReviewInterval);
+  }
+  review_timer_.expires_at(next);
   review_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
                                const asio::error_code& error) {
     if (error || alive.expired()) {
       return;
     }
-    reviews_soon_ = false;
     const time_point now = std::chrono::steady_clock::now();
     Review([now](const held_question& held) {
-      // Those that ask for a whole may wait for room alone.
       return now >= held.until || !held.question.from;
     });
-    if (!held_.empty()) {
-      ReviewSoon();
-    }
+    ScheduleReview();
   });
 }
 
--- a/src/slatestall/gateway/topic_exchange.h
+++ b/src/slatestall/gateway/topic_exchange.h
@@ -29,9 +29,9 @@
 /// @brief Hosts ask each other for what they have read of the store.
 ///
 /// A question that nothing new answers is held: changes pass on at once, and
-/// followers of a quiet topic cost a message a second. Replies that are not yet
-/// sent are bounded for all hosts together; questions wait for room, since a
-/// whole fleet that starts asks a few hosts for everything.
+/// a follower of a quiet topic sends a message a second. Replies that are not
+/// yet sent are bounded for all hosts together; questions wait for room, since
+/// a whole fleet that starts asks a few hosts for everything.
 class topic_exchange {
  public:
   using answer_hook = std::function<void(topic_answer)>;
@@ -61,7 +61,7 @@
 
   void Serve();
   bool TryAnswer(const held_question& held, bool is_last);
-  void ReviewSoon();
+  void ScheduleReview();
   void Review(const std::function<bool(const held_question&)>& concerns);
 
   peer_node& peers_;
@@ -69,7 +69,6 @@
   std::size_t max_unsent_;
   std::list<held_question> held_;  ///< In order of arrival.
   asio::steady_timer review_timer_;
-  bool reviews_soon_ = false;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
