An unreadable answer of a stage endpoint no longer ends the host

Cause: ReadPieces() tested the type of `handle` and not that of `reason`; json::value() throws where a field has another type, and nothing up to the event loop catches. Evidence: the process's last line, "[json.exception.type_error.302] type must be string, but is null", at the bytes of the case.

--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -77,6 +77,8 @@
 
 struct piece_result {
   piece_end end = piece_end::kFailed;
+  /// The endpoint's answer says what came of the piece; else it failed.
+  bool is_readable = true;
   std::string handle;  ///< Of `kMade`.
 };
 
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -14,9 +14,6 @@
 /// noticed by asking them; the list only has to lose them some day.
 constexpr milliseconds kAnnounceInterval{40'000};
 constexpr int kIntervalSpread = 4;
-/// What an entry may say of its weight; a wrong one must not take all work.
-constexpr double kLeastWeight = 0.01;
-constexpr double kMostWeight = 64.0;
 constexpr milliseconds kAnnounceRetry{700};
 /// Hosts that start in the same millisecond would fill the store's queue of new
 /// connections, which drops the rest, and meet there again with each try.
@@ -138,12 +135,13 @@
 }
 
 void host_directory::Announce() {
-  const nlohmann::json value = {
-      {"peer", options_.address + ":" + std::to_string(options_.peer_port)},
-      {"weight", options_.Weight()},
-      {"relay", options_.address + ":" + std::to_string(options_.relay_port)},
-      {"failure_domain", options_.failure_domain}};
-  announce_(options_.host_name, value.dump(),
+  listed_gateway self;
+  self.address.address =
+      options_.address + ":" + std::to_string(options_.peer_port);
+  self.weight = options_.Weight();
+  self.relay = options_.address + ":" + std::to_string(options_.relay_port);
+  self.failure_domain = options_.failure_domain;
+  announce_(options_.host_name, WriteHostEntry(self),
             [this, began = now_(),
              alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
               if (alive.expired()) {
@@ -166,19 +164,12 @@
       entries_.erase(record.key);
       continue;
     }
-    const auto value = nlohmann::json::parse(*record.value, nullptr, false);
-    if (!value.is_object() || !value.contains("peer") ||
-        !value["peer"].is_string()) {
+    auto listed = ReadHostEntry(record.key, *record.value);
+    if (!listed) {
       log_.Write("host_unreadable", {{"host", record.key}});
       continue;
     }
-    listed_gateway listed;
-    listed.address = {record.key, value["peer"].get<std::string>()};
-    listed.weight =
-        std::clamp(value.value("weight", 1.0), kLeastWeight, kMostWeight);
-    listed.relay = value.value("relay", std::string());
-    listed.failure_domain = value.value("failure_domain", std::string());
-    entries_[record.key] = {std::move(listed), now_()};
+    entries_[record.key] = {std::move(*listed), now_()};
   }
   Publish();
 }
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -11,28 +11,12 @@
 #include "slatestall/dispatch/repeat_reserve.h"
 #include "slatestall/gateway/decision_log.h"
 #include "slatestall/gateway/gateway_options.h"
+#include "slatestall/gateway/host_entry.h"
 #include "slatestall/gateway/platform_link.h"
 #include "slatestall/gateway/topic_follower.h"
-#include "slatestall/peer/peer_node.h"
 
 namespace slatestall {
 
-/// @brief A host of the system as it announced itself.
-/// @ingroup gateway
-struct listed_gateway {
-  peer_address address;
-  double weight = 1.0;  ///< Share of a processor that it has.
-  /// "IP:port" where it passes calls on to endpoints; empty: it does not.
-  std::string relay{};
-  std::string failure_domain{};  ///< Empty: not announced.
-
-  friend bool operator==(const listed_gateway& a, const listed_gateway& b) {
-    return a.address.host == b.address.host &&
-           a.address.address == b.address.address && a.weight == b.weight &&
-           a.relay == b.relay && a.failure_domain == b.failure_domain;
-  }
-};
-
 /// @brief Other hosts of the system, as they announce themselves in the
 /// platform's store. Which of them live is found out by asking them.
 /// @ingroup gateway
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -44,6 +44,12 @@
          std::max(1.0, static_cast<double>(b.count()));
 }
 
+std::size_t CountUnreadable(const std::vector<piece_result>& results) {
+  return static_cast<std::size_t>(
+      std::count_if(results.begin(), results.end(),
+                    [](const auto& result) { return !result.is_readable; }));
+}
+
 piece_costs::kind_counts CountKinds(const std::vector<waiting_piece>& pieces) {
   piece_costs::kind_counts counts;
   for (const auto& piece : pieces) {
@@ -191,8 +197,10 @@
          {"pieces", call->pieces.size()},
          {"status", result.status},
          {"detail", result.detail},
+         {"unreadable", call->unreadable},
          {"ms", WholeMilliseconds(environment_.now() - call->sent).count()}});
     environment_.metrics.Count("stage_calls_failed", call->shard.service);
+    environment_.metrics.Count("unreadable", "piece", call->unreadable);
   }
   PumpSoon(call->shard, duration(0));
 }
@@ -221,8 +229,11 @@
         environment_.metrics.Observe("stage_call", call->shard.service,
                                      now - call->sent);
         TakeResults(call, results);
-        return call_lesson::kAnswered;
+        call->unreadable = CountUnreadable(results);
+        return call->unreadable == 0 ? call_lesson::kAnswered
+                                     : call_lesson::kFailed;
       }
+      call->unreadable = call->pieces.size();
     }
   }
   if (result.end == call_end::kTruncated) {
--- a/src/slatestall/gateway/stage_home_state.h
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -38,6 +38,7 @@
   double pace = 1.0;      ///< Of the endpoint's machine when it was sent.
   bool is_direct = true;  ///< Not passed on by another host.
   call_outcome outcome = call_outcome::kComplete;
+  std::size_t unreadable = 0;  ///< Pieces of which its answer says nothing.
   asio::steady_timer overdue;
   bool pieces_released = false;  ///< They wait for another call, too.
 
