A piece has a handle or none: an empty one is no result

Cause: any text counted as a handle, and in stage_home the empty one also stood for "not made yet": the piece was counted as made and left out of `Inputs`. A reply of another host's home was checked for the number of handles only.

Replies of homes are checked likewise, and for a handle given twice; bad ones are logged and counted.

--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -376,7 +376,7 @@
   std::erase_if(batch.pieces, [this](const waiting_piece& piece) {
     const auto found = groups_.find(piece.group.get());
     return found == groups_.end() ||
-           !found->second->handles[piece.piece].empty();
+           found->second->IsMade(piece.piece);
   });
   if (batch.pieces.empty()) {
     return false;
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -60,6 +60,16 @@
 
 }  // namespace
 
+std::vector<std::string> stage_home::group_state::TakeHandles() {
+  std::vector<std::string> taken;
+  for (auto& handle : std::exchange(handles, {})) {
+    if (handle) {
+      taken.push_back(std::move(*handle));
+    }
+  }
+  return taken;
+}
+
 void stage_home::SendBatch(const stage_shard& shard, const batch_rule& rule,
                            const endpoint_record_ptr& record,
                            piece_batch batch) {
@@ -170,7 +180,7 @@
   call->pieces_released = true;
   for (const auto& piece : call->pieces) {
     const auto found = groups_.find(piece.group.get());
-    if (found != groups_.end() && found->second->handles[piece.piece].empty()) {
+    if (found != groups_.end() && !found->second->IsMade(piece.piece)) {
       TryAgain(call->shard, piece);
     }
   }
@@ -341,7 +351,7 @@
                             const piece_result& result) {
   const auto found = groups_.find(piece.group.get());
   const bool wanted =
-      found != groups_.end() && found->second->handles[piece.piece].empty();
+      found != groups_.end() && !found->second->IsMade(piece.piece);
   if (result.end == piece_end::kMade) {
     const batch_rule* rule = Rule(call->shard.service);
     room_.NoteMade(call->record->Info().Incarnation(), result.handle,
@@ -354,8 +364,7 @@
     const auto state = found->second;
     state->handles[piece.piece] = result.handle;
     if (--state->missing == 0) {
-      auto handles = std::move(state->handles);
-      state->handles.clear();
+      auto handles = state->TakeHandles();
       Conclude(state, {stage_end::kMade, std::move(handles)});
     }
     return;
@@ -414,13 +423,7 @@
   StateOf(state->shard).queue.Remove(state->group.get());
   numbers_.erase(state->number);
   groups_.erase(state->group.get());
-  std::vector<std::string> unused;
-  for (auto& handle : state->handles) {
-    if (!handle.empty()) {
-      unused.push_back(std::move(handle));
-    }
-  }
-  Free(std::move(unused));
+  Free(state->TakeHandles());
   if (state->done) {
     asio::post(environment_.context,
                [done = std::move(state->done), outcome = std::move(outcome)] {
--- a/src/slatestall/gateway/stage_home_state.h
+++ b/src/slatestall/gateway/stage_home_state.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,11 +22,14 @@
   stage_number number = 0;
   stage_shard shard;
   piece_group_ptr group;
-  std::vector<std::string> handles;
+  std::vector<std::optional<std::string>> handles;  ///< Of pieces made.
   std::vector<unsigned> tries;
   std::size_t missing = 0;
   bool expected_in_time = false;  ///< As booked, when its pieces came.
   std::function<void(stage_outcome)> done;
+
+  bool IsMade(std::size_t piece) const { return handles[piece].has_value(); }
+  std::vector<std::string> TakeHandles();
 };
 
 struct stage_home::call_state {
--- a/src/slatestall/gateway/stage_router.cc
+++ b/src/slatestall/gateway/stage_router.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -231,10 +232,14 @@
     stage_outcome outcome;
     outcome.end = FromWire(made->end);
     outcome.handles = made->handles;
-    const bool whole = outcome.end != stage_end::kMade ||
-                       outcome.handles.size() == placed->group.pieces;
-    if (!whole) {
-      outcome.end = stage_end::kFailed;
+    if (outcome.end == stage_end::kMade &&
+        !AreResults(outcome.handles, placed->group.pieces)) {
+      environment_.log.Write("home_reply_unreadable",
+                             {{"request", placed->group.request},
+                              {"stage", placed->group.stage},
+                              {"home", host}});
+      environment_.metrics.Count("unreadable", "home_reply");
+      outcome = {stage_end::kFailed, {}};
     }
     Conclude(placed, std::move(outcome));
     return;
@@ -255,6 +260,16 @@
   }
 }
 
+/// Whether a home has made every piece, and each is a result of its own.
+bool stage_router::AreResults(const std::vector<std::string>& handles,
+                              std::size_t pieces) const {
+  const std::set<std::string> distinct(handles.begin(), handles.end());
+  return handles.size() == pieces && distinct.size() == pieces &&
+         std::none_of(handles.begin(), handles.end(), [this](const auto& one) {
+           return environment_.protocol.keeper_of(one).empty();
+         });
+}
+
 void stage_router::OnLocal(const order_ptr& placed, stage_outcome outcome) {
   if (placed->done) {
     Conclude(placed, std::move(outcome));
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -96,6 +96,8 @@
   void PlaceAt(const std::string& host, const order_ptr& placed);
   void OnReply(const order_ptr& placed, const std::string& host,
                const peer_reply& reply);
+  bool AreResults(const std::vector<std::string>& handles,
+                  std::size_t pieces) const;
   void OnLocal(const order_ptr& placed, stage_outcome outcome);
   void Conclude(const order_ptr& placed, stage_outcome outcome);
 
