--- a/src/slatestall/relay/message_text.cc
+++ b/src/slatestall/relay/message_text.cc
@@ -1,15 +1,27 @@
 #include "slatestall/relay/message_text.h"
 
+#include <algorithm>
+#include <cstddef>
+
 #include "slatestall/http/status_phrase.h"
 
 namespace slatestall {
 namespace {
 
+/// A value can end neither its field nor the head (RFC 9110, 5.5).
+void AppendValue(std::string& text, std::string_view value) {
+  const auto begin = text.size();
+  text += value;
+  std::replace_if(
+      text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(),
+      [](char c) { return c == '\r' || c == '\n' || c == '\0'; }, ' ');
+}
+
 void AppendFields(std::string& text, const http_headers& headers) {
   for (const auto& header : headers) {
     text += header.name;
     text += ": ";
-    text += header.value;
+    AppendValue(text, header.value);
     text += "\r\n";
   }
   text += "\r\n";
