A handle counts for its maker and its piece only

The third fault of the same cause: a handle that names another maker, that stands twice in an answer, or that is another piece's result put one request's bytes into another's, and freeing it freed the other's result.

Change: read_pieces() is given the maker's address; a handle that names another one, or is repeated, is unreadable. result_room knows whose result each handle is; one of another piece is not used and not freed.

--- a/include/slatestall/dispatch/result_room.h
+++ b/include/slatestall/dispatch/result_room.h
@@ -17,9 +17,14 @@
 /// @ingroup dispatch
 class result_room {
  public:
+  /// @param piece Identifies the piece that the result is of.
   /// @param keep_time After which makers drop a result by themselves.
   void NoteMade(const endpoint_incarnation& endpoint, const std::string& handle,
-                std::uint64_t bytes, time_point now, duration keep_time);
+                std::uint64_t piece, std::uint64_t bytes, time_point now,
+                duration keep_time);
+  /// @brief Whether the handle stands for the result of another piece.
+  bool IsOfAnother(const std::string& handle, std::uint64_t piece,
+                   time_point now);
   void NoteFreed(const std::string& handle);
   /// @brief Bytes taken up at an endpoint.
   std::uint64_t Used(const endpoint_incarnation& endpoint, time_point now);
@@ -27,6 +32,7 @@
  private:
   struct result {
     endpoint_incarnation endpoint;
+    std::uint64_t piece = 0;
     std::uint64_t bytes = 0;
   };
   struct expiry {
--- a/include/slatestall/gateway/endpoint_protocol.h
+++ b/include/slatestall/gateway/endpoint_protocol.h
@@ -102,11 +102,15 @@
   std::function<http_headers(const std::string& endpoint_id)> stage_headers;
   std::function<std::string(const std::vector<waiting_piece>&, time_point now)>
       write_pieces;
-  /// @returns as many results as pieces were sent, or none: not readable.
-  std::function<std::vector<piece_result>(const std::string& body)> read_pieces;
+  /// @param maker "IP:port" of the endpoint that answered.
+  /// @returns as many results as pieces were sent, or none: not readable. No
+  /// two have one handle, and each handle names its maker.
+  std::function<std::vector<piece_result>(const std::string& body,
+                                          const std::string& maker)>
+      read_pieces;
   std::function<std::string(const std::vector<std::string>& handles)>
       write_free;
-  /// "IP:port" of the endpoint that keeps a result; empty: not readable.
+  /// "IP:port" of the endpoint that keeps a result; empty: it is no handle.
   std::function<std::string(const std::string& handle)> keeper_of;
   /// Load and refusal of the answer to a stage call.
   std::function<answer_facts(int status, const http_headers&, time_point now)>
--- a/src/slatestall/dispatch/result_room.cc
+++ b/src/slatestall/dispatch/result_room.cc
@@ -5,14 +5,23 @@
 namespace slatestall {
 
 void result_room::NoteMade(const endpoint_incarnation& endpoint,
-                           const std::string& handle, std::uint64_t bytes,
-                           time_point now, duration keep_time) {
+                           const std::string& handle, std::uint64_t piece,
+                           std::uint64_t bytes, time_point now,
+                           duration keep_time) {
   Expire(now);
-  results_[handle] = {endpoint, bytes};
+  NoteFreed(handle);  // A piece made again under the same name.
+  results_[handle] = {endpoint, piece, bytes};
   used_[endpoint] += bytes;
   expiries_.push_back({now + keep_time, handle});
 }
 
+bool result_room::IsOfAnother(const std::string& handle, std::uint64_t piece,
+                              time_point now) {
+  Expire(now);
+  const auto found = results_.find(handle);
+  return found != results_.end() && found->second.piece != piece;
+}
+
 void result_room::NoteFreed(const std::string& handle) {
   const auto found = results_.find(handle);
   if (found == results_.end()) {
--- a/src/slatestall/gateway/stage_home.cc
+++ b/src/slatestall/gateway/stage_home.cc
@@ -375,8 +375,7 @@
   // One made meanwhile by an overdue call needs no second making.
   std::erase_if(batch.pieces, [this](const waiting_piece& piece) {
     const auto found = groups_.find(piece.group.get());
-    return found == groups_.end() ||
-           found->second->IsMade(piece.piece);
+    return found == groups_.end() || found->second->IsMade(piece.piece);
   });
   if (batch.pieces.empty()) {
     return false;
--- a/src/slatestall/gateway/stage_home.h
+++ b/src/slatestall/gateway/stage_home.h
@@ -98,6 +98,8 @@
   void ReturnTries(const call_state& call);
   void NoteTaken(const call_state& call, duration taken);
   void NotePieceTime(const call_state& call, duration taken);
+  void RejectOfOthers(const call_state& call,
+                      std::vector<piece_result>& results);
   void TakeResults(const call_state_ptr& call,
                    const std::vector<piece_result>& results);
   void TakeResult(const call_state_ptr& call, const waiting_piece& piece,
--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -44,6 +44,13 @@
          std::max(1.0, static_cast<double>(b.count()));
 }
 
+/// The same for a piece that is made again.
+std::uint64_t IdOf(const waiting_piece& piece) {
+  const auto& group = *piece.group;
+  return StableHash(group.request + "/" + std::to_string(group.stage),
+                    piece.piece);
+}
+
 std::size_t CountUnreadable(const std::vector<piece_result>& results) {
   return static_cast<std::size_t>(
       std::count_if(results.begin(), results.end(),
@@ -231,8 +238,10 @@
       ReturnTries(*call);
       lesson = call_lesson::kRefused;
     } else if (result.status == kOk) {
-      const auto results = environment_.protocol.read_pieces(result.body);
+      auto results = environment_.protocol.read_pieces(
+          result.body, AddressText(call->record->Info()));
       if (results.size() == call->pieces.size()) {
+        RejectOfOthers(*call, results);
         StateOf(call->shard).paused.erase(call->record->Info().Incarnation());
         NoteTaken(*call, now - call->sent);
         environment_.quarantine.NoteAnswer(call->shard.service, now);
@@ -339,6 +348,19 @@
                    rule->piece_time);
 }
 
+/// Its bytes are another request's, or will be. It is not freed: the other
+/// piece's result would go with it.
+void stage_home::RejectOfOthers(const call_state& call,
+                                std::vector<piece_result>& results) {
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    if (results[i].end == piece_end::kMade &&
+        room_.IsOfAnother(results[i].handle, IdOf(call.pieces[i]),
+                          environment_.now())) {
+      results[i] = {piece_end::kFailed, false, {}};
+    }
+  }
+}
+
 void stage_home::TakeResults(const call_state_ptr& call,
                              const std::vector<piece_result>& results) {
   for (std::size_t i = 0; i < results.size(); ++i) {
@@ -355,7 +377,7 @@
   if (result.end == piece_end::kMade) {
     const batch_rule* rule = Rule(call->shard.service);
     room_.NoteMade(call->record->Info().Incarnation(), result.handle,
-                   piece.group->result_bytes, environment_.now(),
+                   IdOf(piece), piece.group->result_bytes, environment_.now(),
                    rule == nullptr ? duration(0) : rule->keep_time);
     if (!wanted) {
       Free({result.handle});
