Streams go on after all hosts were lost

Cause: which version began a stream is known from notes in the memory of four hosts; without one, from what the present process has seen of the list, which says nothing for as long as streams last. The list of now proves nothing of before.

Change: before a host uses endpoints of a version, it or another host records that version in the store (key versions/HOST of the topic of hosts). A record stands until streams of the version are over, outlives the process, and is taken over by the next one of that name. All records together, read anew from the store, name the only version at which a stream can have begun. Hosts of earlier releases, records of an earlier era of the store and processes that do not know their predecessor make the records incomplete: then nothing is taken from them. Hosts read the topic before they announce themselves, since their entry would hide an older one.

--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -95,7 +95,8 @@
           [this](std::vector<listed_gateway> hosts) {
             news_.on_hosts(std::move(hosts));
           },
-          [this](const host_census& census) { news_.on_census(census); }),
+          [this](const host_census& census) { news_.on_census(census); },
+          [this] { PassOnRecorded(); }),
       crashes_(context, options, link_, log_, now_, news_.crashes) {}
 
 void gateway_control::Start() {
@@ -111,7 +112,12 @@
   endpoints_.ReadNow(
       [this, service, time, done = std::move(done)](bool is_current) {
         NoteListedVersions();
-        done(is_current ? versions_.Only(service, time, now_()) : std::nullopt);
+        const auto only = versions_.Only(service, time, now_());
+        if (!is_current || only) {
+          done(is_current ? only : std::nullopt);
+        } else {
+          hosts_.FindOnlyVersion(service, time, done);
+        }
       });
 }
 
@@ -189,6 +195,7 @@
       read->endpoint.cold_until = now_() + read->cold_left;
     }
     versions_.Note(read->endpoint, now_());
+    hosts_.NoteListed(read->endpoint.service, read->endpoint.version);
     return std::move(read->endpoint);
   } catch (const std::exception& problem) {
     log_.Write("endpoint_unreadable",
@@ -235,6 +242,10 @@
     }
     NoteListedUntilNow(record.key);
     auto endpoint = listing_.Find(record.key);
+    if (endpoint && !IsUsable(*endpoint)) {
+      held_ = true;
+      endpoint.reset();
+    }
     if (endpoint) {
       endpoint->evacuated = evacuations_.Contains(endpoint->failure_domain);
     }
@@ -243,9 +254,27 @@
   PassOn(std::move(changes));
 }
 
+/// A stream that began at a version of which no record tells could not be taken
+/// up once all hosts were lost, or would go on at another version.
+bool gateway_control::IsUsable(const known_endpoint& endpoint) const {
+  return hosts_.IsRecorded(endpoint.service, endpoint.version);
+}
+
+void gateway_control::PassOnRecorded() {
+  if (held_) {
+    PublishEndpoints();
+  }
+}
+
 void gateway_control::PublishEndpoints() {
   NoteListedVersions();
   auto listed = listing_.Listed();
+  const auto all = listed.size();
+  std::erase_if(listed, [this](const auto& one) { return !IsUsable(one); });
+  held_ = listed.size() < all;
+  if (!has_published_ && held_ && listed.empty()) {
+    return;  // The host is ready once it can serve.
+  }
   for (auto& endpoint : listed) {
     endpoint.evacuated = evacuations_.Contains(endpoint.failure_domain);
   }
@@ -265,6 +294,7 @@
 void gateway_control::NoteListedVersions() {
   for (const auto& [id, endpoint] : passed_.All()) {
     versions_.Note(endpoint, now_());
+    hosts_.NoteListed(endpoint.service, endpoint.version);
   }
 }
 
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -68,6 +68,8 @@
       const std::vector<keyed_record>& records);
   void TakeEndpointChanges(const std::vector<keyed_record>& records);
   std::optional<known_endpoint> Decode(const keyed_record& record);
+  bool IsUsable(const known_endpoint& endpoint) const;
+  void PassOnRecorded();
   void PublishEndpoints();
   void PassOn(listing_changes changes);
   void NoteListedVersions();
@@ -84,6 +86,7 @@
   evacuation_list evacuations_;
   passed_listing passed_;
   bool has_published_ = false;
+  bool held_ = false;  ///< Listed endpoints wait for a record of their version.
   std::int64_t version_ = -1;
   bool configuration_reachable_ = true;
   bool endpoints_reachable_ = true;
--- a/src/slatestall/gateway/gateway_control_test.cc
+++ b/src/slatestall/gateway/gateway_control_test.cc
@@ -14,6 +14,8 @@
 namespace {
 
 const std::string kEvacuate = "out/";
+/// Another host has recorded the version that all endpoints here have.
+const std::string kAllVersions = WriteVersionRecord({{{"", {""}}}, 1, true});
 
 /// Keys "out/DOMAIN" evacuate, "VERSION" is a configuration; an endpoint's
 /// value is its failure domain.
@@ -66,6 +68,8 @@
     control_.emplace(context_, options_, Link(operator_, endpoints_, hosts_),
                      log_, BootTimeNow, News());
     control_->Start();
+    Await(hosts_.newest);
+    fake_topic::Answer(hosts_.newest, {{"versions/h2", kAllVersions}});
   }
 
   void tearDown() override { control_.reset(); }
@@ -201,8 +205,8 @@
   // A store that takes one write at a time was two seconds behind where a
   // thousand hosts start, and they knew no others until then.
   void HostsAreReadThoughTheOwnEntryIsNotYetWritten() {
-    Await(hosts_.newest);
-    CPPUNIT_ASSERT(hosts_.newest);
+    Await(hosts_.next);
+    CPPUNIT_ASSERT(hosts_.next);
   }
 
   asio::io_context context_;
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -18,10 +18,9 @@
 /// Hosts that start in the same millisecond would fill the store's queue of new
 /// connections, which drops the rest, and meet there again with each try.
 constexpr milliseconds kFirstSpread{200};
-/// The first read follows the own entry, so that hosts that start together find
-/// each other with one read each, and read one after the other: the store takes
-/// one entry at a time. Where it is longer behind, reads do not wait for it.
-constexpr milliseconds kOwnEntryWait{2000};
+/// The own entry waits as long for the first read. A store that takes one entry
+/// at a time is as far behind where a thousand hosts start.
+constexpr milliseconds kFirstReadWait{2000};
 /// All hosts write again within it after the store has lost entries: a few
 /// hundred writes a second of a large fleet.
 constexpr milliseconds kAnnounceAgain{2000};
@@ -32,6 +31,21 @@
 /// Hosts tell the age of what they have read from when it came; the read may
 /// have been under way as long.
 constexpr milliseconds kToldSlack{1000};
+/// Records of versions have keys of their own: they change with releases, and
+/// entries are written all the time.
+constexpr std::string_view kVersionsPrefix = "versions/";
+/// For which a version stays recorded after its last endpoint has left the
+/// list: twice the patience of a caller who waits half a minute.
+constexpr milliseconds kStreamLife{60'000};
+/// Hosts write one after the other, so that a large fleet stays within what
+/// the store takes. Where one has written, endpoints are used by all.
+constexpr milliseconds kRecordSpread{4};
+constexpr milliseconds kMaintainInterval{5000};
+/// A host that the store turns away goes by what it has read for as long.
+constexpr milliseconds kOutlivedAfter{600'000};
+constexpr milliseconds kOutlivedSpread{120'000};
+/// Of a store that never came back from an older copy.
+constexpr std::uint64_t kFirstEra = 1;
 
 milliseconds NextInterval() {
   const auto spread = kAnnounceInterval / kIntervalSpread;
@@ -51,7 +65,7 @@
                                const gateway_options& options,
                                const platform_link& link, decision_log& log,
                                now_function now, hosts_hook on_hosts,
-                               census_hook on_census)
+                               census_hook on_census, recorded_hook on_recorded)
     : options_(options),
       entry_life_(EntryLife(options.repeats)),
       announce_(link.announce),
@@ -59,22 +73,19 @@
       now_(std::move(now)),
       on_hosts_(std::move(on_hosts)),
       on_census_(std::move(on_census)),
+      on_recorded_(std::move(on_recorded)),
+      own_(kStreamLife),
+      outlived_after_(kOutlivedAfter + RandomBelow(kOutlivedSpread)),
       timer_(context),
       follow_timer_(context),
+      record_timer_(context),
+      maintain_timer_(context),
       follower_(
           context, Timed(link.hosts),
           {milliseconds(0), kReadInterval, options.restore_time},
           {.on_all = [this](const auto& records) { Take(records); },
            .on_changes = [this](const auto& records) { Take(records); },
-           .on_read =
-               [this](const keyed_read& read) {
-                 if (read.outcome != store_outcome::kDone) {
-                   return;
-                 }
-                 NoteEra(read.era);
-                 census_.read_at = read_began_ - read.age - kToldSlack;
-                 Publish();
-               },
+           .on_read = [this](const keyed_read& read) { OnRead(read); },
            .on_restored = [this](const auto& records) { Take(records); }}) {}
 
 /// The answer holds what was written before the read began; how long it was
@@ -95,20 +106,25 @@
 }
 
 void host_directory::Start() {
-  AnnounceAfter(RandomBelow(kFirstSpread));
-  follow_timer_.expires_after(kOwnEntryWait + RandomBelow(kOwnEntryWait));
+  AnnounceAfter(kFirstReadWait + RandomBelow(kFirstReadWait));
+  follow_timer_.expires_after(RandomBelow(kFirstSpread));
   follow_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](
                                const asio::error_code& error) {
     if (!error && !alive.expired()) {
-      Follow();
+      follower_.Start();
     }
   });
+  Maintain();
 }
 
-void host_directory::Follow() {
-  if (!std::exchange(follows_, true)) {
-    follower_.Start();
+void host_directory::OnRead(const keyed_read& read) {
+  if (read.outcome != store_outcome::kDone) {
+    return;
   }
+  read_by_itself_ = !read.second_hand;
+  NoteEra(read.era);
+  census_.read_at = read_began_ - read.age - kToldSlack;
+  Publish();
 }
 
 /// The store came back from a copy that may lack the own entry. Hosts that
@@ -123,6 +139,7 @@
   }
   log_.Write("store_restored", {{"era", era}});
   AnnounceAfter(RandomBelow(kAnnounceAgain));
+  RecordAfter(RandomBelow(kAnnounceAgain));
 }
 
 void host_directory::AnnounceAfter(milliseconds delay) {
@@ -141,37 +158,214 @@
   self.weight = options_.Weight();
   self.relay = options_.address + ":" + std::to_string(options_.relay_port);
   self.failure_domain = options_.failure_domain;
-  announce_(options_.host_name, WriteHostEntry(self),
-            [this, began = now_(),
+  self.records_versions = TellsVersions();
+  tells_versions_ = self.records_versions;
+  is_announced_ = true;
+  announce_(
+      options_.host_name, WriteHostEntry(self),
+      [this, began = now_(),
+       alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
+        if (alive.expired()) {
+          return;
+        }
+        const bool done = outcome == store_outcome::kDone;
+        if (done && census_.announced_at == time_point{} && !was_listed_) {
+          // Others that start now have written since the first read.
+          follower_.ReadNow([](bool) {});
+        }
+        if (done) {
+          census_.announced_at = began;
+        }
+        AnnounceAfter(done ? NextInterval()
+                           : kAnnounceRetry + RandomBelow(kAnnounceRetry));
+      });
+}
+
+void host_directory::Take(const std::vector<keyed_record>& records) {
+  for (const auto& record : records) {
+    if (record.key.starts_with(kVersionsPrefix)) {
+      TakeVersions(record.key.substr(kVersionsPrefix.size()), record.value);
+    } else {
+      TakeHost(record);
+    }
+  }
+  if (!own_.HasBegun() && read_by_itself_) {
+    BeginOwnVersions();
+  }
+  Publish();
+  on_recorded_();
+}
+
+void host_directory::TakeHost(const keyed_record& record) {
+  if (!record.value) {
+    entries_.erase(record.key);
+    ledger_.Forget(record.key);
+    return;
+  }
+  auto listed = ReadHostEntry(record.key, *record.value);
+  if (!listed) {
+    log_.Write("host_unreadable", {{"host", record.key}});
+    return;
+  }
+  if (record.key == options_.host_name && !is_announced_) {
+    was_listed_ = true;
+  }
+  ledger_.NoteHost(record.key, listed->records_versions);
+  entries_[record.key] = {std::move(*listed), now_()};
+}
+
+void host_directory::TakeVersions(const std::string& host,
+                                  const std::optional<std::string>& value) {
+  if (!value) {
+    ledger_.ForgetRecord(host);
+    return;
+  }
+  auto record = ReadVersionRecord(*value);
+  if (host != options_.host_name || !own_.HasBegun()) {
+    ledger_.NoteRecord(host, std::move(record));
+  } else if (!records_ && recorded_ != record) {
+    // A write whose answer was lost came after a later one.
+    recorded_ = std::move(record);
+    RecordAfter(kAnnounceRetry);
+  }
+}
+
+/// Nothing that an earlier process of this name has recorded may be lost, and
+/// nothing may be taken for complete that is not known to be.
+void host_directory::BeginOwnVersions() {
+  const auto* before = ledger_.RecordOf(options_.host_name);
+  bool is_complete = !is_announced_ && era_ <= kFirstEra;
+  if (before != nullptr) {
+    is_complete = before->is_complete && before->era == era_;
+    recorded_ = *before;
+  } else if (was_listed_) {
+    is_complete =
+        is_complete && entries_.at(options_.host_name).listed.records_versions;
+  }
+  own_.Begin(before, is_complete, now_());
+  log_.Write("versions_recorded_before",
+             {{"any", before != nullptr}, {"complete", is_complete}});
+  RecordAfter(milliseconds(0));
+  AnnounceVersions();
+}
+
+/// The own entry hides that of an earlier process, so that others must by then
+/// find a record which says that it may have begun streams.
+bool host_directory::TellsVersions() const {
+  return own_.HasBegun() && (recorded_ || own_.IsComplete(now_()));
+}
+
+void host_directory::AnnounceVersions() {
+  if (TellsVersions() && !tells_versions_) {
+    AnnounceAfter(is_announced_ ? RandomBelow(kAnnounceAgain)
+                                : milliseconds(0));
+  }
+}
+
+void host_directory::NoteListed(const std::string& service,
+                                const std::string& version) {
+  own_.NoteListed(service, version, now_());
+  const auto* own = ledger_.RecordOf(options_.host_name);
+  const auto found = own == nullptr ? nullptr : &own->versions;
+  const bool is_recorded = found != nullptr && found->contains(service) &&
+                           found->at(service).contains(version);
+  if (!is_recorded && own_.HasBegun()) {
+    RecordAfter(RandomBelow(kRecordSpread *
+                            static_cast<std::int64_t>(entries_.size() + 1)));
+  }
+}
+
+bool host_directory::IsRecorded(const std::string& service,
+                                const std::string& version) const {
+  return ledger_.IsRecorded(service, version);
+}
+
+void host_directory::RecordAfter(milliseconds delay) {
+  if (!own_.HasBegun() || std::exchange(records_, true)) {
+    return;
+  }
+  record_timer_.expires_after(delay);
+  record_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Record();
+    }
+  });
+}
+
+void host_directory::Record() {
+  const auto record = own_.Record(ledger_, era_, now_());
+  const bool is_needed =
+      recorded_ || !record.versions.empty() || !record.is_complete;
+  if (!is_needed || recorded_ == record) {
+    records_ = false;
+    return;
+  }
+  announce_(std::string(kVersionsPrefix) + options_.host_name,
+            WriteVersionRecord(record),
+            [this, record,
              alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
-              if (alive.expired()) {
-                return;
+              if (!alive.expired()) {
+                OnRecorded(record, outcome);
               }
-              const bool done = outcome == store_outcome::kDone;
-              if (done) {
-                census_.announced_at = began;
-              }
-              Follow();
-              AnnounceAfter(done
-                                ? NextInterval()
-                                : kAnnounceRetry + RandomBelow(kAnnounceRetry));
             });
 }
 
-void host_directory::Take(const std::vector<keyed_record>& records) {
-  for (const auto& record : records) {
-    if (!record.value) {
-      entries_.erase(record.key);
-      continue;
+void host_directory::OnRecorded(const version_record& record,
+                                store_outcome outcome) {
+  records_ = false;
+  if (outcome != store_outcome::kDone) {
+    RecordAfter(kAnnounceRetry + RandomBelow(kAnnounceRetry));
+    return;
+  }
+  recorded_ = record;
+  ledger_.NoteRecord(options_.host_name, record);
+  log_.Write("versions_recorded", {{"services", record.versions.size()},
+                                   {"complete", record.is_complete}});
+  RecordAfter(milliseconds(0));  // What was listed meanwhile.
+  AnnounceVersions();
+  on_recorded_();
+}
+
+void host_directory::FindOnlyVersion(const std::string& service,
+                                     milliseconds time, version_hook done) {
+  if (time > kStreamLife) {
+    done(std::nullopt);
+    return;
+  }
+  follower_.ReadNow([this, service, done = std::move(done)](bool is_current) {
+    const bool is_known = is_current && own_.IsComplete(now_());
+    done(is_known ? ledger_.Only(service, era_) : std::nullopt);
+  });
+}
+
+void host_directory::Maintain() {
+  RecordAfter(milliseconds(0));  // Versions whose streams are over.
+  DeleteOutlived();
+  maintain_timer_.expires_after(kMaintainInterval);
+  maintain_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Maintain();
     }
-    auto listed = ReadHostEntry(record.key, *record.value);
-    if (!listed) {
-      log_.Write("host_unreadable", {{"host", record.key}});
+  });
+}
+
+/// Else what hosts that are gone for good have recorded would stand for ever.
+/// The record goes first: without the entry nobody would delete it.
+void host_directory::DeleteOutlived() {
+  for (auto& [name, entry] : entries_) {
+    if (name == options_.host_name ||
+        now_() - entry.renewed < outlived_after_) {
       continue;
     }
-    entries_[record.key] = {std::move(*listed), now_()};
+    entry.renewed = now_();  // The next try, should this one fail.
+    announce_(std::string(kVersionsPrefix) + name, "",
+              [this, host = name,
+               alive = std::weak_ptr<int>(alive_)](store_outcome outcome) {
+                if (!alive.expired() && outcome == store_outcome::kDone) {
+                  announce_(host, "", [](store_outcome) {});
+                }
+              });
   }
-  Publish();
 }
 
 void host_directory::Publish() {
--- a/src/slatestall/gateway/host_entry.cc
+++ b/src/slatestall/gateway/host_entry.cc
@@ -16,6 +16,7 @@
 constexpr const char* kWeight = "weight";
 constexpr const char* kRelay = "relay";
 constexpr const char* kFailureDomain = "failure_domain";
+constexpr const char* kRecordsVersions = "records_versions";
 
 }  // namespace
 
@@ -23,7 +24,8 @@
   return DumpJson({{kPeer, host.address.address},
                    {kWeight, host.weight},
                    {kRelay, host.relay},
-                   {kFailureDomain, host.failure_domain}});
+                   {kFailureDomain, host.failure_domain},
+                   {kRecordsVersions, host.records_versions}});
 }
 
 std::optional<listed_gateway> ReadHostEntry(const std::string& host,
@@ -39,6 +41,8 @@
       std::clamp(NumberMember(entry, kWeight, 1.0), kLeastWeight, kMostWeight);
   read.relay = StringMember(entry, kRelay).value_or("");
   read.failure_domain = StringMember(entry, kFailureDomain).value_or("");
+  read.records_versions =
+      entry.contains(kRecordsVersions) && entry.at(kRecordsVersions) == true;
   return read;
 }
 
--- a/src/slatestall/gateway/host_entry.h
+++ b/src/slatestall/gateway/host_entry.h
@@ -16,6 +16,8 @@
   /// "IP:port" where it passes calls on to endpoints; empty: it does not.
   std::string relay{};
   std::string failure_domain{};  ///< Empty: not announced.
+  /// It records software versions before it uses them; see `version_ledger`.
+  bool records_versions = true;
 
   friend bool operator==(const listed_gateway& a, const listed_gateway& b) {
     return a.address.host == b.address.host &&
