Bytes without end from an endpoint are given up within a bound

Before, interim answers were read for as long as the call lasted, and chunks with long extensions up to 80 KB for each byte of the body.

Change: interim answers of a call are together as long as one head at most; framing (sizes, extensions, trailers) is bounded by a head and 16 bytes for each byte of the body; a length over the limit is refused with the head. Answers to stage calls may be 1 KiB a piece, those to frees 16 KiB.

Result: endless_answer_test plays twelve kinds at a request that may run once, an idempotent one, a stream, a stage call and a free: each is cut off, the endpoint is left alone, what may repeat is answered elsewhere, and other requests are answered beside it. Calls by way of another host have the same reader, and were not played.

--- a/src/slatestall/gateway/stage_home_calls.cc
+++ b/src/slatestall/gateway/stage_home_calls.cc
@@ -37,6 +37,10 @@
 constexpr milliseconds kFreeInterval{60};
 constexpr milliseconds kFreeTimeout{1000};
 constexpr std::size_t kMaxHandlesPerFree = 400;
+/// Bounds what an endpoint may answer with: an entry for each piece, and none
+/// for a free.
+constexpr std::size_t kMostAnswerBytes = std::size_t{16} << 10U;
+constexpr std::size_t kMostEntryBytes = std::size_t{1} << 10U;
 constexpr int kOk = 200;
 
 double Ratio(duration a, duration b) {
@@ -103,6 +107,7 @@
   auto options =
       CallOptions(*record, environment_.protocol.stage_path,
                   environment_.protocol.write_pieces(call->pieces, call->sent));
+  options.limits.max_body_bytes += kMostEntryBytes * call->pieces.size();
   endpoint_call_hooks hooks;
   hooks.on_end = [call](call_outcome outcome) { call->outcome = outcome; };
   environment_.paths.Route(*record, options, hooks);
@@ -153,6 +158,7 @@
   options.request = RequestHeadText("POST", path, headers) + std::move(body);
   options.connect_timeout = kConnectTimeout;
   options.silence_timeout = kEndpointSilence;
+  options.limits.max_body_bytes = kMostAnswerBytes;
   return options;
 }
 
--- a/src/slatestall/relay/endpoint_call.cc
+++ b/src/slatestall/relay/endpoint_call.cc
@@ -207,7 +207,9 @@
 
   void Take(std::string_view bytes) {
     while (!bytes.empty() && !ended_) {
-      bytes.remove_prefix(reader_.Feed(bytes));
+      const auto taken = reader_.Feed(bytes);
+      bytes.remove_prefix(taken);
+      answer_bytes_ += taken;
       Deliver();
       if (ended_) {
         return;
@@ -215,7 +217,7 @@
       if (reader_.Fault() != read_fault::kNone) {
         End(call_outcome::kMalformed);
       } else if (reader_.Complete() && IsInterim()) {
-        reader_.Reset();
+        TakeInterim();
       } else if (reader_.Complete()) {
         // Whatever follows on the connection belongs to no request.
         End(call_outcome::kComplete);
@@ -223,6 +225,16 @@
     }
   }
 
+  /// Interim answers may come without end. Together they may be as long as one
+  /// head.
+  void TakeInterim() {
+    if (answer_bytes_ > options_.limits.max_head_bytes) {
+      End(call_outcome::kMalformed);
+      return;
+    }
+    reader_.Reset();
+  }
+
   bool IsInterim() { return reader_.Head().status < kFirstFinalStatus; }
 
   void Deliver() {
@@ -270,6 +282,7 @@
   message_reader relay_reader_;  ///< Of what a host of `via` sends.
   std::size_t hop_ = 0;          ///< In `via`.
   std::array<char, kReadBytes> input_{};
+  std::size_t answer_bytes_ = 0;  ///< From the endpoint, interim ones included.
   bool connected_ = false;
   bool head_told_ = false;
   bool ended_ = false;
--- a/src/slatestall/relay/message_reader.cc
+++ b/src/slatestall/relay/message_reader.cc
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include "slatestall/http/ascii_case.h"
@@ -12,6 +14,11 @@
 namespace {
 
 constexpr int kStopAfterHead = 1;  ///< To the parser: no body follows.
+/// Bytes of framing that each byte of a body may come with: a chunk of one byte
+/// has five. Beyond it, and the size of a head, chunks carry nothing but
+/// extensions, or a trailer does not end.
+constexpr std::size_t kFramingPerByte = 16;
+constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 
 std::size_t CountOf(const http_headers& headers, std::string_view name) {
   std::size_t count = 0;
@@ -82,6 +89,7 @@
     line_ends_ = {};
     head_bytes_ = 0;
     body_bytes_ = 0;
+    taken_bytes_ = 0;
     in_value_ = false;
     head_complete_ = false;
     complete_ = false;
@@ -106,6 +114,10 @@
                (parser_.upgrade != 0U && !complete_)) {
       Fail(read_fault::kMalformed);
     }
+    taken_bytes_ += taken;
+    if (FramingIsTooLong()) {
+      Fail(read_fault::kBodyTooLarge);
+    }
     return taken;
   }
 
@@ -128,6 +140,7 @@
   line_end_check line_ends_;
   std::size_t head_bytes_ = 0;
   std::size_t body_bytes_ = 0;
+  std::size_t taken_bytes_ = 0;  ///< Of the whole message, framing included.
   bool in_value_ = false;
   bool head_complete_ = false;
   bool complete_ = false;
@@ -200,6 +213,10 @@
       Fail(read_fault::kMalformed);
       return -1;
     }
+    if (LengthIsTooLong()) {
+      Fail(read_fault::kBodyTooLarge);
+      return -1;
+    }
     head_complete_ = true;
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
     if (kind_ == message_kind::kRequest) {
@@ -214,6 +231,19 @@
     return no_body_ ? kStopAfterHead : 0;
   }
 
+  /// Answers only: a caller is told of it while it sends.
+  bool LengthIsTooLong() const {
+    return kind_ == message_kind::kAnswer && !no_body_ &&
+           parser_.content_length != kNoLength &&
+           parser_.content_length > limits_.max_body_bytes;
+  }
+
+  bool FramingIsTooLong() const {
+    return head_complete_ && !complete_ &&
+           taken_bytes_ - body_bytes_ > head_bytes_ + limits_.max_head_bytes +
+                                            kFramingPerByte * body_bytes_;
+  }
+
   bool FramingIsPlain() const {
     const auto coding = FindHeader(head_.headers, "Transfer-Encoding");
     const std::size_t codings = CountOf(head_.headers, "Transfer-Encoding");
