Versions stay recorded while the store is away, or another host deletes the record

A version was noted as listed by its endpoints' entries, which do not come while the store is away: after 60 s the record would have been written without it, and its endpoints held back until it was written again. A host that was taken for gone by others, and is not, kept no record at all.

Change: what is in use is noted before each record is made; a record of this host that was deleted is written again.

Result: all tests of platform_adapter_test and gateway_test pass; no test of either case was written.

--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -96,7 +96,8 @@
             news_.on_hosts(std::move(hosts));
           },
           [this](const host_census& census) { news_.on_census(census); },
-          [this] { PassOnRecorded(); }),
+          {.note_listed = [this] { NoteListedVersions(); },
+           .on_recorded = [this] { PassOnRecorded(); }}),
       crashes_(context, options, link_, log_, now_, news_.crashes) {}
 
 void gateway_control::Start() {
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -65,7 +65,7 @@
                                const gateway_options& options,
                                const platform_link& link, decision_log& log,
                                now_function now, hosts_hook on_hosts,
-                               census_hook on_census, recorded_hook on_recorded)
+                               census_hook on_census, version_hooks versions)
     : options_(options),
       entry_life_(EntryLife(options.repeats)),
       announce_(link.announce),
@@ -73,7 +73,7 @@
       now_(std::move(now)),
       on_hosts_(std::move(on_hosts)),
       on_census_(std::move(on_census)),
-      on_recorded_(std::move(on_recorded)),
+      versions_(std::move(versions)),
       own_(kStreamLife),
       outlived_after_(kOutlivedAfter + RandomBelow(kOutlivedSpread)),
       timer_(context),
@@ -193,7 +193,7 @@
     BeginOwnVersions();
   }
   Publish();
-  on_recorded_();
+  versions_.on_recorded();
 }
 
 void host_directory::TakeHost(const keyed_record& record) {
@@ -218,6 +218,11 @@
                                   const std::optional<std::string>& value) {
   if (!value) {
     ledger_.ForgetRecord(host);
+    if (host == options_.host_name && recorded_) {
+      // Another host has taken this one for gone.
+      recorded_.reset();
+      RecordAfter(milliseconds(0));
+    }
     return;
   }
   auto record = ReadVersionRecord(*value);
@@ -292,7 +297,9 @@
   });
 }
 
+/// While the store is away no entry shows that its endpoint is still listed.
 void host_directory::Record() {
+  versions_.note_listed();
   const auto record = own_.Record(ledger_, era_, now_());
   const bool is_needed =
       recorded_ || !record.versions.empty() || !record.is_complete;
@@ -323,7 +330,7 @@
                                    {"complete", record.is_complete}});
   RecordAfter(milliseconds(0));  // What was listed meanwhile.
   AnnounceVersions();
-  on_recorded_();
+  versions_.on_recorded();
 }
 
 void host_directory::FindOnlyVersion(const std::string& service,
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -30,19 +30,23 @@
  public:
   using hosts_hook = std::function<void(std::vector<listed_gateway>)>;
   using census_hook = std::function<void(const host_census&)>;
-  using recorded_hook = std::function<void()>;
+  struct version_hooks {
+    /// Calls `NoteListed` for all endpoints in use, before a record is written.
+    std::function<void()> note_listed;
+    /// `IsRecorded` may have become true.
+    std::function<void()> on_recorded;
+  };
   using version_hook = std::function<void(const std::optional<std::string>&)>;
 
   host_directory(asio::io_context& context, const gateway_options& options,
                  const platform_link& link, decision_log& log, now_function now,
                  hosts_hook on_hosts, census_hook on_census,
-                 recorded_hook on_recorded);
+                 version_hooks versions);
 
   void Start();
   /// @brief An endpoint of that version is listed; it is to be recorded.
   void NoteListed(const std::string& service, const std::string& version);
-  /// @brief Whether endpoints of that version may be used. It may become true
-  /// with `on_recorded`.
+  /// @brief Whether endpoints of that version may be used.
   bool IsRecorded(const std::string& service, const std::string& version) const;
   /// @brief Finds the only version of a service at which some host may have
   /// begun streams, `time` ago or later.
@@ -84,7 +88,7 @@
   now_function now_;
   hosts_hook on_hosts_;
   census_hook on_census_;
-  recorded_hook on_recorded_;
+  version_hooks versions_;
   std::map<std::string, entry> entries_;
   std::vector<listed_gateway> published_;
   bool tells_versions_ = false;  ///< The own entry says that they are recorded.
