One reader of JSON members, one check of a head's characters; dead code out

The text and number members of crash records and of the log's answers, and the lists of stage answers and host lists, were each read by hand: StringMember(), UnsignedMember() and two new twins, FlagMember() and ListMember(), serve all. message_text used its own copy of BreaksTheLine(). version_record::Names() takes the place of two lookups. A declaration without a definition is gone. Behaviour is unchanged; no test is changed.

--- a/src/slatestall/gateway/crash_feed.cc
+++ b/src/slatestall/gateway/crash_feed.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "slatestall/gateway/random_time.h"
+#include "slatestall/serve/json_read.h"
 
 namespace slatestall {
 namespace {
@@ -46,14 +47,10 @@
 };
 
 verdict_record VerdictIn(const std::optional<std::string>& value) {
-  const auto document = json::parse(value.value_or("{}"), nullptr, false);
-  const auto text = [&document](const char* field) {
-    return document.is_object() && document.contains(field) &&
-                   document[field].is_string()
-               ? document[field].get<std::string>()
-               : std::string();
-  };
-  return {ValueIn(kContentVerdictNames, text("verdict")), text("by")};
+  const auto document = ParseJson(value.value_or("{}"));
+  const auto verdict = StringMember(document, "verdict").value_or("");
+  return {ValueIn(kContentVerdictNames, verdict),
+          StringMember(document, "by").value_or("")};
 }
 
 std::optional<request_digest> VerdictKey(std::string_view key) {
@@ -81,18 +78,16 @@
 
 std::optional<endpoint_crash> CrashIn(std::string_view key,
                                       const std::string& value) {
-  const auto document = json::parse(value, nullptr, false);
+  const auto document = ParseJson(value);
   const auto slash = key.rfind('/');
-  if (!document.is_object() || slash == std::string_view::npos ||
-      !document.value("running", json()).is_array()) {
+  const json* running = ListMember(document, "running");
+  if (slash == std::string_view::npos || running == nullptr) {
     return std::nullopt;
   }
   endpoint_crash crash;
   crash.endpoint = key.substr(0, slash);
-  if (document.contains("service") && document["service"].is_string()) {
-    crash.service = document["service"].get<std::string>();
-  }
-  for (const auto& text : document["running"]) {
+  crash.service = StringMember(document, "service").value_or("");
+  for (const auto& text : *running) {
     const auto digest = text.is_string() ? DigestIn(text.get<std::string>())
                                          : std::optional<request_digest>();
     if (digest) {
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -113,11 +113,12 @@
   endpoints_.ReadNow(
       [this, service, time, done = std::move(done)](bool is_current) {
         NoteListedVersions();
-        const auto only = versions_.Only(service, time, now_());
-        if (!is_current || only) {
-          done(is_current ? only : std::nullopt);
-        } else {
+        const auto only =
+            is_current ? versions_.Only(service, time, now_()) : std::nullopt;
+        if (is_current && !only) {
           hosts_.FindOnlyVersion(service, time, done);
+        } else {
+          done(only);
         }
       });
 }
--- a/src/slatestall/gateway/host_directory.cc
+++ b/src/slatestall/gateway/host_directory.cc
@@ -271,9 +271,7 @@
                                 const std::string& version) {
   own_.NoteListed(service, version, now_());
   const auto* own = ledger_.RecordOf(options_.host_name);
-  const auto found = own == nullptr ? nullptr : &own->versions;
-  const bool is_recorded = found != nullptr && found->contains(service) &&
-                           found->at(service).contains(version);
+  const bool is_recorded = own != nullptr && own->Names(service, version);
   if (!is_recorded && own_.HasBegun()) {
     RecordAfter(RandomBelow(kRecordSpread *
                             static_cast<std::int64_t>(entries_.size() + 1)));
--- a/src/slatestall/gateway/host_directory.h
+++ b/src/slatestall/gateway/host_directory.h
@@ -62,7 +62,6 @@
   };
 
   void Announce();
-  void Follow();
   void AnnounceAfter(milliseconds delay);
   void NoteEra(std::uint64_t era);
   void OnRead(const keyed_read& read);
--- a/src/slatestall/gateway/host_entry.cc
+++ b/src/slatestall/gateway/host_entry.cc
@@ -41,8 +41,7 @@
       std::clamp(NumberMember(entry, kWeight, 1.0), kLeastWeight, kMostWeight);
   read.relay = StringMember(entry, kRelay).value_or("");
   read.failure_domain = StringMember(entry, kFailureDomain).value_or("");
-  read.records_versions =
-      entry.contains(kRecordsVersions) && entry.at(kRecordsVersions) == true;
+  read.records_versions = FlagMember(entry, kRecordsVersions).value_or(false);
   return read;
 }
 
--- a/src/slatestall/gateway/version_ledger.cc
+++ b/src/slatestall/gateway/version_ledger.cc
@@ -40,6 +40,12 @@
 
 }  // namespace
 
+bool version_record::Names(const std::string& service,
+                           const std::string& version) const {
+  const auto found = versions.find(service);
+  return found != versions.end() && found->second.contains(version);
+}
+
 std::string WriteVersionRecord(const version_record& record) {
   return DumpJson({{kVersions, record.versions},
                    {kEra, record.era},
@@ -49,14 +55,15 @@
 version_record ReadVersionRecord(std::string_view value) {
   const auto document = ParseJson(value);
   const auto era = UnsignedMember(document, kEra);
-  if (!era || !document.contains(kVersions) || !document.contains(kComplete)) {
+  const auto is_complete = FlagMember(document, kComplete);
+  if (!era || !is_complete || !document.contains(kVersions)) {
     return {};
   }
   auto versions = VersionsIn(document.at(kVersions));
   if (!versions) {
     return {};
   }
-  return {std::move(*versions), *era, document.at(kComplete) == true};
+  return {std::move(*versions), *era, *is_complete};
 }
 
 void version_ledger::NoteHost(const std::string& host, bool records_versions) {
@@ -87,11 +94,7 @@
                                 const std::string& version) const {
   return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& host) {
     const auto& record = host.second.record;
-    if (!record) {
-      return false;
-    }
-    const auto found = record->versions.find(service);
-    return found != record->versions.end() && found->second.contains(version);
+    return record && record->Names(service, version);
   });
 }
 
--- a/src/slatestall/gateway/version_ledger.h
+++ b/src/slatestall/gateway/version_ledger.h
@@ -22,6 +22,8 @@
   /// under the same name has begun cannot say so.
   bool is_complete = false;
 
+  bool Names(const std::string& service, const std::string& version) const;
+
   friend bool operator==(const version_record&,
                          const version_record&) = default;
 };
--- a/src/slatestall/http/header_check.cc
+++ b/src/slatestall/http/header_check.cc
@@ -13,10 +13,10 @@
   return letter || digit || kTokenSymbols.find(c) != std::string_view::npos;
 }
 
-bool BreaksTheLine(char c) { return c == '\r' || c == '\n' || c == '\0'; }
-
 }  // namespace
 
+bool BreaksTheLine(char c) { return c == '\r' || c == '\n' || c == '\0'; }
+
 bool IsToken(std::string_view text) {
   return !text.empty() &&
          std::all_of(text.begin(), text.end(), IsTokenCharacter);
--- a/src/slatestall/http/header_check.h
+++ b/src/slatestall/http/header_check.h
@@ -11,6 +11,9 @@
 /// whole message, of the caller's choosing.
 bool HeadersAreSafe(const http_headers& headers);
 
+/// @brief Whether the character ends a field, or is taken for its end.
+bool BreaksTheLine(char c);
+
 /// @brief Whether the text can stand in a request line.
 bool IsToken(std::string_view text);
 
--- a/src/slatestall/relay/message_text.cc
+++ b/src/slatestall/relay/message_text.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "slatestall/http/header_check.h"
 #include "slatestall/http/status_phrase.h"
 
 namespace slatestall {
@@ -12,9 +13,8 @@
 void AppendValue(std::string& text, std::string_view value) {
   const auto begin = text.size();
   text += value;
-  std::replace_if(
-      text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(),
-      [](char c) { return c == '\r' || c == '\n' || c == '\0'; }, ' ');
+  std::replace_if(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(),
+                  BreaksTheLine, ' ');
 }
 
 void AppendFields(std::string& text, const http_headers& headers) {
--- a/src/slatestall/serve/json_read.cc
+++ b/src/slatestall/serve/json_read.cc
@@ -39,6 +39,20 @@
   return member->get<std::uint64_t>();
 }
 
+std::optional<bool> FlagMember(const nlohmann::json& object, const char* name) {
+  const nlohmann::json* member = Member(object, name);
+  if (member == nullptr || !member->is_boolean()) {
+    return std::nullopt;
+  }
+  return member->get<bool>();
+}
+
+const nlohmann::json* ListMember(const nlohmann::json& object,
+                                 const char* name) {
+  const nlohmann::json* member = Member(object, name);
+  return member == nullptr || !member->is_array() ? nullptr : member;
+}
+
 double NumberMember(const nlohmann::json& object, const char* name,
                     double fallback) {
   const nlohmann::json* member = Member(object, name);
--- a/src/slatestall/serve/json_read.h
+++ b/src/slatestall/serve/json_read.h
@@ -24,6 +24,14 @@
 std::optional<std::uint64_t> UnsignedMember(const nlohmann::json& object,
                                             const char* name);
 
+/// @brief A boolean member, or nothing.
+std::optional<bool> FlagMember(const nlohmann::json& object, const char* name);
+
+/// @brief A list member, of `object`; null where it is missing or of another
+/// type.
+const nlohmann::json* ListMember(const nlohmann::json& object,
+                                 const char* name);
+
 /// @brief A number member, or `fallback`.
 double NumberMember(const nlohmann::json& object, const char* name,
                     double fallback);
