Logs and metrics tell whom a host follows for a topic and how old its answers are

Cause: during the incident no line told through whom a host knew the configuration, how old that was, or that an answer was refused for its age; store_regained was logged for knowledge that was seconds old.

Change: topic_source and topic_stale lines, age_ms in store_lost and store_regained, GET /topics and the gauges topic_age_seconds and topic_steps on the status address. Hosts report with an answer how many hosts lie between the store and them. No decision changes.

--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -44,6 +44,8 @@
   milliseconds age{0};
   /// Told by another host, since the store did not answer this one.
   bool second_hand = false;
+  std::string host;    ///< That passed it on; empty: the store itself.
+  unsigned steps = 0;  ///< Hosts between the store and this one.
   /// Records that others of their keys follow are left out; each names its
   /// offset.
   bool is_compacted = false;
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -136,8 +136,9 @@
     return;
   }
   reachable = answered;
-  log_.Write(answered ? "store_regained" : "store_lost",
-             {{"reads", what}, {"detail", read.detail}});
+  log_.Write(
+      answered ? "store_regained" : "store_lost",
+      {{"reads", what}, {"detail", read.detail}, {"age_ms", read.age.count()}});
 }
 
 std::vector<evacuation_record> gateway_control::DecodeEvacuations(
--- a/src/slatestall/gateway/gateway_host.cc
+++ b/src/slatestall/gateway/gateway_host.cc
@@ -41,6 +41,25 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+std::string SourceName(const topic_status& status) {
+  return status.host.empty() ? "store" : status.host;
+}
+
+/// Of each topic: through whom it is known, and how recently.
+std::string TopicsText(const std::map<std::string, topic_status>& topics) {
+  auto text = nlohmann::json::object();
+  for (const auto& [name, status] : topics) {
+    if (status.is_known) {
+      text[name] = {{"from", SourceName(status)},
+                    {"steps", status.steps},
+                    {"age_ms", status.age.count()},
+                    {"era", status.era},
+                    {"next", status.next}};
+    }
+  }
+  return text.dump();
+}
+
 http_server_options StatusServer(const gateway_options& options) {
   http_server_options made;
   made.address = options.address;
@@ -152,6 +171,22 @@
       asio::post(traffic_context_,
                  [this, topic] { traffic_.ReleaseQuestions(topic); });
     };
+    asks.on_source = [this](const std::string& topic,
+                            const topic_status& status) {
+      log_.Write("topic_source", {{"reads", topic},
+                                  {"from", SourceName(status)},
+                                  {"steps", status.steps},
+                                  {"age_ms", status.age.count()}});
+    };
+    asks.on_stale = [this](const topic_question& question,
+                           const tail_read& told, milliseconds max_age) {
+      log_.Write("topic_stale", {{"reads", question.topic},
+                                 {"from", told.host},
+                                 {"whole", !question.from.has_value()},
+                                 {"steps", told.steps},
+                                 {"age_ms", told.age.count()},
+                                 {"limit_ms", max_age.count()}});
+    };
     asks.on_store = [this](bool answered) {
       asio::post(traffic_context_,
                  [this, answered] { traffic_.NoteStore(answered); });
@@ -246,11 +281,26 @@
     return news;
   }
 
+  void SetTopicGauges() {
+    for (const auto& [name, status] : reading_.Status()) {
+      if (status.is_known) {
+        auto& metrics = traffic_.Metrics();
+        metrics.SetGauge("topic_age_seconds", name,
+                         std::chrono::duration<double>(status.age).count());
+        metrics.SetGauge("topic_steps", name, status.steps);
+      }
+    }
+  }
+
   void AnswerStatus(const http_request& request, http_responder& responder) {
     if (request.path == adapter_.ready_path) {
       const bool ready = configured_ && listed_ && !draining_;
       responder.Send(ready ? kOk : kUnavailable, {}, "");
+    } else if (request.path == "/topics") {
+      responder.Send(kOk, {{"Content-Type", "application/json"}},
+                     TopicsText(reading_.Status()));
     } else if (request.path == "/metrics") {
+      SetTopicGauges();
       responder.Send(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
                      traffic_.MetricsText());
     } else {
--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -64,6 +64,8 @@
   now_function now;
   std::shared_ptr<store_turns> turns;
   store_pause pause{};
+  std::optional<std::string> source{};  ///< Host that passed on the last read.
+  std::string stale_source{};           ///< Host whose last answer was too old.
 
   void NoteStore(const keyed_read& read) const {
     const bool answered = read.outcome == store_outcome::kDone ||
@@ -79,17 +81,34 @@
     }
   }
 
+  void NoteSource(const std::string& host) {
+    if (source != host) {
+      source = host;
+      if (asks.on_source) {
+        asks.on_source(name, tail->Status());
+      }
+    }
+  }
+
+  void NoteStale(const topic_question& question, const tail_read& told,
+                 milliseconds limit) {
+    if (std::exchange(stale_source, told.host) != told.host && asks.on_stale) {
+      asks.on_stale(question, told, limit);
+    }
+  }
+
   void Keep(std::uint64_t from, const keyed_read& read,
-            milliseconds age = milliseconds(0)) const {
+            milliseconds age = milliseconds(0)) {
     tail->Note(from, read, age);
+    NoteSource(read.host);
     if (!read.records.empty()) {
       NoteMore();
     }
   }
 
-  void KeepAll(const keyed_read& read,
-               milliseconds age = milliseconds(0)) const {
+  void KeepAll(const keyed_read& read, milliseconds age = milliseconds(0)) {
     tail->NoteAll(read, age);
+    NoteSource(read.host);
     NoteMore();
   }
 
@@ -137,6 +156,8 @@
   read.era = told.era;
   read.records = std::move(told.records);
   read.is_compacted = true;
+  read.host = std::move(told.host);
+  read.steps = told.steps + 1;
   return read;
 }
 
@@ -323,11 +344,15 @@
   }
 }
 
-bool IsFresh(const next_read_ptr& read, const reader_answer& answer) {
-  const auto& topic = *read->topic;
+/// How old what the followed host tells may be.
+milliseconds AgeLimit(const shared_topic& topic, const reader_answer& answer) {
   const auto slack =
       answer.follows_relay ? topic.hold + kRelaySlack : milliseconds(0);
-  return answer.told && answer.told->age <= topic.max_age + slack;
+  return topic.max_age + slack;
+}
+
+bool IsFresh(const shared_topic& topic, const reader_answer& answer) {
+  return answer.told && answer.told->age <= AgeLimit(topic, answer);
 }
 
 /// @returns whether this host may read the store for itself now.
@@ -350,7 +375,7 @@
                      const auto& topic = read->topic;
                      reader_answer answer = first;
                      answer.told = told;
-                     if (IsFresh(read, answer)) {
+                     if (IsFresh(*topic, answer)) {
                        Deliver(read, *told);
                      } else if (MayReadItself(topic, first.hosts)) {
                        ReadDirectly(read);
@@ -377,9 +402,14 @@
     topic->After(kUndecidedPause, again);
   } else if (answer.is_busy && is_patient) {
     topic->After(kBusyPause, again);
-  } else if (IsFresh(read, answer)) {
+  } else if (IsFresh(*topic, answer)) {
+    topic->stale_source.clear();
     Deliver(read, *answer.told);
   } else {
+    if (answer.told) {
+      topic->NoteStale({topic->name, read->from}, *answer.told,
+                       AgeLimit(*topic, answer));
+    }
     AskForAReader(read, answer);
   }
 }
@@ -450,4 +480,12 @@
                        : found->second->ReadAll(question.after);
 }
 
+std::map<std::string, topic_status> shared_reading::Status() const {
+  std::map<std::string, topic_status> all;
+  for (const auto& [name, tail] : tails_) {
+    all[name] = tail->Status();
+  }
+  return all;
+}
+
 }  // namespace slatestall
--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -45,6 +45,13 @@
   std::function<void(const std::string& topic)> on_more{};
   /// The store has answered a read of this host's own, or not.
   std::function<void(bool answered)> on_store{};
+  /// A topic is known through another host than before, or by the store.
+  std::function<void(const std::string& topic, const topic_status&)>
+      on_source{};
+  /// The first of several answers that are too old, of one host.
+  std::function<void(const topic_question&, const tail_read&,
+                     milliseconds max_age)>
+      on_stale{};
 };
 
 /// @brief Where a host of a large fleet reads the whole of a topic first.
@@ -82,6 +89,8 @@
 
   /// @brief For other hosts; from any thread.
   std::optional<tail_read> Answer(const topic_question& question) const;
+  /// @brief Of each topic shared, by name; from any thread.
+  std::map<std::string, topic_status> Status() const;
 
  private:
   asio::io_context& context_;
--- a/src/slatestall/gateway/topic_exchange.cc
+++ b/src/slatestall/gateway/topic_exchange.cc
@@ -30,6 +30,7 @@
   told.age_ms = static_cast<std::uint32_t>(read->age.count());
   told.has_more = read->has_more;
   told.too_old = read->is_too_old;
+  told.steps = read->steps;
   for (const auto& record : read->records) {
     auto entry = std::make_unique<wire::topic_recordT>();
     entry->key = record.key;
@@ -41,7 +42,7 @@
   return told;
 }
 
-topic_answer FromWire(const peer_reply& reply) {
+topic_answer FromWire(const std::string& host, const peer_reply& reply) {
   const auto* told = reply.end == peer_call_end::kReplied
                          ? reply.body.Asread_topic_reply()
                          : nullptr;
@@ -54,6 +55,8 @@
   read.next = told->next;
   read.era = told->era;
   read.age = milliseconds(told->age_ms);
+  read.host = host;
+  read.steps = told->steps;
   for (const auto& record : told->records) {
     read.records.push_back(
         {record->key,
@@ -205,8 +208,8 @@
                            ? question.wait + kHeldAnswerTimeout
                            : kAnswerTimeout;
   peers_.Call(host, MakeMessage(std::move(ask)), timeout,
-              [done = std::move(done)](const peer_reply& reply) {
-                done(FromWire(reply));
+              [host, done = std::move(done)](const peer_reply& reply) {
+                done(FromWire(host, reply));
               });
 }
 
--- a/src/slatestall/gateway/topic_tail.cc
+++ b/src/slatestall/gateway/topic_tail.cc
@@ -40,8 +40,7 @@
   }
   has_all_ = true;
   first_ = read.next;
-  next_ = read.next;
-  read_at_ = now_() - age;
+  NoteOrigin(read, age);
 }
 
 void topic_tail::Note(std::uint64_t from, const keyed_read& read,
@@ -63,11 +62,17 @@
   for (const auto& record : read.records) {
     Put(record, read.is_compacted ? record.offset : offset++, now);
   }
-  next_ = read.next;
-  read_at_ = now - age;
+  NoteOrigin(read, age);
   ForgetDeletions(now);
 }
 
+void topic_tail::NoteOrigin(const keyed_read& read, milliseconds age) {
+  next_ = read.next;
+  read_at_ = now_() - age;
+  host_ = read.host;
+  steps_ = read.steps;
+}
+
 void topic_tail::Put(const keyed_record& record, std::uint64_t offset,
                      time_point now) {
   auto& known = newest_[record.key];
@@ -97,10 +102,29 @@
   tail_read read;
   read.next = next_;
   read.era = era_;
-  read.age = std::chrono::duration_cast<milliseconds>(now_() - read_at_);
+  read.age = Age();
+  read.steps = steps_;
   return read;
 }
 
+milliseconds topic_tail::Age() const {
+  return std::chrono::duration_cast<milliseconds>(now_() - read_at_);
+}
+
+topic_status topic_tail::Status() const {
+  const std::lock_guard lock(mutex_);
+  topic_status status;
+  status.is_known = read_at_ != time_point{};
+  if (status.is_known) {
+    status.era = era_;
+    status.next = next_;
+    status.age = Age();
+    status.host = host_;
+    status.steps = steps_;
+  }
+  return status;
+}
+
 std::uint64_t topic_tail::Era() const {
   const std::lock_guard lock(mutex_);
   return era_;
--- a/src/slatestall/gateway/topic_tail.h
+++ b/src/slatestall/gateway/topic_tail.h
@@ -39,12 +39,25 @@
   bool has_more = false;  ///< Further keys, or records, follow.
   /// Deletions since the offset may be forgotten: all is to be read anew.
   bool is_too_old = false;
+  std::string host;    ///< That replied.
+  unsigned steps = 0;  ///< Hosts between the store and that one.
 
   bool IsNewerThan(std::uint64_t other_era, std::uint64_t other_next) const {
     return era != other_era ? era > other_era : next > other_next;
   }
 };
 
+/// @brief How recent a host's knowledge of a topic is, and through whom it has
+/// come.
+struct topic_status {
+  bool is_known = false;
+  std::uint64_t era = 0;
+  std::uint64_t next = 0;  ///< Offset after the last record known.
+  milliseconds age{0};     ///< Since the store was read for it.
+  std::string host;        ///< That passed it on; empty: the store itself.
+  unsigned steps = 0;      ///< Hosts between the store and this one.
+};
+
 /// @brief What this host knows of a topic, for hosts that follow the topic
 /// through it or start while the store is away. Any thread may use it.
 ///
@@ -72,6 +85,7 @@
   std::uint64_t Era() const;
   /// @brief Offset after the last record known.
   std::uint64_t Next() const;
+  topic_status Status() const;
 
  private:
   struct entry {
@@ -85,6 +99,8 @@
   };
 
   tail_read Told() const;
+  milliseconds Age() const;
+  void NoteOrigin(const keyed_read& read, milliseconds age);
   void Put(const keyed_record& record, std::uint64_t offset, time_point now);
   void ForgetDeletions(time_point now);
 
@@ -99,6 +115,8 @@
   std::uint64_t first_ = 0;  ///< From there on no deletion is forgotten.
   std::uint64_t next_ = 0;
   time_point read_at_{};  ///< When the store told the last of it.
+  std::string host_;      ///< That passed the last of it on.
+  unsigned steps_ = 0;
 };
 
 }  // namespace slatestall
