--- a/src/slatestall/dispatch/reader_tree_test.cc
+++ b/src/slatestall/dispatch/reader_tree_test.cc
@@ -96,6 +96,13 @@
     CPPUNIT_ASSERT(readers <= most_readers);
   }
 
+  std::size_t Readers() const {
+    return static_cast<std::size_t>(
+        std::count_if(deciders_.begin(), deciders_.end(), [&](const auto& one) {
+          return PlaceOf(one.first).source == reading_source::kStore;
+        }));
+  }
+
   /// Of one host.
   std::size_t MostFollowers() const {
     std::map<std::string, std::size_t> followers;
@@ -159,6 +166,8 @@
   CPPUNIT_TEST(WhereTheStoreTurnsReadersAwayOthersRead);
   CPPUNIT_TEST(WhereTheStoreAnswersNobodyFewHostsAreAsked);
   CPPUNIT_TEST(AHostThatIsCutOffReadsItself);
+  CPPUNIT_TEST(TheSecondReaderReadsWhereverItRanks);
+  CPPUNIT_TEST(AReaderWithoutTheStoreFollowsNoFollowerOfItsOwn);
   CPPUNIT_TEST_SUITE_END();
 
   void HostsOfASmallFleetFollowTwoReaders() {
@@ -255,6 +264,34 @@
     fleet.Run(std::chrono::seconds(3));
     CPPUNIT_ASSERT(fleet.PlaceOf(0).source == reading_source::kStore);
   }
+
+  // The second host of the order followed the first as the relay of their
+  // failure domain, so that one host read the store for all.
+  void TheSecondReaderReadsWhereverItRanks() {
+    for (std::size_t hosts = 10; hosts <= 200; hosts += 5) {
+      fleet_model fleet(hosts);
+      fleet.Run(kStep * 10);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.Readers());
+    }
+  }
+
+  // A reader whose read failed followed a host that followed it, and both
+  // served by an old configuration until it tried the store again.
+  void AReaderWithoutTheStoreFollowsNoFollowerOfItsOwn() {
+    for (std::size_t hosts = 10; hosts <= 200; hosts += 5) {
+      fleet_model fleet(hosts);
+      fleet.Run(kStep * 10);
+      for (std::size_t i = 0; i < hosts; ++i) {
+        const bool reads = fleet.PlaceOf(i).source == reading_source::kStore;
+        if (reads) {
+          fleet.At(i).lacks_store = true;
+          break;
+        }
+      }
+      fleet.Run(std::chrono::seconds(2));
+      fleet.AssertAllServed(3, 2);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(reader_tree_test);
