Both readers read the store, wherever they rank in their failure domain

What callers saw: 404 for routes that were added six seconds before, at three of six failure domains of a fleet of 195 hosts.

Cause: a host looked for relays of its failure domain before it looked whether it is a reader. Where the first two hosts of the order share a domain with one relay, the second followed the first: one host read the store for all. When its read failed, it followed the first host that did not report the same, which was that second one, and the two followed each other.

Change: a host that is among the first two with the store reads it, before relays count. One that lacks the store then finds a host that reads it, for these two are the first of the order that do not lack it.

--- a/include/slatestall/dispatch/reader_tree.h
+++ b/include/slatestall/dispatch/reader_tree.h
@@ -34,10 +34,12 @@
 /// @brief Whom a host follows to learn what is in the store's topics. Pure
 /// state; the time comes in.
 ///
-/// Two readers read the store. In a small fleet all other hosts follow them; in
-/// a larger one a few relays of each failure domain do, and the other hosts of
-/// the domain follow its relays. So a host has a bounded number of followers
-/// up to some two thousand hosts, and changes reach all of them in two steps.
+/// The first two hosts of the order that it answers read the store, also those
+/// that a relay of their failure domain ranks before. In a small fleet all
+/// other hosts follow them; in a larger one a few relays of each failure domain
+/// do, and the other hosts of the domain follow its relays. So a host has a
+/// bounded number of followers up to some two thousand hosts, and changes reach
+/// all of them in two steps.
 ///
 /// All hosts rank each other in the same order without any message, and each
 /// follows one that ranks before it, so that hosts never follow each other in a
--- a/src/slatestall/dispatch/reader_tree.cc
+++ b/src/slatestall/dispatch/reader_tree.cc
@@ -93,25 +93,27 @@
   if (!listed_ && now < started_ + kListTime) {
     return {};  // Else all hosts of a fleet that starts would read the store.
   }
+  const auto readers = Before(order_, kReaders, health, true);
+  const bool may_read =
+      readers.living.size() < kReaders && !readers.has_unknown;
+  if (may_read && !LacksStore(now)) {
+    return {reading_source::kStore, {}, false};  // Also behind a relay.
+  }
   const auto relays = Before(domain_order_, RelayCount(), health, false);
   if (!IsFlat() && (relays.living.size() == RelayCount() ||
                     (relays.has_unknown && !relays.living.empty()))) {
     return {reading_source::kHost, PickOf(relays.living), true};
   }
-  const auto readers = Before(order_, kReaders, health, true);
-  if (readers.living.size() == kReaders ||
-      (!readers.living.empty() && (readers.has_unknown || LacksStore(now)))) {
+  if (!readers.living.empty()) {
     return {reading_source::kHost, PickOf(readers.living), false};
   }
   if (readers.has_unknown) {
     return {};
   }
-  if (LacksStore(now)) {
-    // Hosts after this one that reach the store read in its place.
-    for (const auto& host : order_) {
-      if (health.IsTrusted(host) && !health.LacksStore(host)) {
-        return {reading_source::kHost, host, false};
-      }
+  // The first hosts after this one that reach the store read in its place.
+  for (const auto& host : order_) {
+    if (health.IsTrusted(host) && !health.LacksStore(host)) {
+      return {reading_source::kHost, host, false};
     }
   }
   return {reading_source::kStore, {}, false};
