A whole from another host counts where it is recent or more than is known

What callers saw: 404 for routes that were added six seconds before.

Cause: records after an offset were refused where they were older than the topic allows; the whole of a topic was taken at any age. A host that was told by a recent host that its offset is too old read the whole from the host that it follows, as old as before, and began anew: a better answer was known and not used. A whole of an earlier offset was taken, too, which would bring back endpoints that have left.

Change: the first page is taken where its age is within the topic's limit, where it holds more than is known, or where nothing is known; never where it holds less. Else the host asks others, then the store in its turn; behind a relay it first gives that one the time of a step. An old whole is marked as second hand, so that the log does not report the store as regained.

--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -143,7 +143,10 @@
   keyed_read read{};
   milliseconds age{0};
   std::string last_key{};
+  time_point began{};
   time_point asked_others{};
+  bool from_others = false;  ///< Of those that may know, not the followed host.
+  std::size_t hosts = 0;     ///< Of the fleet, while others are asked.
 };
 using whole_read_ptr = std::shared_ptr<whole_read>;
 
@@ -161,6 +164,17 @@
   return read;
 }
 
+/// How old what the followed host tells may be.
+milliseconds AgeLimit(const shared_topic& topic, const reader_answer& answer) {
+  const auto slack =
+      answer.follows_relay ? topic.hold + kRelaySlack : milliseconds(0);
+  return topic.max_age + slack;
+}
+
+bool IsFresh(const shared_topic& topic, const reader_answer& answer) {
+  return answer.told && answer.told->age <= AgeLimit(topic, answer);
+}
+
 /// Takes what another host has told for a read of the topic.
 keyed_read TakeSecondHand(const shared_topic_ptr& topic,
                           const topic_question& question,
@@ -261,6 +275,46 @@
             });
 }
 
+/// Whether the first page of a whole is one to go on with: recent, or more than
+/// this host knows, and never less.
+bool IsProgress(const shared_topic& topic, const reader_answer& answer) {
+  const auto known = topic.tail->Status();
+  const auto& told = *answer.told;
+  const bool is_behind =
+      told.era != known.era ? told.era < known.era : told.next < known.next;
+  if (known.is_known && is_behind) {
+    return false;
+  }
+  return !known.is_known || told.IsNewerThan(known.era, known.next) ||
+         IsFresh(topic, answer);
+}
+
+/// After an answer that does not help: a relay is given the time of one more
+/// step, then others are asked, then the store in this host's turn.
+void AskElsewhere(const whole_read_ptr& whole, const reader_answer& answer) {
+  const auto& topic = whole->topic;
+  const auto again = [whole] { AskForPage(whole); };
+  const bool is_early = answer.follows_relay && !whole->from_others &&
+                        topic->now() - whole->began < topic->hold;
+  if (answer.told) {
+    topic->NoteStale({topic->name, std::nullopt}, *answer.told,
+                     AgeLimit(*topic, answer));
+  }
+  if (answer.told && !whole->from_others && !is_early) {
+    whole->from_others = true;
+    whole->hosts = answer.hosts;
+    again();
+    return;
+  }
+  whole->from_others = false;
+  if (!answer.is_busy && !is_early &&
+      topic->turns->Take(answer.hosts, topic->now())) {
+    ReadWholeDirectly(topic, whole->done);
+  } else {
+    topic->After(kBusyPause, again);
+  }
+}
+
 void OnPage(const whole_read_ptr& whole, reader_answer answer) {
   const auto& topic = whole->topic;
   const auto again = [whole] { AskForPage(whole); };
@@ -276,16 +330,16 @@
     }
     return;
   }
-  if (!answer.told) {
-    // Where none of those that are to read for others can, some hosts do.
-    if (!answer.is_busy && topic->turns->Take(answer.hosts, topic->now())) {
-      ReadWholeDirectly(topic, whole->done);
-    } else {
-      topic->After(kBusyPause, again);
-    }
+  const bool is_first = whole->last_key.empty();
+  if (!answer.told || (is_first && !IsProgress(*topic, answer))) {
+    AskElsewhere(whole, answer);
     return;
   }
-  if (!TakePage(whole, std::move(*answer.told))) {
+  const bool is_second_hand =
+      is_first ? !IsFresh(*topic, answer) : whole->read.second_hand;
+  const bool is_complete = TakePage(whole, std::move(*answer.told));
+  whole->read.second_hand = is_second_hand;
+  if (!is_complete) {
     again();
     return;
   }
@@ -295,15 +349,25 @@
 
 void AskForPage(const whole_read_ptr& whole) {
   const auto& topic = whole->topic;
-  topic->asks.reader({topic->name, std::nullopt, topic->tail->Era(),
-                      whole->last_key, kWholeWait},
-                     [whole](reader_answer answer) {
-                       asio::post(
-                           whole->topic->context,
-                           [whole, answer = std::move(answer)]() mutable {
-                             OnPage(whole, std::move(answer));
-                           });
-                     });
+  topic_question question{topic->name, std::nullopt, topic->tail->Era(),
+                          whole->last_key, kWholeWait};
+  const auto on_answer = [whole](reader_answer answer) {
+    asio::post(whole->topic->context,
+               [whole, answer = std::move(answer)]() mutable {
+                 OnPage(whole, std::move(answer));
+               });
+  };
+  if (!whole->from_others) {
+    topic->asks.reader(question, on_answer);
+    return;
+  }
+  question.wait = milliseconds(0);
+  topic->asks.any(question, [hosts = whole->hosts,
+                             on_answer](std::optional<tail_read> told) {
+    on_answer({.source = reading_source::kHost,
+               .told = std::move(told),
+               .hosts = hosts});
+  });
 }
 
 void ReadDirectly(const next_read_ptr& read) {
@@ -344,17 +408,6 @@
   }
 }
 
-/// How old what the followed host tells may be.
-milliseconds AgeLimit(const shared_topic& topic, const reader_answer& answer) {
-  const auto slack =
-      answer.follows_relay ? topic.hold + kRelaySlack : milliseconds(0);
-  return topic.max_age + slack;
-}
-
-bool IsFresh(const shared_topic& topic, const reader_answer& answer) {
-  return answer.told && answer.told->age <= AgeLimit(topic, answer);
-}
-
 /// @returns whether this host may read the store for itself now.
 bool MayReadItself(const shared_topic_ptr& topic, std::size_t hosts) {
   const time_point now = topic->now();
@@ -450,6 +503,7 @@
       return;
     }
     const auto whole = std::make_shared<whole_read>(whole_read{topic, done});
+    whole->began = topic->now();
     whole->asked_others = topic->now() - kSeedPause + kBusyPause;
     AskForPage(whole);
   };
