One held read without an answer is no lost store; reads in the readers' place are not held

What callers saw: 404 for routes that were added six seconds before.

Cause: a read that the store holds for a second and never answers was taken for a lost store, whatever else the store answered, and kept the reader from it for five seconds. Hosts that read in the readers' place held their reads, too, and waited in the same silence.

Change: the read after a held one without an answer is to be answered at once, and that one counts. A host that reads in its turn asks for an answer at once.

--- a/src/slatestall/gateway/shared_reading.cc
+++ b/src/slatestall/gateway/shared_reading.cc
@@ -66,6 +66,7 @@
   store_pause pause{};
   std::optional<std::string> source{};  ///< Host that passed on the last read.
   std::string stale_source{};           ///< Host whose last answer was too old.
+  bool held_in_vain = false;  ///< The last held read was not answered.
 
   void NoteStore(const keyed_read& read) const {
     const bool answered = read.outcome == store_outcome::kDone ||
@@ -370,12 +371,22 @@
   });
 }
 
-void ReadDirectly(const next_read_ptr& read) {
+/// A held read that ends without an answer does not tell a store that is lost
+/// from one that holds it on: the next read, which is to be answered at once,
+/// does.
+void ReadDirectly(const next_read_ptr& read, milliseconds wait) {
   const auto& topic = read->topic;
-  topic->direct.read_from(read->from, read->wait, [read](keyed_read got) {
+  if (std::exchange(topic->held_in_vain, false)) {
+    wait = milliseconds(0);
+  }
+  topic->direct.read_from(read->from, wait, [read, wait](keyed_read got) {
     const auto& topic = read->topic;
-    topic->pause.Note(got, topic->now());
-    topic->NoteStore(got);
+    topic->held_in_vain =
+        wait > milliseconds(0) && got.outcome == store_outcome::kNoAnswer;
+    if (!topic->held_in_vain) {
+      topic->pause.Note(got, topic->now());
+      topic->NoteStore(got);
+    }
     if (got.outcome == store_outcome::kDone) {
       topic->Keep(read->from, got);
     }
@@ -431,7 +442,7 @@
                      if (IsFresh(*topic, answer)) {
                        Deliver(read, *told);
                      } else if (MayReadItself(topic, first.hosts)) {
-                       ReadDirectly(read);
+                       ReadDirectly(read, milliseconds(0));
                      } else {
                        auto failed = topic->pause.last;
                        if (failed.detail.empty()) {
@@ -450,7 +461,7 @@
   const bool is_patient = topic->now() - read->began < topic->max_age;
   const auto again = [read] { ReadNext(read); };
   if (answer.source == reading_source::kStore) {
-    ReadDirectly(read);
+    ReadDirectly(read, read->wait);
   } else if (answer.source == reading_source::kUndecided && is_patient) {
     topic->After(kUndecidedPause, again);
   } else if (answer.is_busy && is_patient) {
