--- a/src/slatestall/gateway/shared_reading.h
+++ b/src/slatestall/gateway/shared_reading.h
@@ -7,53 +7,15 @@
 #include <optional>
 #include <string>
 
-#include "slatestall/dispatch/reader_tree.h"
 #include "slatestall/dispatch/store_turns.h"
 #include "slatestall/gateway/platform_link.h"
+#include "slatestall/gateway/task_thread.h"
+#include "slatestall/gateway/topic_asks.h"
 #include "slatestall/gateway/topic_tail.h"
 #include "slatestall/model/time.h"
 
 namespace slatestall {
 
-/// @brief What comes of asking the host that this one follows.
-struct reader_answer {
-  reading_source source = reading_source::kUndecided;
-  std::optional<tail_read> told;  ///< Nothing: no answer, or it cannot tell.
-  bool is_busy = false;           ///< It is to be asked again a little later.
-  bool follows_relay = false;     ///< The answer came by one more host.
-  /// Hosts of the fleet where it is too large for all to read the store; else
-  /// 0.
-  std::size_t hosts = 0;
-};
-
-/// @brief How a host learns from others what they have read of a topic.
-/// Called on the control thread; `done` may come on any. It gets nothing where
-/// none can tell.
-/// @ingroup gateway
-struct topic_asks {
-  using done_hook = std::function<void(std::optional<tail_read>)>;
-
-  using reader_hook = std::function<void(reader_answer)>;
-
-  /// Asks the host that this one follows, if it follows any.
-  std::function<void(const topic_question&, reader_hook done)> reader;
-  /// Asks some that may know; the most recent answer counts.
-  std::function<void(const topic_question&, done_hook done)> any;
-  /// Something was taken from other hosts since the store did not answer.
-  std::function<void(const topic_question&, const tail_read&)> on_taken;
-  /// More is known of a topic.
-  std::function<void(const std::string& topic)> on_more{};
-  /// The store has answered a read of this host's own, or not.
-  std::function<void(bool answered)> on_store{};
-  /// A topic is known through another host than before, or by the store.
-  std::function<void(const std::string& topic, const topic_status&)>
-      on_source{};
-  /// The first of several answers that are too old, of one host.
-  std::function<void(const topic_question&, const tail_read&,
-                     milliseconds max_age)>
-      on_stale{};
-};
-
 /// @brief Where a host of a large fleet reads the whole of a topic first.
 enum class whole_source {
   kHosts,  ///< From the host that it follows.
@@ -79,6 +41,9 @@
   /// @param seed Draws this host's turns at the store.
   shared_reading(asio::io_context& context, topic_asks asks, now_function now,
                  std::uint64_t seed = 0);
+  /// @param thread Where the topics are followed.
+  shared_reading(task_thread thread, topic_asks asks, now_function now,
+                 std::uint64_t seed = 0);
 
   /// @brief The topic read through other hosts where that works.
   /// @param max_age Of what a reader tells.
@@ -93,7 +58,7 @@
   std::map<std::string, topic_status> Status() const;
 
  private:
-  asio::io_context& context_;
+  task_thread thread_;
   topic_asks asks_;
   now_function now_;
   std::shared_ptr<store_turns> turns_;
