A topic's tail takes no earlier read for a later one

What other hosts saw: a host that had just told an offset told less, and could no longer tell them the whole.

Cause: reads of a topic overlap where the list of endpoints is read on at once beside the read under way. The one that ended last was kept as if it followed a gap.

Change: a read that ends before what is known is left out, and records that are known are not taken again.

--- a/src/slatestall/gateway/shared_reading_test.cc
+++ b/src/slatestall/gateway/shared_reading_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(ALargeWholeIsToldInPages);
   CPPUNIT_TEST(OnlyTheNewestOfEachKeyIsToldOn);
   CPPUNIT_TEST(DeletionsAreForgottenOnlyWithTheirOffsets);
+  CPPUNIT_TEST(AnOverlappingReadTakesNothingBack);
   CPPUNIT_TEST(WhatAnotherHostHasForgottenIsReadAnew);
   CPPUNIT_TEST(AHostOfALargeFleetReadsTheWholeFromAnother);
   CPPUNIT_TEST(APageOfAHostThatIsBehindIsNotTaken);
@@ -471,6 +472,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tail.ReadFrom(6)->records.size());
   }
 
+  // A host that two reads had told of the same records could no longer tell
+  // others the whole, and told them less than before.
+  void AnOverlappingReadTakesNothingBack() {
+    topic_tail tail(Now());
+    tail.NoteAll(Read({{"a", "1"}}, 5));
+    tail.Note(5, Read({{"a", "2"}, {"b", "1"}, {"a", "3"}}, 8));
+    tail.Note(5, Read({{"a", "2"}}, 6));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, tail.Next());
+    tail.Note(6, Read({{"b", "1"}, {"a", "3"}, {"c", "1"}}, 9));
+    const auto all = tail.ReadAll();
+    CPPUNIT_ASSERT(all);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, all->next);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, all->records.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), *all->records.front().value);
+  }
+
   // The store is away, and the only other host no longer has the deletions
   // since. Taken for having read as far, this host would report the endpoints
   // that are gone as listed.
--- a/src/slatestall/gateway/topic_tail.cc
+++ b/src/slatestall/gateway/topic_tail.cc
@@ -50,17 +50,24 @@
     return;  // The whole is about to be read anew, or was.
   }
   const time_point now = now_();
-  if (from != next_) {
+  if (from < next_ && read.next < next_) {
+    return;  // Another read under way meanwhile has brought more.
+  }
+  if (from > next_) {
     // Past a gap, deletions may have been missed.
     has_all_ = false;
     newest_.clear();
     changed_.clear();
     deletions_.clear();
     first_ = from;
+    next_ = from;
   }
   std::uint64_t offset = from;
   for (const auto& record : read.records) {
-    Put(record, read.is_compacted ? record.offset : offset++, now);
+    const auto at = read.is_compacted ? record.offset : offset++;
+    if (at >= next_) {
+      Put(record, at, now);
+    }
   }
   NoteOrigin(read, age);
   ForgetDeletions(now);
