The age of a whole counts from its first page

What other hosts saw: a large list that took seconds to read was passed on as if it had been read at its end, with the knowledge of its beginning; followers took it as recent.

Cause: the age of the first page was kept, not when it came; a whole read from the store counted as new when its last page came.

Change: a whole is as old as the read of its first page.

Measured: TheAgeOfAWholeIsThatOfItsFirstPage failed before and passes; gateway_test 122 passed.

--- a/src/slatestall/gateway/shared_reading_age_test.cc
+++ b/src/slatestall/gateway/shared_reading_age_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(AnOldWholeIsNotTakenAgain);
   CPPUNIT_TEST(AWholeNeverTakesBackWhatIsKnown);
   CPPUNIT_TEST(AHostWithoutAnyKnowledgeTakesAnOldWhole);
+  CPPUNIT_TEST(TheAgeOfAWholeIsThatOfItsFirstPage);
   CPPUNIT_TEST(AHeldReadWithoutAnAnswerIsNoLostStore);
   CPPUNIT_TEST(AReadInPlaceOfTheReadersIsNotHeld);
   CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,23 @@
                        std::nullopt));
   }
 
+  // A large list that took seconds to read was told on as if it was new.
+  void TheAgeOfAWholeIsThatOfItsFirstPage() {
+    asio::io_context context;
+    topic_asks asks;
+    asks.reader = [this](const topic_question& question,
+                         const topic_asks::reader_hook& done) {
+      now_ += milliseconds(700);
+      auto page = Whole("v", 9, milliseconds(100));
+      page.has_more = question.after.empty();
+      done({.source = reading_source::kHost, .told = page, .hosts = 985});
+    };
+    shared_reading reading(context, asks, [this] { return now_; });
+    ReadWhole(context, reading.Share("t", Store(), kMaxAge, kHold));
+    CPPUNIT_ASSERT(reading.Answer({"t", std::nullopt})->age >=
+                   milliseconds(800));
+  }
+
   /// Reads on twice. The store answers held reads never, others at once.
   /// @returns whether the second succeeded.
   bool ReadTwiceFromAStoreSilentToHeldReads(reading_source source) {
--- a/src/slatestall/gateway/whole_reading.cc
+++ b/src/slatestall/gateway/whole_reading.cc
@@ -18,7 +18,7 @@
   shared_topic_ptr topic;
   read_done done;
   keyed_read read{};
-  milliseconds age{0};
+  time_point read_at{};  ///< When the store was read for the first page.
   std::string last_key{};
   time_point began{};
   time_point asked_others{};
@@ -45,7 +45,7 @@
     // What changes between the pages is read once more from here on.
     read = ReadOf(std::move(told));
     read.was_held = true;
-    whole->age = read.age;
+    whole->read_at = whole->topic->now() - read.age;
   } else {
     std::move(told.records.begin(), told.records.end(),
               std::back_inserter(read.records));
@@ -141,7 +141,7 @@
     again();
     return;
   }
-  topic->KeepAll(whole->read, whole->age);
+  topic->KeepAll(whole->read, WholeMilliseconds(topic->now() - whole->read_at));
   whole->done(whole->read);
 }
 
@@ -177,16 +177,18 @@
 }
 
 void ReadWholeDirectly(const shared_topic_ptr& topic, const read_done& done) {
-  topic->direct.read_newest([topic, done](const keyed_read& got) {
-    topic->NoteStore(got);
-    if (got.outcome == store_outcome::kDone) {
-      topic->KeepAll(got);
-      done(got);
-      return;
-    }
-    AskOthers(topic, {topic->name, std::nullopt, topic->tail->Era()}, got,
-              done);
-  });
+  topic->direct.read_newest(
+      [topic, done, began = topic->now()](const keyed_read& got) {
+        topic->NoteStore(got);
+        if (got.outcome == store_outcome::kDone) {
+          // Its pages may have taken long, and tell of the time of the first.
+          topic->KeepAll(got, WholeMilliseconds(topic->now() - began));
+          done(got);
+          return;
+        }
+        AskOthers(topic, {topic->name, std::nullopt, topic->tail->Era()}, got,
+                  done);
+      });
 }
 
 }  // namespace slatestall
