A whole of several pages is taken from others where the store refuses

What callers would see: a host that the store turns away, in a fleet whose hosts read wholes from the store, stays behind after the store has dropped its history for as long as it is turned away: it serves by an old configuration, and endpoints that left get work.

Cause: where the store refused, others were asked for one page, and a page that is not the whole was left out.

Change: the pages that follow are asked for, too; one that does not follow ends the read.

--- a/src/slatestall/gateway/topic_fleet_test.cc
+++ b/src/slatestall/gateway/topic_fleet_test.cc
@@ -56,6 +56,7 @@
 struct fake_store {
   std::uint64_t first = 0;  ///< Records before are no longer kept.
   std::uint64_t end = 1;
+  std::string value = "v";    ///< Of each record.
   time_point silent_until{};  ///< Held reads are not answered.
 
   keyed_read From(std::uint64_t from) const {
@@ -76,7 +77,7 @@
  private:
   void Add(std::uint64_t from, keyed_read& read) const {
     for (auto i = from; i < end; ++i) {
-      read.records.push_back({std::to_string(i), "v"});
+      read.records.push_back({std::to_string(i), value});
     }
     read.next = end;
     read.end = end;
@@ -98,6 +99,11 @@
   }
 
   void Run(duration time) { time_.Run(time); }
+  /// Values of all records are of that size from now on.
+  void WriteLarge(std::size_t bytes) {
+    store_.value.assign(bytes, 'v');
+    Write();
+  }
   void Write() { ++store_.end; }
   /// Held reads end without an answer, and records of before go.
   void ForgetHistory(duration silent_for) {
@@ -330,6 +336,7 @@
   CPPUNIT_TEST_SUITE(topic_fleet_test);
   CPPUNIT_TEST(AStoreSilentToHeldReadsForgetsItsHistory);
   CPPUNIT_TEST(WhateverHostsBelieveOfTheStoreAllKnowWhatOneCanRead);
+  CPPUNIT_TEST(AHostTurnedAwayTakesAWholeOfSeveralPages);
   CPPUNIT_TEST_SUITE_END();
 
   static void AssertCurrent(const topic_fleet& fleet, std::uint32_t seed) {
@@ -360,6 +367,20 @@
     }
   }
 
+  // Of a whole in pages that others held, a host turned away by the store took
+  // nothing in a fleet where each reads wholes from the store.
+  void AHostTurnedAwayTakesAWholeOfSeveralPages() {
+    topic_fleet fleet(8);
+    fleet.WriteLarge(200'000);
+    fleet.Write();
+    fleet.Run(std::chrono::seconds(5));
+    fleet.TurnAway(7, false);
+    fleet.ForgetHistory(milliseconds(0));
+    fleet.Write();
+    fleet.Run(kInForce + kImpaired);
+    AssertCurrent(fleet, 0);
+  }
+
   // The store turns some hosts away, some die, and some believe of the store
   // what is not so.
   void WhateverHostsBelieveOfTheStoreAllKnowWhatOneCanRead() {
--- a/src/slatestall/gateway/whole_reading.cc
+++ b/src/slatestall/gateway/whole_reading.cc
@@ -167,6 +167,37 @@
   });
 }
 
+/// Takes a whole that is newer than what is known from others, page by page. A
+/// page that does not follow the one before ends the read; its retry starts
+/// over.
+void TakeWholeOfOthers(const whole_read_ptr& whole, const keyed_read& failed) {
+  const auto& topic = whole->topic;
+  const topic_question question{topic->name, std::nullopt, topic->tail->Era(),
+                                whole->last_key};
+  const auto take = [whole, question, failed](std::optional<tail_read> told) {
+    const auto& topic = whole->topic;
+    if (!told || !told->IsNewerThan(topic->tail->Era(), topic->tail->Next())) {
+      whole->done(failed);
+      return;
+    }
+    topic->asks.on_taken(question, *told);
+    const bool is_complete = TakePage(whole, std::move(*told));
+    whole->read.second_hand = true;
+    if (is_complete) {
+      topic->KeepAll(whole->read,
+                     WholeMilliseconds(topic->now() - whole->read_at));
+      whole->done(whole->read);
+    } else if (whole->last_key.empty()) {
+      whole->done(failed);
+    } else {
+      TakeWholeOfOthers(whole, failed);
+    }
+  };
+  topic->asks.any(question, [whole, take](std::optional<tail_read> told) {
+    whole->topic->thread.post([take, told = std::move(told)] { take(told); });
+  });
+}
+
 }  // namespace
 
 void ReadWhole(const shared_topic_ptr& topic, const read_done& done) {
@@ -186,8 +217,8 @@
           done(got);
           return;
         }
-        AskOthers(topic, {topic->name, std::nullopt, topic->tail->Era()}, got,
-                  done);
+        TakeWholeOfOthers(std::make_shared<whole_read>(whole_read{topic, done}),
+                          got);
       });
 }
 
