A whole that a later read overtook is read again

What callers would see: work sent to an endpoint that had left, until the next read.

Cause: a read at once may bring changes while the whole of a topic is read. The whole then replaced what the later read had brought.

Change: such a whole is not taken; the follower reads on from where it is and then reads the whole again. A whole at an earlier offset with no read meanwhile is taken as before: a store may begin anew.

--- a/src/slatestall/gateway/gateway_control_test.cc
+++ b/src/slatestall/gateway/gateway_control_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(AnEvacuationThatHadEndedDoesNotReturnWithAnOlderCopy);
   CPPUNIT_TEST(WhatIsNotWrittenAgainIsOver);
   CPPUNIT_TEST(HostsAreReadThoughTheOwnEntryIsNotYetWritten);
+  CPPUNIT_TEST(AnEndpointThatLeftDoesNotReturnWithAWholeBegunBefore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,6 +210,40 @@
     CPPUNIT_ASSERT(hosts_.next);
   }
 
+  static keyed_read ReadUpTo(std::uint64_t next,
+                             std::vector<keyed_record> records) {
+    keyed_read read;
+    read.outcome = store_outcome::kDone;
+    read.era = 1;
+    read.next = next;
+    read.end = next;
+    read.records = std::move(records);
+    return read;
+  }
+
+  // A whole that a later read overtook sends work to an endpoint that is gone.
+  void AnEndpointThatLeftDoesNotReturnWithAWholeBegunBefore() {
+    fake_topic::Answer(operator_.newest, {{"1", "c"}});
+    std::exchange(endpoints_.newest,
+                  nullptr)(ReadUpTo(5, {{"e1", "a"}, {"e2", "b"}}));
+    AwaitRead(endpoints_);
+    keyed_read gone;
+    gone.outcome = store_outcome::kTooOld;
+    std::exchange(endpoints_.next, nullptr)(gone);
+    control_->FindOnlyVersion("", milliseconds(1), [](const auto&) {});
+    std::exchange(endpoints_.next, nullptr)(ReadUpTo(6, {{"e1", {}}}));
+    CPPUNIT_ASSERT(!evacuated_.contains("e1"));
+    std::exchange(endpoints_.newest,
+                  nullptr)(ReadUpTo(5, {{"e1", "a"}, {"e2", "b"}}));
+    CPPUNIT_ASSERT(!evacuated_.contains("e1"));
+    // A later whole counts.
+    AwaitRead(endpoints_);
+    std::exchange(endpoints_.next, nullptr)(ReadUpTo(6, {}));
+    Await(endpoints_.newest);
+    std::exchange(endpoints_.newest, nullptr)(ReadUpTo(6, {{"e3", "a"}}));
+    CPPUNIT_ASSERT(evacuated_.contains("e3") && !evacuated_.contains("e2"));
+  }
+
   asio::io_context context_;
   gateway_options options_;
   decision_log log_{"test", 0, BootTimeNow};
--- a/src/slatestall/gateway/topic_follower.cc
+++ b/src/slatestall/gateway/topic_follower.cc
@@ -47,12 +47,12 @@
 void topic_follower::Start() { ReadNewest(); }
 
 void topic_follower::ReadNewest() {
-  topic_.read_newest(
-      [this, alive = std::weak_ptr<int>(alive_)](const keyed_read& read) {
-        if (!alive.expired()) {
-          OnNewest(read);
-        }
-      });
+  topic_.read_newest([this, from = next_, alive = std::weak_ptr<int>(alive_)](
+                         const keyed_read& read) {
+    if (!alive.expired()) {
+      OnNewest(from, read);
+    }
+  });
 }
 
 void topic_follower::ReadNext() {
@@ -138,12 +138,19 @@
   }
 }
 
-void topic_follower::OnNewest(const keyed_read& read) {
+void topic_follower::OnNewest(std::uint64_t from, const keyed_read& read) {
   hooks_.on_read(read);
   if (read.outcome != store_outcome::kDone || IsOutdated(read)) {
     Retry();
     return;
   }
+  // Only where another read went on meanwhile: a store may begin anew at an
+  // earlier offset.
+  if (has_all_ && read.era == era_ && next_ > from && read.next < next_) {
+    reads_all_next_ = true;
+    After(kFirstRetry, &topic_follower::ReadNext);
+    return;
+  }
   if (has_all_ && read.era > era_) {
     BeginRestoration();
   }
--- a/src/slatestall/gateway/topic_follower.h
+++ b/src/slatestall/gateway/topic_follower.h
@@ -58,7 +58,8 @@
  private:
   void ReadNewest();
   void ReadNext();
-  void OnNewest(const keyed_read& read);
+  /// @param from Where the next read was to begin when this one did.
+  void OnNewest(std::uint64_t from, const keyed_read& read);
   void OnNext(std::uint64_t from, const keyed_read& read);
   void StartReadNow();
   bool TakeCurrent(std::uint64_t from, const keyed_read& read);
