A test that an old whole brings no revoked key back

Cause: no test had a whole of the configuration that is older than the one in force.

Change: the test; the code holds, as only a later version is taken.

--- a/src/slatestall/gateway/gateway_control_test.cc
+++ b/src/slatestall/gateway/gateway_control_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(WhatIsNotWrittenAgainIsOver);
   CPPUNIT_TEST(HostsAreReadThoughTheOwnEntryIsNotYetWritten);
   CPPUNIT_TEST(AnEndpointThatLeftDoesNotReturnWithAWholeBegunBefore);
+  CPPUNIT_TEST(ARevokedKeyDoesNotHoldAgainWithAnOldWhole);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +245,17 @@
     CPPUNIT_ASSERT(evacuated_.contains("e3") && !evacuated_.contains("e2"));
   }
 
+  // Keys that a later configuration revoked would open the service again.
+  void ARevokedKeyDoesNotHoldAgainWithAnOldWhole() {
+    fake_topic::Answer(operator_.newest, {{"2", "c"}});
+    AwaitRead(operator_);
+    keyed_read gone;
+    gone.outcome = store_outcome::kTooOld;
+    std::exchange(operator_.next, nullptr)(gone);
+    fake_topic::Answer(operator_.newest, {{"1", "c"}});
+    CPPUNIT_ASSERT_EQUAL(std::string("version 2"), told_.back());
+  }
+
   asio::io_context context_;
   gateway_options options_;
   decision_log log_{"test", 0, BootTimeNow};
