--- a/src/slatestall/gateway/topic_fleet_test.cc
+++ b/src/slatestall/gateway/topic_fleet_test.cc
@@ -337,6 +337,7 @@
   CPPUNIT_TEST(AStoreSilentToHeldReadsForgetsItsHistory);
   CPPUNIT_TEST(WhateverHostsBelieveOfTheStoreAllKnowWhatOneCanRead);
   CPPUNIT_TEST(AHostTurnedAwayTakesAWholeOfSeveralPages);
+  CPPUNIT_TEST(WhatFewHostsCanReadReachesAll);
   CPPUNIT_TEST_SUITE_END();
 
   static void AssertCurrent(const topic_fleet& fleet, std::uint32_t seed) {
@@ -416,6 +417,24 @@
       }
     }
   }
+
+  // Hosts that the store answers late in the order were neither asked nor
+  // followed, so that the others stayed behind for as long as it lasted.
+  void WhatFewHostsCanReadReachesAll() {
+    for (const std::size_t hosts : {64, 195}) {
+      topic_fleet fleet(hosts);
+      fleet.Run(std::chrono::seconds(5));
+      for (std::size_t i = 0; i < hosts; ++i) {
+        if (i % 16 < 14) {
+          fleet.TurnAway(i, true);
+        }
+      }
+      fleet.Run(std::chrono::seconds(10));
+      fleet.Write();
+      fleet.Run(kInForce + kImpaired);
+      AssertCurrent(fleet, 0);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(topic_fleet_test);
