Log how long a lost host was silent; gauges of bytes between hosts by kind

Cause: home_lost did not tell a silent host from one whose status waits behind other bytes on the same connection, which the hypotheses of the incident differ in. Change: silent_ms in home_lost; gauges peer_sent_bytes and peer_received_bytes. No decision changes. Not measured yet.

--- a/include/slatestall/peer/peer_node.h
+++ b/include/slatestall/peer/peer_node.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,6 +106,9 @@
   /// @brief Closes the connection made to a host; its calls end as unknown. For
   /// one that has fallen silent: the next use makes another connection.
   void Drop(const std::string& host);
+  /// @brief For how long nothing has arrived from a host on the connection made
+  /// to it; nothing where there is none.
+  std::optional<duration> SilentFor(const std::string& host) const;
   /// @brief Sends without an answer; dropped where the peer is unreachable.
   void Notify(const std::string& host, wire::messageUnion notice);
 
--- a/src/slatestall/gateway/stage_router.h
+++ b/src/slatestall/gateway/stage_router.h
@@ -107,6 +107,7 @@
   void TakeSubmit(const wire::submit_piecesT& submit, const std::string& from,
                   const std::function<void(wire::messageUnion)>& reply);
   void Tick();
+  void NoteTraffic(time_point now);
   void AskDue();
   void Ask(const std::string& host);
   void TakeStatus(const std::string& host,
@@ -132,6 +133,7 @@
   std::vector<waiting_use> waiting_;
   reserve_pool pool_;
   time_point own_pool_asked_{};
+  time_point traffic_noted_{};
   std::map<stage_shard, std::pair<std::string, std::size_t>> told_waiting_;
   std::map<std::string, moving_average> usual_times_;  ///< Seconds, by service.
   std::map<stage_number, order_ptr> orders_;
--- a/src/slatestall/gateway/stage_router_homes.cc
+++ b/src/slatestall/gateway/stage_router_homes.cc
@@ -26,6 +26,7 @@
 constexpr milliseconds kHomeWait{700};
 /// Between questions to the own pool, as to those of others.
 constexpr milliseconds kPoolInterval{250};
+constexpr milliseconds kTrafficInterval{1000};
 constexpr std::size_t kNewestSources = 3;
 
 std::string ShardName(const stage_shard& shard) {
@@ -255,6 +256,7 @@
   }
   AskDue();
   AskPool(now);
+  NoteTraffic(now);
   ServeWaiting();
   for (const auto& [shard, pieces] : home_.Waiting()) {
     if (HomeOf(shard) == self_) {
@@ -270,6 +272,21 @@
   });
 }
 
+void stage_router::NoteTraffic(time_point now) {
+  if (now < traffic_noted_ + kTrafficInterval) {
+    return;
+  }
+  traffic_noted_ = now;
+  const auto note = [this](const char* gauge, const auto& traffic) {
+    for (const auto& [kind, count] : traffic) {
+      environment_.metrics.SetGauge(gauge, wire::EnumNamemessage(kind),
+                                    static_cast<double>(count.bytes));
+    }
+  };
+  note("peer_sent_bytes", peers_.Sent());
+  note("peer_received_bytes", peers_.Received());
+}
+
 void stage_router::AskDue() {
   const time_point now = environment_.now();
   std::set<std::string> due;
@@ -368,7 +385,11 @@
 
 void stage_router::Lose(const std::string& host, const char* why) {
   if (homes_.Health().IsTrusted(host)) {
-    environment_.log.Write("home_lost", {{"home", host}, {"detail", why}});
+    nlohmann::json fields = {{"home", host}, {"detail", why}};
+    if (const auto silent = peers_.SilentFor(host)) {
+      fields["silent_ms"] = WholeMilliseconds(*silent).count();
+    }
+    environment_.log.Write("home_lost", std::move(fields));
     environment_.metrics.Count("homes_lost", why);
   }
   homes_.Health().NoteFailure(host, environment_.now());
--- a/src/slatestall/peer/peer_connection.cc
+++ b/src/slatestall/peer/peer_connection.cc
@@ -32,7 +32,8 @@
       splitter_(std::min(kMaxHelloBytes, limits.max_frame_bytes)),
       unsent_(std::move(unsent)),
       created_(Now()),
-      last_use_(created_) {}
+      last_use_(created_),
+      last_received_(created_) {}
 
 peer_connection::~peer_connection() { TakePending(pending_bytes_); }
 
@@ -188,6 +189,7 @@
 
 void peer_connection::TakeBytes(std::size_t count) {
   last_use_ = Now();
+  last_received_ = last_use_;
   const bool was_partial = splitter_.HasPartialFrame();
   splitter_.Append({read_buffer_.data(), count});
   try {
--- a/src/slatestall/peer/peer_connection.h
+++ b/src/slatestall/peer/peer_connection.h
@@ -72,6 +72,8 @@
   bool IsOpen() const { return open_; }
   bool WasBroken() const { return broken_; }
   time_point LastUse() const { return last_use_; }
+  /// @brief When bytes last arrived; before any, when it was made.
+  time_point LastReceived() const { return last_received_; }
 
  private:
   struct outgoing {
@@ -101,6 +103,7 @@
   std::string close_after_writes_;
   time_point created_;
   time_point last_use_;
+  time_point last_received_;
   time_point partial_since_{};  ///< Since when a frame has been unfinished.
   time_point write_progress_{};
   bool connected_ = false;
--- a/src/slatestall/peer/peer_links.cc
+++ b/src/slatestall/peer/peer_links.cc
@@ -177,6 +177,15 @@
   }
 }
 
+std::optional<duration> peer_node::impl::SilentFor(
+    const std::string& host) const {
+  const auto found = peers_.find(host);
+  if (found == peers_.end() || found->second.dialed == 0) {
+    return std::nullopt;
+  }
+  return Now() - links_.at(found->second.dialed).connection->LastReceived();
+}
+
 void peer_node::impl::Retire(link_id id) {
   const auto found = links_.find(id);
   if (found == links_.end()) {
--- a/src/slatestall/peer/peer_node.cc
+++ b/src/slatestall/peer/peer_node.cc
@@ -305,6 +305,10 @@
 
 void peer_node::Drop(const std::string& host) { impl_->Drop(host); }
 
+std::optional<duration> peer_node::SilentFor(const std::string& host) const {
+  return impl_->SilentFor(host);
+}
+
 void peer_node::Notify(const std::string& host, wire::messageUnion notice) {
   impl_->Notify(host, std::move(notice));
 }
--- a/src/slatestall/peer/peer_node_impl.h
+++ b/src/slatestall/peer/peer_node_impl.h
@@ -29,6 +29,7 @@
             milliseconds timeout, std::function<void(peer_reply)> done);
   void Notify(const std::string& host, wire::messageUnion notice);
   void Drop(const std::string& host);
+  std::optional<duration> SilentFor(const std::string& host) const;
 
   std::map<wire::message, call_handler> call_handlers;
   std::map<wire::message, notice_handler> notice_handlers;
