--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -19,8 +19,8 @@
   std::string key;
   std::optional<std::string> value;  ///< Nothing: the key was deleted.
   std::uint64_t offset = 0;          ///< Of a compacted read's records.
-  /// The value once more, where it is large. Records between hosts have it in
-  /// place of `value`, which is then empty.
+  /// The value once more, where it is large and came from another host. What
+  /// `topic_tail` returns has it in place of `value`, which is then empty.
   large_value_ptr large{};
 };
 
--- a/src/slatestall/gateway/large_value.cc
+++ b/src/slatestall/gateway/large_value.cc
@@ -18,14 +18,14 @@
 
 /// A random number for each byte, the same on all hosts.
 const std::array<std::uint64_t, 256>& ByteHashes() {
-  static const auto made = [] {
+  static const auto kHashes = [] {
     std::array<std::uint64_t, 256> hashes{};
     for (std::size_t i = 0; i < hashes.size(); ++i) {
       hashes[i] = StableHash("byte of a piece", i);
     }
     return hashes;
   }();
-  return made;
+  return kHashes;
 }
 
 /// @returns the length of the first piece. The hash covers the 64 bytes before
--- a/src/slatestall/gateway/topic_exchange.cc
+++ b/src/slatestall/gateway/topic_exchange.cc
@@ -24,8 +24,8 @@
 /// Between two looks at the questions that wait for room.
 constexpr milliseconds kReviewInterval{20};
 
-std::unique_ptr<wire::topic_recordT> ToWire(const keyed_record& record,
-                                            bool takes_pieces) {
+std::unique_ptr<wire::topic_recordT> RecordToWire(const keyed_record& record,
+                                                  bool takes_pieces) {
   auto entry = std::make_unique<wire::topic_recordT>();
   entry->key = record.key;
   entry->deleted = !record.value.has_value();
@@ -182,7 +182,7 @@
     if (record.large && question.takes_pieces) {
       offered_.Offer(question.topic, record.key, record.large);
     }
-    told.records.push_back(slatestall::ToWire(record, question.takes_pieces));
+    told.records.push_back(RecordToWire(record, question.takes_pieces));
   }
   return told;
 }
@@ -361,7 +361,8 @@
 
 /// Large values are completed for the answer that counts only.
 void topic_exchange::AskAll(const std::vector<std::string>& hosts,
-                            const topic_question& question, done_hook done) {
+                            const topic_question& question,
+                            const done_hook& done) {
   if (hosts.empty()) {
     done(std::nullopt);
     return;
--- a/src/slatestall/gateway/topic_exchange_test.cc
+++ b/src/slatestall/gateway/topic_exchange_test.cc
@@ -158,9 +158,10 @@
     std::string value;
     for (std::size_t i = 0; i < routes; ++i) {
       const auto name = StableHashText("route", i);
-      value += R"({"name":"r-)" + name + R"(","host":")" + name +
-               R"(.example","pathPrefix":"/)" + name +
-               R"(/","type":"safe","timeoutMs":4000,"attempts":2},)";
+      value.append(R"({"name":"r-)").append(name);
+      value.append(R"(","host":")").append(name);
+      value.append(R"(.example","path":"/)").append(name);
+      value.append(R"(/","kind":"idempotent","timeout":4000,"rank":2},)");
     }
     return value;
   }
--- a/src/slatestall/gateway/value_collector.cc
+++ b/src/slatestall/gateway/value_collector.cc
@@ -124,8 +124,10 @@
     }
   }
   const auto found = arrived_.find(piece.digest);
-  return found == arrived_.end() ? std::string_view()
-                                 : std::string_view(found->second);
+  if (found == arrived_.end()) {
+    return {};
+  }
+  return found->second;
 }
 
 /// @returns null where the whole is not what its digest says.
--- a/src/slatestall/gateway/value_collector_test.cc
+++ b/src/slatestall/gateway/value_collector_test.cc
@@ -40,8 +40,9 @@
 
   void Collect(const large_value_ptr& value, large_value_ptr known = nullptr,
                const std::string& host = "h2") {
-    collector_.Collect(host, value->Outline(), std::move(known),
-                       [this](large_value_ptr got) { got_.push_back(got); });
+    collector_.Collect(
+        host, value->Outline(), std::move(known),
+        [this](const large_value_ptr& got) { got_.push_back(got); });
   }
   void Answer(const large_value_ptr& value) {
     auto asked = std::move(questions_.front());
@@ -115,8 +116,9 @@
     const auto known = ValueOf(TextOf(2));
     // As if both values had a piece of that digest and length.
     outline.pieces[0] = known->Outline().pieces[0];
-    collector_.Collect("h2", outline, known,
-                       [this](large_value_ptr got) { got_.push_back(got); });
+    collector_.Collect(
+        "h2", outline, known,
+        [this](const large_value_ptr& got) { got_.push_back(got); });
     AnswerAll(value);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got_.size());
     CPPUNIT_ASSERT(got_[0] == nullptr);
