--- a/src/slatestall/gateway/topic_exchange.cc
+++ b/src/slatestall/gateway/topic_exchange.cc
@@ -103,6 +103,7 @@
 struct topic_exchange::collected_answers {
   std::size_t awaited = 0;
   outlined_answer best;
+  done_hook done;
 
   void Take(outlined_answer outlined) {
     --awaited;
@@ -361,24 +362,25 @@
 
 /// Large values are completed for the answer that counts only.
 void topic_exchange::AskAll(const std::vector<std::string>& hosts,
-                            const topic_question& question,
-                            const done_hook& done) {
+                            const topic_question& question, done_hook done) {
   if (hosts.empty()) {
     done(std::nullopt);
     return;
   }
   const auto answers = std::make_shared<collected_answers>();
   answers->awaited = hosts.size();
+  answers->done = std::move(done);
   for (const auto& host : hosts) {
     AskForOutline(
         host, question,
-        [this, answers, topic = question.topic, done,
+        [this, answers, topic = question.topic,
          alive = std::weak_ptr<int>(alive_)](outlined_answer outlined) {
           answers->Take(std::move(outlined));
           if (answers->awaited == 0 && !alive.expired()) {
-            Complete(
-                topic, std::move(answers->best),
-                [done](topic_answer answer) { done(std::move(answer.told)); });
+            Complete(topic, std::move(answers->best),
+                     [answers](topic_answer answer) {
+                       answers->done(std::move(answer.told));
+                     });
           }
         });
   }
--- a/src/slatestall/gateway/topic_exchange.h
+++ b/src/slatestall/gateway/topic_exchange.h
@@ -55,7 +55,7 @@
            answer_hook done);
   /// @brief Asks several at once; `done` gets the most recent answer.
   void AskAll(const std::vector<std::string>& hosts,
-              const topic_question& question, const done_hook& done);
+              const topic_question& question, done_hook done);
   /// @brief More is known of a topic: answers the questions held for it.
   void Release(const std::string& topic);
   std::size_t Held() const { return held_.size(); }
