The size of a record in a page is counted without a copy of its value

Cause: on reading the change once more: BytesOf copied each value to learn its length, for every record of every page, also in fleets without large values; a test's comment gave a wrong size of a route. Change: no copy; the comment.

--- a/src/slatestall/gateway/topic_exchange_test.cc
+++ b/src/slatestall/gateway/topic_exchange_test.cc
@@ -153,7 +153,7 @@
     }
   }
 
-  /// Some 130 bytes a route, as configurations have.
+  /// Like a configuration: many short entries, each with names of its own.
   static std::string LargeValue(std::size_t routes) {
     std::string value;
     for (std::size_t i = 0; i < routes; ++i) {
--- a/src/slatestall/gateway/topic_tail.cc
+++ b/src/slatestall/gateway/topic_tail.cc
@@ -12,11 +12,13 @@
 /// each other topic, is not yet overdue.
 constexpr std::size_t kPageBytes = std::size_t{64} << 10U;
 
+/// Of its key and value as they are passed on.
 std::size_t BytesOf(const keyed_record& record) {
-  const auto value =
-      record.large ? record.large->Outline().pieces.size() * sizeof(value_piece)
-                   : record.value.value_or("").size();
-  return record.key.size() + value;
+  if (record.large) {
+    return record.key.size() +
+           record.large->Outline().pieces.size() * sizeof(value_piece);
+  }
+  return record.key.size() + (record.value ? record.value->size() : 0);
 }
 
 /// As it is passed on: a large value is cut once, and kept once.
