--- a/include/slatestall/gateway/platform_link.h
+++ b/include/slatestall/gateway/platform_link.h
@@ -44,6 +44,7 @@
   /// Records, by other writers, that are none of a compacted topic. Each stands
   /// as a deletion of no key, so that offsets go on.
   std::size_t unreadable = 0;
+  std::size_t pages = 0;  ///< That a read of the newest of every key took.
   /// How old another host's word was; none, where the store itself answered.
   milliseconds age{0};
   /// Told by another host, since the store did not answer this one.
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -126,10 +126,16 @@
 void gateway_control::OnRead(const char* what, bool& reachable,
                              const keyed_read& read) {
   if (read.unreadable > 0) {
-    log_.Write("records_unreadable",
-               {{"reads", what}, {"records", read.unreadable}});
+    log_.Write("records_unreadable", {{"reads", what},
+                                      {"records", read.unreadable},
+                                      {"detail", read.detail}});
     news_.on_unreadable("record");
   }
+  if (read.pages > 1) {
+    log_.Write("pages_read", {{"reads", what},
+                              {"pages", read.pages},
+                              {"records", read.records.size()}});
+  }
   const bool answered =
       read.outcome == store_outcome::kDone && !read.second_hand;
   if (answered == reachable) {
--- a/src/slatestall/http/uri.cc
+++ b/src/slatestall/http/uri.cc
@@ -1,5 +1,11 @@
 #include "slatestall/http/uri.h"
 
+#include <curl/curl.h>
+
+#include <memory>
+#include <new>
+#include <utility>
+
 namespace slatestall {
 namespace {
 
@@ -21,6 +27,28 @@
 
 }  // namespace
 
+std::string EncodeUriText(std::string_view text) {
+  if (text.empty()) {
+    return {};  // libcurl takes a length of 0 for a text that ends with NUL.
+  }
+  const std::unique_ptr<char, decltype(&curl_free)> encoded(
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
+      &curl_free);
+  if (encoded == nullptr) {
+    throw std::bad_alloc();
+  }
+  return encoded.get();
+}
+
+std::string UrlWithQuery(std::string url, const query_fields& fields) {
+  char separator = '?';
+  for (const auto& [name, value] : fields) {
+    url += std::exchange(separator, '&') + EncodeUriText(name) + '=' +
+           EncodeUriText(value);
+  }
+  return url;
+}
+
 std::string DecodeQueryText(std::string_view text) {
   std::string decoded;
   decoded.reserve(text.size());
--- a/src/slatestall/node/load_reports.cc
+++ b/src/slatestall/node/load_reports.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "slatestall/http/uri.h"
 #include "slatestall/node/endpoint_subset.h"
 #include "slatestall/node/endpoint_watch.h"
 #include "slatestall/node/load_report_json.h"
@@ -93,16 +94,15 @@
 }
 
 std::string load_reports::PathFor(const std::string& address) const {
-  std::string path = "/load";
+  query_fields fields;
   if (const auto version = versions_.find(address);
       version != versions_.end()) {
-    path += "?have=" + version->second;
+    fields.emplace_back("have", version->second);
   }
   if (engines_.count(address) != 0) {
-    path += path.size() == 5 ? '?' : '&';
-    path += "events_from=" + std::to_string(caches_.NextOf(address));
+    fields.emplace_back("events_from", std::to_string(caches_.NextOf(address)));
   }
-  return path;
+  return UrlWithQuery("/load", fields);
 }
 
 void load_reports::OnPolled(const std::string& address, time_point asked,
