An answer ends with its connection only once its request was written

What callers saw: the part of an answer that an endpoint had sent before it reset the connection, in the middle of a long upload, as a whole answer with a length. Cause: the kernel reports a reset once, to the read or write that meets it first; our write dropped its error, and the read saw an orderly end. The same in the relay through another host. Change: where the end of the connection is the end of the answer, it counts only after the request has been written without an error; early answers that tell their length pass as before. Why it works: one of the two, read or write, gets the reset, and both are now looked at.

Heads: an answer with status 000 to 099 was taken for an interim one, names of fields were checked by one of the two readers only, and libcurl's error for status 000 counted as a connection never made, so that a call that may run once could go out again. answer_head now says for both readers what a head may hold.

--- a/src/slatestall/gateway/call_relay.cc
+++ b/src/slatestall/gateway/call_relay.cc
@@ -83,10 +83,30 @@
     }
     asio::async_write(
         socket_, asio::buffer(request_),
-        [self = shared_from_this()](const asio::error_code&, std::size_t) {});
+        [self = shared_from_this()](const asio::error_code& error,
+                                    std::size_t) { self->OnWritten(error); });
     Read();
   }
 
+  /// The kernel reports a reset once: after a write that met it, the end of
+  /// input looks orderly.
+  void OnWritten(const asio::error_code& error) {
+    written_ = true;
+    write_failed_ = static_cast<bool>(error);
+    if (input_ended_) {
+      End(!write_failed_);
+    }
+  }
+
+  void OnInputEnded(const asio::error_code& error) {
+    input_ended_ = true;
+    if (error != asio::error::eof) {
+      End(false);
+    } else if (written_) {
+      End(!write_failed_);
+    }
+  }
+
   void Read() {
     socket_.async_read_some(
         asio::buffer(input_),
@@ -96,7 +116,7 @@
             return;
           }
           if (error) {
-            self->End(error == asio::error::eof);
+            self->OnInputEnded(error);
             return;
           }
           self->channel_->Write(std::string(self->input_.data(), size));
@@ -134,6 +154,9 @@
   answer_channel_ptr channel_;
   std::shared_ptr<std::size_t> active_;
   std::array<char, kReadBytes> input_{};
+  bool written_ = false;
+  bool write_failed_ = false;
+  bool input_ended_ = false;
 };
 
 caller_listener_options ListenerOptions(
--- a/src/slatestall/http/client_call.cc
+++ b/src/slatestall/http/client_call.cc
@@ -1,10 +1,9 @@
 #include "slatestall/http/client_call.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
-#include "slatestall/http/ascii_case.h"
+#include "slatestall/http/answer_head.h"
 #include "slatestall/http/curl_event_loop.h"
 #include "slatestall/http/header_check.h"
 #include "slatestall/http/trim.h"
@@ -12,10 +11,8 @@
 namespace slatestall {
 namespace {
 
+constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::size_t kMaxAnswerHeaderBytes = std::size_t{64} << 10U;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 /// libcurl reads a limit of zero as no limit, so that a spent deadline would
 /// turn into a call without one.
@@ -155,32 +152,42 @@
   if (status_reported_) {
     return true;
   }
-  if (line.starts_with("HTTP/")) {
-    StartAnswer(line);
-    return true;
+  malformed_ = !TakeHeadLine(line);
+  return !malformed_ && !rejected_ && !forgotten_ && thrown_ == nullptr;
+}
+
+bool client_call::TakeHeadLine(std::string_view line) {
+  if (!line.ends_with(kLineEnd)) {
+    return false;
+  }
+  line.remove_suffix(kLineEnd.size());
+  if (!std::exchange(in_head_, true)) {
+    return StartAnswer(line);
   }
-  if (Trim(line).empty()) {
-    ReportStatus();
-    return !forgotten_ && thrown_ == nullptr && Accepted();
+  return line.empty() ? EndHead() : TakeField(line);
+}
+
+bool client_call::EndHead() {
+  in_head_ = false;
+  if (!IsAnswerHead(result_.status, result_.headers)) {
+    return false;
+  }
+  ReportStatus();
+  if (!forgotten_ && thrown_ == nullptr) {
+    CheckAccepted();
   }
-  TakeField(line);
   return true;
 }
 
-void client_call::StartAnswer(std::string_view status_line) {
+bool client_call::StartAnswer(std::string_view first_line) {
   result_.headers.clear();
-  result_.status = 0;
-  const auto blank = status_line.find(' ');
-  if (blank == std::string_view::npos) {
-    return;
-  }
-  const std::string_view rest = status_line.substr(blank + 1);
-  std::from_chars(rest.data(), rest.data() + rest.size(), result_.status);
+  const auto status = StatusOf(first_line);
+  result_.status = status.value_or(0);
+  return status.has_value();
 }
 
 void client_call::ReportStatus() {
-  const bool interim = result_.status < kFirstFinalStatus;
-  if (interim) {
+  if (IsInterimStatus(result_.status)) {
     return;
   }
   status_reported_ = true;
@@ -195,25 +202,25 @@
   }
 }
 
-bool client_call::Accepted() {
+void client_call::CheckAccepted() {
   if (!status_reported_ || !call_.accept) {
-    return true;
+    return;
   }
   try {
     rejected_ = !call_.accept(result_.headers);
   } catch (...) {
     thrown_ = std::current_exception();
   }
-  return !rejected_ && !forgotten_ && thrown_ == nullptr;
 }
 
-void client_call::TakeField(std::string_view line) {
+bool client_call::TakeField(std::string_view line) {
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) {
-    return;
+    return false;
   }
-  result_.headers.push_back({std::string(Trim(line.substr(0, colon))),
+  result_.headers.push_back({std::string(line.substr(0, colon)),
                              std::string(Trim(line.substr(colon + 1)))});
+  return true;
 }
 
 bool client_call::TakeBody(std::string_view data) {
@@ -258,7 +265,9 @@
     result_.detail = error_text_.front() != '\0' ? error_text_.data()
                                                  : curl_easy_strerror(code);
   }
-  if (code == CURLE_OK && result_.end == call_end::kTruncated) {
+  if (malformed_) {
+    result_.detail = "the head of the answer is malformed";
+  } else if (code == CURLE_OK && result_.end == call_end::kTruncated) {
     result_.detail = "the answer does not say where it ends";
   }
 }
@@ -278,9 +287,7 @@
 }
 
 bool client_call::AnswerLengthIsKnown() const {
-  const int status = result_.status;
-  if (call_.method == "HEAD" || status == kNoContent ||
-      status == kNotModified) {
+  if (call_.method == "HEAD" || HasNoBody(result_.status)) {
     return true;
   }
   return !FindHeader(result_.headers, "Content-Length").empty() ||
@@ -298,12 +305,16 @@
     case CURLE_OK:
       // A body that is ended by the close of its connection looks the same
       // when the endpoint died halfway, so it is never taken for whole.
-      return AnswerLengthIsKnown() ? call_end::kComplete : call_end::kTruncated;
+      return status_reported_ && AnswerLengthIsKnown() ? call_end::kComplete
+                                                       : call_end::kTruncated;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
+      return call_end::kConnectFailed;
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
-      return call_end::kConnectFailed;
+      // Of the URL, or of an answer whose status libcurl does not take.
+      return result_.may_have_been_sent ? call_end::kTruncated
+                                        : call_end::kConnectFailed;
     case CURLE_OPERATION_TIMEDOUT:
       return result_.may_have_been_sent ? call_end::kTimedOut
                                         : call_end::kConnectFailed;
--- a/src/slatestall/http/client_call.h
+++ b/src/slatestall/http/client_call.h
@@ -76,10 +76,13 @@
   bool SetHeaders();
   bool TakeHeader(std::string_view line);
   bool TakeBody(std::string_view data);
-  void StartAnswer(std::string_view status_line);
+  /// These return whether the bytes are those of an answer.
+  bool TakeHeadLine(std::string_view line);
+  bool StartAnswer(std::string_view first_line);
+  bool TakeField(std::string_view line);
+  bool EndHead();
   void ReportStatus();
-  bool Accepted();
-  void TakeField(std::string_view line);
+  void CheckAccepted();
   bool AnswerLengthIsKnown() const;
   call_end Judge(CURLcode code) const;
 
@@ -95,6 +98,8 @@
   std::size_t body_bytes_ = 0;
   bool too_large_ = false;
   bool rejected_ = false;
+  bool in_head_ = false;
+  bool malformed_ = false;  ///< What came is no head of an answer.
   bool status_reported_ = false;
   bool forgotten_ = false;
   std::exception_ptr thrown_;
--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(ReusesConnectionsBesideManyCalls);
   CPPUNIT_TEST(NeverTakesACutAnswerForWhole);
   CPPUNIT_TEST(PassesOverInterimAnswers);
+  CPPUNIT_TEST(NeverTakesAMalformedHeadForAnAnswer);
   CPPUNIT_TEST(SendsAnAtMostOnceCallOnce);
   CPPUNIT_TEST(NeverGivesALateAnswerToTheNextCall);
   CPPUNIT_TEST(RefusedConnectionProvesThatNothingWasSent);
@@ -95,6 +96,32 @@
     }
   }
 
+  // Guards against an answer whose head libcurl and this client read in two
+  // ways: a cut body counted as whole, or an answer had status 0.
+  void NeverTakesAMalformedHeadForAnAnswer() {
+    for (const std::string& head :
+         {std::string("HTTP/1.1 000 OK\r\nContent-Length: 5\r\n"),
+          std::string("HTTP/1.1 099 OK\r\nContent-Length: 5\r\n"),
+          std::string("HTTP/1.1 600 OK\r\nContent-Length: 5\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length : 5\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 5\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 5\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 5\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                      "Content-Length: 5\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                      "HTTP/x: 1\r\n folded\r\n")}) {
+      fake_endpoint endpoint(context_, [&](raw_peer& peer, int) {
+        peer.Send(head + "\r\nhello");
+        peer.Close();
+      });
+      const http_result result = Run(context_, client_, Get(endpoint.Url()));
+      CPPUNIT_ASSERT_MESSAGE(head, result.end == call_end::kTruncated);
+      CPPUNIT_ASSERT_MESSAGE(head, !result.detail.empty());
+    }
+  }
+
   void PassesOverInterimAnswers() {
     fake_endpoint endpoint(context_, [](raw_peer& peer, int) {
       peer.Send("HTTP/1.1 103 Early Hints\r\nX-Not-Run: 1\r\n\r\n");
--- a/src/slatestall/relay/endpoint_call.cc
+++ b/src/slatestall/relay/endpoint_call.cc
@@ -7,6 +7,7 @@
 #include <limits>
 #include <utility>
 
+#include "slatestall/http/answer_head.h"
 #include "slatestall/relay/message_text.h"
 #include "slatestall/relay/socket_options.h"
 
@@ -14,7 +15,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{8} << 10U;
-constexpr int kFirstFinalStatus = 200;
 constexpr int kRelayed = 200;
 
 /// The request of a call as the body of one to a host that passes it on.
@@ -62,6 +62,8 @@
   bool may_have_left_ = false;
 
  private:
+  enum class write_state { kUnderWay, kDone, kFailed };
+
   /// After the hosts of `via` comes a direct connection.
   bool IsRelayed() const { return hop_ < options_.via.size(); }
 
@@ -104,6 +106,7 @@
   void NextHop(const std::shared_ptr<endpoint_call>& self) {
     may_have_left_ = false;
     connected_ = false;
+    writing_ = write_state::kUnderWay;
     asio::error_code ignored;
     socket_.close(ignored);
     if (hooks_.on_relay_refused) {
@@ -134,13 +137,25 @@
     const auto output = std::make_shared<const std::string>(
         IsRelayed() ? WrappedForRelay(options_)
                     : std::exchange(options_.request, {}));
-    // An endpoint may answer and close before it has read all of a long body:
-    // what it said decides, not that the writing failed.
     asio::async_write(socket_, asio::buffer(*output),
-                      [self, output](const asio::error_code&, std::size_t) {});
+                      [this, self, output, hop = hop_](
+                          const asio::error_code& error, std::size_t) {
+                        if (!ended_ && hop == hop_) {
+                          OnWritten(error);
+                        }
+                      });
     Read(self);
   }
 
+  /// An endpoint may answer before it has read all of a long body: an answer
+  /// that tells its length decides, not that the writing failed.
+  void OnWritten(const asio::error_code& error) {
+    writing_ = error ? write_state::kFailed : write_state::kDone;
+    if (input_ended_) {
+      TakeEnd();
+    }
+  }
+
   void Read(const std::shared_ptr<endpoint_call>& self) {
     socket_.async_read_some(
         asio::buffer(input_),
@@ -168,16 +183,24 @@
       // The end of a connection to another host says nothing of the endpoint.
       End(call_outcome::kBroken);
     }
-    if (!ended_ && hop == hop_) {
+    if (!ended_ && !input_ended_ && hop == hop_) {
       Read(self);
     }
   }
 
-  /// The endpoint ended the connection in an orderly way.
+  /// The connection has no more input. The kernel reports a reset once, to a
+  /// read or to a write, and the end of input after that: an answer that ends
+  /// with its connection is whole only if the request could be written.
   void TakeEnd() {
+    input_ended_ = true;
     reader_.FeedEnd();
     Deliver();
-    End(reader_.Complete() ? call_outcome::kComplete : call_outcome::kBroken);
+    const bool is_whole = reader_.Complete() && head_told_;
+    if (!is_whole || writing_ == write_state::kFailed) {
+      End(call_outcome::kBroken);
+    } else if (writing_ == write_state::kDone) {
+      End(call_outcome::kComplete);
+    }
   }
 
   void TakeRelayed(const std::shared_ptr<endpoint_call>& self,
@@ -235,7 +258,7 @@
     reader_.Reset();
   }
 
-  bool IsInterim() { return reader_.Head().status < kFirstFinalStatus; }
+  bool IsInterim() { return IsInterimStatus(reader_.Head().status); }
 
   void Deliver() {
     if (reader_.HeadComplete() && !head_told_ && !IsInterim()) {
@@ -283,6 +306,8 @@
   std::size_t hop_ = 0;          ///< In `via`.
   std::array<char, kReadBytes> input_{};
   std::size_t answer_bytes_ = 0;  ///< From the endpoint, interim ones included.
+  write_state writing_ = write_state::kUnderWay;
+  bool input_ended_ = false;
   bool connected_ = false;
   bool head_told_ = false;
   bool ended_ = false;
--- a/src/slatestall/relay/endpoint_call_test.cc
+++ b/src/slatestall/relay/endpoint_call_test.cc
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "slatestall/relay/early_server.h"
+
 namespace slatestall {
 namespace {
 
@@ -82,6 +84,9 @@
   CPPUNIT_TEST(AnUnreachableEndpointHasNothingOfTheCall);
   CPPUNIT_TEST(ALostHostMayHavePassedTheCallOn);
   CPPUNIT_TEST(TheDirectWayComesLast);
+  CPPUNIT_TEST(AResetWhileTheRequestIsWrittenLeavesNoWholeAnswer);
+  CPPUNIT_TEST(AnEarlyAnswerThatTellsItsLengthIsWhole);
+  CPPUNIT_TEST(AnEarlyAnswerIsWholeOnceTheRequestIsWritten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,11 +98,12 @@
     return any.local_endpoint();
   }
 
-  call_outcome Run(const std::vector<tcp::endpoint>& via,
-                   const tcp::endpoint& direct) {
+  call_outcome Run(
+      const std::vector<tcp::endpoint>& via, const tcp::endpoint& direct,
+      const std::string& request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n") {
     endpoint_call_options options;
     options.to = direct;
-    options.request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    options.request = request;
     options.connect_timeout = milliseconds(2000);
     options.silence_timeout = milliseconds(5000);
     options.endpoint_id = "i-1";
@@ -124,6 +130,42 @@
     return *outcome;
   }
 
+  static std::string LongRequest(std::size_t bytes) {
+    return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+           std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
+  }
+
+  // Guards against a part of an answer taken for the whole: the endpoint
+  // answered at once without a length and reset the connection during a long
+  // upload.
+  void AResetWhileTheRequestIsWrittenLeavesNoWholeAnswer() {
+    early_server server(*context_, early_end::kReset,
+                        [](const std::string&) { return kOpenEnded; });
+    for (const std::size_t bytes : {100'000, 1'000'000, 8'000'000}) {
+      for (int i = 0; i < 5; ++i) {
+        CPPUNIT_ASSERT(Run({}, server.Where(), LongRequest(bytes)) ==
+                       call_outcome::kBroken);
+        CPPUNIT_ASSERT(may_have_left_);
+      }
+    }
+  }
+
+  void AnEarlyAnswerThatTellsItsLengthIsWhole() {
+    early_server server(*context_, early_end::kReset, [](const std::string&) {
+      return Status("413 Content Too Large");
+    });
+    CPPUNIT_ASSERT(Run({}, server.Where(), LongRequest(8'000'000)) ==
+                   call_outcome::kComplete);
+  }
+
+  void AnEarlyAnswerIsWholeOnceTheRequestIsWritten() {
+    early_server server(*context_, early_end::kReadsAll,
+                        [](const std::string&) { return kOpenEnded; });
+    CPPUNIT_ASSERT(Run({}, server.Where(), LongRequest(8'000'000)) ==
+                   call_outcome::kComplete);
+    CPPUNIT_ASSERT_EQUAL(std::string("bytes"), body_);
+  }
+
   // An answer without a length was taken for cut though the endpoint ended it.
   void AnAnswerIsWholeWhenItsEndWasPassedOn() {
     fixed_server relay(*context_, kPassedOn + Chunk(kOpenEnded) + "0\r\n\r\n");
--- a/src/slatestall/relay/message_reader.cc
+++ b/src/slatestall/relay/message_reader.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "slatestall/http/answer_head.h"
 #include "slatestall/http/ascii_case.h"
 #include "slatestall/http/header_check.h"
 #include "slatestall/http/trim.h"
@@ -20,14 +21,6 @@
 constexpr std::size_t kFramingPerByte = 16;
 constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 
-std::size_t CountOf(const http_headers& headers, std::string_view name) {
-  std::size_t count = 0;
-  for (const auto& header : headers) {
-    count += EqualsIgnoringCase(header.name, name) ? 1 : 0;
-  }
-  return count;
-}
-
 /// Finds line ends that readers may disagree on, in the bytes of a head.
 class line_end_check {
  public:
@@ -87,6 +80,8 @@
     head_ = {};
     body_.clear();
     line_ends_ = {};
+    first_line_.clear();
+    first_line_ended_ = false;
     head_bytes_ = 0;
     body_bytes_ = 0;
     taken_bytes_ = 0;
@@ -138,6 +133,8 @@
   message_head head_;
   std::string body_;
   line_end_check line_ends_;
+  std::string first_line_;  ///< Of an answer.
+  bool first_line_ended_ = false;
   std::size_t head_bytes_ = 0;
   std::size_t body_bytes_ = 0;
   std::size_t taken_bytes_ = 0;  ///< Of the whole message, framing included.
@@ -171,6 +168,7 @@
         return false;
       }
       ++head_bytes_;
+      KeepFirstLine(c);
       blank_line_ = c == '\n' ? blank_line_ + 1 : (c == '\r' ? blank_line_ : 0);
       if (blank_line_ == 2) {
         blank_line_ = 0;
@@ -184,6 +182,14 @@
     return true;
   }
 
+  /// The parser takes statuses of any number of digits.
+  void KeepFirstLine(char c) {
+    first_line_ended_ = first_line_ended_ || c == '\r' || c == '\n';
+    if (kind_ == message_kind::kAnswer && !first_line_ended_) {
+      first_line_ += c;
+    }
+  }
+
   int TakeName(std::string_view text) {
     if (head_complete_) {
       return 0;  // A trailer; it must not pass for a field of the head.
@@ -209,7 +215,7 @@
     for (auto& header : head_.headers) {
       header.value = std::string(Trim(header.value));
     }
-    if (!HeadersAreSafe(head_.headers) || !FramingIsPlain()) {
+    if (!HeadIsSound()) {
       Fail(read_fault::kMalformed);
       return -1;
     }
@@ -228,7 +234,17 @@
     }
     // An offer to upgrade is passed over; the message is read as any other.
     parser_.upgrade = 0;
-    return no_body_ ? kStopAfterHead : 0;
+    const bool has_no_body =
+        kind_ == message_kind::kAnswer && (no_body_ || HasNoBody(head_.status));
+    return has_no_body ? kStopAfterHead : 0;
+  }
+
+  bool HeadIsSound() const {
+    if (kind_ == message_kind::kRequest) {
+      return HeadersAreSafe(head_.headers) && FramingIsPlain(head_.headers);
+    }
+    const auto status = StatusOf(first_line_);
+    return status && IsAnswerHead(*status, head_.headers);
   }
 
   /// Answers only: a caller is told of it while it sends.
@@ -244,16 +260,6 @@
                                             kFramingPerByte * body_bytes_;
   }
 
-  bool FramingIsPlain() const {
-    const auto coding = FindHeader(head_.headers, "Transfer-Encoding");
-    const std::size_t codings = CountOf(head_.headers, "Transfer-Encoding");
-    const std::size_t lengths = CountOf(head_.headers, "Content-Length");
-    if (codings > 1 || lengths > 1 || (codings > 0 && lengths > 0)) {
-      return false;
-    }
-    return codings == 0 || EqualsIgnoringCase(coding, "chunked");
-  }
-
   int TakeBodyBytes(std::string_view bytes) {
     body_bytes_ += bytes.size();
     if (body_bytes_ > limits_.max_body_bytes) {
--- a/src/slatestall/relay/message_reader_test.cc
+++ b/src/slatestall/relay/message_reader_test.cc
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(AnAnswerThatIsCutIsNotComplete);
   CPPUNIT_TEST(AnAnswerToHeadHasNoBody);
   CPPUNIT_TEST(WhatIsNoAnswerIsMalformed);
+  CPPUNIT_TEST(AHeadThatReadersDisagreeOnIsMalformed);
+  CPPUNIT_TEST(AnAnswerWithoutABodyEndsWithItsHead);
   CPPUNIT_TEST_SUITE_END();
 
   void ARequestIsReadWithItsHeadAsItStood() {
@@ -147,6 +149,45 @@
     CPPUNIT_ASSERT(FaultOf(message_kind::kAnswer, "\x01\x02 nonsense\r\n") ==
                    read_fault::kMalformed);
   }
+
+  // Guards against an answer whose status is none, or in whose head the name of
+  // a field holds a blank or a control byte: callers got it, or the bytes after
+  // it, as an answer.
+  void AHeadThatReadersDisagreeOnIsMalformed() {
+    for (const char* status :
+         {"000", "001", "099", "600", "999", "20", "0200", "101", "2000"}) {
+      for (const char* fields : {"", "Content-Length: 2\r\n"}) {
+        const std::string head = "HTTP/1.1 " + std::string(status) + " OK\r\n";
+        CPPUNIT_ASSERT_MESSAGE(
+            head, FaultOf(message_kind::kAnswer, head + fields + "\r\nok") ==
+                      read_fault::kMalformed);
+      }
+    }
+    for (const std::string& field :
+         {std::string("Content-Length : 2"), std::string(" A: b"),
+          std::string("A b: c"), std::string("A\x01: b"), std::string("A\t: b"),
+          std::string("A\x7f: b"), std::string("A\0: b", 5), std::string(": b"),
+          std::string("A"), std::string("Transfer-Encoding : chunked")}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          field, FaultOf(message_kind::kAnswer, "HTTP/1.1 200 OK\r\n" + field +
+                                                    "\r\nB: c\r\n\r\nok") ==
+                     read_fault::kMalformed);
+    }
+    CPPUNIT_ASSERT(
+        FaultOf(message_kind::kAnswer,
+                "HTTP/1.1 103 Hints\r\nContent-Length: 2\r\n\r\nok") ==
+        read_fault::kMalformed);
+  }
+
+  void AnAnswerWithoutABodyEndsWithItsHead() {
+    for (const char* head : {"HTTP/1.1 304 Not Modified\r\n"
+                             "Content-Length: 9\r\n\r\n",
+                             "HTTP/1.1 204 No Content\r\n\r\n"}) {
+      message_reader reader(message_kind::kAnswer, {});
+      reader.Feed(head);
+      CPPUNIT_ASSERT_MESSAGE(head, reader.Complete());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(message_reader_test);
