A page of the list of endpoints is passed on as one difference

Cause: the changes of a page were gathered record by record into `put` and `gone`, which have no order between each other. An endpoint that came and went was in both; the roster takes `gone` first, and ended with it in use. What was passed on no longer named it, so that no later difference took it out.

Evidence: endpoints_changed names the endpoint as new and as gone in one line.

Change: the whole page is applied to the list, then one difference for each id that it names is passed on, between what was passed on and what the list says in the end. An id is in `put` or in `gone`, and once, so that the roster is the list after each page, whatever the pages. endpoint_listing_test calls the new interface; its assertions are the same.

--- a/include/slatestall/gateway/endpoint_listing.h
+++ b/include/slatestall/gateway/endpoint_listing.h
@@ -74,7 +74,8 @@
   std::optional<time_point> outage_over_;
 };
 
-/// @brief What has changed of a list since it was last passed on.
+/// @brief What has changed of a list since it was last passed on. An id is
+/// either in `put` or in `gone`, and once.
 struct listing_changes {
   std::vector<known_endpoint> put;   ///< New, or listed otherwise than before.
   std::vector<std::string> added;    ///< Ids of those in `put` that are new.
@@ -88,9 +89,11 @@
 /// a change costs by what has changed, however long the list is.
 class passed_listing {
  public:
-  /// @param now Nothing: the endpoint is not listed any more.
-  void Change(const std::string& id, const std::optional<known_endpoint>& now,
-              listing_changes& changes);
+  /// Endpoints as they are now, by id; nothing: not listed.
+  using endpoint_states = std::map<std::string, std::optional<known_endpoint>>;
+
+  /// @brief Takes the states of some endpoints.
+  listing_changes Change(const endpoint_states& states);
   /// @brief Takes a whole list.
   listing_changes Replace(const std::vector<known_endpoint>& listed);
 
@@ -99,6 +102,9 @@
   const std::map<std::string, known_endpoint>& All() const { return passed_; }
 
  private:
+  void Remove(const std::string& id, listing_changes& changes);
+  void Put(const known_endpoint& endpoint, listing_changes& changes);
+
   std::map<std::string, known_endpoint> passed_;
 };
 
--- a/src/slatestall/gateway/endpoint_listing.cc
+++ b/src/slatestall/gateway/endpoint_listing.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <string_view>
 
 namespace slatestall {
 namespace {
@@ -137,51 +136,52 @@
                                  : std::optional(found->second.endpoint);
 }
 
-void passed_listing::Change(const std::string& id,
-                            const std::optional<known_endpoint>& now,
-                            listing_changes& changes) {
-  const auto known = passed_.find(id);
-  if (!now) {
-    if (known != passed_.end()) {
-      changes.gone.push_back(id);
-      passed_.erase(known);
+listing_changes passed_listing::Change(const endpoint_states& states) {
+  listing_changes changes;
+  for (const auto& [id, endpoint] : states) {
+    if (endpoint) {
+      Put(*endpoint, changes);
+    } else {
+      Remove(id, changes);
     }
-    return;
-  }
-  if (known != passed_.end() && known->second == *now) {
-    return;
-  }
-  const bool was_leaving = known != passed_.end() && known->second.leaving;
-  if (known == passed_.end()) {
-    changes.added.push_back(id);
   }
-  if (now->leaving && !was_leaving) {
-    changes.leaving.push_back(id);
-  }
-  changes.put.push_back(*now);
-  passed_[id] = *now;
+  return changes;
 }
 
 listing_changes passed_listing::Replace(
     const std::vector<known_endpoint>& listed) {
-  listing_changes changes;
-  std::set<std::string_view> ids;
+  endpoint_states states;
+  for (const auto& [id, endpoint] : passed_) {
+    states.emplace(id, std::nullopt);
+  }
   for (const auto& endpoint : listed) {
-    ids.insert(endpoint.id);
+    states[endpoint.id] = endpoint;
   }
-  std::vector<std::string> gone;
-  for (const auto& [id, endpoint] : passed_) {
-    if (!ids.contains(id)) {
-      gone.push_back(id);
-    }
+  return Change(states);
+}
+
+void passed_listing::Remove(const std::string& id, listing_changes& changes) {
+  if (passed_.erase(id) > 0) {
+    changes.gone.push_back(id);
+  }
+}
+
+void passed_listing::Put(const known_endpoint& endpoint,
+                         listing_changes& changes) {
+  const auto known = passed_.find(endpoint.id);
+  const bool is_new = known == passed_.end();
+  if (!is_new && known->second == endpoint) {
+    return;
   }
-  for (const auto& id : gone) {
-    Change(id, std::nullopt, changes);
+  const bool was_leaving = !is_new && known->second.leaving;
+  if (is_new) {
+    changes.added.push_back(endpoint.id);
   }
-  for (const auto& endpoint : listed) {
-    Change(endpoint.id, endpoint, changes);
+  if (endpoint.leaving && !was_leaving) {
+    changes.leaving.push_back(endpoint.id);
   }
-  return changes;
+  changes.put.push_back(endpoint);
+  passed_[endpoint.id] = endpoint;
 }
 
 const known_endpoint* passed_listing::Find(const std::string& id) const {
--- a/src/slatestall/gateway/endpoint_listing_test.cc
+++ b/src/slatestall/gateway/endpoint_listing_test.cc
@@ -344,11 +344,9 @@
     CPPUNIT_ASSERT_EQUAL(kEndpoints,
                          passed.Replace(listing.Listed()).added.size());
     listing.Put(Endpoint("e8", true));
-    const auto changed = Endpoint("e8", true);
-    listing_changes changes;
-    passed.Change("e7", std::nullopt, changes);
-    passed.Change("e8", changed, changes);
-    passed.Change("e9", *passed.Find("e9"), changes);
+    const auto changes = passed.Change({{"e7", std::nullopt},
+                                        {"e8", Endpoint("e8", true)},
+                                        {"e9", *passed.Find("e9")}});
     CPPUNIT_ASSERT(changes.added.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.put.size());
     CPPUNIT_ASSERT(changes.leaving == std::vector<std::string>{"e8"});
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -240,9 +240,11 @@
   PublishEndpoints();
 }
 
+/// An endpoint may have come and gone within one read: of each that has
+/// changed, only what the list holds in the end is passed on.
 void gateway_control::TakeEndpointChanges(
     const std::vector<keyed_record>& records) {
-  listing_changes changes;
+  passed_listing::endpoint_states states;
   for (const auto& record : records) {
     if (!record.value) {
       listing_.Drop(record.key, now_());
@@ -250,17 +252,26 @@
       listing_.Put(*endpoint);
     }
     NoteListedUntilNow(record.key);
-    auto endpoint = listing_.Find(record.key);
-    if (endpoint && !IsUsable(*endpoint)) {
-      held_ = true;
-      endpoint.reset();
-    }
-    if (endpoint) {
-      endpoint->evacuated = evacuations_.Contains(endpoint->failure_domain);
-    }
-    passed_.Change(record.key, endpoint, changes);
+    states.try_emplace(record.key);
+  }
+  for (auto& [id, endpoint] : states) {
+    endpoint = FindUsable(id);
+  }
+  PassOn(passed_.Change(states));
+}
+
+std::optional<known_endpoint> gateway_control::FindUsable(
+    const std::string& id) {
+  auto endpoint = listing_.Find(id);
+  if (!endpoint) {
+    return std::nullopt;
+  }
+  if (!IsUsable(*endpoint)) {
+    held_ = true;
+    return std::nullopt;
   }
-  PassOn(std::move(changes));
+  endpoint->evacuated = evacuations_.Contains(endpoint->failure_domain);
+  return endpoint;
 }
 
 /// A stream that began at a version of which no record tells could not be taken
--- a/src/slatestall/gateway/gateway_control.h
+++ b/src/slatestall/gateway/gateway_control.h
@@ -68,6 +68,7 @@
       const std::vector<keyed_record>& records);
   void TakeEndpointChanges(const std::vector<keyed_record>& records);
   std::optional<known_endpoint> Decode(const keyed_record& record);
+  std::optional<known_endpoint> FindUsable(const std::string& id);
   bool IsUsable(const known_endpoint& endpoint) const;
   void PassOnRecorded();
   void PublishEndpoints();
