A host without usable endpoints does not call itself ready

While all listed endpoints wait for a record of their version, the first page of changes passed on an empty list, the host ended its start and refused requests that it could have held until the record was written.

Cause: the whole reading had the check, the page of changes did not.

Change: the check stands where both pass.

Measured: AHostWithoutUsableEndpointsHasNoList failed before and passes now.

--- a/src/slatestall/gateway/endpoint_pages_test.cc
+++ b/src/slatestall/gateway/endpoint_pages_test.cc
@@ -24,6 +24,7 @@
 const std::string kUnreadable = "?";
 const std::string kRecordedVersions =
     WriteVersionRecord({{{kService, {""}}}, 1, true});
+const std::string kNoVersions = WriteVersionRecord({{}, 1, true});
 
 /// An endpoint's entry; its text is "DOMAIN START PORT STATE".
 struct listed_entry {
@@ -57,12 +58,13 @@
 /// A host that follows a list of endpoints, and the roster that it keeps.
 class following_host {
  public:
-  following_host() {
+  /// @param versions That another host has recorded.
+  explicit following_host(const std::string& versions = kRecordedVersions) {
     options_.leave_limit = milliseconds(1);
     control_.emplace(context_, options_, Link(), log_, BootTimeNow, News());
     control_->Start();
     Await(hosts_.newest);
-    fake_topic::Answer(hosts_.newest, {{"versions/h2", kRecordedVersions}});
+    fake_topic::Answer(hosts_.newest, {{"versions/h2", versions}});
   }
 
   void Begin(std::vector<keyed_record> listed) {
@@ -95,6 +97,8 @@
   }
 
   const endpoint_roster& Roster() const { return roster_; }
+  /// @returns whether the traffic thread was given a list, if an empty one.
+  bool HasList() const { return has_list_; }
 
  private:
   platform_link Link() {
@@ -124,6 +128,7 @@
     news.on_configuration = [](const auto&) {};
     news.on_endpoints = [this](const listing_changes& changes) {
       roster_.Apply(changes.put, changes.gone);
+      has_list_ = true;
     };
     news.on_hosts = [](const auto&) {};
     news.on_census = [](const auto&) {};
@@ -148,6 +153,7 @@
   fake_topic endpoints_;
   fake_topic hosts_;
   endpoint_roster roster_;
+  bool has_list_ = false;
   std::optional<gateway_control> control_;
 };
 
@@ -265,6 +271,7 @@
   CPPUNIT_TEST(AnEndpointThatCameAndWentInOnePageIsNotUsed);
   CPPUNIT_TEST(AnEndpointThatChangedAndWentInOnePageIsNotUsed);
   CPPUNIT_TEST(ANewRunInOnePageWithTheEndOfTheOldOneIsUsed);
+  CPPUNIT_TEST(AHostWithoutUsableEndpointsHasNoList);
   CPPUNIT_TEST(TheRosterHoldsTheListHoweverItIsSplitIntoPages);
   CPPUNIT_TEST_SUITE_END();
 
@@ -307,6 +314,15 @@
     CPPUNIT_ASSERT(!before->Usable());
   }
 
+  // A host called itself ready before it could serve.
+  void AHostWithoutUsableEndpointsHasNoList() {
+    following_host host(kNoVersions);
+    host.Begin({{"e1", listed_entry{}.Text()}});
+    CPPUNIT_ASSERT(!host.HasList());
+    host.ReadPage({{"e2", listed_entry{}.Text()}});
+    CPPUNIT_ASSERT(!host.HasList());
+  }
+
   // The list and the roster were two copies that could differ for good.
   void TheRosterHoldsTheListHoweverItIsSplitIntoPages() {
     following_host host;
--- a/src/slatestall/gateway/gateway_control.cc
+++ b/src/slatestall/gateway/gateway_control.cc
@@ -292,9 +292,6 @@
   const auto all = listed.size();
   std::erase_if(listed, [this](const auto& one) { return !IsUsable(one); });
   held_ = listed.size() < all;
-  if (!has_published_ && held_ && listed.empty()) {
-    return;  // The host is ready once it can serve.
-  }
   for (auto& endpoint : listed) {
     endpoint.evacuated = evacuations_.Contains(endpoint.failure_domain);
   }
@@ -302,7 +299,8 @@
 }
 
 void gateway_control::PassOn(listing_changes changes) {
-  if (has_published_ && changes.IsEmpty()) {
+  // While all that is listed is held, the host is not ready: it cannot serve.
+  if (changes.IsEmpty() && (has_published_ || held_)) {
     return;
   }
   has_published_ = true;
