An endpoint that has left the list takes no call that chose it before

What callers saw: nothing yet; found while looking for the cause of the endpoint that came and went on related paths. A call whose connection is being made looks at its endpoint once more before it sends the request. One that had left the list meanwhile still counted as usable, so that the request went to it.

Cause: the record of an endpoint that is gone is kept, unchanged, for an entry that only lapsed.

Change: the record knows whether the list holds it, and takes no call while it does not.

Measured: OneThatLeftTheListTakesNoCallThatChoseItBefore fails without the change.

--- a/include/slatestall/dispatch/endpoint_record.h
+++ b/include/slatestall/dispatch/endpoint_record.h
@@ -123,10 +123,14 @@
     return may_avoid_ && now < avoid_until_;
   }
   bool Cold(time_point now) const { return now < info_.cold_until; }
+  /// @brief Whether the list holds it. One that is not listed takes no call,
+  /// also none that chose it before and whose connection is still being made.
+  void SetListed(bool listed) { listed_ = listed; }
   /// @brief Takes it out for good: another incarnation has its address.
   void MarkGone() { gone_ = true; }
   bool Usable() const {
-    return !gone_ && !reported_leaving_ && !info_.leaving && !info_.evacuated;
+    return listed_ && !gone_ && !reported_leaving_ && !info_.leaving &&
+           !info_.evacuated;
   }
   /// @brief Usable, and not in a back-off.
   bool TakesCalls(time_point now) const { return Usable() && !BacksOff(now); }
@@ -141,6 +145,7 @@
   std::uint32_t in_flight_when_told_ = 0;
   unsigned failures_in_row_ = 0;
   time_point avoid_until_{};
+  bool listed_ = true;
   bool gone_ = false;
   bool reported_leaving_ = false;
   time_point back_off_until_{};
--- a/src/slatestall/dispatch/endpoint_roster.cc
+++ b/src/slatestall/dispatch/endpoint_roster.cc
@@ -40,6 +40,7 @@
     const auto found = by_id_.find(id);
     if (found != by_id_.end()) {
       Unlist(found->second);
+      found->second->SetListed(false);
       KeepUnlisted(found->second);
       by_id_.erase(found);
     }
@@ -105,6 +106,7 @@
     return std::make_shared<endpoint_record>(endpoint, may_avoid_, uses_pace_);
   }
   record->Update(endpoint);
+  record->SetListed(true);
   return record;
 }
 
--- a/src/slatestall/dispatch/endpoint_roster_test.cc
+++ b/src/slatestall/dispatch/endpoint_roster_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(AnOlderListDoesNotBringALeavingEndpointBack);
   CPPUNIT_TEST(AnEntryThatComesBackIsStillOfALeavingEndpoint);
   CPPUNIT_TEST(AnAnswerAfterTheEntryHasGoneCounts);
+  CPPUNIT_TEST(OneThatLeftTheListTakesNoCallThatChoseItBefore);
   CPPUNIT_TEST(ANewRunUnderTheSameIdIsUsed);
   CPPUNIT_TEST(WhatOnlyAnswersReportedIsKnownAsSuch);
   CPPUNIT_TEST(NoOrderOfListsAndAnswersBringsALeavingEndpointBack);
@@ -129,6 +130,17 @@
     CPPUNIT_ASSERT(!roster_.Find("i-1")->Usable());
   }
 
+  // A call whose connection was being made was sent to an endpoint that had left.
+  void OneThatLeftTheListTakesNoCallThatChoseItBefore() {
+    roster_.Replace({Listed("i-1")});
+    const auto chosen = roster_.Find("i-1");
+    roster_.Replace({});
+    CPPUNIT_ASSERT(!chosen->TakesCalls(kStart));
+    // Its entry had only lapsed.
+    roster_.Replace({Listed("i-1")});
+    CPPUNIT_ASSERT(chosen->TakesCalls(kStart));
+  }
+
   // The endpoint has left and started again under its id: it would stay unused.
   void ANewRunUnderTheSameIdIsUsed() {
     roster_.Replace({Listed("i-1", 1)});
