Kept connections have the limits of the configuration in force

Cause: the reader of a connection copied the limits when the connection was accepted; a new configuration changed the listener's.

Change: message_reader keeps no limits, each Feed is given those in force. A request that spans a change has the larger of both, and is judged when bytes arrive that exceed them. Tests that feed a reader pass the limits there; their assertions are the same.

--- a/include/slatestall/relay/caller_listener.h
+++ b/include/slatestall/relay/caller_listener.h
@@ -84,6 +84,7 @@
   caller_listener& operator=(const caller_listener&) = delete;
 
   std::uint16_t Port() const;
+  /// @brief Holds for all connections, kept ones included.
   void SetLimits(const caller_limits& limits);
   /// @brief From now on each answer is the last of its connection.
   void AnnounceClose();
--- a/include/slatestall/relay/message_reader.h
+++ b/include/slatestall/relay/message_reader.h
@@ -43,14 +43,15 @@
 /// ends let one request be smuggled inside another.
 class message_reader {
  public:
-  message_reader(message_kind kind, const message_limits& limits);
+  explicit message_reader(message_kind kind);
   ~message_reader();
   message_reader(const message_reader&) = delete;
   message_reader& operator=(const message_reader&) = delete;
 
   /// @brief Takes bytes up to the end of the message.
+  /// @param limits In force now; a connection may outlive them.
   /// @returns how many were taken; the rest belongs to the next message.
-  std::size_t Feed(std::string_view bytes);
+  std::size_t Feed(std::string_view bytes, const message_limits& limits);
   /// @brief The peer closed in an orderly way: an answer that says nothing of
   /// its length is complete, any other is cut short.
   void FeedEnd();
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "slatestall/relay/caller_connection.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <cstdio>
@@ -96,7 +97,7 @@
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       environment_(std::move(environment)),
-      reader_(message_kind::kRequest, environment_->limits.message),
+      reader_(message_kind::kRequest),
       taken_at_(environment_->options.now()),
       unread_id_(environment_->options.unread
                      ? environment_->options.unread->NewConnection()
@@ -224,7 +225,7 @@
 void caller_connection::Process(std::string_view bytes) {
   const bool had_started = reader_.Started();
   const bool had_head = reader_.HeadComplete();
-  bytes.remove_prefix(reader_.Feed(bytes));
+  bytes.remove_prefix(reader_.Feed(bytes, RequestLimits()));
   if (reader_.Fault() != read_fault::kNone) {
     Refuse(reader_.Fault());
     return;
@@ -241,6 +242,20 @@
   }
 }
 
+/// Where the limits change while a request arrives, it is refused only if both
+/// forbid it: its caller may have followed either.
+const message_limits& caller_connection::RequestLimits() {
+  const auto& now = environment_->limits.message;
+  request_limits_ =
+      reader_.Started()
+          ? message_limits{std::max(request_limits_.max_head_bytes,
+                                    now.max_head_bytes),
+                           std::max(request_limits_.max_body_bytes,
+                                    now.max_body_bytes)}
+          : now;
+  return request_limits_;
+}
+
 void caller_connection::Dispatch() {
   timer_.cancel();
   phase_ = phase::kServing;
--- a/src/slatestall/relay/caller_connection.h
+++ b/src/slatestall/relay/caller_connection.h
@@ -71,6 +71,7 @@
   void Dispatch();
   void Refuse(read_fault fault);
   void SendLast(int status, const http_headers& headers, std::string body);
+  const message_limits& RequestLimits();
   http_headers WithConnection(http_headers headers);
   void Enqueue(std::string bytes);
   void Flush();
@@ -87,6 +88,7 @@
   asio::steady_timer timer_;
   std::shared_ptr<caller_environment> environment_;
   message_reader reader_;
+  message_limits request_limits_;  ///< Of the request that is being read.
   const time_point taken_at_;
   const unread_budget::connection_id unread_id_;
   std::array<char, std::size_t{4} << 10U> input_{};
--- a/src/slatestall/relay/endpoint_call.cc
+++ b/src/slatestall/relay/endpoint_call.cc
@@ -44,8 +44,8 @@
         hooks_(std::move(hooks)),
         socket_(context),
         connect_timer_(context),
-        reader_(message_kind::kAnswer, options_.limits),
-        relay_reader_(message_kind::kAnswer, RelayLimits(options_.limits)) {
+        reader_(message_kind::kAnswer),
+        relay_reader_(message_kind::kAnswer) {
     if (options_.is_head) {
       reader_.ExpectNoBody();
     }
@@ -205,7 +205,7 @@
 
   void TakeRelayed(const std::shared_ptr<endpoint_call>& self,
                    std::string_view bytes) {
-    relay_reader_.Feed(bytes);
+    relay_reader_.Feed(bytes, RelayLimits(options_.limits));
     if (relay_reader_.Fault() != read_fault::kNone) {
       End(call_outcome::kBroken);
       return;
@@ -230,7 +230,7 @@
 
   void Take(std::string_view bytes) {
     while (!bytes.empty() && !ended_) {
-      const auto taken = reader_.Feed(bytes);
+      const auto taken = reader_.Feed(bytes, options_.limits);
       bytes.remove_prefix(taken);
       answer_bytes_ += taken;
       Deliver();
--- a/src/slatestall/relay/message_reader.cc
+++ b/src/slatestall/relay/message_reader.cc
@@ -44,8 +44,7 @@
 
 class message_reader::impl {
  public:
-  impl(message_kind kind, const message_limits& limits)
-      : kind_(kind), limits_(limits) {
+  explicit impl(message_kind kind) : kind_(kind) {
     http_parser_settings_init(&settings_);
     settings_.on_url = [](http_parser* p, const char* data, std::size_t size) {
       Self(p).head_.target.append(data, size);
@@ -92,7 +91,8 @@
     fault_ = read_fault::kNone;
   }
 
-  std::size_t Feed(std::string_view bytes) {
+  std::size_t Feed(std::string_view bytes, const message_limits& limits) {
+    limits_ = limits;
     if (complete_ || fault_ != read_fault::kNone || bytes.empty()) {
       return 0;
     }
@@ -127,7 +127,7 @@
   }
 
   message_kind kind_;
-  message_limits limits_;
+  message_limits limits_;  ///< Of the bytes that are being taken.
   http_parser_settings settings_{};
   http_parser parser_{};
   message_head head_;
@@ -273,12 +273,13 @@
   int blank_line_ = 0;
 };
 
-message_reader::message_reader(message_kind kind, const message_limits& limits)
-    : impl_(std::make_unique<impl>(kind, limits)) {}
+message_reader::message_reader(message_kind kind)
+    : impl_(std::make_unique<impl>(kind)) {}
 message_reader::~message_reader() = default;
 
-std::size_t message_reader::Feed(std::string_view bytes) {
-  return impl_->Feed(bytes);
+std::size_t message_reader::Feed(std::string_view bytes,
+                                 const message_limits& limits) {
+  return impl_->Feed(bytes, limits);
 }
 void message_reader::FeedEnd() { impl_->FeedEnd(); }
 void message_reader::Reset() { impl_->Reset(); }
--- a/src/slatestall/relay/message_reader_test.cc
+++ b/src/slatestall/relay/message_reader_test.cc
@@ -10,15 +10,15 @@
 const std::string kGet = "GET /a/b?c=d HTTP/1.1\r\nHost: x\r\n\r\n";
 
 read_fault FaultOf(message_kind kind, const std::string& bytes) {
-  message_reader reader(kind, {});
-  reader.Feed(bytes);
+  message_reader reader(kind);
+  reader.Feed(bytes, {});
   return reader.Fault();
 }
 
 /// Feeds one byte at a time, so that no border between reads is missed.
 void Trickle(message_reader& reader, const std::string& bytes) {
   for (const char c : bytes) {
-    reader.Feed(std::string_view(&c, 1));
+    reader.Feed(std::string_view(&c, 1), {});
   }
 }
 
@@ -38,7 +38,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   void ARequestIsReadWithItsHeadAsItStood() {
-    message_reader reader(message_kind::kRequest, {});
+    message_reader reader(message_kind::kRequest);
     Trickle(reader,
             "POST /p/q?r=1 HTTP/1.1\r\nHost: x\r\nX-Odd:  two words \r\n"
             "Empty:\r\nContent-Length: 3\r\n\r\nabc");
@@ -54,18 +54,18 @@
   }
 
   void TheNextRequestIsLeftForLater() {
-    message_reader reader(message_kind::kRequest, {});
+    message_reader reader(message_kind::kRequest);
     const std::string two = kGet + "GET /next HTTP/1.1\r\nHost: x\r\n\r\n";
-    const std::size_t taken = reader.Feed(two);
+    const std::size_t taken = reader.Feed(two, {});
     CPPUNIT_ASSERT(taken == kGet.size());
     reader.Reset();
-    reader.Feed(two.substr(taken));
+    reader.Feed(two.substr(taken), {});
     CPPUNIT_ASSERT(reader.Complete());
     CPPUNIT_ASSERT_EQUAL(std::string("/next"), reader.Head().target);
   }
 
   void AChunkedBodyIsJoinedAndItsTrailersAreNoHeaders() {
-    message_reader reader(message_kind::kRequest, {});
+    message_reader reader(message_kind::kRequest);
     Trickle(reader,
             "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
             "3\r\nabc\r\n2\r\nde\r\n0\r\nHost: forged\r\n\r\n");
@@ -105,17 +105,19 @@
     message_limits limits;
     limits.max_head_bytes = 100;
     limits.max_body_bytes = 10;
-    message_reader head(message_kind::kRequest, limits);
-    head.Feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'a') + "\r\n\r\n");
+    message_reader head(message_kind::kRequest);
+    head.Feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'a') + "\r\n\r\n",
+              limits);
     CPPUNIT_ASSERT(head.Fault() == read_fault::kHeadTooLarge);
-    message_reader body(message_kind::kRequest, limits);
-    body.Feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901");
+    message_reader body(message_kind::kRequest);
+    body.Feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901",
+              limits);
     CPPUNIT_ASSERT(body.Fault() == read_fault::kBodyTooLarge);
   }
 
   void AnAnswerWithoutLengthEndsWithItsConnection() {
-    message_reader reader(message_kind::kAnswer, {});
-    reader.Feed("HTTP/1.1 200 OK\r\nA: b\r\n\r\nall of it");
+    message_reader reader(message_kind::kAnswer);
+    reader.Feed("HTTP/1.1 200 OK\r\nA: b\r\n\r\nall of it", {});
     CPPUNIT_ASSERT(!reader.Complete());
     reader.FeedEnd();
     CPPUNIT_ASSERT(reader.Complete());
@@ -130,8 +132,8 @@
           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                       "4\r\nhalf\r\n"),
           std::string("HTTP/1.1 200 OK\r\nContent-")}) {
-      message_reader reader(message_kind::kAnswer, {});
-      reader.Feed(cut);
+      message_reader reader(message_kind::kAnswer);
+      reader.Feed(cut, {});
       reader.FeedEnd();
       CPPUNIT_ASSERT(!reader.Complete());
       CPPUNIT_ASSERT(reader.Fault() != read_fault::kNone);
@@ -139,9 +141,9 @@
   }
 
   void AnAnswerToHeadHasNoBody() {
-    message_reader reader(message_kind::kAnswer, {});
+    message_reader reader(message_kind::kAnswer);
     reader.ExpectNoBody();
-    reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", {});
     CPPUNIT_ASSERT(reader.Complete());
   }
 
@@ -183,8 +185,8 @@
     for (const char* head : {"HTTP/1.1 304 Not Modified\r\n"
                              "Content-Length: 9\r\n\r\n",
                              "HTTP/1.1 204 No Content\r\n\r\n"}) {
-      message_reader reader(message_kind::kAnswer, {});
-      reader.Feed(head);
+      message_reader reader(message_kind::kAnswer);
+      reader.Feed(head, {});
       CPPUNIT_ASSERT_MESSAGE(head, reader.Complete());
     }
   }
--- a/src/slatestall/relay/message_text_test.cc
+++ b/src/slatestall/relay/message_text_test.cc
@@ -23,8 +23,8 @@
           rc::gen::element('\r', '\n', '\0', ':', ' ', 'a', ','));
       const std::string head = RequestHeadText(
           "POST", "/x", {{"First", value}, {"Content-Length", "0"}});
-      message_reader reader(message_kind::kRequest, {});
-      RC_ASSERT(reader.Feed(head) == head.size());
+      message_reader reader(message_kind::kRequest);
+      RC_ASSERT(reader.Feed(head, {}) == head.size());
       RC_ASSERT(reader.Complete());
       RC_ASSERT(reader.Head().headers.size() == std::size_t{2});
       RC_ASSERT(reader.Head().headers[1].name == "Content-Length");
