Time limits that are raised hold for waits that have begun

What callers saw: a kept connection was closed by an idle time that was no longer in force, maybe as its next request came; a request whose head was under way was ended with 408 in the same way.

Change: a timer that fires looks at the limit in force, and waits on where that is longer than the one it was armed with. A lowered time holds from the next wait on, since the caller may count on the one before.

Measured: AKeptConnectionMayStayIdleForARaisedTime and AHeadMayTakeARaisedTime failed before, ALoweredIdleTimeHoldsFromTheNextWait held; all pass now.

--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -380,13 +380,21 @@
 }
 
 void caller_connection::ArmTimer() {
-  milliseconds limit = environment_->limits.idle_timeout;
+  wait_began_ = asio::steady_timer::clock_type::now();
+  wait_limit_ = WaitLimit();
+  StartTimer(wait_limit_);
+}
+
+milliseconds caller_connection::WaitLimit() const {
   if (phase_ == phase::kLingering) {
-    limit = kLingerTime;
-  } else if (reader_.Started()) {
-    limit = environment_->limits.head_timeout;
+    return kLingerTime;
   }
-  timer_.expires_after(limit);
+  return reader_.Started() ? environment_->limits.head_timeout
+                           : environment_->limits.idle_timeout;
+}
+
+void caller_connection::StartTimer(duration left) {
+  timer_.expires_after(left);
   timer_.async_wait(
       [this, self = shared_from_this()](const asio::error_code& error) {
         if (!error && phase_ != phase::kClosed) {
@@ -395,11 +403,23 @@
       });
 }
 
+/// Where the limits change during a wait, the longer one holds: the caller may
+/// count on it, and sends its next request as the connection is closed.
 void caller_connection::OnTimer() {
+  if (phase_ == phase::kServing) {
+    return;
+  }
+  wait_limit_ = std::max(wait_limit_, WaitLimit());
+  const duration left =
+      wait_began_ + wait_limit_ - asio::steady_timer::clock_type::now();
+  if (left > duration(0)) {
+    StartTimer(left);
+    return;
+  }
   if (phase_ == phase::kReading && reader_.Started()) {
     constexpr int kRequestTimeout = 408;
     SendLast(kRequestTimeout, {}, "");
-  } else if (phase_ != phase::kServing) {
+  } else {
     Close();
   }
 }
--- a/src/slatestall/relay/caller_connection.h
+++ b/src/slatestall/relay/caller_connection.h
@@ -80,6 +80,8 @@
   void NextRequest();
   void Linger();
   void ArmTimer();
+  void StartTimer(duration left);
+  milliseconds WaitLimit() const;
   void OnTimer();
   void PeerGone();
   void Close();
@@ -89,6 +91,8 @@
   std::shared_ptr<caller_environment> environment_;
   message_reader reader_;
   message_limits request_limits_;  ///< Of the request that is being read.
+  time_point wait_began_{};
+  milliseconds wait_limit_{0};
   const time_point taken_at_;
   const unread_budget::connection_id unread_id_;
   std::array<char, std::size_t{4} << 10U> input_{};
--- a/src/slatestall/relay/caller_limits_test.cc
+++ b/src/slatestall/relay/caller_limits_test.cc
@@ -47,6 +47,9 @@
   CPPUNIT_TEST(AKeptConnectionRefusesWhatLoweredLimitsForbid);
   CPPUNIT_TEST(ARequestThatSpansAChangeHasTheLargerLimits);
   CPPUNIT_TEST(ABodyThatAwaitsContinueHasTheLimitsOfItsArrival);
+  CPPUNIT_TEST(AKeptConnectionMayStayIdleForARaisedTime);
+  CPPUNIT_TEST(ALoweredIdleTimeHoldsFromTheNextWait);
+  CPPUNIT_TEST(AHeadMayTakeARaisedTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -167,6 +170,47 @@
     CPPUNIT_ASSERT_EQUAL(200, Ask(kept, request.substr(head_bytes)));
   }
 
+  // A connection closed by an idle time that was no longer in force, as its
+  // next request came.
+  void AKeptConnectionMayStayIdleForARaisedTime() {
+    auto limits = Limits(kSmall);
+    limits.idle_timeout = milliseconds(300);
+    listener_->SetLimits(limits);
+    auto kept = ConnectAndAsk();
+    limits.idle_timeout = seconds(60);
+    listener_->SetLimits(limits);
+    RunFor(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(200, Ask(kept, Post(1)));
+  }
+
+  // A caller that counts on the idle time of before finds its connection gone.
+  void ALoweredIdleTimeHoldsFromTheNextWait() {
+    auto limits = Limits(kSmall);
+    limits.idle_timeout = seconds(60);
+    listener_->SetLimits(limits);
+    auto kept = ConnectAndAsk();
+    limits.idle_timeout = milliseconds(1);
+    listener_->SetLimits(limits);
+    RunFor(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(200, Ask(kept, Post(1)));
+    CPPUNIT_ASSERT_EQUAL(0, Status(kept));
+  }
+
+  // A request was ended with 408 by a time that was no longer in force.
+  void AHeadMayTakeARaisedTime() {
+    auto limits = Limits(kSmall);
+    limits.head_timeout = milliseconds(300);
+    listener_->SetLimits(limits);
+    auto kept = ConnectAndAsk();
+    const auto request = Post(10);
+    Send(kept, request.substr(0, 5));
+    RunFor(milliseconds(1));
+    limits.head_timeout = seconds(60);
+    listener_->SetLimits(limits);
+    RunFor(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(200, Ask(kept, request.substr(5)));
+  }
+
   std::optional<asio::io_context> context_;
   std::optional<caller_listener> listener_;
 };
