A host that knows no configuration refuses no request for good by its size

A request that came before the first configuration and exceeded the built-in limits got 413 or 431, after which callers do not come back, though the configuration may allow it.

Cause: the built-in limits stand in for those that are not known.

Change: until limits are set, such a request is refused with 503 and Retry-After.

Measured: BeforeTheFirstLimitsNothingIsRefusedForGood failed before (413), passes now.

--- a/include/slatestall/relay/caller_listener.h
+++ b/include/slatestall/relay/caller_listener.h
@@ -84,7 +84,8 @@
   caller_listener& operator=(const caller_listener&) = delete;
 
   std::uint16_t Port() const;
-  /// @brief Holds for all connections, kept ones included.
+  /// @brief Holds for all connections, kept ones included. Until it is first
+  /// called, what exceeds the built-in limits is refused as not run.
   void SetLimits(const caller_limits& limits);
   /// @brief From now on each answer is the last of its connection.
   void AnnounceClose();
--- a/src/slatestall/relay/caller_connection.cc
+++ b/src/slatestall/relay/caller_connection.cc
@@ -30,6 +30,10 @@
 /// a busy caller's delay.
 constexpr milliseconds kFirstRequestTime{200};
 
+constexpr int kUnavailable = 503;
+/// A host that starts knows its configuration within it as a rule.
+constexpr const char* kRetryAfterSeconds = "1";
+
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char* kLastChunk = "0\r\n\r\n";
 
@@ -273,6 +277,14 @@
 }
 
 void caller_connection::Refuse(read_fault fault) {
+  const bool is_size =
+      fault == read_fault::kHeadTooLarge || fault == read_fault::kBodyTooLarge;
+  if (is_size && !environment_->knows_limits) {
+    // Callers do not come back after 413 and 431, and the configuration that
+    // is not known yet may allow the request.
+    SendLast(kUnavailable, {{"Retry-After", kRetryAfterSeconds}}, "");
+    return;
+  }
   SendLast(StatusFor(fault), {}, "");
 }
 
--- a/src/slatestall/relay/caller_connection.h
+++ b/src/slatestall/relay/caller_connection.h
@@ -18,6 +18,7 @@
 struct caller_environment {
   caller_listener_options options;
   caller_limits limits;
+  bool knows_limits = false;  ///< Else `limits` are the built-in ones.
   request_hook hook;
   bool last_answers = false;  ///< Each answer is the last of its connection.
   std::function<void(const std::shared_ptr<class caller_connection>&)>
--- a/src/slatestall/relay/caller_limits_test.cc
+++ b/src/slatestall/relay/caller_limits_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(AKeptConnectionMayStayIdleForARaisedTime);
   CPPUNIT_TEST(ALoweredIdleTimeHoldsFromTheNextWait);
   CPPUNIT_TEST(AHeadMayTakeARaisedTime);
+  CPPUNIT_TEST(BeforeTheFirstLimitsNothingIsRefusedForGood);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,6 +212,15 @@
     CPPUNIT_ASSERT_EQUAL(200, Ask(kept, request.substr(5)));
   }
 
+  // Callers do not come back after 413 and 431.
+  void BeforeTheFirstLimitsNothingIsRefusedForGood() {
+    const std::size_t over = caller_limits{}.message.max_body_bytes + 1;
+    auto with_body = Connect();
+    CPPUNIT_ASSERT_EQUAL(503, Ask(with_body, Post(over)));
+    auto with_head = Connect();
+    CPPUNIT_ASSERT_EQUAL(503, Ask(with_head, GetWithHead(kLarge)));
+  }
+
   std::optional<asio::io_context> context_;
   std::optional<caller_listener> listener_;
 };
--- a/src/slatestall/relay/caller_listener.cc
+++ b/src/slatestall/relay/caller_listener.cc
@@ -219,6 +219,7 @@
 
 void caller_listener::SetLimits(const caller_limits& limits) {
   impl_->Environment()->limits = limits;
+  impl_->Environment()->knows_limits = true;
 }
 
 void caller_listener::AnnounceClose() {
