JSON of others is taken to a bounded depth

On the platform's paths this does not happen. On the own interface an endpoint whose load report held cache events nested 200,000 deep ended the host.

Cause: the parser takes any depth, but copies, comparisons and texts of a document recurse; PolledLoadOf wrote the cache events out again as text.

Change: ParseJson refuses what is nested deeper than 512 levels, and all readers of the product use it; those that report what is wrong use ParseJsonOrThrow.

Measured (x86-64): load_report_json_test ended with a segmentation fault before and passes now.

--- a/src/slatestall/node/admin_api.cc
+++ b/src/slatestall/node/admin_api.cc
@@ -10,6 +10,7 @@
 #include "slatestall/config/pipeline_file.h"
 #include "slatestall/model/error_kind.h"
 #include "slatestall/model/name_table.h"
+#include "slatestall/serve/json_read.h"
 
 namespace slatestall {
 namespace {
@@ -115,7 +116,7 @@
 };
 
 publish_body ReadPublishBody(const std::string& text) {
-  const auto body = json::parse(text);
+  const auto body = ParseJsonOrThrow(text);
   publish_body read;
   if (!body.at("base").is_number_unsigned()) {
     throw std::invalid_argument("\"base\" must be a revision");
--- a/src/slatestall/node/claim_layout_log.cc
+++ b/src/slatestall/node/claim_layout_log.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "slatestall/serve/json_read.h"
+
 namespace slatestall {
 namespace {
 
@@ -26,7 +28,7 @@
 
 std::optional<layout_mark> Decode(const std::string& payload) {
   try {
-    const json record = json::parse(payload);
+    const json record = ParseJson(payload);
     layout_mark mark;
     record.at(kPartitions).get_to(mark.partitions);
     if (record.contains(kFoundedAt)) {
--- a/src/slatestall/node/claim_record_codec.cc
+++ b/src/slatestall/node/claim_record_codec.cc
@@ -5,6 +5,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "slatestall/serve/json_read.h"
+
 namespace slatestall {
 namespace {
 
@@ -148,7 +150,7 @@
 
 std::optional<claim_batch> DecodeClaims(std::string_view payload) {
   try {
-    const json record = json::parse(payload);
+    const json record = ParseJson(payload);
     claim_batch batch;
     batch.written_at = record.value(kWrittenAt, std::int64_t{0});
     for (const auto& line : record.at(kEnds)) {
--- a/src/slatestall/node/config_record_codec.cc
+++ b/src/slatestall/node/config_record_codec.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "slatestall/node/text_packing.h"
+#include "slatestall/serve/json_read.h"
 
 namespace slatestall {
 namespace {
@@ -52,7 +53,7 @@
 config_record DecodeConfigRecord(const log_record& record) {
   config_record decoded;
   try {
-    decoded = FromJson(json::parse(record.payload));
+    decoded = FromJson(ParseJsonOrThrow(record.payload));
   } catch (const std::exception&) {
     decoded = {};
     decoded.malformed = true;
--- a/src/slatestall/node/host_status.cc
+++ b/src/slatestall/node/host_status.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "slatestall/serve/json_read.h"
+
 namespace slatestall {
 namespace {
 
@@ -46,7 +48,7 @@
 host_status DecodeHostStatus(const std::string& text) {
   host_status status;
   try {
-    const auto body = json::parse(text);
+    const auto body = ParseJson(text);
     status.host.name = body.at("host").get<std::string>();
     status.host.incarnation = body.at("incarnation").get<std::uint64_t>();
     status.revision = body.at("revision").get<config_revision>();
--- a/src/slatestall/node/lease_record_codec.cc
+++ b/src/slatestall/node/lease_record_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "slatestall/serve/json_read.h"
+
 namespace slatestall {
 namespace {
 
@@ -11,7 +13,7 @@
 
 std::optional<lease_record> DecodeLeaseRecord(const log_record& record) {
   try {
-    const auto body = json::parse(record.payload);
+    const auto body = ParseJson(record.payload);
     const auto action =
         ValueIn(kLeaseActionNames, body.at("action").get<std::string>());
     if (!action || !body.at("read_to").is_number_unsigned()) {
--- a/src/slatestall/node/load_report_json.cc
+++ b/src/slatestall/node/load_report_json.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "slatestall/serve/json_read.h"
+
 namespace slatestall {
 namespace {
 
@@ -15,7 +17,7 @@
 std::optional<polled_load> PolledLoadOf(const std::string& body,
                                         time_point asked) {
   try {
-    const auto answer = json::parse(body);
+    const auto answer = ParseJson(body);
     polled_load polled;
     polled.load.running = answer.value("running", 0U);
     polled.load.waiting = answer.value("waiting", 0U);
--- a/src/slatestall/node/prefix_cache_index.cc
+++ b/src/slatestall/node/prefix_cache_index.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "slatestall/serve/json_read.h"
+
 namespace slatestall {
 namespace {
 
@@ -32,7 +34,7 @@
 
 std::optional<cache_answer> Parse(const std::string& body) {
   try {
-    const auto parsed = json::parse(body);
+    const auto parsed = ParseJson(body);
     cache_answer answer;
     answer.next = parsed.at("next").get<std::uint64_t>();
     for (const auto& event : parsed.at("events")) {
--- a/src/slatestall/serve/json_read.h
+++ b/src/slatestall/serve/json_read.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -8,9 +9,17 @@
 
 namespace slatestall {
 
-/// @brief Parses untrusted text; a discarded value where it is not JSON.
+/// @brief Levels of lists and objects in a document that is taken.
+constexpr std::size_t kMaxJsonNesting = 512;
+
+/// @brief Parses untrusted text; a discarded value where it is not JSON or
+/// nested too deeply.
 nlohmann::json ParseJson(std::string_view text);
 
+/// @brief The same, for readers that report what is wrong.
+/// @throws std::exception where it is not JSON or nested too deeply.
+nlohmann::json ParseJsonOrThrow(std::string_view text);
+
 /// @brief Text of `value`. Bytes that are not UTF-8 are replaced: a plain
 /// service may answer any bytes, and a serializer that throws on them would
 /// turn its answer into an internal error after the call has run.
