Tests: a head that is cut at any byte is no answer

What callers saw: nothing here; other operators saw a 200 with an empty or short body, framed as whole, after an endpoint had stopped in the middle of the head of its answer.

Finding: this does not happen here.

--- a/src/slatestall/http/http_client_test.cc
+++ b/src/slatestall/http/http_client_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(TellsWhenAReadIsHandedOver);
   CPPUNIT_TEST(ReusesConnectionsBesideManyCalls);
   CPPUNIT_TEST(NeverTakesACutAnswerForWhole);
+  CPPUNIT_TEST(NeverTakesACutHeadForAnAnswer);
   CPPUNIT_TEST(PassesOverInterimAnswers);
   CPPUNIT_TEST(NeverTakesAMalformedHeadForAnAnswer);
   CPPUNIT_TEST(SendsAnAtMostOnceCallOnce);
@@ -96,6 +97,25 @@
     }
   }
 
+  // Guards against a 200 without a body that passes for whole: libcurl takes a
+  // head without its end for an answer.
+  void NeverTakesACutHeadForAnAnswer() {
+    const std::string start = "HTTP/1.1 200 OK\r\nX-A: b\r\n";
+    for (const std::string& head :
+         {start + "Content-Length: 0\r\n\r\n", start + "\r\n",
+          start + "Transfer-Encoding: chunked\r\n\r\n"}) {
+      for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+        fake_endpoint endpoint(context_, [&](raw_peer& peer, int) {
+          peer.Send(head.substr(0, bytes));
+          peer.Close();
+        });
+        const http_result result = Run(context_, client_, Get(endpoint.Url()));
+        CPPUNIT_ASSERT_MESSAGE(head.substr(0, bytes),
+                               result.end == call_end::kTruncated);
+      }
+    }
+  }
+
   // Guards against an answer whose head libcurl and this client read in two
   // ways: a cut body counted as whole, or an answer had status 0.
   void NeverTakesAMalformedHeadForAnAnswer() {
--- a/src/slatestall/relay/message_reader_test.cc
+++ b/src/slatestall/relay/message_reader_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(SizesAreBounded);
   CPPUNIT_TEST(AnAnswerWithoutLengthEndsWithItsConnection);
   CPPUNIT_TEST(AnAnswerThatIsCutIsNotComplete);
+  CPPUNIT_TEST(AHeadCutAtAnyByteIsNoAnswer);
   CPPUNIT_TEST(AnAnswerToHeadHasNoBody);
   CPPUNIT_TEST(WhatIsNoAnswerIsMalformed);
   CPPUNIT_TEST(AHeadThatReadersDisagreeOnIsMalformed);
@@ -140,6 +141,23 @@
     }
   }
 
+  // Guards against a 200 without a body, or with a short one, that passes for
+  // whole: the endpoint stopped in the middle of the head.
+  void AHeadCutAtAnyByteIsNoAnswer() {
+    const std::string start = "HTTP/1.1 200 OK\r\nStamp: s\r\n";
+    for (const std::string& head :
+         {start + "Content-Length: 9\r\n\r\n", start + "\r\n",
+          start + "Transfer-Encoding: chunked\r\n\r\n"}) {
+      for (std::size_t bytes = 1; bytes < head.size(); ++bytes) {
+        message_reader reader(message_kind::kAnswer);
+        reader.Feed(head.substr(0, bytes), {});
+        reader.FeedEnd();
+        CPPUNIT_ASSERT(!reader.HeadComplete() && !reader.Complete());
+        CPPUNIT_ASSERT(reader.Fault() != read_fault::kNone);
+      }
+    }
+  }
+
   void AnAnswerToHeadHasNoBody() {
     message_reader reader(message_kind::kAnswer);
     reader.ExpectNoBody();
