--- a/src/slatestall/dispatch/endpoint_roster_test.cc
+++ b/src/slatestall/dispatch/endpoint_roster_test.cc
@@ -130,7 +130,8 @@
     CPPUNIT_ASSERT(!roster_.Find("i-1")->Usable());
   }
 
-  // A call whose connection was being made was sent to an endpoint that had left.
+  // A call whose connection was being made was sent to an endpoint that had
+  // left.
   void OneThatLeftTheListTakesNoCallThatChoseItBefore() {
     roster_.Replace({Listed("i-1")});
     const auto chosen = roster_.Find("i-1");
